--- /dev/null
+++ b/internal/cmd/cmd.go
@@ -0,0 +1,67 @@
+// Package cmd is the command line of baobabdyke, with one file for each
+// subcommand.
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of the program.
+const (
+	// ExitOK reports success.
+	ExitOK = 0
+	// ExitFailure reports that the command did not do what it was asked.
+	ExitFailure = 1
+	// ExitUsage reports wrong arguments, settings or configuration.
+	ExitUsage = 2
+	// ExitConflict reports a patch against a version that is not current.
+	ExitConflict = 3
+	// ExitUnknown reports a patch that may or may not be in force.
+	ExitUnknown = 4
+)
+
+// arguments are the arguments of the program: one subcommand.
+type arguments struct {
+	VersionCommand *versionCommand `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description implements the help text of go-arg.
+func (arguments) Description() string {
+	return "baobabdyke routes language-model traffic with long shared prompts."
+}
+
+// Epilogue implements the end of the help text of go-arg.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 wrong arguments, settings or configuration, " +
+		"3 patch conflicts with a newer version, 4 outcome of a patch unknown."
+}
+
+// Main runs the program with args and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: "baobabdyke"}, &a)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailure
+	}
+	err = p.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
+		return ExitOK
+	case err != nil:
+		fmt.Fprintf(stderr, "baobabdyke: %v\n", err)
+		return ExitUsage
+	}
+	switch {
+	case a.VersionCommand != nil:
+		return a.VersionCommand.run(stdout)
+	default:
+		p.WriteHelp(stderr)
+		return ExitUsage
+	}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,54 @@
+// Package route chooses the target of a request by the expected time to its
+// first token, and decides what a failed attempt may be followed by.
+package route
+
+import (
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/prefix"
+)
+
+// A Request is what a choice is made on. Excluded names targets that already
+// failed it.
+type Request struct {
+	Route    *config.Route
+	Prompt   prefix.Prompt
+	Output   int
+	Deadline time.Time
+	Excluded []string
+}
+
+// A Choice is the outcome of choosing: Chosen, Follow or NoTarget.
+type Choice interface{ choice() }
+
+// Chosen names the target with the incarnation and weight version that the
+// choice relied on. Held is the number of prompt tokens expected in its cache,
+// Transfer the KV cache to import missing pieces from, empty for none. Done
+// must be called once when the attempt has ended.
+type Chosen struct {
+	Target      *config.Target
+	Incarnation string
+	Weights     string
+	Held        int
+	Expected    time.Duration
+	Transfer    string
+	Done        func(firstByte time.Duration, err error)
+}
+
+// Follow reports that another request computes the same cold prefix: choose
+// again when Ready closes or after the time Until.
+type Follow struct {
+	Ready <-chan struct{}
+	Until time.Time
+}
+
+// NoTarget reports that no target can take the request now.
+type NoTarget struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+func (Chosen) choice()   {}
+func (Follow) choice()   {}
+func (NoTarget) choice() {}
