--- /dev/null
+++ b/customer/queries.go
@@ -0,0 +1,84 @@
+package customer
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/baobabdyke/baobabdyke/config"
+)
+
+// Reasons of a Denied verdict. They are fit for the caller to read.
+const (
+	ReasonNoRoute     = "unknown route"
+	ReasonNoKey       = "no key: send it as \"Authorization: Bearer KEY\" or \"X-Api-Key: KEY\""
+	ReasonKeyInQuery  = "a key in the query is refused, since addresses are logged: send it as a header"
+	ReasonKeyInBody   = "a key in a trailer is refused: send it as a header"
+	ReasonManyKeys    = "the request carries different keys: send one"
+	ReasonMalformed   = "malformed credentials: send \"Authorization: Bearer KEY\""
+	ReasonUnknownKey  = "unknown key"
+	ReasonWithdrawn   = "the key is withdrawn"
+	ReasonNoRight     = "the customer may not use this route"
+	ReasonOtherTenant = "the key is now another customer's"
+)
+
+// Authorize decides whether a request may run on a route and for which
+// customer. It reads every place that can carry a key, also on open routes,
+// where the keys are ignored.
+func Authorize(v *config.View, r *http.Request, route string) Verdict {
+	rt := v.Route(route)
+	if rt == nil {
+		return Denied{Status: http.StatusNotFound, Reason: ReasonNoRoute}
+	}
+	if rt.Open {
+		return Granted{Grant: Grant{Route: route, Version: v.Version}, Route: rt}
+	}
+	found := find(r, rt.Secrets)
+	if denied, bad := found.refusal(); bad {
+		return denied
+	}
+	digest := Digest(found.secrets[0])
+	return check(v, Grant{Route: route, Digest: digest}, rt)
+}
+
+// Check decides again whether a granted request may run, against the
+// configuration now in force. It is asked before every send, retry and resume.
+func Check(v *config.View, g Grant) Verdict {
+	rt := v.Route(g.Route)
+	if rt == nil {
+		return Denied{Status: http.StatusNotFound, Reason: ReasonNoRoute}
+	}
+	if rt.Open {
+		return Granted{Grant: Grant{Route: g.Route, Version: v.Version}, Route: rt}
+	}
+	return check(v, g, rt)
+}
+
+// Cut tells whether a running answer has to end: its key was withdrawn with
+// config.WithdrawnCut. All other changes let a running answer finish.
+func Cut(v *config.View, g Grant) bool {
+	if g.Digest == "" {
+		return false
+	}
+	_, key := owner(v, g.Digest)
+	return key != nil && key.Withdrawn == config.WithdrawnCut
+}
+
+// check decides for a keyed route. The digest of the grant is the evidence;
+// a customer named by the grant has to be the owner of the key still.
+func check(v *config.View, g Grant, rt *config.Route) Verdict {
+	c, key := owner(v, g.Digest)
+	switch {
+	case c == nil:
+		return Denied{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
+	case key.Withdrawn != "":
+		return Denied{Status: http.StatusUnauthorized, Reason: ReasonWithdrawn}
+	case g.Customer != "" && g.Customer != c.Name:
+		return Denied{Status: http.StatusUnauthorized, Reason: ReasonOtherTenant}
+	case !slices.Contains(c.Routes, rt.Name):
+		return Denied{Status: http.StatusForbidden, Reason: ReasonNoRight}
+	}
+	return Granted{
+		Grant: Grant{Customer: c.Name, KeyID: key.ID, Digest: g.Digest, Route: rt.Name, Version: v.Version},
+		Route: rt,
+	}
+}
--- /dev/null
+++ b/limit/event.go
@@ -0,0 +1,192 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// An Event is what Step reacts to.
+type Event interface{ event() }
+
+// Reserve asks for a cost. IDs are new for every reservation of a process.
+type Reserve struct {
+	ID       uint64
+	Customer string
+	Cost     Cost
+}
+
+// Settle ends a reservation with what was really used.
+type Settle struct {
+	Reservation Reservation
+	Used        Cost
+}
+
+// Asked is another VM's Ask.
+type Asked struct {
+	From string
+	Ask  Ask
+}
+
+// Answered is the answer to an own ask. Failed tells that there was none.
+type Answered struct {
+	ID       uint64
+	Transfer Transfer
+	Failed   bool
+}
+
+// Returned is what another VM sent back.
+type Returned struct {
+	From   string
+	Return Return
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Configured tells the rates now in force.
+type Configured struct{ View *config.View }
+
+// Membership tells the VMs that are thought alive, sorted by id, and which
+// holders of slots have provably ended.
+type Membership struct {
+	Live    []vm.Member
+	Removed map[string]bool
+}
+
+// Listed is the state of a shard's slots in the store. Failed tells that the
+// store did not answer.
+type Listed struct {
+	Shard  int
+	Slots  []SlotRecord
+	Failed bool
+}
+
+// SlotWritten is the end of a TakeSlot or a GiveSlot. Held tells that the slot
+// provably belongs to this VM now.
+type SlotWritten struct {
+	Shard  int
+	Slot   int
+	Record SlotRecord
+	Held   bool
+}
+
+// GiveUp hands all slots back: the VM stops.
+type GiveUp struct{}
+
+func (Reserve) event()     {}
+func (Settle) event()      {}
+func (Asked) event()       {}
+func (Answered) event()    {}
+func (Returned) event()    {}
+func (Tick) event()        {}
+func (Configured) event()  {}
+func (Membership) event()  {}
+func (Listed) event()      {}
+func (SlotWritten) event() {}
+func (GiveUp) event()      {}
+
+// An Effect is what a step asks its task to do.
+type Effect interface{ effect() }
+
+// Decide ends a Reserve.
+type Decide struct {
+	ID       uint64
+	Decision Decision
+}
+
+// SendAsk asks another VM.
+type SendAsk struct {
+	To  string
+	Ask Ask
+}
+
+// SendTransfer answers an Asked.
+type SendTransfer struct {
+	To       string
+	Transfer Transfer
+}
+
+// SendReturn sends back what was not needed.
+type SendReturn struct {
+	To     string
+	Return Return
+}
+
+// ListShard reads a shard's slots from the store.
+type ListShard struct{ Shard int }
+
+// TakeSlot writes a slot in this VM's name.
+type TakeSlot struct {
+	Shard  int
+	Slot   int
+	Lease  lease.Lease
+	Expect int64
+}
+
+// GiveSlot writes a slot as free.
+type GiveSlot struct {
+	Shard  int
+	Slot   int
+	Lease  lease.Lease
+	Expect int64
+}
+
+func (Decide) effect()       {}
+func (SendAsk) effect()      {}
+func (SendTransfer) effect() {}
+func (SendReturn) effect()   {}
+func (ListShard) effect()    {}
+func (TakeSlot) effect()     {}
+func (GiveSlot) effect()     {}
+
+// An Ask is one VM's wish for tokens of a customer. Need is what a request
+// lacks; Spare is further room that the asking VM has.
+type Ask struct {
+	ID       uint64 `cbor:"1,keyasint"`
+	Customer string `cbor:"2,keyasint"`
+	Need     Cost   `cbor:"3,keyasint"`
+	Spare    Cost   `cbor:"4,keyasint"`
+}
+
+// A Transfer answers an Ask. The sender has already debited Given; the
+// receiver drops it when it comes later than TransferLifetime after the ask.
+type Transfer struct {
+	ID    uint64 `cbor:"1,keyasint"`
+	Given Cost   `cbor:"2,keyasint"`
+	// Left is what the sender holds after the transfer.
+	Left Cost `cbor:"3,keyasint"`
+	// Home tells whether the sender holds a share of the customer at all.
+	Home bool `cbor:"4,keyasint"`
+}
+
+// A Return gives back a part of a Transfer that was not spent.
+type Return struct {
+	ID       uint64 `cbor:"1,keyasint"`
+	Customer string `cbor:"2,keyasint"`
+	Amount   Cost   `cbor:"3,keyasint"`
+}
+
+// A ReturnReply answers a Return.
+type ReturnReply struct{}
+
+// A SlotRecord is one slot as the store holds it.
+type SlotRecord struct {
+	Slot    int
+	Lease   lease.Lease
+	Version int64
+}
+
+// Times of transfers.
+const (
+	// TransferLifetime is the time after its ask in which a transfer may be
+	// spent, by the monotonic clock of the VM that asked.
+	TransferLifetime = 200 * time.Millisecond
+	// clockDrift is the difference of two clocks over TransferLifetime that is
+	// allowed for.
+	clockDrift = 20 * time.Millisecond
+	// closedFor is how long a sender keeps the room of a transfer closed.
+	closedFor = TransferLifetime + clockDrift
+)
--- /dev/null
+++ b/limit/fleet_test.go
@@ -0,0 +1,301 @@
+package limit_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/limit"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// A fleet is several pure VMs in virtual time, with the messages between them
+// and the store.
+type fleet struct {
+	now      time.Time
+	rnd      *rand.Rand
+	layout   limit.Layout
+	view     *config.View
+	nodes    []*node
+	slots    map[string]limit.SlotRecord
+	version  int64
+	queue    timeline
+	seq      int
+	oracles  map[string]*oracle
+	cuts     map[[2]string]bool
+	latency  time.Duration // of one message
+	slow     time.Duration // largest extra latency
+	lossy    float64       // part of messages that are lost
+	storeOff bool
+	unsure   bool // answers of writes to the store are lost
+	started  int
+	lastID   uint64
+	bytes    int
+	messages int
+	calls    int
+	writes   int
+}
+
+// A node is one VM. A paused one handles its messages when it wakes up.
+type node struct {
+	f       *fleet
+	member  vm.Member
+	s       *limit.State
+	view    *config.View
+	paused  bool
+	dead    bool
+	gone    bool // the platform does not list it any more
+	inbox   []func()
+	replies map[uint64]func(limit.Decision)
+}
+
+type timed struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type timeline []timed
+
+func (t timeline) Len() int { return len(t) }
+func (t timeline) Less(i, j int) bool {
+	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
+}
+func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timeline) Push(x any)   { *t = append(*t, x.(timed)) }
+func (t *timeline) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+func newFleet(size int, layout limit.Layout, cfg *config.Config, seed uint64) *fleet {
+	f := &fleet{
+		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), rnd: rand.New(rand.NewPCG(seed, 1)),
+		layout: layout, view: config.NewView(cfg), slots: map[string]limit.SlotRecord{},
+		oracles: map[string]*oracle{}, cuts: map[[2]string]bool{}, latency: time.Millisecond,
+	}
+	for _, c := range cfg.Customers {
+		f.oracles[c.Name] = &oracle{rate: c.Rate}
+	}
+	for range size {
+		f.start("")
+	}
+	f.members()
+	return f
+}
+
+// start adds a VM, or starts the process of an existing one again.
+func (f *fleet) start(id string) *node {
+	f.started++
+	if id == "" {
+		id = fmt.Sprintf("vm%02d", f.started)
+	}
+	n := &node{
+		f: f, view: f.view, replies: map[uint64]func(limit.Decision){},
+		member: vm.Member{ID: id, Incarnation: uint64(f.started), State: vm.StateServing},
+	}
+	n.s = limit.NewState(n.member, f.layout, uint64(f.started)<<32)
+	i := slices.IndexFunc(f.nodes, func(o *node) bool { return o.member.ID == id })
+	if i < 0 {
+		f.nodes = append(f.nodes, n)
+	} else {
+		f.nodes[i].dead = true
+		f.nodes[i] = n
+	}
+	n.step(limit.Configured{View: n.view})
+	n.tick()
+	return n
+}
+
+// members tells all VMs the membership.
+func (f *fleet) members() {
+	var live []vm.Member
+	removed := map[string]bool{}
+	for _, n := range f.nodes {
+		if !n.dead {
+			live = append(live, n.member)
+		}
+		removed[n.member.ID] = n.gone
+	}
+	slices.SortFunc(live, func(a, b vm.Member) int { return compare(a.ID, b.ID) })
+	for _, n := range f.nodes {
+		n.deliver(func() { n.step(limit.Membership{Live: live, Removed: removed}) })
+	}
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// after runs something later in virtual time.
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.queue, timed{at: f.now.Add(d), seq: f.seq, do: do})
+}
+
+// run lets virtual time pass.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(timed)
+		f.now = next.at
+		next.do()
+	}
+	f.now = end
+}
+
+// node returns the process of a VM that runs now.
+func (f *fleet) node(id string) *node {
+	i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.member.ID == id })
+	if i < 0 || f.nodes[i].dead {
+		return nil
+	}
+	return f.nodes[i]
+}
+
+// deliver runs something on a VM: now, when it wakes up, or never.
+func (n *node) deliver(do func()) {
+	switch {
+	case n.dead:
+	case n.paused:
+		n.inbox = append(n.inbox, do)
+	default:
+		do()
+	}
+}
+
+func (n *node) resume() {
+	n.paused = false
+	inbox := n.inbox
+	n.inbox = nil
+	for _, do := range inbox {
+		n.deliver(do)
+	}
+}
+
+// tick is the timer of a VM.
+func (n *node) tick() {
+	if n.dead {
+		return
+	}
+	pace := 250 * time.Millisecond
+	if !n.paused {
+		n.step(limit.Tick{})
+		if n.s.Busy() {
+			pace = 10 * time.Millisecond
+		}
+	}
+	n.f.after(pace, n.tick)
+}
+
+// send passes a message from one VM to another, unless it is lost.
+func (f *fleet) send(from, to string, message any, do func(*node)) {
+	f.messages++
+	if data, err := json.Marshal(message); err == nil {
+		f.bytes += len(data)
+	}
+	if f.cuts[[2]string{from, to}] || (f.lossy > 0 && f.rnd.Float64() < f.lossy) {
+		return
+	}
+	d := f.latency
+	if f.slow > 0 {
+		d += time.Duration(f.rnd.Int64N(int64(f.slow)))
+	}
+	f.after(d, func() {
+		if n := f.node(to); n != nil {
+			n.deliver(func() { do(n) })
+		}
+	})
+}
+
+// step applies an event to a VM and carries its effects out.
+func (n *node) step(e limit.Event) {
+	for _, effect := range n.s.Step(e, n.f.now) {
+		switch effect := effect.(type) {
+		case limit.Decide:
+			n.replies[effect.ID](effect.Decision)
+			delete(n.replies, effect.ID)
+		case limit.SendAsk:
+			n.f.send(n.member.ID, effect.To, effect.Ask, func(to *node) {
+				to.step(limit.Asked{From: n.member.ID, Ask: effect.Ask})
+			})
+		case limit.SendTransfer:
+			n.f.send(n.member.ID, effect.To, effect.Transfer, func(to *node) {
+				to.step(limit.Answered{ID: effect.Transfer.ID, Transfer: effect.Transfer})
+			})
+		case limit.SendReturn:
+			n.f.send(n.member.ID, effect.To, effect.Return, func(to *node) {
+				to.step(limit.Returned{From: n.member.ID, Return: effect.Return})
+			})
+		case limit.ListShard:
+			n.list(effect)
+		case limit.TakeSlot:
+			n.write(effect.Shard, effect.Slot, limit.SlotRecord{Slot: effect.Slot, Lease: effect.Lease}, effect.Expect, true)
+		case limit.GiveSlot:
+			n.write(effect.Shard, effect.Slot, limit.SlotRecord{Slot: effect.Slot, Lease: effect.Lease}, effect.Expect, false)
+		}
+	}
+}
+
+func (n *node) list(e limit.ListShard) {
+	f := n.f
+	f.calls++
+	listed := limit.Listed{Shard: e.Shard, Failed: f.storeOff}
+	for slot := range f.layout.Slots {
+		if r, ok := f.slots[fmt.Sprint(e.Shard, slot)]; ok && !f.storeOff {
+			listed.Slots = append(listed.Slots, r)
+		}
+	}
+	f.after(5*time.Millisecond, func() { n.deliver(func() { n.step(listed) }) })
+}
+
+func (n *node) write(shard, slot int, r limit.SlotRecord, expect int64, take bool) {
+	f := n.f
+	f.calls++
+	f.writes++
+	f.after(5*time.Millisecond, func() {
+		written := limit.SlotWritten{Shard: shard, Slot: slot}
+		key := fmt.Sprint(shard, slot)
+		if !f.storeOff && f.slots[key].Version == expect {
+			f.version++
+			r.Version = f.version
+			f.slots[key] = r
+			if !f.unsure {
+				written.Record, written.Held = r, take
+			}
+		}
+		f.after(5*time.Millisecond, func() { n.deliver(func() { n.step(written) }) })
+	})
+}
+
+// reserve asks a VM to admit a request; done is told the decision.
+func (n *node) reserve(customer string, c limit.Cost, done func(d limit.Decision, admission int)) {
+	n.f.lastID++
+	id := n.f.lastID
+	n.replies[id] = func(d limit.Decision) {
+		number := -1
+		if _, ok := d.(limit.Admitted); ok {
+			number = n.f.oracles[customer].admit(n.f.now, c)
+		}
+		done(d, number)
+	}
+	n.step(limit.Reserve{ID: id, Customer: customer, Cost: c})
+}
+
+// violations returns how often the promise was broken, and by how much.
+func (f *fleet) violations() (int, float64) {
+	count, worst := 0, 0.0
+	for _, o := range f.oracles {
+		count += o.violations
+		worst = max(worst, o.worst)
+	}
+	return count, worst
+}
--- /dev/null
+++ b/limit/oracle_test.go
@@ -0,0 +1,96 @@
+package limit_test
+
+import (
+	"math"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/limit"
+)
+
+// An oracle counts what the whole fleet admits of one customer. It knows only
+// the promise: admitted work of every window is at most rate times window plus
+// burst.
+type oracle struct {
+	rate       config.Rate // the highest in force anywhere
+	admissions []admission
+	requests   excess
+	tokens     excess
+	dirty      bool
+	violations int
+	worst      float64
+}
+
+// An admission is one admitted request. Its cost falls when it settles.
+type admission struct {
+	at    time.Time
+	cost  limit.Cost
+	rate  config.Rate
+	since config.Rate // the highest in force since the admission before
+}
+
+// An excess is the largest sum over windows that end now, beyond rate times
+// window. Burst is the highest in force since the start of that window.
+type excess struct {
+	sum   float64
+	burst float64
+}
+
+func (e *excess) add(amount, seconds, rate, burst float64) bool {
+	e.sum -= rate * seconds
+	if e.sum <= 0 {
+		e.sum, e.burst = 0, 0
+	}
+	e.burst = max(e.burst, burst)
+	e.sum += amount
+	return e.sum <= e.burst*(1+1e-6)+1e-6
+}
+
+// admit records an admission and returns its number.
+func (o *oracle) admit(now time.Time, c limit.Cost) int {
+	o.admissions = append(o.admissions, admission{at: now, cost: c, rate: o.rate, since: o.rate})
+	if o.dirty {
+		o.recount()
+	} else {
+		o.count(len(o.admissions) - 1)
+	}
+	return len(o.admissions) - 1
+}
+
+// settle lowers the cost of an admission to what was used.
+func (o *oracle) settle(n int, used limit.Cost) {
+	o.admissions[n].cost = used
+	o.dirty = true
+}
+
+// inForce sets the highest rate in force from now on. Rates between two
+// admissions count as the highest of them.
+func (o *oracle) inForce(r config.Rate) {
+	o.rate = r
+}
+
+func (o *oracle) recount() {
+	o.requests, o.tokens, o.dirty = excess{}, excess{}, false
+	for i := range o.admissions {
+		o.count(i)
+	}
+}
+
+func (o *oracle) count(i int) {
+	a := o.admissions[i]
+	seconds, before := 0.0, a.rate
+	if i > 0 {
+		seconds = a.at.Sub(o.admissions[i-1].at).Seconds()
+		before = o.admissions[i-1].rate
+	}
+	top := config.Rate{
+		Requests: math.Max(before.Requests, a.rate.Requests), RequestBurst: math.Max(before.RequestBurst, a.rate.RequestBurst),
+		Tokens: math.Max(before.Tokens, a.rate.Tokens), TokenBurst: math.Max(before.TokenBurst, a.rate.TokenBurst),
+	}
+	ok := o.requests.add(a.cost.Requests, seconds, top.Requests, top.RequestBurst)
+	ok = o.tokens.add(a.cost.Tokens, seconds, top.Tokens, top.TokenBurst) && ok
+	if !ok {
+		o.violations++
+		o.worst = math.Max(o.worst, math.Max(o.tokens.sum-o.tokens.burst, o.requests.sum-o.requests.burst))
+	}
+}
--- /dev/null
+++ b/limit/queries.go
@@ -0,0 +1,128 @@
+package limit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Bounds of Refused.RetryAfter.
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 60 * time.Second
+)
+
+// retryAfter estimates when the fleet holds what is missing.
+func (s *State) retryAfter(a *account, missing Cost, now time.Time) time.Duration {
+	lack := missing.Minus(s.reachable(a, now))
+	seconds := max(secondsFor(lack.Requests, a.limits.Requests), secondsFor(lack.Tokens, a.limits.Tokens))
+	if seconds >= maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+	return max(minRetryAfter, time.Duration(seconds*float64(time.Second)))
+}
+
+func secondsFor(amount, rate float64) float64 {
+	switch {
+	case amount <= tolerance:
+		return 0
+	case rate <= 0:
+		return maxRetryAfter.Seconds()
+	}
+	return amount / rate
+}
+
+// Holders returns the VMs that are known to hold slots, this one excepted.
+func (s *State) Holders() []string {
+	seen := map[string]bool{}
+	for _, sh := range s.shards {
+		for _, sl := range sh.slots {
+			if h := sl.record.Lease.Holder; h != "" && h != s.self.ID {
+				seen[h] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// Pending returns the number of writes of slots under way.
+func (s *State) Pending() int {
+	n := 0
+	for _, sh := range s.shards {
+		n += sh.writing
+	}
+	return n
+}
+
+// Busy tells whether requests wait for other VMs.
+func (s *State) Busy() bool { return len(s.asks) > 0 || len(s.gathers) > 0 }
+
+// Held returns the number of slots that this VM holds.
+func (s *State) Held() int {
+	n := 0
+	for _, sh := range s.shards {
+		n += len(sh.held)
+	}
+	return n
+}
+
+func (s *State) gatherIDs() []uint64 {
+	return slices.Sorted(maps.Keys(s.gathers))
+}
+
+func compareIDs(a, b string) int { return cmp.Compare(a, b) }
+
+// A Dump is the state of limits for operators.
+type Dump struct {
+	Layout   Layout        `json:"layout"`
+	Slots    []SlotDump    `json:"slots"`
+	Accounts []AccountDump `json:"accounts"`
+	Gathers  int           `json:"gathers"`
+	Counts   Counts        `json:"counts"`
+}
+
+// A SlotDump is one slot as this VM knows it. Mine tells that this process
+// holds it, Active that its share counts.
+type SlotDump struct {
+	Shard  int    `json:"shard"`
+	Slot   int    `json:"slot"`
+	Holder string `json:"holder"`
+	Term   int64  `json:"term"`
+	Mine   bool   `json:"mine"`
+	Active bool   `json:"active"`
+}
+
+// An AccountDump is what this VM holds of one customer.
+type AccountDump struct {
+	Customer string `json:"customer"`
+	Level    Cost   `json:"level"`
+	Cap      Cost   `json:"cap"`
+	Closed   Cost   `json:"closed"`
+}
+
+// Dump returns the state for operators.
+func (s *State) Dump(now time.Time) Dump {
+	d := Dump{
+		Layout: s.layout, Slots: []SlotDump{}, Accounts: []AccountDump{},
+		Gathers: len(s.gathers), Counts: s.counts,
+	}
+	for _, sh := range s.shards {
+		for n, sl := range sh.slots {
+			if !sl.known {
+				continue
+			}
+			h := sh.held[n]
+			d.Slots = append(d.Slots, SlotDump{
+				Shard: sh.id, Slot: n, Holder: sl.record.Lease.Holder, Term: sl.record.Lease.Term,
+				Mine: h != nil, Active: h != nil && h.active,
+			})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.accounts)) {
+		a := s.accounts[name]
+		a.advance(now)
+		d.Accounts = append(d.Accounts, AccountDump{Customer: name, Level: a.level, Cap: a.cap, Closed: a.closedSum})
+	}
+	return d
+}
--- /dev/null
+++ b/limit/shard.go
@@ -0,0 +1,92 @@
+package limit
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// relistEvery is the age at which a shard's slots are read again.
+	relistEvery = 30 * time.Second
+	// relistSoon is the age at which they are read again while this VM lacks
+	// slots or its picture is wrong.
+	relistSoon = 5 * time.Second
+	// writeRetry is the pause after a write that did not succeed.
+	writeRetry = 2 * time.Second
+	// giveAfter is how long a surplus of slots must last before one is given
+	// back.
+	giveAfter = 10 * time.Second
+)
+
+// A shard is a group of customers with the slots of their shares.
+type shard struct {
+	id    int
+	slots []slot
+	// held is the slots that belong to this VM, by number.
+	held map[int]*holding
+	// listed is when the slots were last read; zero for never.
+	listed  time.Time
+	listing bool
+	wrong   bool
+	writing int
+	retryAt time.Time // not before: the next write
+	listAt  time.Time // not before: the next read
+	// wanted is how many slots this VM should hold, nominal how many each
+	// other VM should.
+	wanted  int
+	nominal map[string]int
+	surplus time.Time // since when this VM holds too many
+}
+
+// A slot is what is known of one slot from the store.
+type slot struct {
+	record SlotRecord
+	known  bool
+}
+
+// A holding is one slot that belongs to this VM. It refills from a time after
+// its taking at which every transfer of the former holder has lapsed.
+type holding struct {
+	record SlotRecord
+	from   time.Time
+	active bool
+}
+
+func newShard(id int, l Layout) *shard {
+	return &shard{id: id, slots: make([]slot, l.Slots), held: map[int]*holding{}}
+}
+
+// active returns the number of slots whose share counts.
+func (sh *shard) active() int {
+	n := 0
+	for _, h := range sh.held {
+		if h.active {
+			n++
+		}
+	}
+	return n
+}
+
+// homes returns the VMs that hold slots as the store showed them, with the
+// number of their slots; before the store was read, those that should hold
+// them. Own slots are left out.
+func (sh *shard) homes(self string) map[string]int {
+	homes := map[string]int{}
+	if sh.listed.IsZero() {
+		maps.Copy(homes, sh.nominal)
+		delete(homes, self)
+		return homes
+	}
+	for _, sl := range sh.slots {
+		if holder := sl.record.Lease.Holder; sl.known && holder != "" && holder != self {
+			homes[holder]++
+		}
+	}
+	return homes
+}
+
+// numbers returns the numbers of the held slots in order.
+func (sh *shard) numbers() []int {
+	return slices.Sorted(maps.Keys(sh.held))
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -16,6 +16,8 @@
 	CallConfigPull = "/config/Pull"
 	// CallTokens asks for part of an allowance: limit.Ask, limit.Transfer.
 	CallTokens = "/limit/Ask"
+	// CallTokensBack returns what was not needed: limit.Return, limit.ReturnReply.
+	CallTokensBack = "/limit/Return"
 	// CallIndexPart sends a part of the prefix index: prefix.Part, prefix.PartReply.
 	CallIndexPart = "/prefix/Part"
 	// CallIndexPull asks for a part at start: prefix.Pull, prefix.Part.
