--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+)
+
+// Bounds of one message, so that a broken peer cannot exhaust this VM.
+const (
+	// MaxMessageBytes is the largest encoded message.
+	MaxMessageBytes = 8 << 20
+	maxElements     = 1 << 20
+	maxNesting      = 16
+)
+
+// A codec is the CBOR encoding of messages, in the form that drpc takes.
+type codec struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+}
+
+var _ drpc.Encoding = (*codec)(nil)
+
+var messages = newCodec()
+
+func newCodec() *codec {
+	enc, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	dec, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return &codec{enc: enc, dec: dec}
+}
+
+// Marshal implements drpc.Encoding.
+func (c *codec) Marshal(msg drpc.Message) ([]byte, error) {
+	data, err := c.enc.Marshal(msg)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode message")
+	}
+	if len(data) > MaxMessageBytes {
+		return nil, eris.Errorf("message of %d bytes exceeds %d", len(data), MaxMessageBytes)
+	}
+	return data, nil
+}
+
+// Unmarshal implements drpc.Encoding.
+func (c *codec) Unmarshal(data []byte, msg drpc.Message) error {
+	return eris.Wrap(c.dec.Unmarshal(data, msg), "decode message")
+}
+
+// Encode returns the CBOR form of a message.
+func Encode(msg any) ([]byte, error) { return messages.Marshal(msg) }
+
+// Decode reads the CBOR form of a message.
+func Decode(data []byte, msg any) error { return messages.Unmarshal(data, msg) }
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,189 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const callEcho = "/test/Echo"
+
+type echo struct {
+	Text string `cbor:"1,keyasint"`
+	From string `cbor:"2,keyasint"`
+}
+
+func handleEcho(_ context.Context, from string, req echo) (echo, error) {
+	if req.Text == "fail" {
+		return echo{}, errors.New("failed as asked")
+	}
+	return echo{Text: req.Text, From: from}, nil
+}
+
+// serve starts a server with an echo handler and returns its address.
+func serve(t *testing.T, id, secret string) string {
+	t.Helper()
+	s := NewServer(ServerOptions{Self: id, Secret: []byte(secret)})
+	Handle(s, callEcho, handleEcho)
+	l := listen(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-done)
+	})
+	return l.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return l
+}
+
+func newClient(t *testing.T, secret string) *Client {
+	t.Helper()
+	c := NewClient(ClientOptions{Self: "vm-1", Secret: []byte(secret)})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func mustEcho(t *testing.T, c Caller, to Destination, text string) {
+	t.Helper()
+	var got echo
+	must.NoError(t, c.Call(t.Context(), to, callEcho, echo{Text: text}, &got))
+	must.Eq(t, echo{Text: text, From: "vm-1"}, got)
+}
+
+func mustFail(t *testing.T, c Caller, to Destination, call string, want error) {
+	t.Helper()
+	var got echo
+	must.ErrorIs(t, c.Call(t.Context(), to, call, echo{}, &got), want)
+}
+
+func TestCallOverTCP(t *testing.T) {
+	address := serve(t, "vm-2", "s")
+	to := Destination{VM: "vm-2", Address: address}
+	t.Run("answers on one connection", func(t *testing.T) {
+		c := newClient(t, "s")
+		mustEcho(t, c, to, "a")
+		mustEcho(t, c, to, "b")
+		must.Eq(t, 1, c.dials.Load())
+	})
+	t.Run("refuses another secret", func(t *testing.T) {
+		mustFail(t, newClient(t, "other"), to, callEcho, ErrForbidden)
+	})
+	t.Run("refuses a call for another VM", func(t *testing.T) {
+		mustFail(t, newClient(t, "s"), Destination{VM: "vm-3", Address: address}, callEcho, ErrWrongVM)
+	})
+	t.Run("refuses an unknown call", func(t *testing.T) {
+		mustFail(t, newClient(t, "s"), to, "/test/None", ErrUnknownCall)
+	})
+	t.Run("passes the error of a handler", func(t *testing.T) {
+		err := newClient(t, "s").Call(t.Context(), to, callEcho, echo{Text: "fail"}, &echo{})
+		must.ErrorContains(t, err, "failed as asked")
+	})
+}
+
+// TestSilentConnection puts a relay between client and server that loses track
+// of the first connection: the call ends with its deadline and the next one
+// works on a new connection.
+func TestSilentConnection(t *testing.T) {
+	address := serve(t, "vm-2", "s")
+	var silent atomic.Bool
+	relay := startRelay(t, address, &silent)
+	to := Destination{VM: "vm-2", Address: relay}
+	c := newClient(t, "s")
+	mustEcho(t, c, to, "before")
+	silent.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	must.Error(t, c.Call(ctx, to, callEcho, echo{Text: "lost"}, &echo{}))
+	silent.Store(false)
+	mustEcho(t, c, to, "after")
+	must.Eq(t, 2, c.dials.Load())
+}
+
+// startRelay copies bytes to the address, and drops them while silent.
+func startRelay(t *testing.T, address string, silent *atomic.Bool) string {
+	t.Helper()
+	l := listen(t)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			from, err := l.Accept()
+			if err != nil {
+				return
+			}
+			to, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = from.Close() })
+			t.Cleanup(func() { _ = to.Close() })
+			go relayBytes(to, from, silent)
+			go relayBytes(from, to, silent)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func relayBytes(to, from net.Conn, silent *atomic.Bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func TestMemoryFaults(t *testing.T) {
+	to := Destination{VM: "vm-2", Address: "10.0.0.2:1"}
+	cases := []struct {
+		name  string
+		fault func(m *Memory)
+		took  time.Duration
+		fails error
+	}{
+		{"none", func(*Memory) {}, 0, nil},
+		{"cut", func(m *Memory) { m.Cut("vm-1", "vm-2") }, 0, ErrUnreachable},
+		{"one way cut back", func(m *Memory) { m.CutWay("vm-2", "vm-1") }, 0, ErrUnreachable},
+		{"silent", func(m *Memory) { m.Silence("vm-1", "vm-2") }, DefaultTimeout, context.DeadlineExceeded},
+		{"lost answers", func(m *Memory) { m.LoseAnswers("vm-1", "vm-2") }, DefaultTimeout, context.DeadlineExceeded},
+		{"paused", func(m *Memory) { m.Pause("vm-2") }, DefaultTimeout, context.DeadlineExceeded},
+		{"slow", func(m *Memory) { m.Delay("vm-1", "vm-2", time.Second/2) }, time.Second, nil},
+		{"replaced", func(m *Memory) { m.Node("vm-9", "10.0.0.2:1") }, 0, ErrWrongVM},
+		{"removed", func(m *Memory) { m.Remove("10.0.0.2:1") }, 0, ErrUnreachable},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := NewMemory()
+				a, b := m.Node("vm-1", "10.0.0.1:1"), m.Node("vm-2", "10.0.0.2:1")
+				Handle(b, callEcho, handleEcho)
+				tc.fault(m)
+				start := time.Now()
+				err := a.Call(t.Context(), to, callEcho, echo{Text: "x"}, &echo{})
+				must.ErrorIs(t, err, tc.fails)
+				must.Eq(t, tc.took, time.Since(start))
+				m.Heal("vm-1", "vm-2")
+				m.Resume("vm-2")
+			})
+		})
+	}
+}
