Add leases by conditional update and fault switches of the memory store

Cause: duties, slots and claims need conditional updates whose lost answers are resolved, and their tests need a store that loses them.

Conclusion: slots and duties can be built on lease.

--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,159 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+var (
+	first  = Holder{ID: "vm-1", Incarnation: 1}
+	second = Holder{ID: "vm-2", Incarnation: 1}
+)
+
+func always(Record) bool { return true }
+
+func ask(h Holder, gone func(Record) bool) Request {
+	return Request{Duty: "d", Self: h, Length: time.Second, Gone: gone}
+}
+
+func mustHold(t *testing.T, r Result, h Holder, term int64) Record {
+	t.Helper()
+	held, ok := r.(Held)
+	must.True(t, ok, must.Sprintf("result %#v", r))
+	must.True(t, held.Record.Lease.HeldBy(h))
+	must.Eq(t, term, held.Record.Lease.Term)
+	return held.Record
+}
+
+func TestAcquire(t *testing.T) {
+	restarted := Holder{ID: first.ID, Incarnation: 2}
+	cases := []struct {
+		name string
+		ask  Request
+		term int64
+	}{
+		{"held by another", ask(second, nil), 0},
+		{"held by one that is gone", ask(second, always), 2},
+		{"held by the caller", ask(first, nil), 1},
+		{"held by an earlier incarnation", ask(restarted, nil), 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := platform.NewMemory()
+			mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
+			got := Acquire(t.Context(), s, c.ask)
+			if c.term == 0 {
+				must.Eq(t, first.ID, got.(Taken).Record.Lease.Holder)
+				return
+			}
+			mustHold(t, got, c.ask.Self, c.term)
+		})
+	}
+}
+
+func TestTermGrowsOverRelease(t *testing.T) {
+	s := platform.NewMemory()
+	held := mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
+	held = mustHold(t, Renew(t.Context(), s, Key("d"), held, []byte("x")), first, 1)
+	must.Eq(t, "", Release(t.Context(), s, Key("d"), held, nil).(Free).Record.Lease.Holder)
+	next := mustHold(t, Acquire(t.Context(), s, ask(second, nil)), second, 2)
+	must.Eq(t, []byte("x"), next.Lease.Data)
+	must.Eq(t, second.ID, Renew(t.Context(), s, Key("d"), held, nil).(Taken).Record.Lease.Holder)
+	must.Eq(t, second.ID, Release(t.Context(), s, Key("d"), held, nil).(Taken).Record.Lease.Holder)
+}
+
+// nth spoils the nth write and lets all other calls go well.
+func nth(n int, f platform.Fault) func(platform.Call) platform.Fault {
+	writes := 0
+	return func(c platform.Call) platform.Fault {
+		if c.Kind != platform.KindPut {
+			return platform.Fault{}
+		}
+		writes++
+		if writes == n {
+			return f
+		}
+		return platform.Fault{}
+	}
+}
+
+func TestLostAnswers(t *testing.T) {
+	faults := map[string]platform.Fault{
+		"answer":  {LoseAnswer: true},
+		"request": {LoseRequest: true},
+		"late":    {Late: time.Second},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := platform.NewMemory()
+				s.SetFault(nth(1, fault))
+				held := mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
+				s.SetFault(nth(1, fault))
+				held = mustHold(t, Renew(t.Context(), s, Key("d"), held, nil), first, 1)
+				s.SetFault(nth(1, fault))
+				_, free := Release(t.Context(), s, Key("d"), held, nil).(Free)
+				must.True(t, free)
+				time.Sleep(2 * time.Second)
+				must.Eq(t, int64(1), read(t, s).Lease.Term)
+				must.Eq(t, "", read(t, s).Lease.Holder)
+			})
+		})
+	}
+}
+
+func read(t *testing.T, s platform.Store) Record {
+	t.Helper()
+	r, err := Read(context.Background(), s, Key("d"), "d")
+	must.NoError(t, err)
+	return r
+}
+
+func TestUnsureIsFoundOutLater(t *testing.T) {
+	s := platform.NewMemory()
+	s.SetFault(func(c platform.Call) platform.Fault {
+		return platform.Fault{LoseAnswer: c.Kind == platform.KindPut, Refuse: c.Kind == platform.KindGet && s.Total().Writes > 0}
+	})
+	_, unsure := Acquire(t.Context(), s, ask(first, nil)).(Unsure)
+	must.True(t, unsure)
+	s.SetFault(nil)
+	_, taken := Acquire(t.Context(), s, ask(second, nil)).(Taken)
+	must.True(t, taken)
+	mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
+}
+
+func TestStoreDown(t *testing.T) {
+	s := platform.NewMemory()
+	held := mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
+	s.SetFault(platform.Down())
+	for _, r := range []Result{
+		Acquire(t.Context(), s, ask(second, always)),
+		Renew(t.Context(), s, Key("d"), held, nil),
+		Release(t.Context(), s, Key("d"), held, nil),
+	} {
+		_, ok := r.(NotSent)
+		must.True(t, ok, must.Sprintf("result %#v", r))
+	}
+	s.SetFault(nil)
+	must.True(t, read(t, s).Lease.HeldBy(first))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(Lease{Duty: "d", Holder: "vm-1", Term: 3, Data: []byte{1}}))
+	f.Add([]byte(`{"term":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Decode(Encode(l))
+		must.NoError(t, err)
+		must.Eq(t, string(Encode(l)), string(Encode(again)))
+	})
+}
