--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -172,16 +172,19 @@
 	return own
 }
 
-// letGo ends a gather's hold without spending it.
-func (b *bucket) letGo(own Cost) {
+// letGo ends a gather's hold without spending it. The room that it opens
+// counts from now on only.
+func (b *bucket) letGo(own Cost, now time.Time) {
+	b.advance(now)
 	b.held = b.held.Minus(own)
 	b.level = b.level.Plus(own)
 	b.clip()
 }
 
 // spend ends a gather's hold by spending it, with the whole cost as the right
-// to a refund.
-func (b *bucket) spend(id uint64, own, cost Cost) {
+// to a refund. The room that it opens counts from now on only.
+func (b *bucket) spend(id uint64, own, cost Cost, now time.Time) {
+	b.advance(now)
 	b.held = b.held.Minus(own)
 	b.addRight(id, cost)
 }
--- a/limit/event.go
+++ b/limit/event.go
@@ -118,20 +118,19 @@
 // ListShard reads a shard's slots from the store.
 type ListShard struct{ Shard int }
 
-// TakeSlot writes a slot in this VM's name.
+// TakeSlot acquires a slot. Ended is the process that provably does not spend
+// from it any more; it is empty for a free slot.
 type TakeSlot struct {
-	Shard  int
-	Slot   int
-	Lease  lease.Lease
-	Expect int64
+	Shard int
+	Slot  int
+	Ended lease.Holder
 }
 
-// GiveSlot writes a slot as free.
+// GiveSlot releases a slot.
 type GiveSlot struct {
 	Shard  int
 	Slot   int
-	Lease  lease.Lease
-	Expect int64
+	Record lease.Record
 }
 
 func (Decide) effect()       {}
@@ -174,9 +173,8 @@
 
 // A SlotRecord is one slot as the store holds it.
 type SlotRecord struct {
-	Slot    int
-	Lease   lease.Lease
-	Version int64
+	Slot int
+	lease.Record
 }
 
 // Times of transfers.
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/lease"
 	"github.com/baobabdyke/baobabdyke/limit"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
@@ -46,6 +47,7 @@
 	member  vm.Member
 	s       *limit.State
 	view    *config.View
+	quick   bool // the timer runs at the busy pace
 	paused  bool
 	dead    bool
 	gone    bool // the platform does not list it any more
@@ -108,6 +110,7 @@
 		f.nodes[i] = n
 	}
 	n.step(limit.Configured{View: n.view})
+	f.inForce(true)
 	n.tick()
 	return n
 }
@@ -172,6 +175,9 @@
 	}
 }
 
+// String names the VM in the output of a failed run.
+func (n *node) String() string { return n.member.ID }
+
 func (n *node) resume() {
 	n.paused = false
 	inbox := n.inbox
@@ -186,14 +192,16 @@
 	if n.dead {
 		return
 	}
-	pace := 250 * time.Millisecond
 	if !n.paused {
 		n.step(limit.Tick{})
-		if n.s.Busy() {
-			pace = 10 * time.Millisecond
-		}
 	}
-	n.f.after(pace, n.tick)
+	n.f.after(250*time.Millisecond, n.tick)
+}
+
+// hurry ticks at the busy pace while requests wait for other VMs.
+func (n *node) hurry() {
+	n.quick = false
+	n.deliver(func() { n.step(limit.Tick{}) })
 }
 
 // send passes a message from one VM to another, unless it is lost.
@@ -218,7 +226,12 @@
 
 // step applies an event to a VM and carries its effects out.
 func (n *node) step(e limit.Event) {
-	for _, effect := range n.s.Step(e, n.f.now) {
+	effects := n.s.Step(e, n.f.now)
+	if n.s.Busy() && !n.quick {
+		n.quick = true
+		n.f.after(10*time.Millisecond, n.hurry)
+	}
+	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case limit.Decide:
 			n.replies[effect.ID](effect.Decision)
@@ -238,41 +251,53 @@
 		case limit.ListShard:
 			n.list(effect)
 		case limit.TakeSlot:
-			n.write(effect.Shard, effect.Slot, limit.SlotRecord{Slot: effect.Slot, Lease: effect.Lease}, effect.Expect, true)
+			n.write(effect.Shard, effect.Slot, func(r lease.Record) lease.Event {
+				gone := effect.Ended.ID != "" && r.Lease.HeldBy(effect.Ended)
+				return lease.Take{Self: n.holder(), Nonce: fmt.Sprint(n.f.version), Gone: gone}
+			})
 		case limit.GiveSlot:
-			n.write(effect.Shard, effect.Slot, limit.SlotRecord{Slot: effect.Slot, Lease: effect.Lease}, effect.Expect, false)
+			n.write(effect.Shard, effect.Slot, func(lease.Record) lease.Event {
+				return lease.Give{Self: n.holder(), Nonce: fmt.Sprint(n.f.version), Term: effect.Record.Lease.Term}
+			})
 		}
 	}
 }
 
+func (n *node) holder() lease.Holder {
+	return lease.Holder{ID: n.member.ID, Incarnation: n.member.Incarnation}
+}
+
 func (n *node) list(e limit.ListShard) {
 	f := n.f
 	f.calls++
 	listed := limit.Listed{Shard: e.Shard, Failed: f.storeOff}
 	for slot := range f.layout.Slots {
-		if r, ok := f.slots[fmt.Sprint(e.Shard, slot)]; ok && !f.storeOff {
+		if r, ok := f.slots[fmt.Sprint(e.Shard, "/", slot)]; ok && !f.storeOff {
 			listed.Slots = append(listed.Slots, r)
 		}
 	}
 	f.after(5*time.Millisecond, func() { n.deliver(func() { n.step(listed) }) })
 }
 
-func (n *node) write(shard, slot int, r limit.SlotRecord, expect int64, take bool) {
+// write makes an update of a slot, whose answer may be lost.
+func (n *node) write(shard, slot int, event func(lease.Record) lease.Event) {
 	f := n.f
 	f.calls++
 	f.writes++
 	f.after(5*time.Millisecond, func() {
-		written := limit.SlotWritten{Shard: shard, Slot: slot}
-		key := fmt.Sprint(shard, slot)
-		if !f.storeOff && f.slots[key].Version == expect {
-			f.version++
-			r.Version = f.version
-			f.slots[key] = r
+		w := limit.SlotWritten{Shard: shard, Slot: slot, Record: limit.SlotRecord{Slot: slot}}
+		key := fmt.Sprint(shard, "/", slot)
+		if r := f.slots[key]; !f.storeOff {
+			if effect, ok := lease.Step(r.Record, event(r.Record)).(lease.Write); ok {
+				f.version++
+				f.slots[key] = limit.SlotRecord{Slot: slot, Record: lease.Record{Lease: effect.Lease, Version: f.version}}
+			}
 			if !f.unsure {
-				written.Record, written.Held = r, take
+				w.Record = f.slots[key]
+				w.Held = w.Record.Lease.HeldBy(n.holder())
 			}
 		}
-		f.after(5*time.Millisecond, func() { n.deliver(func() { n.step(written) }) })
+		f.after(5*time.Millisecond, func() { n.deliver(func() { n.step(w) }) })
 	})
 }
 
@@ -299,3 +324,34 @@
 	}
 	return count, worst
 }
+
+// configure puts a configuration into force on a VM, now or when it wakes up.
+func (n *node) configure(v *config.View) {
+	n.deliver(func() {
+		n.view = v
+		n.step(limit.Configured{View: v})
+		n.f.inForce(true)
+		n.f.after(settleTime, func() { n.f.inForce(false) })
+	})
+}
+
+// settleTime is how long what was given out under an earlier rate may still be
+// spent.
+const settleTime = 250 * time.Millisecond
+
+// inForce tells the oracles the highest rates that any VM may have in force;
+// with keep, rates of before count as well.
+func (f *fleet) inForce(keep bool) {
+	for name, o := range f.oracles {
+		var top config.Rate
+		if keep {
+			top = o.rate
+		}
+		for _, n := range f.nodes {
+			if c := n.view.Customer(name); c != nil && !n.dead {
+				top = highest(top, c.Rate)
+			}
+		}
+		o.inForce(top)
+	}
+}
--- a/limit/gather.go
+++ b/limit/gather.go
@@ -177,14 +177,14 @@
 	}
 	delete(s.gathers, g.id)
 	s.counts.Gathered++
-	g.account.spend(g.id, g.own, g.cost)
+	g.account.spend(g.id, g.own, g.cost, now)
 	return s.admit(g.id, g.account.customer, g.cost)
 }
 
 // fail refuses a request and sends back what it had gathered.
 func (s *State) fail(g *gather, missing Cost, now time.Time) []Effect {
 	delete(s.gathers, g.id)
-	g.account.letGo(g.own)
+	g.account.letGo(g.own, now)
 	effects := s.refuse(g.id, s.retryAfter(g.account, missing, now))
 	for _, p := range g.pieces {
 		effects = append(effects, s.sendBack(g.account, p.from, p.ask, p.amount))
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/internal/seed"
 	"github.com/baobabdyke/baobabdyke/limit"
+	"github.com/baobabdyke/baobabdyke/vm"
 )
 
 var hakata = config.Rate{Requests: 80, RequestBurst: 160, Tokens: 8000, TokenBurst: 16000}
@@ -78,3 +80,242 @@
 		mustHold(t, f)
 	})
 }
+
+// within returns a function that reserves tokens on a VM and returns the
+// decision that comes within a time.
+func within(f *fleet, d time.Duration) func(n *node, tokens float64) limit.Decision {
+	return func(n *node, tokens float64) limit.Decision {
+		var decision limit.Decision
+		n.reserve("hakata", limit.Cost{Requests: 1, Tokens: tokens}, func(d limit.Decision, _ int) { decision = d })
+		f.run(d)
+		return decision
+	}
+}
+
+func TestTransfers(t *testing.T) {
+	t.Run("room that a gather held opens from now on only", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		f.nodes[1].paused = true
+		within(f, 35*time.Millisecond)(f.nodes[0], 16000)
+		f.nodes[1].resume()
+		f.run(2 * time.Millisecond)
+		must.Eq(t, 1, len(f.oracles["hakata"].admissions))
+		mustRefuse(t, within(f, 0)(f.nodes[0], 100))
+	})
+	t.Run("a sender does not refill while its tokens are on the way", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		f.latency = 15 * time.Millisecond
+		mustAdmit(t, within(f, 31*time.Millisecond)(f.nodes[0], 16000))
+		must.Nil(t, within(f, 0)(f.nodes[1], 50))
+	})
+	t.Run("a transfer that comes late is dropped", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		n := f.nodes[0]
+		n.reserve("hakata", limit.Cost{Requests: 1, Tokens: 9000}, func(d limit.Decision, _ int) { mustRefuse(t, d) })
+		n.paused = true
+		f.run(time.Second)
+		n.resume()
+		mustHold(t, f)
+		must.Eq(t, int64(1), n.s.Dump(f.now).Counts.Late)
+		must.Eq(t, 8000, n.s.Dump(f.now).Accounts[0].Level.Tokens)
+	})
+	t.Run("a piece that grows old in a gather is not spent", func(t *testing.T) {
+		f := newFleet(3, limit.Layout{Shards: 1, Slots: 6}, oneCustomer(hakata), seed.Value())
+		f.run(20 * time.Second)
+		n, second := f.nodes[0], f.nodes[1]
+		mustAdmit(t, within(f, 0)(second, 3000))
+		n.reserve("hakata", limit.Cost{Requests: 1, Tokens: 10300}, func(d limit.Decision, _ int) { mustRefuse(t, d) })
+		f.run(3 * time.Millisecond)
+		must.Eq(t, int64(2), n.s.Dump(f.now).Counts.Asks)
+		n.paused = true
+		f.run(198 * time.Millisecond)
+		n.resume()
+		f.run(time.Second)
+		mustHold(t, f)
+	})
+	t.Run("what is returned is capped by what was sent", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		n := f.nodes[0]
+		for id := uint64(7); id <= 8; id++ {
+			n.step(limit.Asked{From: "vm02", Ask: limit.Ask{ID: id, Customer: "hakata", Need: limit.Cost{Tokens: 4000}}})
+		}
+		for range 3 {
+			n.step(limit.Returned{From: "vm02", Return: limit.Return{ID: 7, Customer: "hakata", Amount: limit.Cost{Tokens: 3000}}})
+		}
+		must.Eq(t, 4000, n.s.Dump(f.now).Accounts[0].Level.Tokens)
+	})
+	t.Run("more than was asked for is not kept above the cap", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		n := f.nodes[0]
+		n.paused = true
+		n.s.Step(limit.Reserve{ID: 99, Customer: "hakata", Cost: limit.Cost{Tokens: 9000}}, f.now)
+		first := uint64(1)<<32 + 1
+		n.s.Step(limit.Answered{ID: first, Transfer: limit.Transfer{ID: first, Given: limit.Cost{Tokens: 1e6}, Home: true}}, f.now)
+		must.LessEq(t, 8000, n.s.Dump(f.now).Accounts[0].Level.Tokens)
+	})
+}
+
+func TestRefund(t *testing.T) {
+	f := settledFleet(1, hakata)
+	n := f.nodes[0]
+	all := limit.Cost{Requests: 1, Tokens: 16000}
+	first := mustAdmit(t, decide(f, n, all))
+	settle := func(r limit.Reservation, tokens float64) {
+		used := limit.Cost{Requests: 1, Tokens: tokens}
+		f.oracles["hakata"].settle(int(r.ID)-1, used)
+		n.step(limit.Settle{Reservation: r, Used: used})
+	}
+	settle(first, 1000)
+	second := mustAdmit(t, decide(f, n, limit.Cost{Requests: 1, Tokens: 15000}))
+	f.run(5 * time.Second)
+	third := mustAdmit(t, decide(f, n, all))
+	settle(second, 0)
+	mustRefuse(t, within(f, 0)(n, 5000))
+
+	f.run(time.Second - 200*time.Millisecond)
+	mustAdmit(t, decide(f, n, limit.Cost{Requests: 1, Tokens: 7900}))
+	settle(third, 0)
+	mustRefuse(t, within(f, 0)(n, 12000))
+	mustHold(t, f)
+}
+
+func TestRateChange(t *testing.T) {
+	f := settledFleet(2, hakata)
+	twice := config.Rate{Requests: 160, RequestBurst: 320, Tokens: 16000, TokenBurst: 32000}
+	patch := func(version int64, customers ...config.Customer) {
+		for _, n := range f.nodes {
+			n.configure(config.NewView(&config.Config{Version: version, Customers: customers}))
+		}
+	}
+	patch(2, config.Customer{Name: "hakata", Rate: twice}, config.Customer{Name: "saldo", Rate: twice})
+	mustRefuse(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 25000}))
+	f.nodes[0].reserve("saldo", limit.Cost{Requests: 1, Tokens: 12000}, func(d limit.Decision, _ int) { mustRefuse(t, d) })
+	f.run(2 * time.Second)
+	mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 25000}))
+	patch(3, config.Customer{Name: "hakata", Rate: hakata})
+	must.Eq[limit.Decision](t, limit.TooLarge{Burst: limit.Cost{Requests: 160, Tokens: 16000}},
+		decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 25000}))
+	patch(2, config.Customer{Name: "hakata", Rate: twice})
+	must.Eq(t, 8000, f.nodes[0].s.Dump(f.now).Accounts[0].Cap.Tokens)
+	mustHold(t, f)
+}
+
+// held returns how many slots a VM holds, and how many of them count.
+func held(f *fleet, n *node) (mine, active int) {
+	for _, s := range n.s.Dump(f.now).Slots {
+		if s.Mine {
+			mine++
+		}
+		if s.Active {
+			active++
+		}
+	}
+	return mine, active
+}
+
+func TestSlots(t *testing.T) {
+	t.Run("a new holder starts empty, after the old transfers have lapsed", func(t *testing.T) {
+		f := newFleet(1, limit.Layout{Shards: 1, Slots: 1}, oneCustomer(hakata), seed.Value())
+		f.run(100 * time.Millisecond)
+		f.nodes[0].step(limit.Tick{})
+		mine, active := held(f, f.nodes[0])
+		must.Eq(t, 1, mine)
+		must.Zero(t, active)
+		f.run(300 * time.Millisecond)
+		mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 800}))
+		mustRefuse(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 8000}))
+	})
+	t.Run("slots of a dead VM are taken on proof, never by time", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		f.nodes[1].dead = true
+		f.members()
+		f.run(time.Hour)
+		mine, _ := held(f, f.nodes[0])
+		must.Eq(t, 4, mine)
+		f.nodes[1].gone = true
+		f.members()
+		f.run(30 * time.Second)
+		mine, _ = held(f, f.nodes[0])
+		must.Eq(t, 8, mine)
+	})
+	t.Run("a restarted VM takes its own slots again", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		n := f.start("vm02")
+		f.members()
+		f.run(20 * time.Second)
+		_, active := held(f, n)
+		must.Eq(t, 4, active)
+		mustHold(t, f)
+	})
+	t.Run("a paused VM that wakes up still owns what it spends", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		f.nodes[1].paused = true
+		f.run(time.Minute)
+		must.Eq(t, "vm02", f.slots["0/"+slotOf(f, "vm02")].Lease.Holder)
+		f.nodes[1].resume()
+		mustAdmit(t, within(f, 0)(f.nodes[1], 8000))
+		mustAdmit(t, within(f, 0)(f.nodes[0], 8000))
+		mustHold(t, f)
+	})
+	t.Run("a process that was replaced drops its slots and takes none", func(t *testing.T) {
+		f := settledFleet(1, hakata)
+		old := f.nodes[0]
+		f.start("vm01")
+		f.members()
+		f.run(20 * time.Second)
+		var slots []limit.SlotRecord
+		for _, r := range f.slots {
+			slots = append(slots, r)
+		}
+		must.SliceEmpty(t, old.s.Step(limit.Listed{Shard: 0, Slots: slots}, f.now))
+		mine, _ := held(f, old)
+		must.Zero(t, mine)
+	})
+	t.Run("slots given back are taken by others", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		f.nodes[1].step(limit.GiveUp{})
+		f.nodes[1].member.State = vm.StateDraining
+		mine, _ := held(f, f.nodes[1])
+		must.Zero(t, mine)
+		f.run(time.Second)
+		f.members()
+		f.run(60 * time.Second)
+		mine, _ = held(f, f.nodes[0])
+		must.Eq(t, 8, mine)
+		mustHold(t, f)
+	})
+	t.Run("a store that is away changes nothing for holders", func(t *testing.T) {
+		f := settledFleet(3, hakata)
+		f.storeOff = true
+		f.run(30 * time.Minute)
+		mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 16000}))
+		mustHold(t, f)
+	})
+	t.Run("a write whose answer was lost is found out and taken", func(t *testing.T) {
+		f := newFleet(2, limit.Layout{Shards: 1, Slots: 4}, oneCustomer(hakata), seed.Value())
+		f.unsure = true
+		f.run(10 * time.Second)
+		must.Zero(t, f.nodes[0].s.Held())
+		f.unsure = false
+		f.run(30 * time.Second)
+		must.Eq(t, 2, f.nodes[0].s.Held())
+	})
+	t.Run("a new VM gets slots from those that hold more than their part", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		n := f.start("")
+		f.members()
+		f.run(5 * time.Minute)
+		must.Positive(t, n.s.Held())
+		mustHold(t, f)
+	})
+}
+
+// slotOf returns the number of a slot that a VM holds.
+func slotOf(f *fleet, id string) string {
+	for n := range f.layout.Slots {
+		if number := strconv.Itoa(n); f.slots["0/"+number].Lease.Holder == id {
+			return number
+		}
+	}
+	return ""
+}
--- a/limit/oracle_test.go
+++ b/limit/oracle_test.go
@@ -13,6 +13,7 @@
 // burst.
 type oracle struct {
 	rate       config.Rate // the highest in force anywhere
+	since      config.Rate // the highest since the last admission
 	admissions []admission
 	requests   excess
 	tokens     excess
@@ -23,10 +24,9 @@
 
 // An admission is one admitted request. Its cost falls when it settles.
 type admission struct {
-	at    time.Time
-	cost  limit.Cost
-	rate  config.Rate
-	since config.Rate // the highest in force since the admission before
+	at   time.Time
+	cost limit.Cost
+	rate config.Rate // the highest in force since the admission before
 }
 
 // An excess is the largest sum over windows that end now, beyond rate times
@@ -48,7 +48,9 @@
 
 // admit records an admission and returns its number.
 func (o *oracle) admit(now time.Time, c limit.Cost) int {
-	o.admissions = append(o.admissions, admission{at: now, cost: c, rate: o.rate, since: o.rate})
+	o.since = highest(o.since, o.rate)
+	o.admissions = append(o.admissions, admission{at: now, cost: c, rate: o.since})
+	o.since = o.rate
 	if o.dirty {
 		o.recount()
 	} else {
@@ -63,10 +65,17 @@
 	o.dirty = true
 }
 
-// inForce sets the highest rate in force from now on. Rates between two
-// admissions count as the highest of them.
+// inForce sets the highest rate in force from now on.
 func (o *oracle) inForce(r config.Rate) {
 	o.rate = r
+	o.since = highest(o.since, r)
+}
+
+func highest(a, b config.Rate) config.Rate {
+	return config.Rate{
+		Requests: max(a.Requests, b.Requests), RequestBurst: max(a.RequestBurst, b.RequestBurst),
+		Tokens: max(a.Tokens, b.Tokens), TokenBurst: max(a.TokenBurst, b.TokenBurst),
+	}
 }
 
 func (o *oracle) recount() {
@@ -78,14 +87,9 @@
 
 func (o *oracle) count(i int) {
 	a := o.admissions[i]
-	seconds, before := 0.0, a.rate
+	seconds, top := 0.0, a.rate
 	if i > 0 {
 		seconds = a.at.Sub(o.admissions[i-1].at).Seconds()
-		before = o.admissions[i-1].rate
-	}
-	top := config.Rate{
-		Requests: math.Max(before.Requests, a.rate.Requests), RequestBurst: math.Max(before.RequestBurst, a.rate.RequestBurst),
-		Tokens: math.Max(before.Tokens, a.rate.Tokens), TokenBurst: math.Max(before.TokenBurst, a.rate.TokenBurst),
 	}
 	ok := o.requests.add(a.cost.Requests, seconds, top.Requests, top.RequestBurst)
 	ok = o.tokens.add(a.cost.Tokens, seconds, top.Tokens, top.TokenBurst) && ok
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -93,37 +92,19 @@
 	return found && s.live[i].Incarnation > l.Incarnation
 }
 
-// takeSlot starts the write that makes a slot this VM's.
+// takeSlot starts the acquisition of a slot.
 func (s *State) takeSlot(sh *shard, n int) Effect {
-	old := sh.slots[n].record
+	old := sh.slots[n].record.Lease
 	sh.writing++
-	return TakeSlot{
-		Shard: sh.id, Slot: n, Expect: old.Version,
-		Lease: s.newLease(sh.id, n, old.Lease.Term+1, s.self.ID),
-	}
+	return TakeSlot{Shard: sh.id, Slot: n, Ended: lease.Holder{ID: old.Holder, Incarnation: old.Incarnation}}
 }
 
-// giveSlot stops spending a slot's share and starts the write that frees it.
+// giveSlot stops spending a slot's share and starts its release.
 func (s *State) giveSlot(sh *shard, n int, now time.Time) Effect {
-	h := sh.held[n]
+	held := sh.held[n].record.Record
 	s.drop(sh, n, now)
 	sh.writing++
-	return GiveSlot{
-		Shard: sh.id, Slot: n, Expect: h.record.Version,
-		Lease: s.newLease(sh.id, n, h.record.Lease.Term, ""),
-	}
-}
-
-func (s *State) newLease(shard, slot int, term int64, holder string) lease.Lease {
-	s.lastNonce++
-	l := lease.Lease{
-		Duty: slotKey(shard, slot), Holder: holder, Term: term,
-		Nonce: fmt.Sprintf("%s/%d/%d", s.self.ID, s.self.Incarnation, s.lastNonce),
-	}
-	if holder != "" {
-		l.Incarnation = s.self.Incarnation
-	}
-	return l
+	return GiveSlot{Shard: sh.id, Slot: n, Record: held}
 }
 
 // drop takes a slot's share out of force.
@@ -139,7 +120,7 @@
 func (s *State) slotWritten(e SlotWritten, now time.Time) []Effect {
 	sh := s.shards[e.Shard]
 	sh.writing--
-	if e.Record.Version > 0 {
+	if e.Record.Version > sh.slots[e.Slot].record.Version {
 		sh.slots[e.Slot] = slot{record: e.Record, known: true}
 	}
 	if !e.Held {
--- a/limit/state.go
+++ b/limit/state.go
@@ -21,10 +21,9 @@
 	asks     map[uint64]*pending
 	lastAsk  uint64
 	// settling is the number of slots that are held but not active yet.
-	settling  int
-	lastNonce uint64
-	leaving   bool
-	counts    Counts
+	settling int
+	leaving  bool
+	counts   Counts
 }
 
 // NewState returns a State that holds nothing. The first number of its asks
--- a/limit/store.go
+++ b/limit/store.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 
 	"github.com/baobabdyke/baobabdyke/lease"
-	"github.com/baobabdyke/baobabdyke/platform"
 )
 
 // listShard reads the slots of a shard and posts them.
@@ -22,65 +19,55 @@
 	listed := Listed{Shard: e.Shard}
 	for _, o := range objects {
 		slot, ok := slotOfKey(e.Shard, o.Key)
-		r := SlotRecord{Slot: slot, Version: o.Version}
-		if !ok || json.Unmarshal(o.Value, &r.Lease) != nil {
-			t.logSlot("object is no slot: "+o.Key, e.Shard, slot, nil)
+		l, err := lease.Decode(o.Value)
+		if !ok || err != nil {
+			t.logSlot("object is no slot: "+o.Key, e.Shard, slot, err)
 			continue
 		}
+		r := SlotRecord{Slot: slot, Record: lease.Record{Lease: l, Version: o.Version}}
 		listed.Slots = append(listed.Slots, r)
 	}
 	_ = t.post(ctx, listed)
 }
 
-// takeSlot writes a slot in this VM's name and posts whether it is held.
+// takeSlot acquires a slot and posts whether it is held.
 func (t *Task) takeSlot(ctx context.Context, e TakeSlot) {
-	r, err := writeSlot(ctx, t.o.Store, e.Slot, e.Lease, e.Expect)
-	held := err == nil && r.Version > 0
-	t.logSlot("slot taken", e.Shard, e.Slot, err)
-	_ = t.post(ctx, SlotWritten{Shard: e.Shard, Slot: e.Slot, Record: r, Held: held})
+	call, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	key := slotKey(e.Shard, e.Slot)
+	result := lease.Acquire(call, t.o.Store, lease.Request{
+		Key: key, Duty: key,
+		Self: lease.Holder{ID: t.o.Self.ID, Incarnation: t.o.Self.Incarnation},
+		Gone: func(r lease.Record) bool { return e.Ended.ID != "" && r.Lease.HeldBy(e.Ended) },
+	})
+	t.written(ctx, e.Shard, e.Slot, result)
 }
 
-// giveSlot writes a slot as free.
+// giveSlot releases a slot.
 func (t *Task) giveSlot(ctx context.Context, e GiveSlot) {
-	r, err := writeSlot(ctx, t.o.Store, e.Slot, e.Lease, e.Expect)
-	t.logSlot("slot given back", e.Shard, e.Slot, err)
-	_ = t.post(ctx, SlotWritten{Shard: e.Shard, Slot: e.Slot, Record: r})
-}
-
-var errNotWritten = errors.New("another write came first")
-
-// writeSlot makes a conditional update of a slot and returns the record if the
-// write has provably taken effect. A lost answer is resolved by the nonce.
-func writeSlot(ctx context.Context, store platform.Store, slot int, l lease.Lease, expect int64) (SlotRecord, error) {
-	value, err := json.Marshal(l)
-	if err != nil {
-		return SlotRecord{}, err
-	}
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	call, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	switch r := store.Put(call, l.Duty, value, expect).(type) {
-	case platform.Done:
-		return SlotRecord{Slot: slot, Lease: l, Version: r.Version}, nil
-	case platform.NotSent:
-		return SlotRecord{}, r.Err
-	case platform.Unknown:
-		return readBack(ctx, store, slot, l)
-	default:
-		return SlotRecord{}, errNotWritten
-	}
+	result := lease.Release(call, t.o.Store, slotKey(e.Shard, e.Slot), e.Record, nil)
+	t.written(ctx, e.Shard, e.Slot, result)
 }
 
-// readBack looks for the nonce of a write whose answer was lost.
-func readBack(ctx context.Context, store platform.Store, slot int, l lease.Lease) (SlotRecord, error) {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	o, err := store.Get(call, l.Duty)
-	if err != nil {
-		return SlotRecord{}, err
-	}
-	var found lease.Lease
-	if err := json.Unmarshal(o.Value, &found); err != nil || found.Nonce != l.Nonce {
-		return SlotRecord{}, errNotWritten
+// written posts the outcome of an acquisition or a release.
+func (t *Task) written(ctx context.Context, shard, slot int, result lease.Result) {
+	w := SlotWritten{Shard: shard, Slot: slot, Record: SlotRecord{Slot: slot}}
+	switch r := result.(type) {
+	case lease.Held:
+		w.Record.Record, w.Held = r.Record, true
+		t.logSlot("slot taken", shard, slot, nil)
+	case lease.Taken:
+		w.Record.Record = r.Record
+		t.logSlot("slot taken by another VM", shard, slot, nil)
+	case lease.Free:
+		w.Record.Record = r.Record
+		t.logSlot("slot given back", shard, slot, nil)
+	case lease.NotSent:
+		t.logSlot("slot not written", shard, slot, r.Err)
+	case lease.Unsure:
+		t.logSlot("slot perhaps written", shard, slot, r.Err)
 	}
-	return SlotRecord{Slot: slot, Lease: found, Version: o.Version}, nil
+	_ = t.post(ctx, w)
 }
--- a/limit/task.go
+++ b/limit/task.go
@@ -25,6 +25,8 @@
 	membersEvery = time.Second
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 2 * time.Second
+	// acquireTimeout bounds the calls that acquire or release a slot.
+	acquireTimeout = 3 * storeTimeout
 	// returnTimeout bounds one call that returns tokens.
 	returnTimeout = 200 * time.Millisecond
 )
@@ -86,34 +88,26 @@
 
 // Register takes the calls of other VMs.
 func (t *Task) Register(r peer.Registrar) {
-	r.Handle(peer.CallTokens, func(ctx context.Context, from string, decode func(any) error) (any, error) {
-		q := question{Asked: Asked{From: from}, reply: make(chan Transfer, 1)}
-		if err := decode(&q.Ask); err != nil {
-			return nil, err
-		}
-		return t.answer(ctx, q)
+	peer.Handle(r, peer.CallTokens, func(ctx context.Context, from string, a Ask) (Transfer, error) {
+		return t.answer(ctx, question{Asked: Asked{From: from, Ask: a}, reply: make(chan Transfer, 1)})
 	})
-	r.Handle(peer.CallTokensBack, func(ctx context.Context, from string, decode func(any) error) (any, error) {
-		e := Returned{From: from}
-		if err := decode(&e.Return); err != nil {
-			return nil, err
-		}
-		return ReturnReply{}, t.post(ctx, e)
+	peer.Handle(r, peer.CallTokensBack, func(ctx context.Context, from string, b Return) (ReturnReply, error) {
+		return ReturnReply{}, t.post(ctx, Returned{From: from, Return: b})
 	})
 }
 
 // answer waits for the transfer that answers an ask.
-func (t *Task) answer(ctx context.Context, q question) (any, error) {
+func (t *Task) answer(ctx context.Context, q question) (Transfer, error) {
 	if err := t.post(ctx, q); err != nil {
-		return nil, err
+		return Transfer{}, err
 	}
 	select {
 	case transfer := <-q.reply:
 		return transfer, nil
 	case <-t.stopped:
-		return nil, errStopped
+		return Transfer{}, errStopped
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return Transfer{}, ctx.Err()
 	}
 }
 
