Add membership, configuration keeper and placement

Cause: VMs must agree on the configuration without a coordination service, know each other at bounded cost, and tell callers which VM to use.

--- /dev/null
+++ b/config/apply.go
@@ -0,0 +1,195 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Apply returns the configuration that the patch makes of cfg, with the next
+// version. Cfg does not change. The error is a *Problems with all reasons for
+// refusing the patch.
+func Apply(cfg *Config, p Patch) (*Config, error) {
+	next, r := p.edit(cfg)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	r.Lines = r.Lines.under("set.")
+	next.check(r)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// under makes the lines of fields below the prefix those of the fields without
+// it, as a configuration names them.
+func (l Lines) under(prefix string) Lines {
+	out := Lines{}
+	for field, n := range l {
+		if rest, ok := strings.CutPrefix(field, prefix); ok {
+			out[rest] = n
+		}
+	}
+	return out
+}
+
+// edit applies the patch without validation of the outcome.
+func (p *Patch) edit(cfg *Config) (*Config, *Report) {
+	e := &editor{Report: p.newReport(), before: cfg, retired: map[string]bool{}}
+	next := &Config{Version: cfg.Version + 1}
+	next.Models = edit(e, "models", cfg.Models, p.Set.Models, p.Remove.Models, modelName)
+	next.Targets = edit(e, "targets", cfg.Targets, p.Set.Targets, p.Remove.Targets, targetName)
+	next.Routes = edit(e, "routes", cfg.Routes, p.Set.Routes, p.Remove.Routes, routeName)
+	next.Customers = edit(e, "customers", cfg.Customers, p.Set.Customers, p.Remove.Customers, customerName)
+	e.changeCustomers(next, p)
+	e.guardKeys(next, p)
+	return next, e.Report
+}
+
+func modelName(m Model) string       { return m.Name }
+func targetName(t Target) string     { return t.Name }
+func routeName(r Route) string       { return r.Name }
+func customerName(c Customer) string { return c.Name }
+
+// An editor applies one patch and notes what stands against it.
+type editor struct {
+	*Report
+	before  *Config
+	retired map[string]bool
+}
+
+// edit returns the items after set and remove, sorted by name.
+func edit[T any](e *editor, kind string, before, set []T, remove []string, name func(T) string) []T {
+	if len(set) == 0 && len(remove) == 0 {
+		return before
+	}
+	drop := map[string]bool{}
+	for _, n := range remove {
+		drop[n] = true
+		if !slices.ContainsFunc(before, func(t T) bool { return name(t) == n }) {
+			e.Add("remove."+kind, "", "names %q, which does not exist", n)
+		}
+	}
+	replaced := map[string]bool{}
+	for _, t := range set {
+		if replaced[name(t)] || drop[name(t)] {
+			e.Add("set."+kind, "", "names %q twice, or also under remove", name(t))
+		}
+		replaced[name(t)] = true
+	}
+	items := make([]T, 0, len(before)+len(set))
+	for _, t := range before {
+		if !drop[name(t)] && !replaced[name(t)] {
+			items = append(items, t)
+		}
+	}
+	items = append(items, set...)
+	slices.SortStableFunc(items, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return items
+}
+
+// changeCustomers applies rates, grants and withdrawals.
+func (e *editor) changeCustomers(next *Config, p *Patch) {
+	if len(p.Rates)+len(p.Grant)+len(p.Withdraw) == 0 {
+		return
+	}
+	next.Customers = slices.Clone(next.Customers)
+	for _, change := range p.Rates {
+		if c := e.customer(next, "rates", change.Customer); c != nil {
+			c.Rate = change.Rate
+		}
+	}
+	for _, g := range p.Grant {
+		if c := e.customer(next, "grant", g.Customer); c != nil {
+			c.Keys = append(slices.Clone(c.Keys), g.Key)
+		}
+	}
+	for _, w := range p.Withdraw {
+		if c := e.customer(next, "withdraw", w.Customer); c != nil {
+			e.withdraw(c, w)
+		}
+	}
+}
+
+// customer returns the customer with the name for a change in place.
+func (e *editor) customer(next *Config, field, name string) *Customer {
+	i, ok := slices.BinarySearchFunc(next.Customers, name, func(c Customer, name string) int {
+		return cmp.Compare(c.Name, name)
+	})
+	if !ok {
+		e.Add(field, "", "names customer %q, which does not exist", name)
+		return nil
+	}
+	return &next.Customers[i]
+}
+
+func (e *editor) withdraw(c *Customer, w Withdrawal) {
+	i := slices.IndexFunc(c.Keys, func(k Key) bool { return k.ID == w.Key })
+	if i < 0 {
+		e.Add("withdraw", "", "names key %q, which customer %s does not have", w.Key, w.Customer)
+		return
+	}
+	c.Keys = slices.Clone(c.Keys)
+	c.Keys[i].Withdrawn = cmp.Or(w.Mode, WithdrawnFinish)
+}
+
+// guardKeys keeps withdrawn keys from coming back into force unless the patch
+// says so, and keeps the digests of keys that are not listed any more.
+func (e *editor) guardKeys(next *Config, p *Patch) {
+	next.Retired = e.before.Retired
+	if !p.touchesKeys() {
+		return
+	}
+	withdrawn := map[string]bool{}
+	for _, digest := range e.before.Retired {
+		withdrawn[digest] = true
+	}
+	for _, digest := range p.Retire {
+		withdrawn[digest] = true
+	}
+	listed := map[string]bool{}
+	for i := range e.before.Customers {
+		for _, k := range e.before.Customers[i].Keys {
+			listed[k.Digest] = true
+			withdrawn[k.Digest] = withdrawn[k.Digest] || k.Withdrawn != ""
+		}
+	}
+	for _, digest := range p.Reinstate {
+		if !withdrawn[digest] {
+			e.Add("reinstate", "the digest of a withdrawn key", "is not withdrawn")
+		}
+		delete(withdrawn, digest)
+	}
+	kept := map[string]bool{}
+	for i := range next.Customers {
+		c := &next.Customers[i]
+		for j, k := range c.Keys {
+			kept[k.Digest] = true
+			if withdrawn[k.Digest] && k.Withdrawn == "" {
+				e.Add("set.customers["+label(c.Name, i)+"].keys["+label(k.ID, j)+"]", "",
+					"is withdrawn; name its digest under reinstate to put it back into force")
+			}
+		}
+	}
+	next.Retired = retire(withdrawn, listed, kept)
+}
+
+// touchesKeys tells whether the patch can change the keys in force.
+func (p *Patch) touchesKeys() bool {
+	return len(p.Set.Customers)+len(p.Remove.Customers)+len(p.Grant)+len(p.Withdraw)+
+		len(p.Reinstate)+len(p.Retire) > 0
+}
+
+// retire returns the digests of keys that were listed or withdrawn and are not
+// kept, sorted.
+func retire(withdrawn, listed, kept map[string]bool) []string {
+	var list []string
+	for digest, is := range withdrawn {
+		if is && !kept[digest] || listed[digest] && !kept[digest] {
+			list = append(list, digest)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/config/cluster_test.go
@@ -0,0 +1,319 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/seed"
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// A cluster is a number of VMs in virtual time over a store that can fail.
+type cluster struct {
+	t     testing.TB
+	net   *peer.Memory
+	store *faulty
+	nodes []*node
+}
+
+// A node is one VM of a cluster.
+type node struct {
+	id     string
+	record platform.VMRecord
+	port   *peer.MemoryNode
+	roster *vm.Task
+	keeper *Keeper
+	stop   context.CancelFunc
+	ended  *sync.WaitGroup
+}
+
+// newCluster lists n VMs in three data centres and starts them.
+func newCluster(t testing.TB, n int) *cluster {
+	c := &cluster{t: t, net: peer.NewMemory(), store: &faulty{Memory: platform.NewMemory()}}
+	for i := range n {
+		id := fmt.Sprintf("vm-%03d", i)
+		address := fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200+1)
+		c.nodes = append(c.nodes, &node{id: id, record: platform.VMRecord{
+			ID: id, Address: address, DataCentre: fmt.Sprintf("dc-%d", i%3), State: platform.VMLive,
+		}})
+	}
+	c.list()
+	for _, n := range c.nodes {
+		c.start(n, 1)
+	}
+	return c
+}
+
+// list makes the platform list the VMs.
+func (c *cluster) list() {
+	var records []platform.VMRecord
+	for _, n := range c.nodes {
+		records = append(records, n.record)
+	}
+	c.store.SetVMs(records)
+}
+
+// start begins one process of a VM.
+func (c *cluster) start(n *node, incarnation uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.port = c.net.Node(n.id, n.record.Address)
+	n.roster = vm.NewTask(vm.Options{
+		Self: vm.Member{
+			ID: n.id, Incarnation: incarnation, Region: "r", DataCentre: n.record.DataCentre,
+			Caller: n.record.Address, Peer: n.record.Address, State: vm.StateServing,
+		},
+		Directory: c.store, Peers: n.port, Seed: seed.Value(),
+	})
+	n.keeper = NewKeeper(Options{
+		Store: &client{faulty: c.store, id: n.id}, Peers: n.port, Roster: n.roster, Self: n.id, Seed: seed.Value() + incarnation,
+	})
+	n.roster.Register(n.port)
+	n.keeper.Register(n.port)
+	n.stop, n.ended = cancel, &sync.WaitGroup{}
+	n.ended.Go(func() { _ = n.roster.Run(ctx) })
+	n.ended.Go(func() { _ = n.keeper.Run(ctx) })
+}
+
+// kill ends the process of a VM.
+func (c *cluster) kill(n *node) {
+	n.stop()
+	c.net.Remove(n.record.Address)
+	n.ended.Wait()
+}
+
+// close ends all VMs.
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		c.net.Resume(n.id)
+		n.stop()
+	}
+	for _, n := range c.nodes {
+		n.ended.Wait()
+	}
+}
+
+// cutOff breaks all ways between a VM and the others.
+func (c *cluster) cutOff(n *node) {
+	for _, o := range c.nodes {
+		if o != n {
+			c.net.Silence(n.id, o.id)
+		}
+	}
+}
+
+func (c *cluster) heal(n *node) {
+	for _, o := range c.nodes {
+		c.net.Heal(n.id, o.id)
+	}
+}
+
+// submit commits a patch on a VM and returns its version.
+func (c *cluster) submit(n *node, p Patch) int64 {
+	c.t.Helper()
+	result := n.keeper.Submit(context.Background(), p)
+	accepted, ok := result.(PatchAccepted)
+	must.True(c.t, ok, must.Sprintf("got %#v", result))
+	return accepted.Version
+}
+
+// mustReach checks that VMs have a version in force within a time.
+func (c *cluster) mustReach(nodes []*node, version int64, within time.Duration) {
+	c.t.Helper()
+	start := time.Now()
+	for {
+		late := ""
+		for _, n := range nodes {
+			if n.keeper.Current().Version < version {
+				late = n.id
+			}
+		}
+		if late == "" {
+			return
+		}
+		if time.Since(start) > within {
+			c.t.Fatalf("%s lacks version %d after %v", late, version, within)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// mustFresh checks which VMs are fresh.
+func (c *cluster) mustFresh(want bool, nodes ...*node) {
+	c.t.Helper()
+	for _, n := range nodes {
+		must.Eq(c.t, want, n.keeper.Fresh(), must.Sprintf("%s: %+v", n.id, n.keeper.Dump()))
+	}
+}
+
+// digest returns the digest number i.
+func digest(i int) string {
+	return fmt.Sprintf("%064x", i)
+}
+
+// sample returns a small valid configuration.
+func sample(customers int) *Config {
+	cfg := &Config{
+		Models: []Model{{Name: "m", Versions: []string{"1", "2"}, Adapters: []string{"a"}, Piece: 4096}},
+		Targets: []Target{
+			{Name: "e-1", Kind: TargetEngine, Pool: "engines", Address: "10.1.0.1:80", DataCentre: "dc-0"},
+			{Name: "s-1", Kind: TargetService, Pool: "services", Address: "10.1.0.2:80", DataCentre: "dc-0"},
+		},
+		Routes: []Route{
+			{Name: "chat", Kind: RouteModel, Pool: "engines", Model: "m", Version: "1", Deadline: time.Second},
+			{Name: "hold", Kind: RouteService, Pool: "services", Once: true, Deadline: time.Second},
+		},
+	}
+	for i := range customers {
+		cfg.Customers = append(cfg.Customers, Customer{
+			Name:   fmt.Sprintf("customer-%05d", i),
+			Keys:   []Key{{ID: "k1", Digest: digest(i)}},
+			Rate:   Rate{Requests: 10, RequestBurst: 20, Tokens: 1000, TokenBurst: 2000},
+			Routes: []string{"chat", "hold"},
+		})
+	}
+	return cfg
+}
+
+// withdraw returns a patch that withdraws the key of a customer.
+func withdraw(base int64, customer int) Patch {
+	return Patch{
+		ID: fmt.Sprintf("w-%d-%d", base, customer), Base: base,
+		Withdraw: []Withdrawal{{Customer: fmt.Sprintf("customer-%05d", customer), Key: "k1"}},
+	}
+}
+
+// virtual runs a test in virtual time with a cluster of n VMs that has the
+// sample configuration as version 1.
+func virtual(t *testing.T, n int, f func(*testing.T, *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, n)
+		defer c.close()
+		time.Sleep(8 * time.Second)
+		result := c.nodes[0].keeper.Import(context.Background(), sample(5))
+		must.Eq(t, PatchResult(PatchAccepted{Version: 1}), result)
+		c.mustReach(c.nodes, 1, 5*time.Second)
+		f(t, c)
+	})
+}
+
+// A faulty is a store that can be down, slow, or lose answers.
+type faulty struct {
+	*platform.Memory
+	mu     sync.Mutex
+	down   bool
+	slow   time.Duration
+	lose   string // keys with this prefix lose the answer of their next Put
+	silent bool   // watches send nothing
+	hide   string // the VM with this id gets no answer
+
+	downAfterLoss bool
+	reads         int
+	writes        int
+}
+
+func (f *faulty) set(change func(*faulty)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// delay waits like a slow store and tells whether it is down.
+func (f *faulty) delay(ctx context.Context, count *int) error {
+	f.mu.Lock()
+	*count++
+	down, slow := f.down, f.slow
+	f.mu.Unlock()
+	if down {
+		return platform.ErrUnavailable
+	}
+	wait(ctx, slow)
+	return ctx.Err()
+}
+
+func (f *faulty) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := f.delay(ctx, &f.reads); err != nil {
+		return platform.Object{}, err
+	}
+	return f.Memory.Get(ctx, key)
+}
+
+func (f *faulty) Put(ctx context.Context, key string, value []byte, expect int64) platform.WriteResult {
+	if err := f.delay(ctx, &f.writes); err != nil {
+		return platform.NotSent{Err: err}
+	}
+	result := f.Memory.Put(ctx, key, value, expect)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lose != "" && strings.HasPrefix(key, f.lose) {
+		f.lose = ""
+		f.down = f.down || f.downAfterLoss
+		return platform.Unknown{Err: platform.ErrUnavailable}
+	}
+	return result
+}
+
+func (f *faulty) Watch(ctx context.Context, prefix string, after int64) (<-chan platform.Event, error) {
+	if err := f.delay(ctx, &f.reads); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	silent := f.silent
+	f.mu.Unlock()
+	if silent {
+		events := make(chan platform.Event)
+		context.AfterFunc(ctx, func() { close(events) })
+		return events, nil
+	}
+	return f.Memory.Watch(ctx, prefix, after)
+}
+
+// A client is the store as one VM reaches it.
+type client struct {
+	*faulty
+	id string
+}
+
+func (s *client) hidden() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hide == s.id
+}
+
+func (s *client) Get(ctx context.Context, key string) (platform.Object, error) {
+	if s.hidden() {
+		<-ctx.Done()
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.faulty.Get(ctx, key)
+}
+
+func (s *client) Watch(ctx context.Context, prefix string, after int64) (<-chan platform.Event, error) {
+	from, err := s.faulty.Watch(ctx, prefix, after)
+	if err != nil {
+		return nil, err
+	}
+	to := make(chan platform.Event)
+	go func() {
+		defer close(to)
+		for e := range from {
+			if s.hidden() {
+				continue
+			}
+			select {
+			case to <- e:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return to, nil
+}
--- /dev/null
+++ b/config/collect.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+const (
+	// sweepPeriod is the time between two collections of unused chunks.
+	sweepPeriod = time.Hour
+	// deleteWait is the time between two deletions of a collection.
+	deleteWait = 50 * time.Millisecond
+)
+
+// sweepAgain collects unused chunks from time to time, on one VM of the fleet.
+// More than one VM doing so would do no harm.
+func (k *Keeper) sweepAgain(ctx context.Context) {
+	for {
+		wait(ctx, sweepPeriod/2+k.jitter(sweepPeriod))
+		if ctx.Err() != nil {
+			return
+		}
+		if k.rank("") > 0 {
+			continue
+		}
+		if n, err := k.Sweep(ctx); err != nil {
+			_ = k.opts.Log.Log("msg", "chunks not collected", "deleted", n, "err", err)
+		}
+	}
+}
+
+// Sweep deletes the chunks that the head does not lead to, and returns their
+// number. The order makes it safe: the chunks are listed first; then an update
+// of the head makes every commit fail that began before; then chunks are
+// deleted in the listed version only, since a commit that began later has
+// written anew every chunk that it adds.
+func (k *Keeper) Sweep(ctx context.Context) (int, error) {
+	read, err := k.readHead(ctx)
+	if err != nil || read.Version == read.Swept {
+		return 0, err
+	}
+	k.reads.Add(1)
+	list, err := k.opts.Store.List(ctx, chunkPrefix)
+	if err != nil {
+		return 0, eris.Wrap(err, "list chunks")
+	}
+	head := read.Head
+	head.Sweeps++
+	head.Swept = head.Version
+	value, err := encodeHead(head)
+	if err != nil {
+		return 0, err
+	}
+	k.writes.Add(1)
+	if _, done := k.opts.Store.Put(ctx, headKey, value, read.object).(platform.Done); !done {
+		return 0, nil
+	}
+	used, err := k.used(ctx, head)
+	if err != nil {
+		return 0, err
+	}
+	return k.deleteUnused(ctx, list, used), nil
+}
+
+// used returns the keys of the chunks that a head leads to.
+func (k *Keeper) used(ctx context.Context, h Head) (map[string]bool, error) {
+	data, err := k.readChunk(ctx, h.Root)
+	if err != nil {
+		return nil, err
+	}
+	var ix index
+	if err := decodeChunk(data, h.Root, &ix); err != nil {
+		return nil, err
+	}
+	used := map[string]bool{chunkPrefix + h.Root: true}
+	for _, ref := range ix {
+		used[chunkPrefix+ref.Digest] = true
+	}
+	return used, nil
+}
+
+func (k *Keeper) deleteUnused(ctx context.Context, list []platform.Object, used map[string]bool) int {
+	n := 0
+	for _, o := range list {
+		if used[o.Key] {
+			continue
+		}
+		k.writes.Add(1)
+		if _, done := k.opts.Store.Delete(ctx, o.Key, o.Version).(platform.Done); done {
+			n++
+		}
+		wait(ctx, deleteWait)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return n
+}
--- a/config/config.go
+++ b/config/config.go
@@ -34,6 +34,9 @@
 	Routes    []Route    `json:"routes" yaml:"routes"`
 	Models    []Model    `json:"models" yaml:"models"`
 	Targets   []Target   `json:"targets" yaml:"targets"`
+	// Retired holds the digests of withdrawn keys that no customer lists any
+	// more, so that none comes back unnoticed.
+	Retired []string `json:"retired,omitempty" yaml:"retired,omitempty"`
 }
 
 // A Customer is one tenant. Routes names the keyed routes that it may use.
@@ -49,7 +52,7 @@
 	ID string `json:"id" yaml:"id"`
 	// Digest is the lower-case hexadecimal SHA-256 of the secret.
 	Digest    string `json:"digest" yaml:"digest"`
-	Withdrawn string `json:"withdrawn,omitempty" yaml:"withdrawn,omitempty"`
+	Withdrawn string `json:"withdrawn,omitempty" yaml:"withdrawn,omitempty" permitted:"finish,cut"`
 }
 
 // A Rate limits a customer over all VMs together. Rates are per second.
@@ -64,7 +67,7 @@
 // serve it. Model, Version and Adapters are for model routes only.
 type Route struct {
 	Name     string   `json:"name" yaml:"name"`
-	Kind     string   `json:"kind" yaml:"kind"`
+	Kind     string   `json:"kind" yaml:"kind" permitted:"model,service"`
 	Pool     string   `json:"pool" yaml:"pool"`
 	Open     bool     `json:"open,omitempty" yaml:"open,omitempty"`
 	Model    string   `json:"model,omitempty" yaml:"model,omitempty"`
@@ -96,7 +99,7 @@
 // A Target is one engine, plain service or KV cache. Address is IP:port.
 type Target struct {
 	Name       string `json:"name" yaml:"name"`
-	Kind       string `json:"kind" yaml:"kind"`
+	Kind       string `json:"kind" yaml:"kind" permitted:"engine,service,cache"`
 	Pool       string `json:"pool" yaml:"pool"`
 	Address    string `json:"address" yaml:"address"`
 	DataCentre string `json:"datacentre" yaml:"datacentre"`
--- /dev/null
+++ b/config/keeper_test.go
@@ -0,0 +1,210 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestPatchReachesAll(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		c.mustFresh(true, c.nodes...)
+		version := c.submit(c.nodes[3], withdraw(1, 2))
+		c.mustReach(c.nodes, version, time.Second)
+	})
+}
+
+// TestCutOff withdraws a key while one VM reaches neither the store nor a peer:
+// within five seconds that VM is not fresh, and the others have the version.
+func TestCutOff(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		lost, rest := c.nodes[0], c.nodes[1:]
+		c.cutOff(lost)
+		c.store.set(func(f *faulty) { f.hide = lost.id })
+		version := c.submit(rest[0], withdraw(1, 2))
+		c.mustReach(rest, version, time.Second)
+		time.Sleep(5 * time.Second)
+		c.mustFresh(false, lost)
+		c.mustFresh(true, rest...)
+		time.Sleep(time.Minute)
+		c.mustFresh(false, lost)
+		c.mustFresh(true, rest...)
+		c.heal(lost)
+		c.store.set(func(f *faulty) { f.hide = "" })
+		c.mustReach(c.nodes, version, 10*time.Second)
+		time.Sleep(5 * time.Second)
+		c.mustFresh(true, c.nodes...)
+	})
+}
+
+// TestCutOffFromPeers leaves a VM with the store only: it polls the store.
+func TestCutOffFromPeers(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		c.cutOff(c.nodes[0])
+		version := c.submit(c.nodes[1], withdraw(1, 2))
+		c.mustReach(c.nodes, version, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		c.mustFresh(true, c.nodes...)
+	})
+}
+
+// TestStoreOutage checks that an outage that all see keeps all fresh, that
+// patches are refused truthfully, and that a VM restarted in it takes the
+// configuration from the others.
+func TestStoreOutage(t *testing.T) {
+	virtual(t, 9, func(t *testing.T, c *cluster) {
+		version := c.submit(c.nodes[1], withdraw(1, 2))
+		c.store.set(func(f *faulty) { f.down = true })
+		time.Sleep(10 * time.Minute)
+		c.mustFresh(true, c.nodes...)
+		_, notSent := c.nodes[1].keeper.Submit(context.Background(), withdraw(version, 3)).(PatchNotSent)
+		must.True(t, notSent)
+		c.kill(c.nodes[0])
+		time.Sleep(time.Second)
+		c.start(c.nodes[0], 2)
+		c.mustReach(c.nodes, version, 5*time.Second)
+		time.Sleep(20 * time.Minute)
+		c.mustFresh(true, c.nodes...)
+		c.store.set(func(f *faulty) { f.down = false })
+		c.mustReach(c.nodes, c.submit(c.nodes[0], withdraw(version, 3)), 5*time.Second)
+	})
+}
+
+// TestSlowStore answers every call after two seconds.
+func TestSlowStore(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		c.store.set(func(f *faulty) { f.slow = 2 * time.Second })
+		time.Sleep(time.Minute)
+		c.mustFresh(true, c.nodes...)
+		c.mustReach(c.nodes, c.submit(c.nodes[2], withdraw(1, 2)), 5*time.Second)
+	})
+}
+
+// TestHerd restarts all VMs at once with the store up: all have the version
+// soon, and few of them read it from the store.
+func TestHerd(t *testing.T) {
+	virtual(t, 9, func(t *testing.T, c *cluster) {
+		version := c.submit(c.nodes[1], withdraw(1, 2))
+		for _, n := range c.nodes {
+			c.kill(n)
+		}
+		c.store.set(func(f *faulty) { f.reads = 0 })
+		for _, n := range c.nodes {
+			c.start(n, 2)
+		}
+		c.mustReach(c.nodes, version, 10*time.Second)
+		c.store.set(func(f *faulty) { must.Less(t, 100, f.reads) })
+		time.Sleep(5 * time.Second)
+		c.mustFresh(true, c.nodes...)
+	})
+}
+
+// TestHerdInOutage restarts all VMs with the store down: none has a
+// configuration until the store is back.
+func TestHerdInOutage(t *testing.T) {
+	virtual(t, 9, func(t *testing.T, c *cluster) {
+		c.store.set(func(f *faulty) { f.down = true })
+		for _, n := range c.nodes {
+			c.kill(n)
+		}
+		for _, n := range c.nodes {
+			c.start(n, 2)
+		}
+		time.Sleep(time.Minute)
+		for _, n := range c.nodes {
+			must.Eq(t, 0, n.keeper.Current().Version)
+		}
+		c.store.set(func(f *faulty) { f.down = false })
+		c.mustReach(c.nodes, 1, 10*time.Second)
+	})
+}
+
+// TestPausedVM stops the messages of a VM for a minute: it is not fresh when it
+// wakes up, before it has heard anything.
+func TestPausedVM(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		paused := c.nodes[4]
+		c.net.Pause(paused.id)
+		c.store.set(func(f *faulty) { f.hide = paused.id })
+		version := c.submit(c.nodes[1], withdraw(1, 2))
+		time.Sleep(time.Minute)
+		c.mustFresh(false, paused)
+		c.net.Resume(paused.id)
+		c.mustFresh(false, paused)
+		c.store.set(func(f *faulty) { f.hide = "" })
+		c.mustReach(c.nodes, version, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		c.mustFresh(true, paused)
+	})
+}
+
+// TestLostAnswer loses the answer of the write that commits a patch.
+func TestLostAnswer(t *testing.T) {
+	virtual(t, 3, func(t *testing.T, c *cluster) {
+		c.store.set(func(f *faulty) { f.lose = headKey })
+		p := withdraw(1, 2)
+		must.Eq(t, 2, c.submit(c.nodes[0], p))
+		must.Eq(t, 2, c.submit(c.nodes[1], p), must.Sprint("the same patch again"))
+		other := withdraw(1, 3)
+		other.ID = p.ID
+		_, refused := c.nodes[1].keeper.Submit(context.Background(), other).(PatchRefused)
+		must.True(t, refused, must.Sprint("another patch under the same id"))
+		c.mustReach(c.nodes, 2, time.Second)
+	})
+}
+
+// TestUnknown loses the answer and then the store: the outcome stays unknown
+// until the patch is sent again.
+func TestUnknown(t *testing.T) {
+	virtual(t, 3, func(t *testing.T, c *cluster) {
+		c.store.set(func(f *faulty) { f.lose, f.downAfterLoss = headKey, true })
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		result, unknown := c.nodes[0].keeper.Submit(ctx, withdraw(1, 2)).(PatchUnknown)
+		must.True(t, unknown)
+		must.True(t, errors.Is(result.Err, context.DeadlineExceeded))
+		c.store.set(func(f *faulty) { f.down = false })
+		must.Eq(t, 2, c.submit(c.nodes[0], withdraw(1, 2)))
+	})
+}
+
+// TestRacingOperators submits two patches against one version at once.
+func TestRacingOperators(t *testing.T) {
+	virtual(t, 9, func(t *testing.T, c *cluster) {
+		results := make(chan PatchResult, len(c.nodes))
+		for i, n := range c.nodes {
+			go func() { results <- n.keeper.Submit(context.Background(), withdraw(1, i%5)) }()
+		}
+		accepted, conflicts := 0, 0
+		for range c.nodes {
+			switch r := (<-results).(type) {
+			case PatchAccepted:
+				accepted++
+				must.Eq(t, 2, r.Version)
+			case PatchConflict:
+				conflicts++
+				must.Eq(t, 2, r.Current)
+			}
+		}
+		must.Eq(t, len(c.nodes), accepted+conflicts)
+		must.Between(t, 1, accepted, 2, must.Sprint("two VMs may send the same patch"))
+		c.mustReach(c.nodes, 2, time.Second)
+	})
+}
+
+// TestSilentWatch takes the watches' events away, and the writer before it can
+// push: the watchers' polls find the version.
+func TestSilentWatch(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		writer := c.nodes[0]
+		c.store.set(func(f *faulty) { f.silent = true })
+		time.Sleep(time.Minute)
+		c.cutOff(writer)
+		version := c.submit(writer, withdraw(1, 2))
+		c.kill(writer)
+		c.mustReach(c.nodes[1:], version, 5*time.Second)
+	})
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,338 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// MaxDeadline is the longest deadline of a route.
+	MaxDeadline = 10 * time.Minute
+	// maxRate bounds rates and bursts.
+	maxRate = 1e9
+	// maxPiece bounds the bytes of one cached piece.
+	maxPiece = 1 << 20
+
+	permittedName   = "1 to 64 of a-z, A-Z, 0-9, '-', '_', '.' and ':'"
+	permittedDigest = "64 lower-case hexadecimal digits, the SHA-256 of the secret"
+	permittedHeader = "a header name such as X-Session"
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,63}$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	headerPattern = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]+$")
+)
+
+// Decode reads a whole configuration from YAML and validates it. The error is
+// a *Problems.
+func Decode(file string, data []byte) (*Config, error) {
+	cfg := &Config{}
+	lines, err := DecodeYAML(file, data, cfg)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{File: file, Lines: lines}
+	cfg.check(r)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return cfg, nil
+}
+
+// Validate returns all problems of a configuration as a *Problems, or nil.
+func Validate(cfg *Config) error {
+	r := &Report{}
+	cfg.check(r)
+	return r.Err()
+}
+
+// A checker holds what the items of a configuration refer to.
+type checker struct {
+	*Report
+	cfg     *Config
+	routes  map[string]*Route
+	models  map[string]*Model
+	pools   map[string][]*Target
+	digests map[string]string // digest to the field that has it
+}
+
+func (cfg *Config) check(r *Report) {
+	c := &checker{
+		Report:  r,
+		cfg:     cfg,
+		routes:  map[string]*Route{},
+		models:  map[string]*Model{},
+		pools:   map[string][]*Target{},
+		digests: map[string]string{},
+	}
+	if cfg.Version < 0 {
+		c.Add("version", "0 or more", "is %d", cfg.Version)
+	}
+	c.collect()
+	c.checkRetired()
+	c.checkModels()
+	c.checkTargets()
+	c.checkRoutes()
+	c.checkCustomers()
+}
+
+func (c *checker) collect() {
+	for i := range c.cfg.Routes {
+		c.routes[c.cfg.Routes[i].Name] = &c.cfg.Routes[i]
+	}
+	for i := range c.cfg.Models {
+		c.models[c.cfg.Models[i].Name] = &c.cfg.Models[i]
+	}
+	for i := range c.cfg.Targets {
+		t := &c.cfg.Targets[i]
+		c.pools[t.Pool] = append(c.pools[t.Pool], t)
+	}
+}
+
+func (c *checker) checkRetired() {
+	for i, digest := range c.cfg.Retired {
+		at := fmt.Sprintf("retired[%d]", i)
+		if !digestPattern.MatchString(digest) {
+			c.Add(at, permittedDigest, "is no digest")
+		}
+		c.digests[digest] = at
+	}
+}
+
+func (c *checker) checkModels() {
+	names := c.names()
+	for i := range c.cfg.Models {
+		m := &c.cfg.Models[i]
+		at := "models[" + label(m.Name, i) + "]"
+		names.check(at, m.Name)
+		if len(m.Versions) == 0 {
+			c.Add(at+".versions", "at least one", "is empty")
+		}
+		c.list(at+".versions", m.Versions)
+		c.list(at+".adapters", m.Adapters)
+		if m.Piece <= 0 || m.Piece > maxPiece {
+			c.Add(at+".piece", fmt.Sprintf("1 to %d bytes", maxPiece), "is %d", m.Piece)
+		}
+	}
+}
+
+func (c *checker) checkTargets() {
+	names := c.names()
+	addresses := map[string]string{}
+	for i := range c.cfg.Targets {
+		t := &c.cfg.Targets[i]
+		at := "targets[" + label(t.Name, i) + "]"
+		names.check(at, t.Name)
+		c.oneOf(at+".kind", t.Kind, TargetEngine, TargetService, TargetCache)
+		c.name(at+".pool", t.Pool)
+		c.name(at+".datacentre", t.DataCentre)
+		c.address(at+".address", t.Address)
+		if first, twice := addresses[t.Address]; twice {
+			c.Add(at+".address", "", "is the address of %s too", first)
+		}
+		addresses[t.Address] = at
+		if t.Slots < 0 {
+			c.Add(at+".slots", "0 or more", "is %d", t.Slots)
+		}
+	}
+}
+
+func (c *checker) address(at, address string) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Port() == 0 {
+		c.Add(at, "an IP number and a port, such as 10.0.0.7:8000 or [fd00::7]:8000", "is %q", address)
+	}
+}
+
+func (c *checker) checkRoutes() {
+	names := c.names()
+	for i := range c.cfg.Routes {
+		r := &c.cfg.Routes[i]
+		at := "routes[" + label(r.Name, i) + "]"
+		names.check(at, r.Name)
+		c.oneOf(at+".kind", r.Kind, RouteModel, RouteService)
+		c.checkPool(at, r)
+		c.checkModelOf(at, r)
+		if r.Deadline <= 0 || r.Deadline > MaxDeadline {
+			c.Add(at+".deadline", fmt.Sprintf("more than 0, at most %v", MaxDeadline), "is %v", r.Deadline)
+		}
+		if r.Once && r.Idempotent {
+			c.Add(at+".once", "", "contradicts idempotent: a request runs at most once, or may run again")
+		}
+		if r.Queue < 0 {
+			c.Add(at+".queue", "0 or more", "is %d", r.Queue)
+		}
+		for j, h := range r.Secrets {
+			if !headerPattern.MatchString(h) {
+				c.Add(fmt.Sprintf("%s.secrets[%d]", at, j), permittedHeader, "is %q", h)
+			}
+		}
+	}
+}
+
+// checkPool checks that the pool holds a target that can serve the route.
+func (c *checker) checkPool(at string, r *Route) {
+	want := TargetEngine
+	if r.Kind == RouteService {
+		want = TargetService
+	}
+	for _, t := range c.pools[r.Pool] {
+		if t.Kind == want {
+			return
+		}
+	}
+	var pools []string
+	for name := range c.pools {
+		pools = append(pools, name)
+	}
+	if len(c.pools[r.Pool]) == 0 {
+		c.Add(at+".pool", some(pools), "is %q, which no target is in", r.Pool)
+		return
+	}
+	c.Add(at+".pool", "", "is %q, which holds no target of kind %s", r.Pool, want)
+}
+
+// checkModelOf checks the model, version and adapters of a route.
+func (c *checker) checkModelOf(at string, r *Route) {
+	if r.Kind != RouteModel {
+		if r.Model != "" || r.Version != "" || len(r.Adapters) > 0 {
+			c.Add(at+".model", "", "is for routes of kind model only, as are version and adapters")
+		}
+		return
+	}
+	m := c.models[r.Model]
+	if m == nil {
+		var models []string
+		for name := range c.models {
+			models = append(models, name)
+		}
+		c.Add(at+".model", some(models), "is %q, which is not a model", r.Model)
+		return
+	}
+	if !slices.Contains(m.Versions, r.Version) {
+		c.Add(at+".version", some(m.Versions), "is %q, which model %s does not have", r.Version, m.Name)
+	}
+	c.list(at+".adapters", r.Adapters)
+	for j, a := range r.Adapters {
+		if !slices.Contains(m.Adapters, a) {
+			c.Add(fmt.Sprintf("%s.adapters[%d]", at, j), some(m.Adapters),
+				"is %q, which model %s does not have", a, m.Name)
+		}
+	}
+}
+
+func (c *checker) checkCustomers() {
+	names := c.names()
+	for i := range c.cfg.Customers {
+		one := &c.cfg.Customers[i]
+		at := "customers[" + label(one.Name, i) + "]"
+		names.check(at, one.Name)
+		c.checkKeys(at, one.Keys)
+		c.checkRate(at+".rate", one.Rate)
+		c.list(at+".routes", one.Routes)
+		for j, name := range one.Routes {
+			if c.routes[name] == nil {
+				c.Add(fmt.Sprintf("%s.routes[%d]", at, j), "", "is %q, which is not a route", name)
+			}
+		}
+	}
+}
+
+func (c *checker) checkKeys(at string, keys []Key) {
+	ids := map[string]bool{}
+	for i, k := range keys {
+		field := at + ".keys[" + label(k.ID, i) + "]"
+		c.name(field+".id", k.ID)
+		if ids[k.ID] {
+			c.Add(field+".id", "", "is used twice by the customer")
+		}
+		ids[k.ID] = true
+		if !digestPattern.MatchString(k.Digest) {
+			c.Add(field+".digest", permittedDigest, "is no digest")
+		}
+		if first, twice := c.digests[k.Digest]; twice {
+			c.Add(field+".digest", "", "is that of %s too", first)
+		}
+		c.digests[k.Digest] = field
+		if k.Withdrawn != "" {
+			c.oneOf(field+".withdrawn", k.Withdrawn, WithdrawnFinish, WithdrawnCut)
+		}
+	}
+}
+
+func (c *checker) checkRate(at string, r Rate) {
+	c.rate(at+".requests", r.Requests)
+	c.rate(at+".tokens", r.Tokens)
+	c.burst(at+".requestburst", r.RequestBurst)
+	c.burst(at+".tokenburst", r.TokenBurst)
+}
+
+func (c *checker) rate(at string, v float64) {
+	if !(v > 0 && v <= maxRate) {
+		c.Add(at, "more than 0 a second", "is %v", v)
+	}
+}
+
+// burst refuses bursts that do not hold one request of one token.
+func (c *checker) burst(at string, v float64) {
+	if !(v >= 1 && v <= maxRate) || math.IsNaN(v) {
+		c.Add(at, "1 or more, so that one request fits", "is %v", v)
+	}
+}
+
+func (c *checker) oneOf(at, v string, permitted ...string) {
+	if !slices.Contains(permitted, v) {
+		c.Add(at, strings.Join(permitted, ", "), "is %q", v)
+	}
+}
+
+func (c *checker) name(at, v string) {
+	if !namePattern.MatchString(v) {
+		c.Add(at, permittedName, "is %q", v)
+	}
+}
+
+// list checks the names of a list and that none stands twice.
+func (c *checker) list(at string, list []string) {
+	seen := map[string]bool{}
+	for i, v := range list {
+		field := fmt.Sprintf("%s[%d]", at, i)
+		c.name(field, v)
+		if seen[v] {
+			c.Add(field, "", "is %q, which stands twice", v)
+		}
+		seen[v] = true
+	}
+}
+
+// A nameSet finds names that stand twice in one list.
+type nameSet struct {
+	c    *checker
+	seen map[string]bool
+}
+
+func (c *checker) names() *nameSet { return &nameSet{c: c, seen: map[string]bool{}} }
+
+func (s *nameSet) check(at, name string) {
+	s.c.name(at+".name", name)
+	if s.seen[name] {
+		s.c.Add(at+".name", "", "is %q, which stands twice", name)
+	}
+	s.seen[name] = true
+}
+
+// some returns a few of the names that may be meant, sorted.
+func some(names []string) string {
+	const few = 8
+	names = slices.Sorted(slices.Values(names))
+	if len(names) > few {
+		names = append(names[:few:few], "…")
+	}
+	return strings.Join(names, ", ")
+}
--- a/config/yaml.go
+++ b/config/yaml.go
@@ -156,7 +156,7 @@
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values)))
 	for i, item := range s.Values {
-		d.decode(item, path+"["+strconv.Itoa(i)+"]", v.Index(i), permitted)
+		d.decode(item, path+"["+labelOf(item, i)+"]", v.Index(i), permitted)
 	}
 }
 
--- a/config/yamltree.go
+++ b/config/yamltree.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -96,6 +97,31 @@
 	}
 }
 
+// labelOf names an item of a list by its name or id, or else by its index.
+func labelOf(item ast.Node, i int) string {
+	m, ok := item.(*ast.MappingNode)
+	if !ok {
+		return strconv.Itoa(i)
+	}
+	for _, value := range m.Values {
+		if key := keyOf(value); key == "name" || key == "id" {
+			if s, ok := textOf(value.Value); ok {
+				return label(s, i)
+			}
+		}
+	}
+	return strconv.Itoa(i)
+}
+
+// label returns the name of an item in a list, or its index when the name is
+// empty or does not fit into a path.
+func label(name string, i int) string {
+	if name == "" || strings.ContainsAny(name, ".[]") {
+		return strconv.Itoa(i)
+	}
+	return name
+}
+
 // describe names a node for a person.
 func describe(n ast.Node) string {
 	switch n.Type() {
--- /dev/null
+++ b/entry/rank.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"encoding/binary"
+	"math"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// A family is what requests are placed by.
+type family struct {
+	customer string
+	family   uint64
+}
+
+// Tiers of VMs as seen from a data centre, the nearest first.
+const (
+	tierSame = iota
+	tierRegion
+	tierFar
+)
+
+// A ranked is a VM with its place in an order.
+type ranked struct {
+	member vm.Member
+	tier   int
+	score  float64
+}
+
+// homes returns the first VMs in the customer's order, put in the order of the
+// family, and the other VMs in the customer's order.
+func (p *Placer) homes(f family, width int, dataCentre string) (homes, rest []vm.Member) {
+	members := p.usable()
+	list := p.rank(members, dataCentre, xxhash.Sum64String(f.customer))
+	width = min(width, len(list))
+	homes = p.rank(list[:width], dataCentre, f.key())
+	return homes, list[width:]
+}
+
+// usable returns the VMs that may be named: those that serve and do not leave.
+func (p *Placer) usable() []vm.Member {
+	leaving, _ := p.opts.Roster.(interface{ Leaving(id string) bool })
+	var list []vm.Member
+	for _, m := range p.opts.Roster.Live() {
+		if m.State != vm.StateServing || leaving != nil && leaving.Leaving(m.ID) {
+			continue
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// rank orders VMs by tier and then by weighted rendezvous hashing of the key.
+func (p *Placer) rank(members []vm.Member, dataCentre string, key uint64) []vm.Member {
+	region := regionOf(members, dataCentre)
+	list := make([]ranked, len(members))
+	for i, m := range members {
+		list[i] = ranked{
+			member: m,
+			tier:   tierOf(m, dataCentre, region),
+			score:  score(key, m.ID, p.opts.Weight(m)),
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].tier != list[j].tier {
+			return list[i].tier < list[j].tier
+		}
+		if list[i].score != list[j].score {
+			return list[i].score > list[j].score
+		}
+		return list[i].member.ID < list[j].member.ID
+	})
+	out := make([]vm.Member, len(list))
+	for i, r := range list {
+		out[i] = r.member
+	}
+	return out
+}
+
+// regionOf returns the region of a data centre, or "" when no VM is there.
+func regionOf(members []vm.Member, dataCentre string) string {
+	for _, m := range members {
+		if m.DataCentre == dataCentre {
+			return m.Region
+		}
+	}
+	return ""
+}
+
+func tierOf(m vm.Member, dataCentre, region string) int {
+	switch {
+	case dataCentre == "" || m.DataCentre == dataCentre:
+		return tierSame
+	case region != "" && m.Region == region:
+		return tierRegion
+	default:
+		return tierFar
+	}
+}
+
+// score is the weighted rendezvous score of a VM for a key: a VM with twice the
+// weight is first for twice as many keys.
+func score(key uint64, id string, weight float64) float64 {
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], key)
+	d := xxhash.New()
+	_, _ = d.Write(buf[:])
+	_, _ = d.WriteString(id)
+	const mantissa = 53
+	uniform := (float64(d.Sum64()>>(64-mantissa)) + 0.5) / (1 << mantissa)
+	return -weight / math.Log(uniform)
+}
+
+// key hashes the customer and the family.
+func (f family) key() uint64 {
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], f.family)
+	d := xxhash.New()
+	_, _ = d.WriteString(f.customer)
+	_, _ = d.Write(buf[:])
+	return d.Sum64()
+}
--- /dev/null
+++ b/vm/commands.go
@@ -0,0 +1,76 @@
+package vm
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/peer"
+)
+
+// Register adds the handlers of the membership's calls. Probes are answered
+// while Run runs.
+func (t *Task) Register(r peer.Registrar) {
+	peer.Handle(r, peer.CallProbe, t.handleProbe)
+	peer.Handle(r, peer.CallIndirect, t.handleIndirect)
+}
+
+// SetState sets the state of this VM, one of the State constants. A VM that
+// drains or stops tells others at once.
+func (t *Task) SetState(state string) {
+	t.mu.Lock()
+	t.state = state
+	t.mu.Unlock()
+	t.nudge()
+}
+
+// SetConfig sets the version of the configuration that this VM has in force.
+func (t *Task) SetConfig(version int64) {
+	t.mu.Lock()
+	t.config = max(t.config, version)
+	t.mu.Unlock()
+	t.nudge()
+}
+
+// Carry implements Carrier.
+func (t *Task) Carry(word func() Word, heard func(from Member, w Word, sent time.Time)) {
+	t.carried.Store(&carried{word: word, heard: heard})
+}
+
+func (t *Task) nudge() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (t *Task) handleProbe(ctx context.Context, from string, p Probe) (ProbeReply, error) {
+	reply := make(chan ProbeReply, 1)
+	select {
+	case t.inbox <- received{from: from, probe: p, reply: reply}:
+	case <-ctx.Done():
+		return ProbeReply{}, ctx.Err()
+	}
+	select {
+	case r := <-reply:
+		t.heard(from, p.Word, t.opts.Clock.Now())
+		r.Word = t.word()
+		return r, nil
+	case <-ctx.Done():
+		return ProbeReply{}, ctx.Err()
+	}
+}
+
+// handleIndirect probes a VM for another one.
+func (t *Task) handleIndirect(ctx context.Context, _ string, req Indirect) (IndirectReply, error) {
+	member, ok := t.member(req.VM)
+	if !ok {
+		return IndirectReply{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var reply ProbeReply
+	to := peer.Destination{VM: member.ID, Address: member.Peer}
+	probe := Probe{Beat: t.Self().Beat(), Word: t.word()}
+	err := t.opts.Peers.Call(ctx, to, peer.CallProbe, probe, &reply)
+	return IndirectReply{Reached: err == nil}, nil
+}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -23,6 +23,13 @@
 	State       string `cbor:"7,keyasint"`
 	// Config is the version of the configuration that the VM has in force.
 	Config int64 `cbor:"8,keyasint"`
+	// Sequence grows with every change of the record within an incarnation.
+	Sequence uint64 `cbor:"9,keyasint"`
+}
+
+// Beat returns the identity of the record.
+func (m Member) Beat() Beat {
+	return Beat{Incarnation: m.Incarnation, Sequence: m.Sequence}
 }
 
 // A Roster is what the rest of a VM sees of the membership.
