Send requests to targets chosen by prefix and relay their answers

Cause: Nothing carried a request to a target. Change: target has the HTTP client and the Fleet of load reports with a circuit breaker for each target; prefix has the chained keys, the index and the feeds; route plans by expected time to first token; stream relays and resumes; dispatch.Runner joins them. Fleet, prefix.Task and route.Chooser are tasks whose Run must be running. Measured: go test -race ./dispatch: 11 scenes of one job and 5 tests of the whole path before stand-in engines pass in virtual time. Conclusion: The path works in one VM.

--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,176 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/dispatch"
+	"github.com/baobabdyke/baobabdyke/target"
+)
+
+var errReset = errors.New("connection reset")
+
+// outcome names the kind of an Outcome.
+func outcome(o dispatch.Outcome) string {
+	switch o := o.(type) {
+	case dispatch.Ran:
+		if o.Complete {
+			return "complete"
+		}
+		return "cut short"
+	case dispatch.NotRun:
+		return "not run"
+	case dispatch.Unknown:
+		return "unknown"
+	}
+	return "none"
+}
+
+// A scene is one job on scripted targets with what must come of it.
+type scene struct {
+	name       string
+	idempotent bool
+	scripts    []script
+	outcome    string
+	sends      int
+	body       string
+	cancelled  int
+}
+
+func (s scene) run(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &client{scripts: s.scripts}
+		w := httptest.NewRecorder()
+		got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(config.TargetEngine, 3)}).
+			Run(t.Context(), s.job(), w)
+		synctest.Wait()
+		must.Eq(t, s.outcome, outcome(got))
+		must.Eq(t, s.sends, len(c.sent))
+		must.Eq(t, s.body, digest(w.Body.String()))
+		must.Eq(t, s.cancelled, len(c.cancelled))
+		assertAttempts(t, c.sent)
+	})
+}
+
+func (s scene) job() dispatch.Job {
+	return dispatch.Job{
+		ID:       "r1",
+		Method:   http.MethodPost,
+		Path:     "/v1/chat/completions",
+		Body:     []byte("{}"),
+		Deadline: time.Now().Add(20 * time.Second),
+		Route:    &config.Route{Kind: config.RouteModel, Idempotent: s.idempotent},
+	}
+}
+
+// digest shortens an event stream to the data of its events.
+func digest(body string) string {
+	var data []string
+	for _, line := range strings.Split(body, "\n") {
+		if d, ok := strings.CutPrefix(line, "data: "); ok {
+			data = append(data, d)
+		}
+		if strings.HasPrefix(line, "event: error") {
+			data = append(data, "error")
+		}
+	}
+	return strings.SplitAfter(strings.Join(data, " ")+" error", "error")[0]
+}
+
+// assertAttempts checks that each send has an attempt id of its own.
+func assertAttempts(t *testing.T, sent []target.Request) {
+	t.Helper()
+	seen := map[string]bool{}
+	for _, r := range sent {
+		must.False(t, seen[r.Attempt])
+		seen[r.Attempt] = true
+	}
+}
+
+func TestRun(t *testing.T) {
+	lost := result(target.Lost{Err: errReset})
+	unreachable := result(target.NotRun{Reason: "refused", Unreachable: true})
+	stale := result(target.NotRun{Reason: "409", Stale: true})
+	scenes := []scene{
+		{
+			name: "whole answer", scripts: []script{events(1, 2, "done")},
+			outcome: "complete", sends: 1, body: "t1 t2 [DONE] error",
+		},
+		{
+			name: "resumed after a broken connection", scripts: []script{events(1, 2, "broken"), events(3, 4, "done")},
+			outcome: "complete", sends: 2, body: "t1 t2 t3 t4 [DONE] error",
+		},
+		{
+			name: "resumed after silence", scripts: []script{events(1, 2, "silent"), events(2, 4, "done")},
+			outcome: "complete", sends: 2, body: "t1 t2 t3 t4 [DONE] error",
+		},
+		{
+			name: "not resumable", scripts: []script{events(1, 2, "broken"), stale},
+			outcome: "cut short", sends: 2, body: "t1 t2 error", cancelled: 1,
+		},
+		{
+			name: "lost, not idempotent", scripts: []script{lost},
+			outcome: "unknown", sends: 1, body: " error", cancelled: 1,
+		},
+		{
+			name: "lost, idempotent", idempotent: true, scripts: []script{lost, events(1, 1, "done")},
+			outcome: "complete", sends: 2, body: "t1 [DONE] error", cancelled: 1,
+		},
+		{
+			name: "unreachable, not idempotent", scripts: []script{unreachable, events(1, 1, "done")},
+			outcome: "complete", sends: 2, body: "t1 [DONE] error",
+		},
+		{
+			name: "engine restarted between choice and send", scripts: []script{stale, events(1, 1, "done")},
+			outcome: "complete", sends: 2, body: "t1 [DONE] error",
+		},
+		{
+			name: "all unreachable", scripts: []script{unreachable},
+			outcome: "not run", sends: 3, body: " error",
+		},
+		{
+			name: "crash before the first token, idempotent", idempotent: true,
+			scripts: []script{events(1, 0, "broken"), stale, events(1, 1, "done")},
+			outcome: "complete", sends: 3, body: "t1 [DONE] error", cancelled: 1,
+		},
+		{
+			name: "crash before the first token, not idempotent", scripts: []script{events(1, 0, "broken"), stale},
+			outcome: "unknown", sends: 2, body: " error", cancelled: 1,
+		},
+	}
+	for _, s := range scenes {
+		t.Run(s.name, s.run)
+	}
+}
+
+func TestRunCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &client{scripts: []script{events(1, 2, "silent")}}
+		time.AfterFunc(time.Second, cancel)
+		got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(config.TargetEngine, 1)}).
+			Run(ctx, scene{}.job(), httptest.NewRecorder())
+		synctest.Wait()
+		must.Eq(t, "cut short", outcome(got))
+		must.Eq(t, []string{"r1"}, c.cancelled)
+	})
+}
+
+func TestRunWithdrawn(t *testing.T) {
+	c := &client{scripts: []script{events(1, 1, "done")}}
+	job := scene{}.job()
+	job.Allowed = func() error { return errors.New("key withdrawn") }
+	got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(config.TargetEngine, 1)}).
+		Run(t.Context(), job, httptest.NewRecorder())
+	must.Eq(t, "not run", outcome(got))
+	must.Eq(t, 0, len(c.sent))
+}
--- /dev/null
+++ b/dispatch/whole_test.go
@@ -0,0 +1,179 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/customer"
+	"github.com/baobabdyke/baobabdyke/dispatch"
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/prefix"
+	"github.com/baobabdyke/baobabdyke/route"
+	"github.com/baobabdyke/baobabdyke/target"
+)
+
+const (
+	pieceBytes   = 8192
+	promptPieces = 4
+)
+
+// A site is the whole path of one VM before stand-in engines on a network in
+// this process.
+type site struct {
+	t       *testing.T
+	view    *config.View
+	network *fake.Network
+	engines []*fake.Engine
+	fleet   *target.Fleet
+	index   *prefix.Task
+	chooser *route.Chooser
+	runner  *dispatch.Runner
+	serial  int
+}
+
+func newSite(t *testing.T, n int) *site {
+	t.Helper()
+	s := &site{t: t, network: fake.NewNetwork()}
+	cfg := &config.Config{Version: 1, Routes: []config.Route{{
+		Name: "chat", Kind: config.RouteModel, Pool: "llm", Model: "m", Version: "v1",
+	}}}
+	o := fake.EngineOptions{Model: "m"}
+	for i := range n {
+		o.Name = fmt.Sprintf("e%d", i)
+		address := fmt.Sprintf("10.0.0.%d:80", i+1)
+		e := fake.NewEngine(o)
+		t.Cleanup(e.Crash)
+		s.network.Add(address, e)
+		s.engines = append(s.engines, e)
+		cfg.Targets = append(cfg.Targets, config.Target{
+			Name: o.Name, Kind: config.TargetEngine, Pool: "llm", Address: address, Slots: 4,
+		})
+	}
+	s.view = config.NewView(cfg)
+	s.start()
+	return s
+}
+
+// start runs a VM.
+func (s *site) start() {
+	view := func() *config.View { return s.view }
+	client := target.NewHTTPClient(target.HTTPOptions{Credential: "own", Transport: s.network})
+	s.fleet = target.NewFleet(target.Options{Client: client, Config: view})
+	s.index = prefix.NewTask(prefix.Options{Client: client, Config: view, States: s.fleet.All})
+	s.chooser = route.NewChooser(route.Options{Fleet: s.fleet, Index: s.index})
+	s.runner = dispatch.NewRunner(dispatch.Options{Client: client, Chooser: s.chooser, Reporter: s.fleet, Config: view})
+	ctx, cancel := context.WithCancel(s.t.Context())
+	s.t.Cleanup(cancel)
+	for _, run := range []func(context.Context) error{s.fleet.Run, s.index.Run, s.chooser.Run} {
+		go func() { _ = run(ctx) }()
+	}
+	time.Sleep(2 * time.Second)
+	synctest.Wait()
+	must.True(s.t, s.fleet.Warm())
+	must.True(s.t, s.index.Warm())
+}
+
+// ask sends a prompt for a customer and returns
+// the outcome and the recorded answer.
+func (s *site) ask(name string) (dispatch.Outcome, *httptest.ResponseRecorder) {
+	prompt := make([]byte, promptPieces*pieceBytes)
+	s.serial++
+	w := httptest.NewRecorder()
+	o := s.runner.Run(s.t.Context(), dispatch.Job{
+		ID:     fmt.Sprintf("r%d", s.serial),
+		Grant:  customer.Grant{Customer: name},
+		Route:  s.view.Route("chat"),
+		Method: http.MethodPost,
+		Path:   "/v1/chat/completions",
+		Header: http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer caller-secret"}, "X-Api-Key": {"caller-secret"}},
+		Body:   []byte(`{"stream":true,"max_tokens":3,"messages":[{"content":"hello"}]}`),
+		Prompt: prefix.Split(prefix.Salt{Customer: name, Model: "m", Version: "v1"}, prompt, pieceBytes),
+		Output: 3,
+		Stream: true,
+	}, w)
+	return o, w
+}
+
+// mustComplete checks a complete answer and returns its target.
+func (s *site) mustComplete(o dispatch.Outcome, w *httptest.ResponseRecorder) string {
+	s.t.Helper()
+	ran, ok := o.(dispatch.Ran)
+	must.True(s.t, ok, must.Sprintf("outcome %#v", o))
+	must.True(s.t, ran.Complete, must.Sprintf("outcome %#v", o))
+	must.StrHasSuffix(s.t, "id: 4\ndata: [DONE]\n\n", w.Body.String())
+	return ran.Target
+}
+
+// computed returns the prompt tokens computed by all engines.
+func (s *site) computed() int {
+	n := 0
+	for _, e := range s.engines {
+		n += e.Usage().Computed
+	}
+	return n
+}
+
+// whole runs a test of a site in virtual time.
+func whole(t *testing.T, n int, f func(s *site)) {
+	synctest.Test(t, func(t *testing.T) { f(newSite(t, n)) })
+}
+
+func TestWholePath(t *testing.T) {
+	whole(t, 3, func(s *site) {
+		first := s.mustComplete(s.ask("a"))
+		time.Sleep(time.Second)
+		must.Eq(t, first, s.mustComplete(s.ask("a")))
+		must.Eq(t, promptPieces*pieceBytes/prefix.BytesPerToken, s.computed())
+		for _, e := range s.engines {
+			must.False(t, e.Contains("caller-secret"))
+		}
+	})
+}
+
+func TestWholeCustomersApart(t *testing.T) {
+	whole(t, 2, func(s *site) {
+		s.mustComplete(s.ask("a"))
+		s.mustComplete(s.ask("b"))
+		must.Eq(t, 2*promptPieces*pieceBytes/prefix.BytesPerToken, s.computed())
+		for _, e := range s.engines {
+			must.Eq(t, 0, e.Usage().Clashes)
+		}
+	})
+}
+
+func TestWholeRestartedVM(t *testing.T) {
+	whole(t, 3, func(s *site) {
+		first := s.mustComplete(s.ask("a"))
+		s.start()
+		must.Eq(t, first, s.mustComplete(s.ask("a")))
+		must.Eq(t, promptPieces*pieceBytes/prefix.BytesPerToken, s.computed())
+	})
+}
+
+func TestWholeEngineCrash(t *testing.T) {
+	whole(t, 1, func(s *site) {
+		s.mustComplete(s.ask("a"))
+		time.Sleep(time.Second)
+		s.engines[0].Crash()
+		s.mustComplete(s.ask("a"))
+		must.Eq(t, 1, s.engines[0].MostRuns())
+	})
+}
+
+func TestWholeSilence(t *testing.T) {
+	whole(t, 2, func(s *site) {
+		for _, e := range s.engines {
+			e.SilenceAfter(2)
+		}
+		s.mustComplete(s.ask("a"))
+		must.Eq(t, 1, s.engines[0].MostRuns()+s.engines[1].MostRuns())
+	})
+}
--- /dev/null
+++ b/prefix/queries.go
@@ -0,0 +1,148 @@
+package prefix
+
+import (
+	"time"
+)
+
+// unsureWorth is the worth of entries of an engine whose feed has a gap.
+const unsureWorth = 0.5
+
+// A Holding is how much of a prompt an engine is thought to hold from its
+// start. It counts only with the same incarnation and weight version.
+type Holding struct {
+	Engine      string
+	Incarnation string
+	Weights     string
+	Pieces      int
+	// Worth is the probability, from 0 to 1, that the pieces are still there.
+	Worth float64
+}
+
+// Held appends to dst one Holding for each engine that holds the first piece of
+// keys, and returns the extended slice.
+func (x *Index) Held(dst []Holding, keys []Key, now time.Time) []Holding {
+	t := x.stamp(now)
+	first := len(dst)
+	for depth, k := range keys {
+		at, ok := x.table.find(k)
+		if !ok {
+			break
+		}
+		r := &x.runs[at.run()]
+		var grown bool
+		if depth == 0 {
+			dst = x.begin(dst, r, at, t)
+			grown = len(dst) > first
+		} else {
+			grown = x.extend(dst[first:], r, at, depth, t)
+		}
+		if !grown {
+			break
+		}
+	}
+	return dst
+}
+
+// begin appends the engines that hold the first piece.
+func (x *Index) begin(dst []Holding, r *run, at place, t uint32) []Holding {
+	for i := range r.holders {
+		h := &r.holders[i]
+		if !x.alive(h) || h.mask&at.bit() == 0 {
+			continue
+		}
+		e := x.byID[h.engine]
+		dst = append(dst, Holding{
+			Engine:      e.name,
+			Incarnation: e.incarnation,
+			Weights:     e.weights,
+			Pieces:      1,
+			Worth:       e.worth(t, h.touched),
+		})
+	}
+	return dst
+}
+
+// extend counts the piece at depth for the holdings that reach up to it.
+func (x *Index) extend(held []Holding, r *run, at place, depth int, t uint32) bool {
+	grown := false
+	for i := range held {
+		if held[i].Pieces != depth {
+			continue
+		}
+		e := x.engines[held[i].Engine]
+		h := x.find(r, e)
+		if h == nil || h.mask&at.bit() == 0 {
+			continue
+		}
+		held[i].Pieces++
+		held[i].Worth = min(held[i].Worth, e.worth(t, h.touched))
+		grown = true
+	}
+	return grown
+}
+
+// worth returns the probability that an entry last touched at the given time is
+// still in the engine's cache. It falls from one to zero between once and twice
+// the time that the engine keeps an unused piece.
+func (e *engine) worth(t, touched uint32) float64 {
+	worth := 1.0
+	if e.unsure {
+		worth = unsureWorth
+	}
+	if e.life <= 0 {
+		return worth
+	}
+	age := time.Duration(t-touched) * time.Millisecond
+	over := float64(age-e.life) / float64(e.life)
+	return worth * min(1, max(0, 1-over))
+}
+
+// Unsure tells whether the engine's entries wait for a snapshot.
+func (x *Index) Unsure(name string) bool {
+	e, ok := x.engines[name]
+	return ok && e.unsure
+}
+
+// Sequence returns the sequence number of the last event of an engine, with its
+// incarnation.
+func (x *Index) Sequence(name string) (incarnation string, sequence uint64) {
+	e, ok := x.engines[name]
+	if !ok {
+		return "", 0
+	}
+	return e.incarnation, e.sequence
+}
+
+// A Size is the extent of an index.
+type Size struct {
+	Engines int   `json:"engines"`
+	Pieces  int   `json:"pieces"`
+	Cached  int   `json:"cached"`
+	Runs    int   `json:"runs"`
+	Holders int   `json:"holders"`
+	Dropped int   `json:"dropped"`
+	Bytes   int64 `json:"bytes"`
+}
+
+// Size returns the extent of the index. Pieces are distinct, Cached counts each
+// piece once for every engine that holds it.
+func (x *Index) Size() Size {
+	s := Size{Engines: len(x.engines), Pieces: x.table.used, Runs: len(x.runs), Dropped: x.dropped}
+	for i := range x.runs {
+		s.Holders += cap(x.runs[i].holders)
+	}
+	for _, e := range x.engines {
+		s.Cached += e.pieces
+	}
+	s.Bytes = int64(len(x.table.keys))*12 + int64(cap(x.runs))*RunBytes + int64(s.Holders)*HolderBytes
+	return s
+}
+
+// raw returns the keys as numbers.
+func raw(keys []Key) []uint64 {
+	list := make([]uint64, len(keys))
+	for i, k := range keys {
+		list[i] = uint64(k)
+	}
+	return list
+}
--- /dev/null
+++ b/prefix/table.go
@@ -0,0 +1,78 @@
+package prefix
+
+// tableMin is the smallest number of slots of a table.
+const tableMin = 1024
+
+// A table is an open-addressing hash table from a piece's key to its place in a
+// run. Keys are hashes, so their low bits choose the slot. Key zero is empty.
+type table struct {
+	keys   []Key
+	places []place
+	used   int
+}
+
+// A place is a run and the position of a piece in it.
+type place uint32
+
+// placeBits is the number of bits of a place that hold the position.
+const placeBits = 6
+
+func placeAt(runID, position int) place { return place(runID<<placeBits | position) }
+
+func (p place) run() int { return int(p >> placeBits) }
+
+func (p place) bit() uint64 { return 1 << (p & (runPieces - 1)) }
+
+// find returns the place of a key.
+func (t *table) find(k Key) (place, bool) {
+	if len(t.keys) == 0 || k == 0 {
+		return 0, false
+	}
+	mask := uint64(len(t.keys) - 1)
+	for i := uint64(k) & mask; ; i = (i + 1) & mask {
+		switch t.keys[i] {
+		case k:
+			return t.places[i], true
+		case 0:
+			return 0, false
+		}
+	}
+}
+
+// insert adds a key that is not in the table.
+func (t *table) insert(k Key, p place) {
+	if 4*(t.used+1) > 3*len(t.keys) {
+		t.grow()
+	}
+	t.put(k, p)
+}
+
+func (t *table) put(k Key, p place) {
+	mask := uint64(len(t.keys) - 1)
+	i := uint64(k) & mask
+	for t.keys[i] != 0 {
+		i = (i + 1) & mask
+	}
+	t.keys[i], t.places[i] = k, p
+	t.used++
+}
+
+// grow doubles the number of slots.
+func (t *table) grow() {
+	t.rebuild(max(tableMin, 2*len(t.keys)), func(p place) (place, bool) { return p, true })
+}
+
+// rebuild copies the table into one of n slots. Keep returns the new place of
+// an entry and whether it stays.
+func (t *table) rebuild(n int, keep func(place) (place, bool)) {
+	old := *t
+	*t = table{keys: make([]Key, n), places: make([]place, n)}
+	for i, k := range old.keys {
+		if k == 0 {
+			continue
+		}
+		if p, ok := keep(old.places[i]); ok {
+			t.put(k, p)
+		}
+	}
+}
--- /dev/null
+++ b/prefix/task.go
@@ -0,0 +1,181 @@
+package prefix
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/target"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+const (
+	taskTick  = 100 * time.Millisecond
+	inboxSize = 1024
+)
+
+// Options are the parts that a Task needs. Without Roster and Peers it reads
+// every engine's feed and is the home of the whole index. States gives the
+// reported load of engines, for their pressure.
+type Options struct {
+	Client    target.Client
+	Config    func() *config.View
+	States    func() []target.State
+	Roster    vm.Roster
+	Peers     peer.Caller
+	Self      string
+	Clock     platform.Clock
+	Log       log.Logger
+	MaxPieces int
+}
+
+// A Task owns the Index of this VM and the feeds that it reads.
+type Task struct {
+	opts  Options
+	inbox chan any
+	index *Index
+	feeds map[string]*feed
+	warm  atomic.Bool
+	// queries holds heldQuery values for reuse.
+	queries sync.Pool
+}
+
+// heldQuery asks for the holdings of keys. The answer extends dst.
+type heldQuery struct {
+	keys  []Key
+	dst   []Holding
+	reply chan []Holding
+}
+
+// expectCommand records pieces that a sent request leaves in an engine.
+type expectCommand struct {
+	engine, incarnation, weights string
+	keys                         []Key
+}
+
+type dumpQuery struct{ reply chan Dump }
+
+// NewTask returns a Task, which works while Run runs.
+func NewTask(opts Options) *Task {
+	if opts.Log == nil {
+		opts.Log = log.NewNopLogger()
+	}
+	if opts.Clock == nil {
+		opts.Clock = platform.SystemClock{}
+	}
+	return &Task{
+		opts:  opts,
+		inbox: make(chan any, inboxSize),
+		index: NewIndex(opts.MaxPieces, opts.Clock.Now()),
+		feeds: map[string]*feed{},
+		queries: sync.Pool{New: func() any {
+			return &heldQuery{reply: make(chan []Holding, 1)}
+		}},
+	}
+}
+
+// Register takes the calls of other VMs.
+func (t *Task) Register(peer.Registrar) {}
+
+// Warm tells whether this VM has its part of the index.
+func (t *Task) Warm() bool { return t.warm.Load() }
+
+// Run works until ctx ends.
+func (t *Task) Run(ctx context.Context) error {
+	ticker := time.NewTicker(taskTick)
+	defer ticker.Stop()
+	t.tick(ctx, t.opts.Clock.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			t.tick(ctx, t.opts.Clock.Now())
+		case m := <-t.inbox:
+			t.take(m, t.opts.Clock.Now())
+		}
+	}
+}
+
+// take handles one message.
+func (t *Task) take(m any, now time.Time) {
+	switch m := m.(type) {
+	case *heldQuery:
+		m.reply <- t.index.Held(m.dst, m.keys, now)
+	case expectCommand:
+		t.index.Expect(m.engine, m.incarnation, m.weights, m.keys, now)
+	case feedEvent:
+		t.takeEvent(m, now)
+	case feedSnapshot:
+		t.takeSnapshot(m, now)
+	case feedBroken:
+		t.takeBroken(m, now)
+	case dumpQuery:
+		m.reply <- Dump{Warm: t.warm.Load(), Size: t.index.Size()}
+	}
+}
+
+// tick follows the configuration and the reported pressure.
+func (t *Task) tick(ctx context.Context, now time.Time) {
+	t.followFeeds(ctx, now)
+	if t.opts.States != nil {
+		for _, s := range t.opts.States() {
+			t.index.Pressure(s.Target.Name, s.Report.CachePieces, s.Report.Evictions)
+		}
+	}
+}
+
+// Held appends to dst the engines that hold pieces of keys from the start.
+func (t *Task) Held(ctx context.Context, keys []Key, dst []Holding) []Holding {
+	q := t.queries.Get().(*heldQuery)
+	q.keys, q.dst = keys, dst
+	select {
+	case t.inbox <- q:
+	case <-ctx.Done():
+		return dst
+	}
+	select {
+	case dst = <-q.reply:
+		t.queries.Put(q)
+	case <-ctx.Done():
+	}
+	return dst
+}
+
+// Expect records pieces that a request which was sent will leave in an engine.
+// It never blocks: what the task cannot take is dropped.
+func (t *Task) Expect(engine, incarnation, weights string, keys []Key) {
+	select {
+	case t.inbox <- expectCommand{engine, incarnation, weights, keys}:
+	default:
+	}
+}
+
+// A Dump is the state of a Task for operators.
+type Dump struct {
+	Warm bool `json:"warm"`
+	Size Size `json:"size"`
+}
+
+// Dump returns the state for operators. It is empty if the task does not run.
+func (t *Task) Dump() any {
+	q := dumpQuery{reply: make(chan Dump, 1)}
+	timeout := time.After(time.Second)
+	select {
+	case t.inbox <- q:
+	case <-timeout:
+		return Dump{}
+	}
+	select {
+	case d := <-q.reply:
+		return d
+	case <-timeout:
+		return Dump{}
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -10,13 +10,14 @@
 )
 
 // A Request is what a choice is made on. Excluded names targets that already
-// failed it.
+// failed it. Followed tells that it has waited for a prefill and does not again.
 type Request struct {
 	Route    *config.Route
 	Prompt   prefix.Prompt
 	Output   int
 	Deadline time.Time
 	Excluded []string
+	Followed bool
 }
 
 // A Choice is the outcome of choosing: Chosen, Follow or NoTarget.
@@ -24,8 +25,9 @@
 
 // Chosen names the target with the incarnation and weight version that the
 // choice relied on. Held is the number of prompt tokens expected in its cache,
-// Transfer the KV cache to import missing pieces from, empty for none. Done
-// must be called once when the attempt has ended.
+// Transfer the KV cache to import missing pieces from, empty for none. First
+// must be called when the first byte of the answer comes, if it does, and Done
+// once when the attempt has ended, with the outcome.
 type Chosen struct {
 	Target      *config.Target
 	Incarnation string
@@ -33,6 +35,7 @@
 	Held        int
 	Expected    time.Duration
 	Transfer    string
+	First       func()
 	Done        func(firstByte time.Duration, err error)
 }
 
--- /dev/null
+++ b/target/fleet.go
@@ -0,0 +1,206 @@
+package target
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+const (
+	// ReportLimit is the age of a load report after which a target gets nothing
+	// new. A target that leaves is known by then or no longer used.
+	ReportLimit = 2500 * time.Millisecond
+	// ReportLag is how much older a report is than its arrival, about.
+	ReportLag = 250 * time.Millisecond
+
+	pollEvery   = 250 * time.Millisecond
+	pollTimeout = time.Second
+	shareEvery  = 500 * time.Millisecond
+	// coverAfter is the age of a report after which a VM asks the target itself
+	// although another VM should.
+	coverAfter = 1200 * time.Millisecond
+	inboxSize  = 256
+)
+
+// Options are the parts that a Fleet needs. Without Roster and Peers it reads
+// every target itself.
+type Options struct {
+	Client Client
+	Config func() *config.View
+	Roster vm.Roster
+	Peers  peer.Caller
+	Self   string
+	Clock  platform.Clock
+	Log    log.Logger
+}
+
+// A State is what this VM knows of one target. At is the time of the report by
+// this VM's clock.
+type State struct {
+	Target   *config.Target `json:"target"`
+	Life     string         `json:"life"`
+	Reported bool           `json:"reported"`
+	Report   Report         `json:"report"`
+	At       time.Time      `json:"at"`
+}
+
+// Usable tells whether the target may get a request at now. A target that
+// publishes no reports is judged by its answers alone.
+func (s *State) Usable(now time.Time) bool {
+	if s.Life != LifeLive && s.Life != LifeProbing {
+		return false
+	}
+	return !s.Reported || now.Sub(s.At) <= ReportLimit
+}
+
+// Serves tells whether an engine holds the model at the version with the
+// adapter. Engines that list no models serve all.
+func (s *State) Serves(model, version, adapter string) bool {
+	if len(s.Report.Models) == 0 {
+		return true
+	}
+	for i := range s.Report.Models {
+		if s.Report.Models[i].serves(model, version, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Loaded) serves(model, version, adapter string) bool {
+	if l.Model != model || version != "" && l.Version != version {
+		return false
+	}
+	if adapter == "" {
+		return true
+	}
+	for _, a := range l.Adapters {
+		if a == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+// An Evidence is what a request showed about a target: Worked, Failed,
+// Unreached or Moved.
+type Evidence interface{ evidence() }
+
+// Worked reports that the target answered.
+type Worked struct{ Target string }
+
+// Failed reports that an attempt broke.
+type Failed struct{ Target string }
+
+// Unreached reports that no connection was made.
+type Unreached struct{ Target string }
+
+// Moved reports that the target has another incarnation or weight version than
+// its last report said.
+type Moved struct{ Target string }
+
+func (Moved) evidence()     {}
+func (Worked) evidence()    {}
+func (Failed) evidence()    {}
+func (Unreached) evidence() {}
+
+// A Fleet is a task that keeps the states of all configured targets. One VM
+// reads a target's load and shares it with the others.
+type Fleet struct {
+	opts      Options
+	inbox     chan any
+	published atomic.Pointer[published]
+	records   map[string]*record
+	dirty     bool
+	nextShare time.Time
+}
+
+// published is the immutable copy that queries read.
+type published struct {
+	version int64
+	pools   map[string][]State
+	all     []State
+	warm    bool
+}
+
+// A record is the owned state of one target.
+type record struct {
+	state    State
+	life     *life
+	polling  bool
+	nextPoll time.Time
+	asked    bool
+	// moved asks for a new report from the target itself.
+	moved bool
+}
+
+// NewFleet returns a Fleet, which works while Run runs.
+func NewFleet(opts Options) *Fleet {
+	if opts.Log == nil {
+		opts.Log = log.NewNopLogger()
+	}
+	if opts.Clock == nil {
+		opts.Clock = platform.SystemClock{}
+	}
+	f := &Fleet{
+		opts:    opts,
+		inbox:   make(chan any, inboxSize),
+		records: map[string]*record{},
+	}
+	f.published.Store(&published{})
+	return f
+}
+
+// States returns the targets of a pool in the order of the configuration. The
+// slice must not be changed.
+func (f *Fleet) States(pool string) []State { return f.published.Load().pools[pool] }
+
+// All returns the states of all targets. The slice must not be changed.
+func (f *Fleet) All() []State { return f.published.Load().all }
+
+// Warm tells whether every configured target has been asked once.
+func (f *Fleet) Warm() bool { return f.published.Load().warm }
+
+// A FleetDump is the state of a Fleet for operators.
+type FleetDump struct {
+	Warm    bool    `json:"warm"`
+	Targets []State `json:"targets"`
+}
+
+// Dump returns the state for operators.
+func (f *Fleet) Dump() any {
+	p := f.published.Load()
+	return FleetDump{Warm: p.warm, Targets: p.all}
+}
+
+// Note passes on what a request showed about a target. It never blocks:
+// evidence beyond what the task can take is dropped.
+func (f *Fleet) Note(e Evidence) {
+	select {
+	case f.inbox <- e:
+	default:
+	}
+}
+
+// Register takes the calls of other VMs.
+func (f *Fleet) Register(r peer.Registrar) {
+	r.Handle(peer.CallTargets, func(ctx context.Context, _ string, decode func(any) error) (any, error) {
+		var s States
+		if err := decode(&s); err != nil {
+			return nil, err
+		}
+		select {
+		case f.inbox <- s:
+			return StatesReply{}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+}
--- /dev/null
+++ b/target/fleettask.go
@@ -0,0 +1,259 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+const fleetTick = 50 * time.Millisecond
+
+// States are reports that one VM shares with another.
+type States struct {
+	Reports []SharedReport `cbor:"1,keyasint"`
+}
+
+// A SharedReport is a load report with its age when it was sent.
+type SharedReport struct {
+	Target string        `cbor:"1,keyasint"`
+	Age    time.Duration `cbor:"2,keyasint"`
+	Report Report        `cbor:"3,keyasint"`
+}
+
+// StatesReply acknowledges States.
+type StatesReply struct{}
+
+// polled is the outcome of asking a target for its load.
+type polled struct {
+	target string
+	report Report
+	err    error
+}
+
+// Run works until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	ticker := time.NewTicker(fleetTick)
+	defer ticker.Stop()
+	f.tick(ctx, f.opts.Clock.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f.tick(ctx, f.opts.Clock.Now())
+		case m := <-f.inbox:
+			f.take(m, f.opts.Clock.Now())
+		}
+	}
+}
+
+// take handles one message.
+func (f *Fleet) take(m any, now time.Time) {
+	switch m := m.(type) {
+	case polled:
+		f.takePolled(m, now)
+	case States:
+		for _, s := range m.Reports {
+			f.takeReport(s.Target, s.Report, now.Add(-s.Age), now)
+		}
+	case Worked:
+		f.withLife(m.Target, (*life).answered)
+	case Failed:
+		f.withLife(m.Target, func(l *life) { l.failed(false, now) })
+	case Moved:
+		if r, ok := f.records[m.Target]; ok {
+			r.moved, r.nextPoll = true, now
+		}
+	case Unreached:
+		f.withLife(m.Target, func(l *life) { l.failed(true, now) })
+	}
+}
+
+// withLife changes the life of a target and publishes the change at once.
+func (f *Fleet) withLife(name string, change func(*life)) {
+	r, ok := f.records[name]
+	if !ok {
+		return
+	}
+	before := r.life.state()
+	change(r.life)
+	if r.life.state() == before {
+		return
+	}
+	f.logLife(name, before, r.life.state())
+	f.dirty = true
+	f.publish()
+}
+
+func (f *Fleet) logLife(name, before, after string) {
+	_ = f.opts.Log.Log("event", "target", "target", name, "from", before, "to", after)
+}
+
+func (f *Fleet) takePolled(p polled, now time.Time) {
+	r, ok := f.records[p.target]
+	if !ok {
+		return
+	}
+	r.polling = false
+	r.asked = true
+	switch {
+	case p.err == nil:
+		f.takeReport(p.target, p.report, now, now)
+	case errors.Is(p.err, ErrNoReport):
+		f.withLife(p.target, func(l *life) { l.reported(false, now) })
+	default:
+		f.withLife(p.target, func(l *life) { l.failed(false, now) })
+	}
+}
+
+// takeReport keeps a report unless a newer one is known.
+func (f *Fleet) takeReport(name string, report Report, at, now time.Time) {
+	r, ok := f.records[name]
+	if !ok || r.state.Reported && at.Before(r.state.At) {
+		return
+	}
+	r.asked = true
+	r.state.Reported = true
+	r.state.Report = report
+	r.state.At = at
+	f.dirty = true
+	f.withLife(name, func(l *life) { l.reported(report.Leaving, now) })
+}
+
+// tick follows the configuration, asks targets, shares and publishes.
+func (f *Fleet) tick(ctx context.Context, now time.Time) {
+	f.follow()
+	for name, r := range f.records {
+		f.withLife(name, func(l *life) { l.tick(now) })
+		if f.due(r, now) {
+			r.polling, r.moved = true, false
+			r.nextPoll = now.Add(pollEvery)
+			go f.poll(ctx, name, r.state.Target.Address)
+		}
+	}
+	if !now.Before(f.nextShare) {
+		f.nextShare = now.Add(shareEvery)
+		f.share(ctx, now)
+	}
+	if f.dirty {
+		f.publish()
+	}
+}
+
+// follow makes the records those of the configuration in force. A target whose
+// address changed is another target.
+func (f *Fleet) follow() {
+	v := f.opts.Config()
+	if v == nil || v.Version == f.published.Load().version && len(f.records) == len(v.Targets) {
+		return
+	}
+	old := f.records
+	f.records = make(map[string]*record, len(v.Targets))
+	for i := range v.Targets {
+		t := &v.Targets[i]
+		if r, ok := old[t.Name]; ok && r.state.Target.Address == t.Address {
+			r.state.Target = t
+			f.records[t.Name] = r
+			continue
+		}
+		f.records[t.Name] = &record{state: State{Target: t}, life: newLife()}
+	}
+	f.dirty = true
+}
+
+// due tells whether this VM should ask the target now.
+func (f *Fleet) due(r *record, now time.Time) bool {
+	if r.polling || now.Before(r.nextPoll) {
+		return false
+	}
+	return r.moved || f.reads(r.state.Target) || now.Sub(r.state.At) > coverAfter
+}
+
+// poll asks one target and passes the outcome to the task.
+func (f *Fleet) poll(ctx context.Context, name, address string) {
+	limited, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := f.opts.Client.Load(limited, address)
+	select {
+	case f.inbox <- polled{target: name, report: report, err: err}:
+	case <-ctx.Done():
+	}
+}
+
+// reads tells whether this VM is the one that reads the target.
+func (f *Fleet) reads(t *config.Target) bool {
+	return f.opts.Roster == nil || Reader(f.opts.Roster.Live(), t.Name) == f.opts.Self
+}
+
+// Reader returns the id of the VM that reads the state and the event feed of a
+// target: the one with the highest rendezvous hash.
+func Reader(live []vm.Member, name string) string {
+	var best uint64
+	var id string
+	for i := range live {
+		if score := xxhash.Sum64String(live[i].ID + "/" + name); id == "" || score > best {
+			best, id = score, live[i].ID
+		}
+	}
+	return id
+}
+
+// share sends the reports that this VM read to the other live VMs.
+func (f *Fleet) share(ctx context.Context, now time.Time) {
+	if f.opts.Roster == nil || f.opts.Peers == nil {
+		return
+	}
+	var s States
+	for name, r := range f.records {
+		if r.state.Reported && f.reads(r.state.Target) && now.Sub(r.state.At) <= 2*shareEvery {
+			s.Reports = append(s.Reports, SharedReport{Target: name, Age: now.Sub(r.state.At), Report: r.state.Report})
+		}
+	}
+	if len(s.Reports) == 0 {
+		return
+	}
+	for _, m := range f.opts.Roster.Live() {
+		if m.ID != f.opts.Self {
+			go f.send(ctx, m, s)
+		}
+	}
+}
+
+func (f *Fleet) send(ctx context.Context, to vm.Member, s States) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	var reply StatesReply
+	_ = f.opts.Peers.Call(ctx, peer.Destination{VM: to.ID, Address: to.Peer}, peer.CallTargets, s, &reply)
+}
+
+// publish replaces the copy that queries read.
+func (f *Fleet) publish() {
+	f.dirty = false
+	p := &published{pools: map[string][]State{}, warm: true}
+	v := f.opts.Config()
+	if v == nil {
+		p.warm = false
+		f.published.Store(p)
+		return
+	}
+	p.version = v.Version
+	for i := range v.Targets {
+		r, ok := f.records[v.Targets[i].Name]
+		if !ok {
+			p.warm = false
+			continue
+		}
+		r.state.Life = r.life.state()
+		p.warm = p.warm && r.asked
+		p.all = append(p.all, r.state)
+		p.pools[r.state.Target.Pool] = append(p.pools[r.state.Target.Pool], r.state)
+	}
+	p.warm = p.warm && v.Version > 0
+	f.published.Store(p)
+}
--- /dev/null
+++ b/target/httpclient.go
@@ -0,0 +1,341 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	controlTimeout  = 3 * time.Second
+	maxControlBytes = 64 << 20
+	idleConns       = 2
+)
+
+// ErrNoReport reports a target that answers and publishes no load report, as
+// plain services do.
+var ErrNoReport = errors.New("target publishes no load report")
+
+// passedHeaders are the headers of a caller that go on to a target. All others
+// are dropped, so that no header that carries a key passes by oversight.
+var passedHeaders = []string{
+	"Accept",
+	"Accept-Language",
+	"Content-Type",
+	"Traceparent",
+	"Tracestate",
+}
+
+// HTTPOptions are the settings of an HTTPClient. Credential is the system's own
+// bearer token towards targets. Headers names further headers of callers that
+// are passed on. Transport replaces the network, for tests.
+type HTTPOptions struct {
+	Credential string
+	Headers    []string
+	Transport  http.RoundTripper
+}
+
+// An HTTPClient speaks the protocol of targets over HTTP/1.1.
+type HTTPClient struct {
+	opts    HTTPOptions
+	sends   *http.Client
+	control *http.Client
+}
+
+// NewHTTPClient returns an HTTPClient.
+//
+// Requests are sent on a connection of their own each, with no redirect
+// followed, no proxy and a body that cannot be read twice, so that net/http
+// never sends one again by itself.
+func NewHTTPClient(opts HTTPOptions) *HTTPClient {
+	return &HTTPClient{
+		opts:    opts,
+		sends:   newHTTP(opts, true),
+		control: newHTTP(opts, false),
+	}
+}
+
+func newHTTP(opts HTTPOptions, fresh bool) *http.Client {
+	transport := opts.Transport
+	if transport == nil {
+		transport = newTransport(fresh)
+	}
+	return &http.Client{
+		Transport: transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		DisableKeepAlives:   fresh,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     controlTimeout,
+		Protocols:           protocols,
+	}
+}
+
+// onceReader hides the concrete type of a body, so that net/http sets no
+// GetBody and cannot replay it.
+type onceReader struct{ r io.Reader }
+
+// Read implements io.Reader.
+func (o onceReader) Read(p []byte) (int, error) { return o.r.Read(p) }
+
+// Send implements Client.
+func (c *HTTPClient) Send(ctx context.Context, address string, r Request) Result {
+	connected := false
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	}
+	req, err := c.newSend(httptrace.WithClientTrace(ctx, trace), address, r)
+	if err != nil {
+		return NotRun{Reason: err.Error()}
+	}
+	resp, err := c.sends.Do(req)
+	switch {
+	case err != nil && c.unsent(err, connected):
+		return NotRun{Reason: "no connection: " + reason(err), Unreachable: true}
+	case err != nil:
+		return Lost{Err: eris.Wrap(err, "send to target")}
+	}
+	return answered(r, resp)
+}
+
+// unsent tells whether nothing of a request was written: no connection was made
+// for it. A replaced transport reports connections by its errors only.
+func (c *HTTPClient) unsent(err error, connected bool) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	return c.opts.Transport == nil && !connected
+}
+
+// reason returns the error without the URL that net/http puts around it.
+func reason(err error) string {
+	var wrapped *url.Error
+	if errors.As(err, &wrapped) {
+		err = wrapped.Err
+	}
+	return err.Error()
+}
+
+func (c *HTTPClient) newSend(ctx context.Context, address string, r Request) (*http.Request, error) {
+	var body io.Reader
+	if len(r.Body) > 0 {
+		body = onceReader{bytes.NewReader(r.Body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, body)
+	if err != nil {
+		return nil, eris.Wrap(err, "request to target")
+	}
+	req.ContentLength = int64(len(r.Body))
+	c.setHeaders(req.Header, r)
+	return req, nil
+}
+
+func (c *HTTPClient) setHeaders(h http.Header, r Request) {
+	for _, name := range append(passedHeaders, c.opts.Headers...) {
+		if values := r.Header.Values(name); len(values) > 0 {
+			h[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	c.authorize(h)
+	setHeader(h, HeaderRequestID, r.ID)
+	setHeader(h, HeaderAttempt, r.Attempt)
+	setHeader(h, HeaderIncarnation, r.Incarnation)
+	setHeader(h, HeaderWeights, r.Weights)
+	setHeader(h, HeaderSalt, r.Salt)
+	setHeader(h, HeaderPieces, formatPieces(r.Pieces))
+	h.Set(HeaderPriority, strconv.Itoa(r.Priority))
+	if r.Resume > 0 {
+		h.Set(HeaderResume, strconv.FormatInt(r.Resume, 10))
+	}
+}
+
+func (c *HTTPClient) authorize(h http.Header) {
+	if c.opts.Credential != "" {
+		h.Set("Authorization", "Bearer "+c.opts.Credential)
+	}
+}
+
+func setHeader(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+func formatPieces(pieces []uint64) string {
+	var b strings.Builder
+	for i, k := range pieces {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%016x", k)
+	}
+	return b.String()
+}
+
+// answered reads what the target says about the request from the start of its
+// answer.
+func answered(r Request, resp *http.Response) Result {
+	if resp.Header.Get(HeaderNotRun) == "true" {
+		_ = resp.Body.Close()
+		return NotRun{
+			Reason: "target: " + resp.Status,
+			Stale:  resp.StatusCode == http.StatusConflict,
+		}
+	}
+	if err := mismatch(r, resp.Header); err != nil {
+		_ = resp.Body.Close()
+		return Lost{Err: err}
+	}
+	return Answered{Response: Response{
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Body:   resp.Body,
+	}}
+}
+
+// mismatch returns an error if the answer names another request, attempt,
+// incarnation or weight version than it was sent for.
+func mismatch(r Request, h http.Header) error {
+	pairs := []struct{ name, want string }{
+		{HeaderRequestID, r.ID},
+		{HeaderAttempt, r.Attempt},
+		{HeaderIncarnation, r.Incarnation},
+		{HeaderWeights, r.Weights},
+	}
+	for _, p := range pairs {
+		if got := h.Get(p.name); got != "" && p.want != "" && got != p.want {
+			return eris.Errorf("answer with %s %q for %q", p.name, got, p.want)
+		}
+	}
+	return nil
+}
+
+// Cancel implements Client.
+func (c *HTTPClient) Cancel(ctx context.Context, address, requestID string) error {
+	return c.call(ctx, http.MethodPost, address, "/cancel?id="+url.QueryEscape(requestID), nil, nil)
+}
+
+// Load implements Client.
+func (c *HTTPClient) Load(ctx context.Context, address string) (Report, error) {
+	var report Report
+	err := c.call(ctx, http.MethodGet, address, "/load", nil, &report)
+	return report, err
+}
+
+// Snapshot implements Client.
+func (c *HTTPClient) Snapshot(ctx context.Context, address string) (CacheSnapshot, error) {
+	var s CacheSnapshot
+	err := c.call(ctx, http.MethodGet, address, "/snapshot", nil, &s)
+	return s, err
+}
+
+// Transfer implements Client.
+func (c *HTTPClient) Transfer(ctx context.Context, address, cache string, pieces []uint64) error {
+	body := struct {
+		Cache  string   `json:"cache"`
+		Pieces []uint64 `json:"pieces"`
+	}{cache, pieces}
+	return c.call(ctx, http.MethodPost, address, "/import", body, nil)
+}
+
+// Order implements Client.
+func (c *HTTPClient) Order(ctx context.Context, address string, o Order) OrderResult {
+	ctx, cancel := context.WithTimeout(ctx, o.Lifetime)
+	defer cancel()
+	body, err := json.Marshal(o)
+	if err != nil {
+		return OrderRefused{Reason: err.Error()}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", onceReader{bytes.NewReader(body)})
+	if err != nil {
+		return OrderRefused{Reason: err.Error()}
+	}
+	c.authorize(req.Header)
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderFence, strconv.FormatInt(o.Fence, 10))
+	resp, err := c.sends.Do(req)
+	if err != nil {
+		return OrderLost{Err: eris.Wrap(err, "order to target")}
+	}
+	defer resp.Body.Close()
+	return orderResult(resp)
+}
+
+func orderResult(resp *http.Response) OrderResult {
+	var refusal struct {
+		Reason string `json:"reason"`
+		Fenced bool   `json:"fenced"`
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return OrderDone{}
+	case http.StatusConflict:
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&refusal); err != nil {
+			return OrderLost{Err: eris.Wrap(err, "answer to order")}
+		}
+		return OrderRefused{Reason: refusal.Reason, Fenced: refusal.Fenced}
+	default:
+		return OrderLost{Err: eris.Errorf("answer to order: %s", resp.Status)}
+	}
+}
+
+// call sends one control message and decodes the answer into out, if any.
+func (c *HTTPClient) call(ctx context.Context, method, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return eris.Wrap(err, "encode message to target")
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return eris.Wrap(err, "message to target")
+	}
+	c.authorize(req.Header)
+	resp, err := c.control.Do(req)
+	if err != nil {
+		return eris.Wrapf(err, "%s %s", method, path)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return ErrNoReport
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return eris.Errorf("%s %s: %s", method, path, resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(out)
+	return eris.Wrapf(err, "answer to %s", path)
+}
--- /dev/null
+++ b/target/life.go
@@ -0,0 +1,116 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/looplab/fsm"
+)
+
+// States of a target's life.
+const (
+	// LifeUnknown is a target that has not answered yet.
+	LifeUnknown = "unknown"
+	// LifeLive is a target that takes requests.
+	LifeLive = "live"
+	// LifeFailing is a target that gets no request.
+	LifeFailing = "failing"
+	// LifeProbing is a target that gets one request at a time.
+	LifeProbing = "probing"
+	// LifeLeaving is a target that finishes what it has and gets nothing new.
+	LifeLeaving = "leaving"
+)
+
+const (
+	lifeAnswer = "answer"
+	lifeFail   = "fail"
+	lifeProbe  = "probe"
+	lifeLeave  = "leave"
+	lifeReturn = "return"
+)
+
+const (
+	// failuresInRow is the number of failures in a row that take a target out.
+	failuresInRow = 3
+	// probeAfter is the time from a failure until a target is probed; it doubles
+	// with every failed probe up to probeAtMost.
+	probeAfter  = time.Second
+	probeAtMost = 16 * time.Second
+)
+
+// A life is the circuit breaker of one target.
+type life struct {
+	machine  *fsm.FSM
+	failures int
+	wait     time.Duration
+	retryAt  time.Time
+}
+
+func newLife() *life {
+	return &life{
+		wait: probeAfter,
+		machine: fsm.NewFSM(LifeUnknown, fsm.Events{
+			{Name: lifeAnswer, Src: []string{LifeUnknown, LifeProbing}, Dst: LifeLive},
+			{Name: lifeFail, Src: []string{LifeUnknown, LifeLive, LifeProbing}, Dst: LifeFailing},
+			{Name: lifeProbe, Src: []string{LifeFailing}, Dst: LifeProbing},
+			{Name: lifeLeave, Src: []string{LifeUnknown, LifeLive, LifeFailing, LifeProbing}, Dst: LifeLeaving},
+			{Name: lifeReturn, Src: []string{LifeLeaving}, Dst: LifeLive},
+		}, nil),
+	}
+}
+
+// state returns the current state.
+func (l *life) state() string { return l.machine.Current() }
+
+// fire takes a transition if the current state has it.
+func (l *life) fire(event string) {
+	if l.machine.Can(event) {
+		_ = l.machine.Event(context.Background(), event)
+	}
+}
+
+// answered records a request that the target answered.
+func (l *life) answered() {
+	l.failures = 0
+	l.wait = probeAfter
+	l.fire(lifeAnswer)
+}
+
+// reported records a load report. A target that could not be reached is probed
+// at once; one that failed requests waits for its time.
+func (l *life) reported(leaving bool, now time.Time) {
+	switch {
+	case leaving:
+		l.fire(lifeLeave)
+	case l.state() == LifeLeaving:
+		l.fire(lifeReturn)
+	case l.state() == LifeUnknown:
+		l.answered()
+	default:
+		l.tick(now)
+	}
+}
+
+// failed records a failure. Certain failures take the target out at once.
+func (l *life) failed(certain bool, now time.Time) {
+	l.failures++
+	if l.state() == LifeFailing {
+		return
+	}
+	probing := l.state() == LifeProbing
+	if !certain && !probing && l.failures < failuresInRow {
+		return
+	}
+	if probing {
+		l.wait = min(2*l.wait, probeAtMost)
+	}
+	l.retryAt = now.Add(l.wait)
+	l.fire(lifeFail)
+}
+
+// tick lets a failing target be probed when its time has come.
+func (l *life) tick(now time.Time) {
+	if l.state() == LifeFailing && !now.Before(l.retryAt) {
+		l.fire(lifeProbe)
+	}
+}
--- a/target/target.go
+++ b/target/target.go
@@ -78,6 +78,8 @@
 	Reason string
 	// Stale tells that the target has another incarnation or weight version.
 	Stale bool
+	// Unreachable tells that no connection was made.
+	Unreachable bool
 }
 
 // Lost reports that the target may have run the request.
