Add the HTTP client of the object API and its stand-in

Cause: a VM reaches the platform over HTTP, and a write that may have left without a whole answer must not be taken for one that had no effect.

Change: platform.NewHTTPStore and NewHTTPDirectory speak the object API. A write is NotSent only if it got no connection or the platform refused it; any other answer that is not a whole 200 or 409 with a version is Unknown.

--- /dev/null
+++ b/internal/fake/objects_test.go
@@ -0,0 +1,148 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// objectsClient serves objects and returns a client with a timeout.
+func objectsClient(t *testing.T, h http.Handler) *platform.HTTPStore {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	s, err := platform.NewHTTPStore(platform.HTTPOptions{Base: server.URL})
+	must.NoError(t, err)
+	return s
+}
+
+func TestObjects(t *testing.T) {
+	m := platform.NewMemory()
+	s := objectsClient(t, NewObjects(m))
+	ctx := t.Context()
+	_, err := s.Get(ctx, "a/b c?%")
+	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.Eq(t, platform.WriteResult(platform.Done{Version: 1}), s.Put(ctx, "a/b c?%", []byte("x"), 0))
+	must.Eq(t, platform.WriteResult(platform.Conflict{Current: 1}), s.Put(ctx, "a/b c?%", []byte("y"), 0))
+	must.Eq(t, platform.WriteResult(platform.Done{Version: 2}), s.Put(ctx, "a/b c?%", nil, 1))
+	o, err := s.Get(ctx, "a/b c?%")
+	must.NoError(t, err)
+	must.Eq(t, 2, o.Version)
+	list, err := s.List(ctx, "a/")
+	must.NoError(t, err)
+	must.Len(t, 1, list)
+	must.Eq(t, "a/b c?%", list[0].Key)
+	must.Eq(t, platform.WriteResult(platform.Done{Version: 3}), s.Delete(ctx, "a/b c?%", 2))
+	large := make([]byte, platform.MaxValueBytes+1)
+	_, notSent := s.Put(ctx, "large", large, 0).(platform.NotSent)
+	must.True(t, notSent)
+}
+
+func TestObjectsLostAnswer(t *testing.T) {
+	m := platform.NewMemory()
+	m.SetFault(func(platform.Call) platform.Fault { return platform.Fault{LoseAnswer: true} })
+	s := objectsClient(t, NewObjects(m))
+	_, unknown := s.Put(t.Context(), "k", []byte("x"), 0).(platform.Unknown)
+	must.True(t, unknown)
+	m.SetFault(nil)
+	o, err := s.Get(t.Context(), "k")
+	must.NoError(t, err)
+	must.Eq(t, "x", string(o.Value))
+}
+
+func TestObjectsRefused(t *testing.T) {
+	m := platform.NewMemory()
+	m.SetFault(platform.Down())
+	s := objectsClient(t, NewObjects(m))
+	_, notSent := s.Put(t.Context(), "k", []byte("x"), 0).(platform.NotSent)
+	must.True(t, notSent)
+	_, err := s.Get(t.Context(), "k")
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+func TestObjectsUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+	s, err := platform.NewHTTPStore(platform.HTTPOptions{Base: "http://" + l.Addr().String()})
+	must.NoError(t, err)
+	_, notSent := s.Put(t.Context(), "k", []byte("x"), 0).(platform.NotSent)
+	must.True(t, notSent)
+}
+
+func TestWriteAnswers(t *testing.T) {
+	answers := map[string]struct {
+		handler http.HandlerFunc
+		unknown bool
+	}{
+		"no version":    {func(http.ResponseWriter, *http.Request) {}, true},
+		"server error":  {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, true},
+		"bad gateway":   {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, true},
+		"moved":         {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusFound) }, true},
+		"over the rate": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, false},
+		"cut off": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(platform.HeaderVersion, "1")
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("x"))
+			panic(http.ErrAbortHandler)
+		}, true},
+	}
+	for name, a := range answers {
+		t.Run(name, func(t *testing.T) {
+			s := objectsClient(t, a.handler)
+			r := s.Put(t.Context(), "k", []byte("x"), 0)
+			_, unknown := r.(platform.Unknown)
+			must.Eq(t, a.unknown, unknown, must.Sprintf("result %#v", r))
+		})
+	}
+}
+
+func TestWatch(t *testing.T) {
+	m := platform.NewMemory()
+	s := objectsClient(t, NewObjects(m))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	events, err := s.Watch(ctx, "a/", 0)
+	must.NoError(t, err)
+	m.Put(ctx, "b/1", []byte("no"), 0)
+	m.Put(ctx, "a/1", []byte("yes"), 0)
+	e := <-events
+	must.Eq(t, "yes", string(e.Object.Value))
+	m.Delete(ctx, "a/1", e.Object.Version)
+	must.True(t, (<-events).Deleted)
+	cancel()
+	_, open := <-events
+	must.False(t, open)
+}
+
+func TestSilentWatchBreaks(t *testing.T) {
+	o := NewObjects(platform.NewMemory())
+	o.Mute(true)
+	server := httptest.NewServer(o)
+	defer server.Close()
+	s, err := platform.NewHTTPStore(platform.HTTPOptions{Base: server.URL, WatchTimeout: time.Millisecond})
+	must.NoError(t, err)
+	_, err = s.Watch(t.Context(), "", 0)
+	must.True(t, errors.Is(err, platform.ErrUnavailable))
+}
+
+func TestDirectory(t *testing.T) {
+	m := platform.NewMemory()
+	vms := []platform.VMRecord{{ID: "vm-1", Address: "192.0.2.1", DataCentre: "hakata", State: platform.VMLive}}
+	m.SetVMs(vms)
+	server := httptest.NewServer(NewObjects(m))
+	defer server.Close()
+	d, err := platform.NewHTTPDirectory(platform.HTTPOptions{Base: server.URL})
+	must.NoError(t, err)
+	got, err := d.VMs(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, vms, got)
+}
