Add once-only work with claims in shards

Cause: a request with an idempotency key must run at most once on any number of VMs, and its repeat must get the same answer.

Change: claim.Task writes a claim before the send and the answer after it. An unknown write is repeated under the version that the record then has, and the ticket's id tells an earlier write of its own. A claim that was refused though it may have been written is abandoned later.

Conclusion: a key is granted once within its retention of 24 h.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -1,6 +1,10 @@
 // Package claim runs requests with an idempotency key at most once over all
 // VMs: a claim is written to the object API before the request is sent, and
 // the answer after it.
+//
+// Claims live in shards, one object each. A VM gathers the claims of a shard
+// and writes them in one conditional update, so that the writes grow with the
+// shards in use and not with the requests.
 package claim
 
 import "time"
@@ -14,11 +18,14 @@
 	Digest   string
 }
 
-// An Answer is the remembered answer of a request that ran.
+// An Answer is the remembered answer of a request that ran. Dropped tells that
+// the answer was too large or too old to be kept: Status and ContentType stand,
+// Body is empty.
 type Answer struct {
 	Status      int
 	ContentType string
 	Body        []byte
+	Dropped     bool
 }
 
 // A Result is the outcome of a Begin: Granted, Repeated, Pending, Mismatch or
@@ -45,8 +52,8 @@
 // Mismatch reports that the idempotency key was used with another request.
 type Mismatch struct{}
 
-// Unavailable reports that no claim was written, so that the request did not
-// run.
+// Unavailable reports that this try holds no claim, so that it did not run the
+// request.
 type Unavailable struct{ Err error }
 
 func (Granted) result()     {}
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,280 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// seat is the name of the tests' piece of work.
+func seat(digest string) Name {
+	return Name{Customer: "hakata", Route: "hold", Key: "row-4-seat-7", Digest: digest}
+}
+
+// start runs a Task of a VM until the test or the returned function ends it.
+func start(t *testing.T, vm string, s platform.Store) (*Task, func()) {
+	t.Helper()
+	task := NewTask(Options{Self: vm, Store: s, Clock: platform.SystemClock{}, Seed: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = task.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return task, stop
+}
+
+func mustGrant(t *testing.T, task *Task, n Name) Ticket {
+	t.Helper()
+	r := task.Begin(t.Context(), n)
+	granted, ok := r.(Granted)
+	must.True(t, ok, must.Sprintf("result %#v", r))
+	return granted.Ticket
+}
+
+func mustBe[R Result](t *testing.T, r Result) R {
+	t.Helper()
+	got, ok := r.(R)
+	must.True(t, ok, must.Sprintf("result %#v", r))
+	return got
+}
+
+// virtual runs a test in virtual time with a memory store and two VMs.
+func virtual(t *testing.T, f func(t *testing.T, m *platform.Memory, one, two *Task)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		m := platform.NewMemory()
+		one, _ := start(t, "vm-1", m.For("vm-1"))
+		two, _ := start(t, "vm-2", m.For("vm-2"))
+		f(t, m, one, two)
+	})
+}
+
+func TestRepeatOnAnotherVM(t *testing.T) {
+	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+		k := mustGrant(t, one, seat("a"))
+		mustBe[Pending](t, two.Begin(t.Context(), seat("a")))
+		mustBe[Mismatch](t, two.Begin(t.Context(), seat("b")))
+		answer := Answer{Status: 201, ContentType: "application/json", Body: []byte(`{"held":true}`)}
+		must.NoError(t, one.Finish(t.Context(), k, answer))
+		must.Eq(t, answer, mustBe[Repeated](t, two.Begin(t.Context(), seat("a"))).Answer)
+		must.Eq(t, answer, mustBe[Repeated](t, one.Begin(t.Context(), seat("a"))).Answer)
+		mustBe[Mismatch](t, one.Begin(t.Context(), seat("b")))
+	})
+}
+
+func TestTwoVMsAtOnce(t *testing.T) {
+	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+		results := make(chan Result, 20)
+		for i := range 20 {
+			go func() { results <- []*Task{one, two}[i%2].Begin(t.Context(), seat("a")) }()
+		}
+		granted := 0
+		for range 20 {
+			switch r := (<-results).(type) {
+			case Granted:
+				granted++
+			case Pending:
+			default:
+				t.Fatalf("result %#v", r)
+			}
+		}
+		must.Eq(t, 1, granted)
+	})
+}
+
+func TestAbandonFreesTheKey(t *testing.T) {
+	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+		k := mustGrant(t, one, seat("a"))
+		must.NoError(t, one.Abandon(t.Context(), k))
+		other := mustGrant(t, two, seat("b"))
+		must.ErrorIs(t, one.Finish(t.Context(), k, Answer{Status: 200}), errGone)
+		must.NoError(t, one.Abandon(t.Context(), k))
+		must.NoError(t, two.Finish(t.Context(), other, Answer{Status: 200}))
+	})
+}
+
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+		k := mustGrant(t, one, seat("a"))
+		large := Answer{Status: 200, ContentType: "text/plain", Body: make([]byte, maxAnswerBytes+1)}
+		must.NoError(t, one.Finish(t.Context(), k, large))
+		want := Answer{Status: 200, ContentType: "text/plain", Dropped: true}
+		must.Eq(t, want, mustBe[Repeated](t, two.Begin(t.Context(), seat("a"))).Answer)
+	})
+}
+
+func TestVMDiesBetweenSendAndAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platform.NewMemory()
+		one, stop := start(t, "vm-1", m)
+		mustGrant(t, one, seat("a"))
+		stop()
+		two, _ := start(t, "vm-2", m)
+		mustBe[Pending](t, two.Begin(t.Context(), seat("a")))
+		mustBe[Unavailable](t, one.Begin(t.Context(), seat("c")))
+	})
+}
+
+func TestStoreDownThirtyMinutes(t *testing.T) {
+	virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+		k := mustGrant(t, one, seat("a"))
+		m.SetFault(platform.Down())
+		mustBe[Unavailable](t, two.Begin(t.Context(), seat("a")))
+		mustBe[Unavailable](t, two.Begin(t.Context(), Name{Key: "another"}))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		must.Error(t, one.Finish(ctx, k, Answer{Status: 200}))
+		time.Sleep(30 * time.Minute)
+		m.SetFault(nil)
+		time.Sleep(2 * backlogWait)
+		must.Eq(t, 200, mustBe[Repeated](t, two.Begin(t.Context(), seat("a"))).Answer.Status)
+		mustGrant(t, two, Name{Key: "another"})
+	})
+}
+
+func TestSlowStore(t *testing.T) {
+	virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+		m.SetFault(platform.Slow(2 * time.Second))
+		k := mustGrant(t, one, seat("a"))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		mustBe[Unavailable](t, two.Begin(ctx, Name{Key: "impatient"}))
+		must.NoError(t, one.Finish(t.Context(), k, Answer{Status: 200}))
+		time.Sleep(time.Minute)
+		mustGrant(t, one, Name{Key: "impatient"})
+	})
+}
+
+func TestStoreRefusesOverItsRate(t *testing.T) {
+	virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+		m.SetRate(10)
+		granted := map[string]int{}
+		for i := range 200 {
+			key := fmt.Sprint(i % 50)
+			task := []*Task{one, two}[i/50%2]
+			if k, ok := task.Begin(t.Context(), Name{Key: key}).(Granted); ok {
+				granted[key]++
+				must.Eq(t, 1, granted[key])
+				_ = k
+			}
+		}
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	faults := map[string]platform.Fault{
+		"answer":  {LoseAnswer: true},
+		"request": {LoseRequest: true},
+		"late":    {Late: 40 * time.Millisecond},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+				m.SetFault(everyOther(fault))
+				k := mustGrant(t, one, seat("a"))
+				mustBe[Pending](t, two.Begin(t.Context(), seat("a")))
+				must.NoError(t, one.Abandon(t.Context(), k))
+				k = mustGrant(t, two, seat("a"))
+				must.NoError(t, two.Finish(t.Context(), k, Answer{Status: 200}))
+				must.Eq(t, 200, mustBe[Repeated](t, one.Begin(t.Context(), seat("a"))).Answer.Status)
+			})
+		})
+	}
+}
+
+// everyOther spoils the first write and each second one after it.
+func everyOther(f platform.Fault) func(platform.Call) platform.Fault {
+	writes := 0
+	return func(c platform.Call) platform.Fault {
+		if c.Kind != platform.KindPut {
+			return platform.Fault{}
+		}
+		writes++
+		if writes%2 == 1 {
+			return f
+		}
+		return platform.Fault{}
+	}
+}
+
+// TestUnknownClaimIsFreed loses every answer of the writes, so that a claim is
+// refused though its write took effect: the task frees it later.
+func TestUnknownClaimIsFreed(t *testing.T) {
+	virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+		m.SetFault(func(c platform.Call) platform.Fault {
+			wrote := m.Total().Writes > 0
+			return platform.Fault{LoseAnswer: c.Kind == platform.KindPut, Refuse: c.Kind == platform.KindGet && wrote}
+		})
+		mustBe[Unavailable](t, one.Begin(t.Context(), seat("a")))
+		m.SetFault(nil)
+		mustBe[Pending](t, two.Begin(t.Context(), seat("a")))
+		time.Sleep(time.Second)
+		mustGrant(t, two, seat("a"))
+	})
+}
+
+func TestRetention(t *testing.T) {
+	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+		k := mustGrant(t, one, seat("a"))
+		must.NoError(t, one.Finish(t.Context(), k, Answer{Status: 200}))
+		time.Sleep(DefaultRetention - time.Second)
+		mustBe[Repeated](t, two.Begin(t.Context(), seat("a")))
+		time.Sleep(2 * time.Second)
+		mustGrant(t, two, seat("a"))
+	})
+}
+
+func TestFullShard(t *testing.T) {
+	now := time.UnixMilli(0)
+	r := newRecord()
+	refused := 0
+	for i := range 20000 {
+		o := begin{key: sum(fmt.Sprint(i)), id: strings.Repeat("x", 26)}
+		out, _ := applyBegin(&r, o, now)
+		if _, isFull := out.(full); isFull {
+			refused++
+			continue
+		}
+		_, _ = applyFinish(&r, finish{key: o.key, id: o.id, answer: Answer{Status: 200, Body: make([]byte, 1024)}})
+		if i%200 == 0 {
+			shrink(&r)
+		}
+	}
+	must.Positive(t, refused)
+	shrink(&r)
+	must.LessEq(t, maxRecordBytes, r.size)
+	must.LessEq(t, r.size, len(r.encode()))
+	next, _, outcomes := step(r, []op{begin{key: sum("new"), id: "n"}}, now.Add(2*time.Hour), time.Hour)
+	must.Eq(t, []outcome{won{}}, outcomes)
+	must.MapLen(t, 1, next.entries)
+}
+
+func FuzzDecode(f *testing.F) {
+	r := newRecord()
+	r.set(entry{Key: sum("a"), ID: "x", At: 1, State: stateRan, Status: 200, Body: []byte("b")})
+	f.Add(r.encode())
+	f.Add(newRecord().encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := decode(1, data)
+		if err != nil {
+			return
+		}
+		again, err := decode(1, r.encode())
+		must.NoError(t, err)
+		must.Eq(t, len(r.entries), len(again.entries))
+		must.Eq(t, r.size, again.size)
+	})
+}
--- /dev/null
+++ b/claim/task.go
@@ -0,0 +1,175 @@
+package claim
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// Options are the settings of a Task.
+type Options struct {
+	// Self is the id of this VM.
+	Self  string
+	Store platform.Store
+	Clock platform.Clock
+	Log   log.Logger
+	// Window is the least time between two commits of one shard; zero stands
+	// for DefaultWindow.
+	Window time.Duration
+	// Linger is the time that an answer waits for a commit to join; zero stands
+	// for DefaultLinger.
+	Linger time.Duration
+	// Retention is the time that a claim is remembered; zero stands for
+	// DefaultRetention. A key that is used again later runs again.
+	Retention time.Duration
+	// Seed fixes the jitter of retries.
+	Seed uint64
+}
+
+// Defaults of Options.
+const (
+	DefaultWindow    = 20 * time.Millisecond
+	DefaultLinger    = 200 * time.Millisecond
+	DefaultRetention = 24 * time.Hour
+)
+
+// workerQueue is the number of ops that may wait for a worker to take them.
+const workerQueue = 64
+
+// stats counts calls of the object API and their outcomes.
+type stats struct {
+	reads, writes, conflicts, unknown, forgotten atomic.Int64
+	granted, repeated, pending, mismatch, failed atomic.Int64
+}
+
+// An openTicket is a granted claim that is neither finished nor abandoned.
+type openTicket struct {
+	id string
+	at time.Time
+}
+
+// A Task grants claims on one VM.
+type Task struct {
+	opts  Options
+	stats stats
+	// stopped ends the wait for claims, finished the wait for all else.
+	stopped  chan struct{}
+	finished chan struct{}
+
+	// mu guards what follows: the workers, once Run has a context for them, and
+	// the tickets that are neither finished nor abandoned.
+	mu      sync.Mutex
+	ctx     context.Context
+	workers map[int]*worker
+	tickets map[hash]openTicket
+	running sync.WaitGroup
+	started chan struct{}
+}
+
+// NewTask returns a Task; Run must run for claims to be granted.
+func NewTask(o Options) *Task {
+	if o.Window <= 0 {
+		o.Window = DefaultWindow
+	}
+	if o.Linger <= 0 {
+		o.Linger = DefaultLinger
+	}
+	if o.Retention <= 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.Log == nil {
+		o.Log = log.NewNopLogger()
+	}
+	return &Task{
+		opts:     o,
+		stopped:  make(chan struct{}),
+		finished: make(chan struct{}),
+		workers:  map[int]*worker{},
+		tickets:  map[hash]openTicket{},
+		started:  make(chan struct{}),
+	}
+}
+
+// Run grants claims until ctx ends, then writes the answers that are left.
+func (t *Task) Run(ctx context.Context) error {
+	t.mu.Lock()
+	t.ctx = ctx
+	t.mu.Unlock()
+	close(t.started)
+	<-ctx.Done()
+	t.mu.Lock()
+	close(t.stopped)
+	t.mu.Unlock()
+	t.running.Wait()
+	close(t.finished)
+	return nil
+}
+
+// submit hands an op to the worker of its shard and waits for the reply. It
+// reports false if the op was not answered.
+func (t *Task) submit(ctx context.Context, shard int, o op, linger time.Duration) (reply, bool) {
+	select {
+	case <-t.started:
+	case <-ctx.Done():
+		return reply{}, false
+	}
+	w, ok := t.worker(shard)
+	if !ok {
+		return reply{}, false
+	}
+	j := newJob(ctx, o, t.opts.Clock.Now().Add(linger))
+	select {
+	case w.jobs <- j:
+		return j.wait(t.ended(o))
+	case <-ctx.Done():
+	case <-t.stopped:
+	}
+	return reply{}, false
+}
+
+// ended is the channel that ends the wait for an op: a begin need not wait for
+// the last commit of a stopping task.
+func (t *Task) ended(o op) <-chan struct{} {
+	if _, begins := o.(begin); begins {
+		return t.stopped
+	}
+	return t.finished
+}
+
+// worker returns the worker of a shard and starts it if need be. It reports
+// false once the task has stopped.
+func (t *Task) worker(shard int) (*worker, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case <-t.stopped:
+		return nil, false
+	default:
+	}
+	if w, ok := t.workers[shard]; ok {
+		return w, true
+	}
+	w := &worker{
+		shard: shard,
+		store: t.opts.Store,
+		clock: t.opts.Clock,
+		log:   t.opts.Log,
+		opts:  &t.opts,
+		stats: &t.stats,
+		jobs:  make(chan job, workerQueue),
+		rand:  rand.New(rand.NewPCG(t.opts.Seed, uint64(shard))),
+	}
+	t.workers[shard] = w
+	t.running.Add(1)
+	go func(ctx context.Context) {
+		defer t.running.Done()
+		w.run(ctx)
+	}(t.ctx)
+	return w, true
+}
