Keep duties by renewals that stop early

Cause: a duty needs a holder that stops by itself when it is paused or cut off, and a successor that never acts beside it.

Change: lease.Task keeps a set of duties. A planned stop hands duties back.

Conclusion: a VM paused for 60 s holds nothing when it wakes up.

--- /dev/null
+++ b/lease/duties.go
@@ -0,0 +1,99 @@
+package lease
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Want makes the task try to hold a duty.
+func (t *Task) Want(duty string) {
+	t.commands.Lock()
+	defer t.commands.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wanted[duty] = true
+	t.start(duty)
+}
+
+// Drop gives a duty up. It returns once the duty is handed back or the object
+// API could not be asked; from the call on the task does not hold it.
+func (t *Task) Drop(duty string) {
+	t.commands.Lock()
+	defer t.commands.Unlock()
+	t.mu.Lock()
+	delete(t.wanted, duty)
+	c := t.candidates[duty]
+	delete(t.candidates, duty)
+	t.mu.Unlock()
+	if c == nil {
+		return
+	}
+	c.stop()
+	<-c.done
+}
+
+// Wants returns the duties that the task tries to hold, sorted.
+func (t *Task) Wants() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	duties := make([]string, 0, len(t.wanted))
+	for duty := range t.wanted {
+		duties = append(duties, duty)
+	}
+	slices.Sort(duties)
+	return duties
+}
+
+// A Grant is the right to act as the holder of a duty. Left is for how long;
+// who acts later must ask again.
+type Grant struct {
+	Term int64
+	Left time.Duration
+}
+
+// Held returns the right to act on a duty, as of now. It reports false if the
+// process does not hold the duty or its time is over.
+func (t *Task) Held(duty string) (Grant, bool) {
+	t.mu.Lock()
+	c := t.candidates[duty]
+	t.mu.Unlock()
+	if c == nil {
+		return Grant{}, false
+	}
+	w := c.current()
+	left := w.Left(t.opts.Clock.Now())
+	if left <= 0 {
+		return Grant{}, false
+	}
+	return Grant{Term: w.Record.Lease.Term, Left: left}, true
+}
+
+// A Duty is one duty in a Dump.
+type Duty struct {
+	Duty   string `json:"duty"`
+	Holder string `json:"holder"`
+	Term   int64  `json:"term"`
+	Held   bool   `json:"held"`
+	Left   string `json:"left"`
+}
+
+// Dump returns the duties that the task tries to hold, sorted by name.
+func (t *Task) Dump() any {
+	t.mu.Lock()
+	candidates := make([]*candidate, 0, len(t.candidates))
+	for _, c := range t.candidates {
+		candidates = append(candidates, c)
+	}
+	t.mu.Unlock()
+	now := t.opts.Clock.Now()
+	list := make([]Duty, 0, len(candidates))
+	for _, c := range candidates {
+		w := c.current()
+		left := w.Left(now)
+		l := w.Record.Lease
+		list = append(list, Duty{Duty: c.duty, Holder: l.Holder, Term: l.Term, Held: left > 0, Left: left.String()})
+	}
+	slices.SortFunc(list, func(a, b Duty) int { return strings.Compare(a.Duty, b.Duty) })
+	return list
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -68,18 +68,15 @@
 	must.Eq(t, second.ID, Release(t.Context(), s, Key("d"), held, nil).(Taken).Record.Lease.Holder)
 }
 
-// nth spoils the nth write and lets all other calls go well.
-func nth(n int, f platform.Fault) func(platform.Call) platform.Fault {
-	writes := 0
+// firstWrite spoils the next write and lets all other calls go well.
+func firstWrite(f platform.Fault) func(platform.Call) platform.Fault {
+	spoiled := false
 	return func(c platform.Call) platform.Fault {
-		if c.Kind != platform.KindPut {
+		if c.Kind != platform.KindPut || spoiled {
 			return platform.Fault{}
 		}
-		writes++
-		if writes == n {
-			return f
-		}
-		return platform.Fault{}
+		spoiled = true
+		return f
 	}
 }
 
@@ -93,11 +90,11 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := platform.NewMemory()
-				s.SetFault(nth(1, fault))
+				s.SetFault(firstWrite(fault))
 				held := mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
-				s.SetFault(nth(1, fault))
+				s.SetFault(firstWrite(fault))
 				held = mustHold(t, Renew(t.Context(), s, Key("d"), held, nil), first, 1)
-				s.SetFault(nth(1, fault))
+				s.SetFault(firstWrite(fault))
 				_, free := Release(t.Context(), s, Key("d"), held, nil).(Free)
 				must.True(t, free)
 				time.Sleep(2 * time.Second)
@@ -128,6 +125,38 @@
 	mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
 }
 
+// TestStaleReadKeepsTheHolder loses the answer of a renewal for good, so that
+// the next one conflicts and reads the record as it was before its own term.
+func TestStaleReadKeepsTheHolder(t *testing.T) {
+	s := platform.NewMemory()
+	mustHold(t, Acquire(t.Context(), s, ask(second, nil)), second, 1)
+	held := mustHold(t, Acquire(t.Context(), s, ask(first, always)), first, 2)
+	mustHold(t, Renew(t.Context(), s, "", held, nil), first, 2)
+	reads := 0
+	s.SetFault(func(c platform.Call) platform.Fault {
+		if c.Kind == platform.KindGet {
+			reads++
+		}
+		return platform.Fault{Stale: int64(max(0, 3-reads))}
+	})
+	mustHold(t, Renew(t.Context(), s, "", held, nil), first, 2)
+}
+
+func TestOldTermsAreRefused(t *testing.T) {
+	l := Lease{Duty: "d", Holder: first.ID, Incarnation: 2, Term: 2, Nonce: "n"}
+	self := Holder{ID: first.ID, Incarnation: 2}
+	earlier := Holder{ID: first.ID, Incarnation: 1}
+	for _, e := range []Event{
+		Extend{Self: self, Term: 1, Nonce: "m"},
+		Give{Self: self, Term: 1, Nonce: "m"},
+		Extend{Self: earlier, Term: 2, Nonce: "m"},
+		Give{Self: earlier, Term: 2, Nonce: "m"},
+		Take{Self: earlier, Nonce: "m"},
+	} {
+		must.Eq(t, Effect(Refuse{}), Step(Record{Lease: l, Version: 1}, e))
+	}
+}
+
 func TestStoreDown(t *testing.T) {
 	s := platform.NewMemory()
 	held := mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
@@ -157,3 +186,18 @@
 		must.Eq(t, string(Encode(l)), string(Encode(again)))
 	})
 }
+
+// TestOpenDoubt sends a write that arrives late, and finds no reason to repeat
+// it: whether the process holds the lease stays unknown until then.
+func TestOpenDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := platform.NewMemory()
+		mustHold(t, Acquire(t.Context(), s, ask(second, nil)), second, 1)
+		s.SetFault(firstWrite(platform.Fault{Late: time.Second}))
+		calls := 0
+		_, unsure := Acquire(t.Context(), s, ask(first, func(Record) bool { calls++; return calls == 1 })).(Unsure)
+		must.True(t, unsure)
+		time.Sleep(2 * time.Second)
+		must.True(t, read(t, s).Lease.HeldBy(first))
+	})
+}
--- /dev/null
+++ b/lease/task_test.go
@@ -0,0 +1,114 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// run starts a Task that wants the duty "d" and returns how to stop it.
+func run(t *testing.T, s platform.Store, h Holder) (*Task, func()) {
+	t.Helper()
+	task := NewTask(Options{Self: h, Store: s, Clock: platform.SystemClock{}, Seed: 1})
+	task.Want("d")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = task.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	time.Sleep(time.Second)
+	return task, stop
+}
+
+// term is the term under which a task may act now, zero for none.
+func term(task *Task) int64 {
+	g, _ := task.Held("d")
+	return g.Term
+}
+
+func TestHandOverAtPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platform.NewMemory()
+		one, stop := run(t, m, first)
+		two, _ := run(t, m, second)
+		must.Eq(t, 1, term(one))
+		must.Eq(t, 0, term(two))
+		stop()
+		must.Eq(t, 0, term(one))
+		time.Sleep(DefaultLength / 3)
+		must.Eq(t, 2, term(two))
+	})
+}
+
+func TestPausedHolderWakesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platform.NewMemory()
+		one, _ := run(t, m.For("vm-1"), first)
+		two, _ := run(t, m.For("vm-2"), second)
+		wake := time.Now().Add(time.Minute)
+		m.SetFault(func(c platform.Call) platform.Fault {
+			if c.From == "vm-1" {
+				return platform.Fault{Delay: time.Until(wake)}
+			}
+			return platform.Fault{}
+		})
+		time.Sleep(time.Until(wake) - time.Millisecond)
+		must.Eq(t, 0, term(one))
+		must.Eq(t, 2, term(two))
+		time.Sleep(time.Minute)
+		must.Eq(t, 0, term(one))
+		must.Eq(t, 2, term(two))
+	})
+}
+
+func TestStoreDownThirtyMinutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platform.NewMemory()
+		one, _ := run(t, m.For("vm-1"), first)
+		two, _ := run(t, m.For("vm-2"), second)
+		m.SetFault(platform.Down())
+		time.Sleep(DefaultLength)
+		must.Eq(t, 0, term(one)+term(two))
+		time.Sleep(30 * time.Minute)
+		m.SetFault(nil)
+		time.Sleep(2 * DefaultLength)
+		must.Eq(t, 1, term(one)+term(two))
+	})
+}
+
+func TestSlowStoreKeepsTheHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platform.NewMemory()
+		m.SetFault(platform.Slow(2 * time.Second))
+		one, _ := run(t, m.For("vm-1"), first)
+		time.Sleep(10 * time.Second)
+		for range 60 {
+			must.Eq(t, 1, term(one))
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+func TestDropHandsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platform.NewMemory()
+		one, _ := run(t, m, first)
+		one.Drop("d")
+		must.Eq(t, "", read(t, m).Lease.Holder)
+		one.Want("d")
+		time.Sleep(time.Second)
+		must.Eq(t, 2, term(one))
+		must.Eq(t, []Duty{{Duty: "d", Holder: "vm-1", Term: 2, Held: true, Left: "11s"}}, one.Dump().([]Duty))
+	})
+}
