Give orders to engines under leases

Cause: engines need one VM at a time that brings them to the configured models, versions and adapters, also where they do not check fencing numbers.

Change: order.Task holds one lease for each pool.

--- a/internal/fake/objects_test.go
+++ b/internal/fake/objects_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -69,10 +68,9 @@
 }
 
 func TestObjectsUnreachable(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	must.NoError(t, l.Close())
-	s, err := platform.NewHTTPStore(platform.HTTPOptions{Base: "http://" + l.Addr().String()})
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	s, err := platform.NewHTTPStore(platform.HTTPOptions{Base: server.URL})
 	must.NoError(t, err)
 	_, notSent := s.Put(t.Context(), "k", []byte("x"), 0).(platform.NotSent)
 	must.True(t, notSent)
--- /dev/null
+++ b/order/task.go
@@ -0,0 +1,186 @@
+package order
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/target"
+)
+
+// poolsTime is the time between two looks at the set of pools.
+const poolsTime = time.Second
+
+// Options are the settings of a Task.
+type Options struct {
+	Self   lease.Holder
+	Store  platform.Store
+	Client target.Client
+	Config func() *config.View
+	// States returns what is known of the targets of a pool.
+	States func(pool string) []target.State
+	// Candidate tells whether this VM should try to hold the lease of a pool;
+	// nil stands for always. A few VMs for each pool are enough.
+	Candidate func(pool string) bool
+	Clock     platform.Clock
+	Log       log.Logger
+	// Seed fixes the jitter of the leases.
+	Seed uint64
+}
+
+// A Task gives orders to the engines of the pools whose leases this VM holds.
+type Task struct {
+	opts   Options
+	leases *lease.Task
+	slots  *slots
+
+	mu     sync.Mutex
+	groups map[string]*running
+}
+
+// running is a group with what ends it.
+type running struct {
+	group *group
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+// NewTask returns a Task; Run must run for it to give orders.
+func NewTask(o Options) *Task {
+	if o.Log == nil {
+		o.Log = log.NewNopLogger()
+	}
+	if o.Candidate == nil {
+		o.Candidate = func(string) bool { return true }
+	}
+	return &Task{
+		opts:   o,
+		leases: lease.NewTask(lease.Options{Self: o.Self, Store: o.Store, Clock: o.Clock, Log: o.Log, Seed: o.Seed}),
+		slots:  newSlots(o.Self, o.Store, o.Clock),
+		groups: map[string]*running{},
+	}
+}
+
+// Run gives orders until ctx ends, then waits for open ones and hands the
+// leases back.
+func (t *Task) Run(ctx context.Context) error {
+	leasing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	leased := make(chan struct{})
+	go func() {
+		defer close(leased)
+		_ = t.leases.Run(leasing)
+	}()
+	ticker := time.NewTicker(poolsTime)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		t.follow(ctx, t.pools())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	t.follow(ctx, nil)
+	stop()
+	<-leased
+	return nil
+}
+
+// pools returns the pools with engines that this VM should try to hold.
+func (t *Task) pools() map[string]bool {
+	pools := map[string]bool{}
+	v := t.opts.Config()
+	for i := range v.Targets {
+		if p := v.Targets[i].Pool; v.Targets[i].Kind == config.TargetEngine && !pools[p] {
+			pools[p] = t.opts.Candidate(p)
+		}
+	}
+	return pools
+}
+
+// follow starts and ends groups so that the wanted pools have one each.
+func (t *Task) follow(ctx context.Context, wanted map[string]bool) {
+	t.mu.Lock()
+	var ending []*running
+	for pool, r := range t.groups {
+		if !wanted[pool] {
+			r.stop()
+			ending = append(ending, r)
+			delete(t.groups, pool)
+		}
+	}
+	t.mu.Unlock()
+	for _, r := range ending {
+		<-r.done
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for pool, want := range wanted {
+		if want && t.groups[pool] == nil {
+			t.groups[pool] = t.start(ctx, pool)
+		}
+	}
+}
+
+func (t *Task) start(ctx context.Context, pool string) *running {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &running{
+		group: &group{
+			pool:    pool,
+			opts:    &t.opts,
+			leases:  t.leases,
+			slots:   t.slots,
+			results: make(chan result),
+			sent:    map[string]Sent{},
+		},
+		stop: cancel,
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(r.done)
+		defer cancel()
+		r.group.run(ctx)
+	}()
+	return r
+}
+
+// A Dump is the state of a Task for operators.
+type Dump struct {
+	Leases any    `json:"leases"`
+	Pools  []Pool `json:"pools"`
+}
+
+// A Pool is one pool in a Dump, with the last order to each target.
+type Pool struct {
+	Pool string          `json:"pool"`
+	Term int64           `json:"term"`
+	Sent map[string]Sent `json:"sent"`
+}
+
+// Dump returns the leases and the last orders by pool.
+func (t *Task) Dump() any {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := Dump{Leases: t.leases.Dump()}
+	for _, r := range t.groups {
+		d.Pools = append(d.Pools, r.group.dump())
+	}
+	slices.SortFunc(d.Pools, func(a, b Pool) int { return strings.Compare(a.Pool, b.Pool) })
+	return d
+}
+
+func (g *group) dump() Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := Pool{Pool: g.pool, Term: g.term, Sent: make(map[string]Sent, len(g.sent))}
+	for name, s := range g.sent {
+		p.Sent[name] = s
+	}
+	return p
+}
