Serve the whole path from a caller to a target

Cause: the parts had no process around them; no request could be served. Change: add settings, the callers' and operators' HTTP interfaces, and the daemon that builds one VM from the parts, with its life from warming to a planned stop. A test starts two VMs over drpc before stand-ins of the object API, two engines and a service. Measured: go test -race ./internal/daemon passes: entry answers, complete streams on both VMs, a seat hold that runs once over both VMs, eight kinds of refusal, no key at a target, and a planned stop. A first run failed with 429, since buckets of new slots start empty; the test now waits for the first tokens. Conclusion: the thin path stands. That buckets start empty costs refusals inside the rate after a start and is to be measured in the limit package.

--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,129 @@
+package caller
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+
+	"github.com/baobabdyke/baobabdyke/claim"
+)
+
+// An answerWriter marks an answer as run when its status is written. Event
+// streams may start before a target answers, so they carry no mark: their last
+// event tells how they ended.
+type answerWriter struct {
+	http.ResponseWriter
+	started bool
+}
+
+func newAnswerWriter(w http.ResponseWriter) *answerWriter {
+	return &answerWriter{ResponseWriter: w}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *answerWriter) begin() {
+	if !w.started {
+		w.started = true
+		if !strings.HasPrefix(w.Header().Get("Content-Type"), "text/event-stream") {
+			w.Header().Set(HeaderOutcome, OutcomeRan)
+		}
+	}
+}
+
+// A keeper keeps a copy of an answer for its claim. Answers that are no streams
+// are held back until the claim has ended. An answer larger than the bound is
+// passed on whole and kept as its status alone.
+type keeper struct {
+	w       http.ResponseWriter
+	through bool
+	bound   int
+	status  int
+	body    bytes.Buffer
+	started bool
+	cut     bool
+}
+
+func newKeeper(w http.ResponseWriter, through bool, bound int) *keeper {
+	return &keeper{w: w, through: through, bound: bound, status: http.StatusOK}
+}
+
+// Header implements http.ResponseWriter.
+func (k *keeper) Header() http.Header { return k.w.Header() }
+
+// WriteHeader implements http.ResponseWriter.
+func (k *keeper) WriteHeader(status int) {
+	k.status = status
+	k.started = true
+	if k.through {
+		k.w.WriteHeader(status)
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (k *keeper) Write(p []byte) (int, error) {
+	k.started = true
+	if k.body.Len()+len(p) > k.bound {
+		k.release()
+	}
+	if !k.cut {
+		k.body.Write(p)
+	}
+	if !k.through {
+		return len(p), nil
+	}
+	// A caller that is gone does not end a once-only request.
+	_, _ = k.w.Write(p)
+	return len(p), nil
+}
+
+// FlushError flushes what was passed on, for http.ResponseController.
+func (k *keeper) FlushError() error {
+	if !k.through {
+		return nil
+	}
+	return http.NewResponseController(k.w).Flush()
+}
+
+// release passes on what was held back and keeps no copy from here on.
+func (k *keeper) release() {
+	k.flush()
+	k.through = true
+	k.cut = true
+	k.body.Reset()
+}
+
+// flush writes what was held back.
+func (k *keeper) flush() {
+	if k.through || !k.started {
+		return
+	}
+	k.w.WriteHeader(k.status)
+	_, _ = k.w.Write(k.body.Bytes())
+	k.through = true
+}
+
+// answer returns the copy for the claim.
+func (k *keeper) answer() claim.Answer {
+	if k.cut {
+		return claim.Answer{Status: k.status, ContentType: "text/plain", Body: []byte("the request ran; its answer was too large to be kept")}
+	}
+	return claim.Answer{
+		Status:      k.status,
+		ContentType: k.w.Header().Get("Content-Type"),
+		Body:        bytes.Clone(k.body.Bytes()),
+	}
+}
--- /dev/null
+++ b/internal/caller/which.go
@@ -0,0 +1,56 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/customer"
+	"github.com/baobabdyke/baobabdyke/entry"
+)
+
+// entry serves GET /entry?route=R&prefix=HEX.
+func (h *Handler) entry(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	family, err := parseFamily(query.Get("prefix"))
+	if err != nil {
+		h.refuse(w, r, Failure{
+			Status:  http.StatusBadRequest,
+			Code:    CodeBadRequest,
+			Message: "prefix is not a hexadecimal number of at most 16 digits",
+			Outcome: OutcomeNotRun,
+		})
+		return
+	}
+	view := h.opts.Config.Current()
+	granted, failure := authorize(view, r, query.Get("route"))
+	if failure != nil {
+		h.refuse(w, r, *failure)
+		return
+	}
+	answer := h.opts.Placer.Answer(entryRequest(view, granted, family, h.opts.DataCentre))
+	h.counts.Add(codeEntry)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func entryRequest(v *config.View, g customer.Granted, family uint64, dataCentre string) entry.Request {
+	r := entry.Request{
+		Customer:   g.Grant.Customer,
+		Route:      g.Route.Name,
+		Family:     family,
+		DataCentre: dataCentre,
+	}
+	if c := v.Customer(g.Grant.Customer); c != nil {
+		r.Rate = c.Rate
+	}
+	return r
+}
+
+func parseFamily(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 16, 64)
+}
--- /dev/null
+++ b/internal/daemon/ports.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/baobabdyke/baobabdyke/internal/operator"
+	"github.com/baobabdyke/baobabdyke/internal/settings"
+)
+
+// callerServer returns the server of the callers' port. It has no bound on the
+// time to write an answer, since answers are streams; each write has its own.
+func (v *VM) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           v.callers,
+		ReadHeaderTimeout: settings.DefaultHeaderTimeout,
+		IdleTimeout:       v.settings.Entry.TTL,
+		MaxHeaderBytes:    v.settings.Callers.Header,
+	}
+}
+
+// operatorServer returns the server of the operators' port.
+func (v *VM) operatorServer() *http.Server {
+	return &http.Server{
+		Handler:           v.operatorHandler,
+		ReadHeaderTimeout: settings.DefaultHeaderTimeout,
+		MaxHeaderBytes:    settings.DefaultHeaderBytes,
+	}
+}
+
+// serveHTTP serves until the server is shut down.
+func serveHTTP(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// dumps returns the state dumps of all parts by the paths that show them.
+func (v *VM) dumps() map[string]operator.Dump {
+	return map[string]operator.Dump{
+		"vms":      v.members.Dump,
+		"targets":  v.fleet.Dump,
+		"limits":   v.limits.Dump,
+		"prefixes": v.index.Dump,
+		"claims":   v.claims.Dump,
+		"queue":    v.queue.Dump,
+		"requests": v.callers.Dump,
+		"keeper":   v.keeper.Dump,
+		"life":     v.dumpLife,
+	}
+}
+
+func (v *VM) dumpLife() any {
+	return struct {
+		State string `json:"state"`
+	}{v.life.State()}
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/baobabdyke/baobabdyke/internal/settings"
+)
+
+// Listen opens the ports that the settings name. It returns the settings with
+// the ports that the system chose where they name port 0.
+func Listen(ctx context.Context, s settings.Settings) (Listeners, settings.Settings, error) {
+	var l Listeners
+	ports := []struct {
+		address  *string
+		tls      settings.TLS
+		listener *net.Listener
+	}{
+		{&s.Callers.Address, s.Callers.TLS, &l.Caller},
+		{&s.Operators.Address, s.Operators.TLS, &l.Operator},
+		{&s.Peers.Address, settings.TLS{}, &l.Peer},
+	}
+	for _, p := range ports {
+		open, err := listen(ctx, *p.address, p.tls)
+		if err != nil {
+			l.Close()
+			return Listeners{}, s, err
+		}
+		*p.listener = open
+		*p.address = open.Addr().String()
+	}
+	return l, s, nil
+}
+
+// Close closes the ports that are open.
+func (l Listeners) Close() {
+	for _, open := range []net.Listener{l.Caller, l.Operator, l.Peer} {
+		if open != nil {
+			_ = open.Close()
+		}
+	}
+}
+
+func listen(ctx context.Context, address string, files settings.TLS) (net.Listener, error) {
+	cfg, err := files.Config()
+	if err != nil {
+		return nil, err
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	if cfg != nil {
+		l = tls.NewListener(l, cfg)
+	}
+	return l, nil
+}
+
+// Serve runs a VM over the network until ctx ends or a drain is asked for.
+func Serve(ctx context.Context, s settings.Settings, logger log.Logger) error {
+	c, err := ReadCredentials(s)
+	if err != nil {
+		return err
+	}
+	l, s, err := Listen(ctx, s)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	return ServeOn(ctx, s, c, l, logger)
+}
+
+// ServeOn runs a VM on ports that are already open.
+func ServeOn(ctx context.Context, s settings.Settings, c Credentials, l Listeners, logger log.Logger) error {
+	outside, err := NewReal(s, c.PeerSecret, logger)
+	if err != nil {
+		return err
+	}
+	return New(s, c, outside.Outside, logger).Run(ctx, l, outside.Serve)
+}
+
+// ReadCredentials reads the credential files that the settings name.
+func ReadCredentials(s settings.Settings) (Credentials, error) {
+	token, err := settings.ReadSecret(s.Operators.Token)
+	if err != nil {
+		return Credentials{}, err
+	}
+	secret, err := settings.ReadSecret(s.Peers.Secret)
+	if err != nil {
+		return Credentials{}, err
+	}
+	return Credentials{OperatorToken: token, PeerSecret: secret}, nil
+}
--- /dev/null
+++ b/internal/daemon/whole_test.go
@@ -0,0 +1,302 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/entry"
+	"github.com/baobabdyke/baobabdyke/internal/caller"
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/internal/settings"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+const (
+	testKey   = "sample-key-of-a-customer"
+	testToken = "sample-operator-token"
+	testPatch = `
+id: first
+base: 0
+set:
+  models:
+    - {name: kuroko, versions: [v1], piece: 64}
+  routes:
+    - {name: verdict, kind: model, pool: llm, model: kuroko, version: v1, idempotent: true, deadline: 20s, queue: 100}
+    - {name: hold, kind: service, pool: app, once: true, deadline: 20s, queue: 100}
+  customers:
+    - name: bunraku
+      keys: [{id: k1, digest: %s}]
+      rate: {requests: 100, requestburst: 100, tokens: 100000, tokenburst: 100000}
+      routes: [verdict, hold]
+  targets:
+    - {name: engine-1, kind: engine, pool: llm, address: "%s", datacentre: hakata, slots: 8}
+    - {name: engine-2, kind: engine, pool: llm, address: "%s", datacentre: kokura, slots: 8}
+    - {name: app-1, kind: service, pool: app, address: "%s", datacentre: hakata, slots: 8}
+`
+)
+
+// A fleet is a number of VMs over the network before stand-ins.
+type fleet struct {
+	t       *testing.T
+	objects *platform.Memory
+	engines []*fake.Engine
+	service *fake.Service
+	vms     []settings.Settings
+	run     []*VM
+	stopped []chan error
+}
+
+// newFleet starts n VMs and gives them a configuration.
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, objects: platform.NewMemory(), service: fake.NewService("app-1")}
+	api := httptest.NewServer(fake.NewObjects(f.objects))
+	t.Cleanup(api.Close)
+	var addresses []any
+	for i := range 2 {
+		engine := fake.NewEngine(fake.EngineOptions{Name: fmt.Sprintf("engine-%d", i+1), Model: "kuroko"})
+		f.engines = append(f.engines, engine)
+		addresses = append(addresses, f.listen(engine))
+	}
+	addresses = append(addresses, f.listen(f.service))
+	for i := range n {
+		f.start(i, strings.TrimPrefix(api.URL, "http://"))
+	}
+	f.patch(0, fmt.Sprintf(testPatch, append([]any{digest(testKey)}, addresses...)...))
+	f.awaitReady()
+	f.awaitTokens()
+	return f
+}
+
+// listen serves h on a port of its own.
+func (f *fleet) listen(h http.Handler) string {
+	s := httptest.NewServer(h)
+	f.t.Cleanup(s.CloseClientConnections)
+	return s.Listener.Addr().String()
+}
+
+// start starts the VM with an index.
+func (f *fleet) start(i int, api string) {
+	f.t.Helper()
+	s := settings.Settings{
+		VM:         fmt.Sprintf("vm-%d", i+1),
+		Region:     "kyushu",
+		DataCentre: "hakata",
+		Callers:    settings.Callers{Address: "127.0.0.1:0", Body: 1 << 20, Header: 1 << 16, Timeout: time.Minute},
+		Operators:  settings.Operators{Address: "127.0.0.1:0"},
+		Peers:      settings.Peers{Address: "127.0.0.1:0"},
+		Platform:   settings.Platform{Address: api},
+		Entry:      settings.Entry{TTL: 100 * time.Millisecond, Lag: 100 * time.Millisecond},
+	}
+	l, s, err := Listen(f.t.Context(), s)
+	must.NoError(f.t, err)
+	c := Credentials{OperatorToken: []byte(testToken), PeerSecret: []byte("sample-peer-secret")}
+	outside, err := NewReal(s, c.PeerSecret, log.NewNopLogger())
+	must.NoError(f.t, err)
+	v := New(s, c, outside.Outside, log.NewNopLogger())
+	f.vms = append(f.vms, s)
+	f.run = append(f.run, v)
+	var list []platform.VMRecord
+	for _, one := range f.vms {
+		list = append(list, platform.VMRecord{
+			ID: one.VM, Address: one.Peers.Address, DataCentre: one.DataCentre, State: platform.VMLive,
+		})
+	}
+	f.objects.SetVMs(list)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	f.stopped = append(f.stopped, done)
+	go func() { done <- v.Run(ctx, l, outside.Serve) }()
+	f.t.Cleanup(cancel)
+}
+
+// A reply is an answer without its body.
+type reply struct {
+	status int
+	header http.Header
+}
+
+// do sends a request to a port. The headers are names and values in turn.
+func (f *fleet) do(method, url, body string, headers ...string) (reply, string) {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), method, url, strings.NewReader(body))
+	must.NoError(f.t, err)
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	must.NoError(f.t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	must.NoError(f.t, err)
+	return reply{status: resp.StatusCode, header: resp.Header}, string(data)
+}
+
+// ask sends a request with the customer's key to the callers' port of a VM.
+func (f *fleet) ask(i int, method, path, body string, headers ...string) (reply, string) {
+	f.t.Helper()
+	headers = append([]string{"Authorization", "Bearer " + testKey}, headers...)
+	return f.do(method, "http://"+f.vms[i].Callers.Address+path, body, headers...)
+}
+
+// patch submits a patch and returns the answer, which must be an acceptance.
+func (f *fleet) patch(i int, body string) {
+	f.t.Helper()
+	url := "http://" + f.vms[i].Operators.Address + "/patch"
+	resp, answer := f.do(http.MethodPost, url, body, "Authorization", "Bearer "+testToken)
+	must.Eq(f.t, http.StatusOK, resp.status, must.Sprint(answer))
+}
+
+// awaitReady returns when all VMs have said that they are ready.
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	for i := range f.vms {
+		f.await(func() bool {
+			resp, _ := f.do(http.MethodGet, "http://"+f.vms[i].Operators.Address+"/ready", "")
+			return resp.status == http.StatusOK
+		})
+	}
+}
+
+// awaitTokens returns when every VM admits a request, since new buckets fill at
+// the customer's rate, and names every VM in its entry answers.
+func (f *fleet) awaitTokens() {
+	f.t.Helper()
+	for i := range f.vms {
+		f.await(func() bool {
+			resp, _ := f.ask(i, http.MethodPost, "/v1/chat/completions", chatBody("open?", 1000))
+			return resp.status == http.StatusOK
+		})
+		f.await(func() bool {
+			_, body := f.ask(i, http.MethodGet, "/entry?route=verdict", "")
+			var answer entry.Answer
+			return json.Unmarshal([]byte(body), &answer) == nil && len(answer.VMs) == len(f.vms)
+		})
+	}
+}
+
+// await polls until the condition holds. The test's own time limit bounds it.
+func (f *fleet) await(condition func() bool) {
+	for !condition() {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func digest(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// chatBody returns a chat completion with a long shared prefix.
+func chatBody(question string, tokens int) string {
+	body, _ := json.Marshal(struct {
+		Model     string              `json:"model"`
+		Stream    bool                `json:"stream"`
+		MaxTokens int                 `json:"max_tokens"`
+		Messages  []map[string]string `json:"messages"`
+	}{"verdict", true, tokens, []map[string]string{
+		{"role": "system", "content": strings.Repeat("house rule. ", 40)},
+		{"role": "user", "content": question},
+	}})
+	return string(body)
+}
+
+// mustBeComplete checks that a stream holds n parts in order and its end.
+func mustBeComplete(t *testing.T, stream string, n int) {
+	t.Helper()
+	offset := 0
+	lines := bufio.NewScanner(bytes.NewBufferString(stream))
+	for lines.Scan() {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			offset++
+			must.Eq(t, fmt.Sprint(offset), id)
+		}
+	}
+	must.GreaterEq(t, n, offset)
+	must.StrContains(t, stream, "data: [DONE]")
+}
+
+func TestWholePath(t *testing.T) {
+	f := newFleet(t, 2)
+
+	t.Run("entry names both VMs", func(t *testing.T) {
+		resp, body := f.ask(0, http.MethodGet, "/entry?route=verdict", "")
+		must.Eq(t, http.StatusOK, resp.status, must.Sprint(body))
+		var answer entry.Answer
+		must.NoError(t, json.Unmarshal([]byte(body), &answer))
+		must.SliceLen(t, 2, answer.VMs)
+	})
+	t.Run("a stream is complete and in order", func(t *testing.T) {
+		for i := range f.vms {
+			resp, body := f.ask(i, http.MethodPost, "/v1/chat/completions", chatBody("is row C free?", 5))
+			must.Eq(t, http.StatusOK, resp.status, must.Sprint(body))
+			must.NotEq(t, "", resp.header.Get(caller.HeaderPrefix))
+			mustBeComplete(t, body, 5)
+		}
+	})
+	t.Run("once-only work runs once over both VMs", func(t *testing.T) {
+		first, answer := f.ask(0, http.MethodPost, "/s/hold/holds", `{"seat":"C7"}`, caller.HeaderIdempotencyKey, "hold-1")
+		must.Eq(t, http.StatusCreated, first.status, must.Sprint(answer))
+		again, repeated := f.ask(1, http.MethodPost, "/s/hold/holds", `{"seat":"C7"}`, caller.HeaderIdempotencyKey, "hold-1")
+		must.Eq(t, http.StatusCreated, again.status, must.Sprint(repeated))
+		must.Eq(t, answer, repeated)
+		must.Eq(t, 1, f.service.Held())
+	})
+	t.Run("refusals", func(t *testing.T) { testRefusals(t, f) })
+	t.Run("no key reaches a target", func(t *testing.T) {
+		for _, e := range f.engines {
+			must.False(t, e.Contains(testKey))
+		}
+		must.False(t, f.service.Contains(testKey))
+	})
+	t.Run("a planned stop ends by itself", func(t *testing.T) {
+		f.run[1].Drain()
+		must.NoError(t, <-f.stopped[1])
+	})
+}
+
+// testRefusals checks the status and the outcome of requests that do not run.
+func testRefusals(t *testing.T, f *fleet) {
+	cases := []struct {
+		name    string
+		method  string
+		path    string
+		body    string
+		headers []string
+		status  int
+	}{
+		{"wrong key", http.MethodPost, "/v1/chat/completions", chatBody("?", 1), []string{"Authorization", "Bearer no"}, 401},
+		{"unknown route", http.MethodGet, "/s/none/x", "", nil, 404},
+		{"not JSON", http.MethodPost, "/v1/chat/completions", "{", nil, 400},
+		{"no idempotency key", http.MethodPost, "/s/hold/holds", `{"seat":"A1"}`, nil, 400},
+		{"key used again", http.MethodPost, "/s/hold/holds", `{"seat":"A1"}`, []string{caller.HeaderIdempotencyKey, "hold-1"}, 422},
+		{"body too large", http.MethodPost, "/s/hold/holds", strings.Repeat("x", 2<<20), nil, 413},
+		{"larger than the burst", http.MethodPost, "/v1/chat/completions", chatBody("?", 120000), nil, 413},
+		{"key in the query", http.MethodGet, "/entry?route=verdict&key=" + testKey, "", []string{"Authorization", ""}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			resp, body := f.ask(0, c.method, c.path, c.body, c.headers...)
+			if c.status == 0 {
+				must.NotEq(t, http.StatusOK, resp.status)
+				return
+			}
+			must.Eq(t, c.status, resp.status, must.Sprint(body))
+			must.Eq(t, caller.OutcomeNotRun, resp.header.Get(caller.HeaderOutcome))
+		})
+	}
+}
--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/rotisserie/eris"
+)
+
+// Config returns the TLS configuration of the named files, or nil if there are
+// none. With an authority, both sides must show a certificate that it signed.
+func (t TLS) Config() (*tls.Config, error) {
+	if t.Certificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+	if err != nil {
+		return nil, eris.Wrap(err, "load certificate")
+	}
+	cfg := &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13}
+	if t.Authority == "" {
+		return cfg, nil
+	}
+	pem, err := os.ReadFile(t.Authority)
+	if err != nil {
+		return nil, eris.Wrap(err, "read authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("authority %s holds no certificate", t.Authority)
+	}
+	cfg.RootCAs = pool
+	cfg.ClientCAs = pool
+	cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+)
+
+// A Problem is one setting that cannot be used.
+type Problem struct {
+	File      string
+	Field     string
+	Reason    string
+	Permitted string
+}
+
+// Error implements error.
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s: %s: %s (permitted: %s)", p.File, p.Field, p.Reason, p.Permitted)
+}
+
+// A check is one rule on a setting.
+type check struct {
+	ok        bool
+	field     string
+	reason    string
+	permitted string
+}
+
+// validate returns all problems of the settings, joined.
+func (s Settings) validate(file string) error {
+	var all []error
+	for _, c := range s.checks() {
+		if !c.ok {
+			all = append(all, Problem{File: file, Field: c.field, Reason: c.reason, Permitted: c.permitted})
+		}
+	}
+	return errors.Join(all...)
+}
+
+func (s Settings) checks() []check {
+	return []check{
+		required("vm", s.VM),
+		required("region", s.Region),
+		required("datacentre", s.DataCentre),
+		address("callers.address", s.Callers.Address),
+		address("operators.address", s.Operators.Address),
+		address("peers.address", s.Peers.Address),
+		address("platform.address", s.Platform.Address),
+		required("operators.token", s.Operators.Token),
+		required("peers.secret", s.Peers.Secret),
+		distinct("operators.address", s.Operators.Address, s.Callers.Address),
+		distinct("peers.address", s.Peers.Address, s.Callers.Address),
+		pair("callers.tls", s.Callers.TLS),
+		pair("operators.tls", s.Operators.TLS),
+		pair("peers.tls", s.Peers.TLS),
+		positive("callers.body", s.Callers.Body),
+		positive("callers.header", int64(s.Callers.Header)),
+		positive("callers.timeout", int64(s.Callers.Timeout)),
+		positive("entry.ttl", int64(s.Entry.TTL)),
+		positive("entry.lag", int64(s.Entry.Lag)),
+		{s.Platform.Calls >= 0, "platform.calls", "is negative", "calls a second, 0 for no bound"},
+	}
+}
+
+func required(field, value string) check {
+	return check{value != "", field, "is missing", "a text that is not empty"}
+}
+
+func address(field, value string) check {
+	return check{isAddress(value), field, fmt.Sprintf("%q is no address", value), "IP:port, such as 10.0.0.7:8080"}
+}
+
+func distinct(field, value, other string) check {
+	same := value == other && value != "" && value != "127.0.0.1:0"
+	return check{!same, field, "is the same port as callers.address", "a port of its own"}
+}
+
+func pair(field string, t TLS) check {
+	both := (t.Certificate == "") == (t.Key == "")
+	return check{both, field, "has a certificate without its key, or the other way round", "both files or neither"}
+}
+
+func positive(field string, value int64) check {
+	return check{value > 0, field, "is not above zero", "a value above zero"}
+}
