Add the subcommands check, patch, show and drain

Cause: operators need to check files, send patches, read a VM's state and stop it, and to tell by the exit code what became of a patch. Change: add the four subcommands over the operators' port. Unexpected shapes of a dump are printed as tables too.

--- a/config/commands.go
+++ b/config/commands.go
@@ -39,14 +39,7 @@
 
 // Import submits a whole configuration as the first patch.
 func (k *Keeper) Import(ctx context.Context, cfg *Config) PatchResult {
-	p := Patch{
-		Set: Items{
-			Customers: cfg.Customers, Routes: cfg.Routes, Models: cfg.Models, Targets: cfg.Targets,
-		},
-		Retire: cfg.Retired,
-	}
-	p.ID = "import-" + p.digest()[:16]
-	return k.Submit(ctx, p)
+	return k.Submit(ctx, FirstPatch(cfg))
 }
 
 // handlePush takes a version from another VM.
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -22,11 +22,22 @@
 	ExitConflict = 3
 	// ExitUnknown reports a patch that may or may not be in force.
 	ExitUnknown = 4
+	// ExitRefused reports a patch that was refused whole.
+	ExitRefused = 5
 )
 
+// A command is one subcommand. It returns the exit code.
+type command interface {
+	run(stdout, stderr io.Writer) int
+}
+
 // arguments are the arguments of the program: one subcommand.
 type arguments struct {
-	VersionCommand *versionCommand `arg:"subcommand:version" help:"print the version"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a configuration, a patch or settings without sending them"`
+	Patch   *patchCommand   `arg:"subcommand:patch" help:"change the configuration"`
+	Show    *showCommand    `arg:"subcommand:show" help:"show the state of a VM"`
+	Drain   *drainCommand   `arg:"subcommand:drain" help:"stop a VM without cutting requests"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
 // Description implements the help text of go-arg.
@@ -37,16 +48,15 @@
 // Epilogue implements the end of the help text of go-arg.
 func (arguments) Epilogue() string {
 	return "Exit codes: 0 done, 1 failed, 2 wrong arguments, settings or configuration, " +
-		"3 patch conflicts with a newer version, 4 outcome of a patch unknown."
+		"3 patch conflicts with a newer version, 4 outcome of a patch unknown, 5 patch refused."
 }
 
 // Main runs the program with args and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "baobabdyke"}, &a)
+	p, err := arg.NewParser(arg.Config{Program: "baobabdyke", Out: stdout}, &a)
 	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return ExitFailure
+		return fail(stderr, ExitFailure, err)
 	}
 	err = p.Parse(args)
 	switch {
@@ -54,14 +64,18 @@
 		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
 		return ExitOK
 	case err != nil:
-		fmt.Fprintf(stderr, "baobabdyke: %v\n", err)
-		return ExitUsage
+		return fail(stderr, ExitUsage, err)
 	}
-	switch {
-	case a.VersionCommand != nil:
-		return a.VersionCommand.run(stdout)
-	default:
+	c, ok := p.Subcommand().(command)
+	if !ok {
 		p.WriteHelp(stderr)
 		return ExitUsage
 	}
+	return c.run(stdout, stderr)
+}
+
+// fail prints why the command failed and returns its exit code.
+func fail(stderr io.Writer, code int, err error) int {
+	fmt.Fprintf(stderr, "baobabdyke: %v\n", err)
+	return code
 }
--- /dev/null
+++ b/internal/cmd/draincmd.go
@@ -0,0 +1,27 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// drainCommand is the subcommand "drain".
+type drainCommand struct {
+	operatorArguments
+}
+
+func (c *drainCommand) run(stdout, stderr io.Writer) int {
+	answer, err := c.call(http.MethodPost, "/drain", "")
+	switch {
+	case err != nil:
+		return fail(stderr, ExitFailure, err)
+	case answer.status/100 != 2:
+		return fail(stderr, ExitFailure, errors.New(answer.explain()))
+	default:
+		fmt.Fprintf(stdout, "%s drains: it takes requests until callers have forgotten it, "+
+			"finishes its streams, and exits\n", c.Operator)
+		return ExitOK
+	}
+}
--- /dev/null
+++ b/internal/cmd/patchcmd.go
@@ -0,0 +1,92 @@
+package cmd
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/baobabdyke/baobabdyke/config"
+)
+
+// patchCommand is the subcommand "patch".
+type patchCommand struct {
+	operatorArguments
+	First bool   `arg:"--first" help:"the file holds a whole configuration, to be the first"`
+	File  string `arg:"positional,required" help:"patch in YAML"`
+}
+
+// patchAnswer is the body of an answer to a patch.
+type patchAnswer struct {
+	Outcome  string           `json:"outcome"`
+	Version  int64            `json:"version"`
+	Problems []config.Problem `json:"problems"`
+	Error    string           `json:"error"`
+}
+
+func (c *patchCommand) run(stdout, stderr io.Writer) int {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return fail(stderr, ExitUsage, err)
+	}
+	data, err = c.patch(data)
+	if err != nil {
+		return fail(stderr, ExitRefused, fmt.Errorf("refused, not sent:\n%w", err))
+	}
+	answer, err := c.call(http.MethodPost, "/patch", string(data))
+	switch {
+	case errors.Is(err, errNotSent):
+		return fail(stderr, ExitFailure, fmt.Errorf("patch %w", err))
+	case err != nil:
+		return unknownPatch(stderr, err.Error())
+	}
+	return c.report(answer, stdout, stderr)
+}
+
+// patch returns the patch to send, after checking it.
+func (c *patchCommand) patch(data []byte) ([]byte, error) {
+	if !c.First {
+		_, err := config.DecodePatch(c.File, data)
+		return data, err
+	}
+	cfg, err := config.Decode(c.File, data)
+	if err != nil {
+		return nil, err
+	}
+	return yaml.Marshal(config.FirstPatch(cfg))
+}
+
+// report prints the outcome and returns its exit code.
+func (c *patchCommand) report(answer operatorAnswer, stdout, stderr io.Writer) int {
+	var body patchAnswer
+	_ = json.Unmarshal(answer.body, &body)
+	switch {
+	case answer.status == http.StatusOK && body.Outcome == "accepted":
+		fmt.Fprintf(stdout, "accepted as version %d\n", body.Version)
+		return ExitOK
+	case answer.status == http.StatusConflict:
+		fmt.Fprintf(stderr, "conflict: the current version is %d; nothing was changed. "+
+			"Read it with \"show config\", then send the patch against it.\n", body.Version)
+		return ExitConflict
+	case answer.status == http.StatusUnprocessableEntity:
+		problems := &config.Problems{List: body.Problems}
+		return fail(stderr, ExitRefused, fmt.Errorf("refused, nothing was changed:\n%w", problems))
+	case answer.status == http.StatusServiceUnavailable:
+		return unknownPatch(stderr, body.Error)
+	case answer.status >= http.StatusInternalServerError:
+		return unknownPatch(stderr, answer.explain())
+	default:
+		return fail(stderr, ExitFailure, fmt.Errorf("not sent on: %s", answer.explain()))
+	}
+}
+
+// unknownPatch reports a patch that may or may not be in force.
+func unknownPatch(stderr io.Writer, reason string) int {
+	fmt.Fprintf(stderr, "unknown: the patch may or may not be in force (%s). "+
+		"Send the same file again: a patch with the same id takes effect once.\n", reason)
+	return ExitUnknown
+}
--- /dev/null
+++ b/internal/cmd/table.go
@@ -0,0 +1,114 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+)
+
+// A document is a decoded JSON value of any shape.
+type document = any
+
+// printTables prints a JSON document as tables: one for every list of objects,
+// and one line for every other value.
+func printTables(w io.Writer, body []byte) error {
+	var doc document
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return err
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	printDocument(tw, "", doc)
+	return tw.Flush()
+}
+
+// printDocument prints one value under its dotted name.
+func printDocument(w io.Writer, name string, doc document) {
+	switch v := doc.(type) {
+	case map[string]document:
+		for _, key := range sortedKeys(v) {
+			printDocument(w, strings.TrimPrefix(name+"."+key, "."), v[key])
+		}
+	case []document:
+		printList(w, name, v)
+	default:
+		fmt.Fprintf(w, "%s\t%s\n", name, cell(v))
+	}
+}
+
+// printList prints a list of objects as a table, and another list on one line.
+func printList(w io.Writer, name string, list []document) {
+	columns := columnsOf(list)
+	if len(columns) == 0 {
+		fmt.Fprintf(w, "%s\t%s\n", name, cell(list))
+		return
+	}
+	if name != "" {
+		fmt.Fprintf(w, "\n%s\n", name)
+	}
+	fmt.Fprintln(w, strings.ToUpper(strings.Join(columns, "\t")))
+	for _, item := range list {
+		object, _ := item.(map[string]document)
+		cells := make([]string, len(columns))
+		for i, column := range columns {
+			cells[i] = cell(object[column])
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+}
+
+// columnsOf returns the names of the fields of all objects of a list: those that
+// name the object first, the others in alphabetical order.
+func columnsOf(list []document) []string {
+	all := map[string]document{}
+	for _, item := range list {
+		object, ok := item.(map[string]document)
+		if !ok {
+			return nil
+		}
+		for key := range object {
+			all[key] = nil
+		}
+	}
+	return sortedKeys(all)
+}
+
+func sortedKeys(object map[string]document) []string {
+	keys := make([]string, 0, len(object))
+	for key := range object {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if naming(keys[i]) != naming(keys[j]) {
+			return naming(keys[i])
+		}
+		return keys[i] < keys[j]
+	})
+	return keys
+}
+
+// naming tells whether a field names its object.
+func naming(key string) bool {
+	key = strings.ToLower(key)
+	return key == "id" || key == "name" || key == "version" || key == "customer" || key == "duty"
+}
+
+// cell returns a value in one cell.
+func cell(doc document) string {
+	switch v := doc.(type) {
+	case nil:
+		return "-"
+	case string:
+		if v == "" {
+			return "-"
+		}
+		return v
+	case float64:
+		return strings.TrimSuffix(fmt.Sprintf("%.3f", v), ".000")
+	default:
+		data, _ := json.Marshal(v)
+		return string(data)
+	}
+}
--- a/internal/cmd/versioncmd.go
+++ b/internal/cmd/versioncmd.go
@@ -9,7 +9,7 @@
 // versionCommand is the subcommand "version".
 type versionCommand struct{}
 
-func (c *versionCommand) run(stdout io.Writer) int {
+func (c *versionCommand) run(stdout, _ io.Writer) int {
 	version := "devel"
 	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
 		version = info.Main.Version
