--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -32,6 +33,7 @@
 type work struct {
 	call
 	id      string
+	header  http.Header
 	grant   customer.Grant
 	route   *config.Route
 	prompt  prefix.Prompt
@@ -103,8 +105,11 @@
 	if failure := h.checkRoute(granted.Route, c); failure != nil {
 		return nil, failure
 	}
+	header, target := stripped(r, c.path, granted.Route.Secrets)
+	c.path = target
 	job := &work{
 		call:    c,
+		header:  header,
 		id:      requestID(r.Context()),
 		grant:   granted.Grant,
 		route:   granted.Route,
@@ -127,6 +132,15 @@
 	return job, nil
 }
 
+// stripped returns the header and the path with query of a request without
+// anything that may carry a key.
+func stripped(r *http.Request, path string, secrets []string) (http.Header, string) {
+	header := r.Header.Clone()
+	address := &url.URL{Path: path, RawQuery: r.URL.RawQuery}
+	customer.Strip(header, address, secrets)
+	return header, address.RequestURI()
+}
+
 // checkRoute refuses requests that do not fit the route, or that this VM must
 // not serve because its configuration may be out of date.
 func (h *Handler) checkRoute(r *config.Route, c call) *Failure {
@@ -230,7 +244,7 @@
 		Route:    w.route,
 		Method:   w.request.Method,
 		Path:     w.path,
-		Header:   w.request.Header,
+		Header:   w.header,
 		Body:     w.body,
 		Prompt:   w.prompt,
 		Output:   w.output,
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -42,8 +42,10 @@
 	v.buildMembership()
 	v.buildPromises()
 	v.buildRouting()
+	v.buildOrders()
 	v.buildPorts(c)
 	v.register()
+	v.publish()
 	return v
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/caller"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/limit"
+	"github.com/baobabdyke/baobabdyke/order"
 	"github.com/baobabdyke/baobabdyke/peer"
 	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/prefix"
@@ -63,6 +64,7 @@
 	index   *prefix.Task
 	chooser *route.Chooser
 	runner  *dispatch.Runner
+	orders  *order.Task
 	callers *caller.Handler
 
 	operatorHandler http.Handler
@@ -122,6 +124,7 @@
 		v.fleet.Run,
 		v.index.Run,
 		v.chooser.Run,
+		v.orders.Run,
 	}
 }
 
