Divide the prefix index over VMs and weigh recomputation

Cause: Every VM read every engine's feed, a restarted VM had no way to its peers' entries, and choosing by time to first token alone copied prefixes until the caches thrashed. Change: One VM reads an engine's feed and passes each home its part, with all entries again after a gap or a lost message; restarted VMs pull from a peer. Keys carry the division in their leading bits. The planner weighs recomputation that another engine could save four times, and lets the hash of the first piece to compute decide among level targets, so that VMs place a cold prefix alike. peer gets the name of one more call, CallHeld.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -20,6 +20,9 @@
 	CallIndexPart = "/prefix/Part"
 	// CallIndexPull asks for a part at start: prefix.Pull, prefix.Part.
 	CallIndexPull = "/prefix/Pull"
+	// CallHeld asks a home which engines hold pieces: prefix.HeldRequest,
+	// prefix.HeldReply.
+	CallHeld = "/prefix/Held"
 	// CallTargets sends targets' states: target.States, target.StatesReply.
 	CallTargets = "/target/States"
 )
--- a/prefix/commands.go
+++ b/prefix/commands.go
@@ -1,7 +1,6 @@
 package prefix
 
 import (
-	"math/bits"
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/invariant"
@@ -26,47 +25,59 @@
 func (Repeated) applied() {}
 func (Gap) applied()      {}
 
-// Apply takes one cache event of an engine. An event of another incarnation or
+// Apply takes one cache event of an engine. An event of a new incarnation or
 // weight version drops all entries of the engine at once.
 func (x *Index) Apply(name string, ev target.CacheEvent, now time.Time) Applied {
-	e := x.engine(name)
-	if !e.known || e.incarnation != ev.Incarnation || e.weights != ev.Weights {
-		x.reset(e, ev.Incarnation, ev.Weights)
-		x.change(e, ev.Kind, ev.Pieces, now)
-		e.sequence = ev.Sequence
-		e.unsure = ev.Sequence > 1
-		if e.unsure {
-			return Gap{}
-		}
-		return InOrder{}
+	p := EnginePart{
+		Engine: name, Incarnation: ev.Incarnation, Weights: ev.Weights,
+		From: ev.Sequence - 1, To: ev.Sequence,
+	}
+	p.add(changeOf(ev.Kind), ev.Pieces)
+	return x.Merge(p, now)
+}
+
+// Load replaces all entries of an engine by those of a snapshot. A snapshot
+// that is older than the events already applied is Repeated.
+func (x *Index) Load(name string, s target.CacheSnapshot, now time.Time) Applied {
+	p := EnginePart{
+		Engine: name, Incarnation: s.Incarnation, Weights: s.Weights,
+		To: s.Sequence, Full: true,
 	}
-	if ev.Sequence <= e.sequence {
+	p.add(changeStored, s.Pieces)
+	return x.Merge(p, now)
+}
+
+// Merge takes the changes of one engine from a sequence number to another, or
+// all of its entries.
+func (x *Index) Merge(p EnginePart, now time.Time) Applied {
+	e := x.engine(p.Engine)
+	same := e.known && e.incarnation == p.Incarnation
+	switch {
+	case e.known && p.Incarnation == e.ended:
+		return Repeated{}
+	case same && p.Full && p.To < e.sequence:
+		return Repeated{}
+	case same && !p.Full && p.To <= e.sequence:
 		return Repeated{}
 	}
-	gap := ev.Sequence != e.sequence+1
-	e.sequence = ev.Sequence
-	x.change(e, ev.Kind, ev.Pieces, now)
+	gap := !p.Full && p.From > e.sequence
+	if !same {
+		gap = !p.Full && p.From > 0
+	}
+	if p.Full || !same || e.weights != p.Weights {
+		x.reset(e, p.Incarnation, p.Weights)
+	}
+	for _, c := range p.Changes {
+		x.change(e, c, now)
+	}
+	e.sequence = p.To
+	e.unsure = e.unsure || gap || p.Unsure
 	if gap {
-		e.unsure = true
 		return Gap{}
 	}
 	return InOrder{}
 }
 
-// Load replaces all entries of an engine by those of a snapshot. It ignores a
-// snapshot that is older than the events already applied.
-func (x *Index) Load(name string, s target.CacheSnapshot, now time.Time) bool {
-	e := x.engine(name)
-	same := e.known && e.incarnation == s.Incarnation && e.weights == s.Weights
-	if same && s.Sequence < e.sequence {
-		return false
-	}
-	x.reset(e, s.Incarnation, s.Weights)
-	e.sequence = s.Sequence
-	x.store(e, s.Pieces, now)
-	return true
-}
-
 // Expect records pieces that a request which was sent will leave in an engine,
 // or that it used there. It does nothing if the engine has moved on.
 func (x *Index) Expect(name, incarnation, weights string, keys []Key, now time.Time) {
@@ -108,19 +119,22 @@
 // reset starts a new epoch of an engine, in which it holds nothing.
 func (x *Index) reset(e *engine, incarnation, weights string) {
 	e.epoch++
+	if e.known && e.incarnation != incarnation {
+		e.ended = e.incarnation
+	}
 	e.incarnation, e.weights = incarnation, weights
 	e.sequence, e.pieces = 0, 0
 	e.known, e.unsure = true, false
 }
 
-// change carries out one event.
-func (x *Index) change(e *engine, kind string, pieces []uint64, now time.Time) {
-	switch kind {
-	case target.EventStored:
-		x.store(e, pieces, now)
-	case target.EventEvicted:
-		x.evict(e, pieces)
-	case target.EventCleared:
+// change carries out one change.
+func (x *Index) change(e *engine, c Change, now time.Time) {
+	switch c.Kind {
+	case changeStored:
+		x.store(e, c.Pieces, now)
+	case changeEvicted:
+		x.evict(e, c.Pieces)
+	case changeCleared:
 		x.reset(e, e.incarnation, e.weights)
 	}
 }
@@ -138,19 +152,17 @@
 		if ok {
 			open = -1
 		} else {
-			at, ok = x.add(&open, Key(piece))
-		}
-		if ok {
-			x.hold(e, at, t)
+			at = x.add(&open, Key(piece))
 		}
+		x.hold(e, at, t)
 	}
 }
 
 // add places an unknown piece at the end of the open run, or of a new one.
-func (x *Index) add(open *int, k Key) (place, bool) {
-	if x.table.used >= x.max && !x.sweep(open) {
-		x.dropped++
-		return 0, false
+func (x *Index) add(open *int, k Key) place {
+	if x.table.used >= x.max {
+		x.sweep()
+		*open = -1
 	}
 	if *open < 0 || x.runs[*open].pieces == runPieces {
 		x.runs = append(x.runs, run{})
@@ -160,7 +172,7 @@
 	at := placeAt(*open, int(r.pieces))
 	r.pieces++
 	x.table.insert(k, at)
-	return at, true
+	return at
 }
 
 // hold sets the bit of one piece.
@@ -189,49 +201,3 @@
 		invariant.Hold(e.pieces >= 0, "prefix-pieces", "engine %s holds %d pieces", e.name, e.pieces)
 	}
 }
-
-// sweep drops the pieces and runs that no engine holds, and tells whether at
-// least an eighth of the room became free. The open run is closed.
-func (x *Index) sweep(open *int) bool {
-	*open = -1
-	moved := make([]int, len(x.runs))
-	kept := x.runs[:0]
-	for i := range x.runs {
-		x.prune(&x.runs[i])
-		moved[i] = -1
-		if len(x.runs[i].holders) > 0 {
-			moved[i] = len(kept)
-			kept = append(kept, x.runs[i])
-		}
-	}
-	clear(x.runs[len(kept):])
-	x.runs = kept
-	x.table.rebuild(len(x.table.keys), func(p place) (place, bool) {
-		id := moved[p.run()]
-		if id < 0 || x.union(id)&p.bit() == 0 {
-			return 0, false
-		}
-		return placeAt(id, bits.TrailingZeros64(p.bit())), true
-	})
-	return x.table.used <= x.max-x.max/8
-}
-
-// prune removes the dead holders of a run.
-func (x *Index) prune(r *run) {
-	kept := r.holders[:0]
-	for i := range r.holders {
-		if x.alive(&r.holders[i]) {
-			kept = append(kept, r.holders[i])
-		}
-	}
-	r.holders = kept
-}
-
-// union returns the mask of the pieces of a run that any engine holds.
-func (x *Index) union(id int) uint64 {
-	var mask uint64
-	for _, h := range x.runs[id].holders {
-		mask |= h.mask
-	}
-	return mask
-}
--- a/prefix/feed.go
+++ b/prefix/feed.go
@@ -15,11 +15,17 @@
 	snapshotEvery = 500 * time.Millisecond
 )
 
-// A feed is the reading of one engine's cache events.
+// A feed is the reading of one engine's cache events. Its goroutine reads; the
+// task owns all fields but address and cancel.
 type feed struct {
-	address  string
-	cancel   context.CancelFunc
-	snapshot chan struct{}
+	address     string
+	cancel      context.CancelFunc
+	incarnation string
+	weights     string
+	sequence    uint64
+	unsure      bool
+	asking      bool
+	nextAsk     time.Time
 }
 
 // Messages of a feed to the task. Each carries the feed that it is of, so that
@@ -34,6 +40,7 @@
 		feed     *feed
 		engine   string
 		snapshot target.CacheSnapshot
+		err      error
 	}
 	feedBroken struct {
 		feed   *feed
@@ -41,11 +48,17 @@
 	}
 )
 
-// followFeeds opens the feeds of the configured engines and closes all others.
-func (t *Task) followFeeds(ctx context.Context, _ time.Time) {
+// followFeeds opens the feeds of the engines that this VM reads and closes all
+// others. Entries of engines that are no longer configured are dropped.
+func (t *Task) followFeeds(ctx context.Context) {
 	wanted := map[string]*config.Target{}
+	known := map[string]bool{}
 	for i, targets := 0, t.opts.Config().Targets; i < len(targets); i++ {
-		if targets[i].Kind == config.TargetEngine {
+		if targets[i].Kind != config.TargetEngine {
+			continue
+		}
+		known[targets[i].Name] = true
+		if t.reads(targets[i].Name) {
 			wanted[targets[i].Name] = &targets[i]
 		}
 	}
@@ -53,43 +66,57 @@
 		if w, ok := wanted[name]; !ok || w.Address != f.address {
 			f.cancel()
 			delete(t.feeds, name)
+		}
+	}
+	for name := range t.index.engines {
+		if !known[name] {
 			t.index.Drop(name)
 		}
 	}
 	for name, w := range wanted {
 		if _, ok := t.feeds[name]; !ok {
-			t.feeds[name] = t.openFeed(ctx, w)
+			t.openFeed(ctx, w)
 		}
 	}
 }
 
-func (t *Task) openFeed(ctx context.Context, w *config.Target) *feed {
+// reads tells whether this VM is the one that reads the engine's feed.
+func (t *Task) reads(engine string) bool {
+	return t.opts.Roster == nil || target.Reader(t.opts.Roster.Live(), engine) == t.opts.Self
+}
+
+// openFeed starts to read an engine. All homes get all of its entries.
+func (t *Task) openFeed(ctx context.Context, w *config.Target) {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &feed{address: w.Address, cancel: cancel, snapshot: make(chan struct{}, 1)}
+	f := &feed{address: w.Address, cancel: cancel, unsure: true, asking: true}
+	t.feeds[w.Name] = f
+	for _, o := range t.outboxes {
+		o.needAll(w.Name)
+	}
 	go t.readFeed(ctx, f, w.Name)
-	return f
 }
 
-// readFeed reads a snapshot and then events, again after every break.
+// readFeed reads events until ctx ends, again after every break. The sequence
+// number of the snapshot that is read first tells where to begin.
 func (t *Task) readFeed(ctx context.Context, f *feed, name string) {
 	for ctx.Err() == nil {
-		t.readOnce(ctx, f, name)
-		if !t.say(ctx, feedBroken{f, name}) {
+		s, err := t.opts.Client.Snapshot(ctx, f.address)
+		if !t.say(ctx, feedSnapshot{f, name, s, err}) {
 			return
 		}
+		if err == nil {
+			t.readEvents(ctx, f, name, s.Sequence)
+			t.say(ctx, feedBroken{f, name})
+		}
 		wait(ctx, feedRetry)
 	}
 }
 
-// readOnce reads until the feed breaks.
-func (t *Task) readOnce(ctx context.Context, f *feed, name string) {
+// readEvents passes events on until the feed breaks.
+func (t *Task) readEvents(ctx context.Context, f *feed, name string, after uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s, err := t.opts.Client.Snapshot(ctx, f.address)
-	if err != nil || !t.say(ctx, feedSnapshot{f, name, s}) {
-		return
-	}
-	events, err := t.opts.Client.Events(ctx, f.address, s.Sequence)
+	events, err := t.opts.Client.Events(ctx, f.address, after)
 	if err != nil {
 		return
 	}
@@ -99,8 +126,6 @@
 			if !ok || !t.say(ctx, feedEvent{f, name, ev}) {
 				return
 			}
-		case <-f.snapshot:
-			go t.readSnapshot(ctx, f, name)
 		case <-ctx.Done():
 			return
 		}
@@ -109,10 +134,8 @@
 
 // readSnapshot reads one snapshot beside the events.
 func (t *Task) readSnapshot(ctx context.Context, f *feed, name string) {
-	wait(ctx, snapshotEvery)
-	if s, err := t.opts.Client.Snapshot(ctx, f.address); err == nil {
-		t.say(ctx, feedSnapshot{f, name, s})
-	}
+	s, err := t.opts.Client.Snapshot(ctx, f.address)
+	t.say(ctx, feedSnapshot{f, name, s, err})
 }
 
 // say sends a message to the task, and tells whether it was taken.
@@ -134,46 +157,111 @@
 	}
 }
 
+// takeEvent passes an event to this VM's index and to the other homes.
 func (t *Task) takeEvent(m feedEvent, now time.Time) {
-	if t.feeds[m.engine] != m.feed {
+	f, ev := m.feed, m.event
+	if t.feeds[m.engine] != f {
 		return
 	}
-	t.index.Apply(m.engine, m.event, now)
-	t.wantSnapshot(m.feed, m.engine)
+	same := f.incarnation == ev.Incarnation
+	if same && ev.Sequence <= f.sequence {
+		return
+	}
+	gap := ev.Sequence != f.sequence+1
+	if !same {
+		gap = ev.Sequence != 1
+	}
+	if !same || f.weights != ev.Weights {
+		f.incarnation, f.weights = ev.Incarnation, ev.Weights
+		for _, o := range t.outboxes {
+			o.needAll(m.engine)
+		}
+		f.unsure = f.unsure || len(t.outboxes) > 0
+	}
+	f.unsure = f.unsure || gap
+	f.sequence = ev.Sequence
+	t.spread(f, m.engine, ev, now)
+}
+
+// spread gives one event to all homes.
+func (t *Task) spread(f *feed, engine string, ev target.CacheEvent, now time.Time) {
+	kind := changeOf(ev.Kind)
+	own := EnginePart{
+		Engine: engine, Incarnation: f.incarnation, Weights: f.weights,
+		From: ev.Sequence - 1, To: ev.Sequence, Unsure: f.unsure,
+	}
+	own.add(kind, t.placement.mine(t.opts.Self, ev.Pieces))
+	t.index.Merge(own, now)
+	for id, o := range t.outboxes {
+		if pieces := t.placement.mine(id, ev.Pieces); len(pieces) > 0 || kind == changeCleared || f.unsure {
+			o.add(f, engine, kind, pieces)
+		}
+	}
 }
 
+// takeSnapshot gives all entries of an engine to this VM's index, if the feed
+// had a gap, and to the homes that need them.
 func (t *Task) takeSnapshot(m feedSnapshot, now time.Time) {
-	if t.feeds[m.engine] != m.feed {
+	f, s := m.feed, m.snapshot
+	if t.feeds[m.engine] != f {
+		return
+	}
+	f.asking = false
+	t.tried[m.engine] = true
+	if m.err != nil || f.incarnation == s.Incarnation && s.Sequence < f.sequence {
 		return
 	}
-	t.index.Load(m.engine, m.snapshot, now)
-	t.wantSnapshot(m.feed, m.engine)
-	t.warm.Store(t.loaded())
+	if f.unsure || f.incarnation != s.Incarnation || f.weights != s.Weights {
+		f.incarnation, f.weights, f.sequence, f.unsure = s.Incarnation, s.Weights, s.Sequence, false
+		t.index.Merge(full(m.engine, s, t.placement.mine(t.opts.Self, s.Pieces)), now)
+		for _, o := range t.outboxes {
+			o.needAll(m.engine)
+		}
+	}
+	for id, o := range t.outboxes {
+		if o.full[m.engine] {
+			o.replace(full(m.engine, s, t.placement.mine(id, s.Pieces)))
+		}
+	}
 }
 
-func (t *Task) takeBroken(m feedBroken, _ time.Time) {
+// full returns a part that replaces all entries of an engine.
+func full(engine string, s target.CacheSnapshot, pieces []uint64) EnginePart {
+	p := EnginePart{
+		Engine: engine, Incarnation: s.Incarnation, Weights: s.Weights, To: s.Sequence, Full: true,
+	}
+	p.add(changeStored, pieces)
+	return p
+}
+
+// takeBroken makes the engine's entries unsure.
+func (t *Task) takeBroken(m feedBroken) {
 	if t.feeds[m.engine] == m.feed {
+		m.feed.unsure = true
 		t.index.Doubt(m.engine)
 	}
 }
 
-// wantSnapshot asks for a snapshot if the engine's entries are unsure.
-func (t *Task) wantSnapshot(f *feed, engine string) {
-	if !t.index.Unsure(engine) {
-		return
-	}
-	select {
-	case f.snapshot <- struct{}{}:
-	default:
+// askSnapshots reads the snapshots that are needed, not too often.
+func (t *Task) askSnapshots(ctx context.Context, now time.Time) {
+	for name, f := range t.feeds {
+		if f.asking || now.Before(f.nextAsk) || !t.needsSnapshot(f, name) {
+			continue
+		}
+		f.asking = true
+		f.nextAsk = now.Add(snapshotEvery)
+		go t.readSnapshot(ctx, f, name)
 	}
 }
 
-// loaded tells whether every engine's entries were loaded once.
-func (t *Task) loaded() bool {
-	for name := range t.feeds {
-		if incarnation, _ := t.index.Sequence(name); incarnation == "" {
-			return false
+func (t *Task) needsSnapshot(f *feed, name string) bool {
+	if f.unsure {
+		return true
+	}
+	for _, o := range t.outboxes {
+		if o.full[name] {
+			return true
 		}
 	}
-	return true
+	return false
 }
--- a/prefix/index.go
+++ b/prefix/index.go
@@ -54,9 +54,11 @@
 	epoch       uint32
 	incarnation string
 	weights     string
-	sequence    uint64
-	known       bool
-	unsure      bool
+	// ended is the incarnation before the present one.
+	ended    string
+	sequence uint64
+	known    bool
+	unsure   bool
 	// life is how long the engine keeps a piece that nothing uses; zero when it
 	// evicts nothing.
 	life   time.Duration
--- a/prefix/queries.go
+++ b/prefix/queries.go
@@ -10,12 +10,14 @@
 // A Holding is how much of a prompt an engine is thought to hold from its
 // start. It counts only with the same incarnation and weight version.
 type Holding struct {
-	Engine      string
-	Incarnation string
-	Weights     string
-	Pieces      int
+	Engine      string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Weights     string `cbor:"3,keyasint"`
+	Pieces      int    `cbor:"4,keyasint"`
 	// Worth is the probability, from 0 to 1, that the pieces are still there.
-	Worth float64
+	Worth float64 `cbor:"5,keyasint"`
+
+	engine *engine
 }
 
 // Held appends to dst one Holding for each engine that holds the first piece of
@@ -57,6 +59,7 @@
 			Weights:     e.weights,
 			Pieces:      1,
 			Worth:       e.worth(t, h.touched),
+			engine:      e,
 		})
 	}
 	return dst
@@ -69,7 +72,7 @@
 		if held[i].Pieces != depth {
 			continue
 		}
-		e := x.engines[held[i].Engine]
+		e := held[i].engine
 		h := x.find(r, e)
 		if h == nil || h.mask&at.bit() == 0 {
 			continue
@@ -138,6 +141,76 @@
 	return s
 }
 
+// Export returns all entries of the engines as parts that replace what another
+// index has, of the pieces whose division keep accepts.
+func (x *Index) Export(keep func(Division) bool) []EnginePart {
+	parts := make([]EnginePart, 0, len(x.byID))
+	at := make([]int, len(x.byID))
+	for i, e := range x.byID {
+		at[i] = -1
+		if e.known {
+			at[i] = len(parts)
+			parts = append(parts, e.part())
+		}
+	}
+	for _, pieces := range x.chains(keep) {
+		x.exportRun(parts, at, pieces)
+	}
+	return parts
+}
+
+// part returns an empty part that replaces the entries of the engine.
+func (e *engine) part() EnginePart {
+	return EnginePart{
+		Engine: e.name, Incarnation: e.incarnation, Weights: e.weights,
+		To: e.sequence, Full: true, Unsure: e.unsure,
+	}
+}
+
+// A chain is the keys of a run by position, zero where there is none.
+type chain struct {
+	run  int
+	keys [runPieces]Key
+}
+
+// chains returns the keys of all runs in the order of their making.
+func (x *Index) chains(keep func(Division) bool) []*chain {
+	list := make([]*chain, len(x.runs))
+	for i, k := range x.table.keys {
+		if k == 0 || !keep(k.Division()) {
+			continue
+		}
+		at := x.table.places[i]
+		c := list[at.run()]
+		if c == nil {
+			c = &chain{run: at.run()}
+			list[at.run()] = c
+		}
+		c.keys[at.position()] = k
+	}
+	return list
+}
+
+// exportRun adds the pieces of one run to the parts of its holders.
+func (x *Index) exportRun(parts []EnginePart, at []int, c *chain) {
+	if c == nil {
+		return
+	}
+	for i := range x.runs[c.run].holders {
+		h := &x.runs[c.run].holders[i]
+		if !x.alive(h) || at[h.engine] < 0 {
+			continue
+		}
+		var pieces []uint64
+		for position, k := range c.keys {
+			if k != 0 && h.mask&(1<<position) != 0 {
+				pieces = append(pieces, uint64(k))
+			}
+		}
+		parts[at[h.engine]].add(changeStored, pieces)
+	}
+}
+
 // raw returns the keys as numbers.
 func raw(keys []Key) []uint64 {
 	list := make([]uint64, len(keys))
--- a/prefix/split.go
+++ b/prefix/split.go
@@ -12,20 +12,20 @@
 
 const (
 	digestBytes = 32
-	// partBits is the number of leading bits of a Key that all keys of one
-	// family share. They tell the part of the index that a key belongs to.
-	partBits  = 16
-	partShift = 64 - partBits
+	// divisionBits is the number of leading bits of a Key that all keys of one
+	// family share.
+	divisionBits  = 16
+	divisionShift = 64 - divisionBits
 )
 
-// A Part is a division of the index: the families whose keys share their
+// A Division is a part of the index: the families whose keys share their
 // leading bits.
-type Part uint16
+type Division uint16
 
-// Part returns the part of the index that the key belongs to. It is the same
-// for all keys of a family, so that a key of an event needs no parent to be
-// placed.
-func (k Key) Part() Part { return Part(k >> partShift) }
+// Division returns the division of the index that the key belongs to. It is the
+// same for all keys of a family, so that a key of an event needs no parent to
+// be placed.
+func (k Key) Division() Division { return Division(k >> divisionShift) }
 
 // Digest returns a digest of the salt in hexadecimal, which names no customer.
 func (s Salt) Digest() string {
@@ -78,7 +78,7 @@
 	if len(before) == 0 {
 		return k
 	}
-	const rest = 1<<partShift - 1
+	const rest = 1<<divisionShift - 1
 	return before[0]&^rest | k&rest
 }
 
--- a/prefix/table.go
+++ b/prefix/table.go
@@ -21,7 +21,9 @@
 
 func (p place) run() int { return int(p >> placeBits) }
 
-func (p place) bit() uint64 { return 1 << (p & (runPieces - 1)) }
+func (p place) position() int { return int(p & (runPieces - 1)) }
+
+func (p place) bit() uint64 { return 1 << p.position() }
 
 // find returns the place of a key.
 func (t *table) find(k Key) (place, bool) {
--- a/prefix/task.go
+++ b/prefix/task.go
@@ -35,13 +35,21 @@
 	MaxPieces int
 }
 
-// A Task owns the Index of this VM and the feeds that it reads.
+// A Task owns the Index of this VM, the feeds that it reads, and what it has yet
+// to tell the other homes.
 type Task struct {
-	opts  Options
-	inbox chan any
-	index *Index
-	feeds map[string]*feed
-	warm  atomic.Bool
+	opts      Options
+	inbox     chan any
+	index     *Index
+	feeds     map[string]*feed
+	tried     map[string]bool
+	outboxes  map[string]*outbox
+	placement *Placement
+	published atomic.Pointer[Placement]
+	warm      atomic.Bool
+	begun     time.Time
+	pulling   bool
+	nextPull  time.Time
 	// queries holds heldQuery values for reuse.
 	queries sync.Pool
 }
@@ -69,20 +77,23 @@
 	if opts.Clock == nil {
 		opts.Clock = platform.SystemClock{}
 	}
-	return &Task{
-		opts:  opts,
-		inbox: make(chan any, inboxSize),
-		index: NewIndex(opts.MaxPieces, opts.Clock.Now()),
-		feeds: map[string]*feed{},
+	t := &Task{
+		opts:      opts,
+		inbox:     make(chan any, inboxSize),
+		begun:     opts.Clock.Now(),
+		feeds:     map[string]*feed{},
+		tried:     map[string]bool{},
+		outboxes:  map[string]*outbox{},
+		placement: NewPlacement(nil),
 		queries: sync.Pool{New: func() any {
 			return &heldQuery{reply: make(chan []Holding, 1)}
 		}},
 	}
+	t.index = NewIndex(opts.MaxPieces, t.begun)
+	t.published.Store(t.placement)
+	return t
 }
 
-// Register takes the calls of other VMs.
-func (t *Task) Register(peer.Registrar) {}
-
 // Warm tells whether this VM has its part of the index.
 func (t *Task) Warm() bool { return t.warm.Load() }
 
@@ -115,24 +126,48 @@
 	case feedSnapshot:
 		t.takeSnapshot(m, now)
 	case feedBroken:
-		t.takeBroken(m, now)
+		t.takeBroken(m)
+	case partCommand:
+		m.reply <- t.takePart(m.part, now)
+	case partSent:
+		t.takeSent(m)
+	case pullQuery:
+		m.reply <- Part{Engines: t.index.Export(func(d Division) bool { return t.placement.Home(m.from, d) })}
+	case pulled:
+		t.pulling = false
+		t.takePart(m.part, now)
 	case dumpQuery:
-		m.reply <- Dump{Warm: t.warm.Load(), Size: t.index.Size()}
+		m.reply <- Dump{Warm: t.warm.Load(), Reads: len(t.feeds), Size: t.index.Size()}
 	}
 }
 
-// tick follows the configuration and the reported pressure.
+// tick follows the configuration, the membership and the reported pressure.
 func (t *Task) tick(ctx context.Context, now time.Time) {
-	t.followFeeds(ctx, now)
+	t.followHomes()
+	t.published.Store(t.placement)
+	t.followFeeds(ctx)
 	if t.opts.States != nil {
 		for _, s := range t.opts.States() {
 			t.index.Pressure(s.Target.Name, s.Report.CachePieces, s.Report.Evictions)
 		}
 	}
+	t.askSnapshots(ctx, now)
+	t.flush(ctx, now)
+	t.warmUp(ctx, now)
 }
 
-// Held appends to dst the engines that hold pieces of keys from the start.
+// Held appends to dst the engines that hold pieces of keys from the start. A VM
+// that is no home of the keys asks one.
 func (t *Task) Held(ctx context.Context, keys []Key, dst []Holding) []Holding {
+	p := t.published.Load()
+	if len(keys) > 0 && !p.Home(t.opts.Self, keys[0].Division()) {
+		return t.askHomes(ctx, p, keys, dst)
+	}
+	return t.ownHeld(ctx, keys, dst)
+}
+
+// ownHeld asks this VM's index.
+func (t *Task) ownHeld(ctx context.Context, keys []Key, dst []Holding) []Holding {
 	q := t.queries.Get().(*heldQuery)
 	q.keys, q.dst = keys, dst
 	select {
@@ -159,8 +194,9 @@
 
 // A Dump is the state of a Task for operators.
 type Dump struct {
-	Warm bool `json:"warm"`
-	Size Size `json:"size"`
+	Warm  bool `json:"warm"`
+	Reads int  `json:"reads"`
+	Size  Size `json:"size"`
 }
 
 // Dump returns the state for operators. It is empty if the task does not run.
--- a/route/planner.go
+++ b/route/planner.go
@@ -30,12 +30,12 @@
 	followLimit = 2 * time.Second
 	// tieRatio and tieFloor tell how close to the best score another target
 	// must be to count as level with it.
-	tieRatio = 0.02
+	tieRatio = 0.5
 	tieFloor = 2 * time.Millisecond
 )
 
 // DefaultWaste is the weight of recomputation that another engine could save.
-const DefaultWaste = 1.0
+const DefaultWaste = 4.0
 
 // PlannerOptions are the settings of a Planner. Waste weighs the time to
 // recompute what another engine holds, beyond the wait that it causes to the
@@ -240,24 +240,41 @@
 	if best == nil || best.follows != nil {
 		return best
 	}
-	return p.levelBest(r.Prompt.Family(), best)
+	return p.levelBest(r.Prompt, best)
 }
 
-func (p *Planner) levelBest(family prefix.Key, best *score) *score {
-	limit := best.total + tieFloor + time.Duration(tieRatio*float64(best.total))
+// levelBest returns the candidate that the hash of the first piece to compute
+// prefers, among those that are level with the best.
+func (p *Planner) levelBest(prompt prefix.Prompt, best *score) *score {
+	if prompt.PieceTokens == 0 {
+		return best
+	}
+	piece := best.held / prompt.PieceTokens
+	if piece >= len(prompt.Keys) {
+		return best
+	}
+	limit := best.total + tieFloor + time.Duration(tieRatio*float64(compute(best.state, best.missing)))
 	var most uint64
 	for i := range p.scores {
 		c := &p.scores[i]
 		if c.total > limit {
 			continue
 		}
-		if h := xxhash.Sum64String(c.state.Target.Name) ^ uint64(family)*0x9e3779b97f4a7c15; h >= most {
+		if h := rank(c.state.Target.Name, prompt.Keys[piece]); h >= most {
 			best, most = c, h
 		}
 	}
 	return best
 }
 
+// rank returns the rendezvous hash of a target and a piece.
+func rank(name string, k prefix.Key) uint64 {
+	h := xxhash.Sum64String(name) ^ uint64(k)
+	h *= 0x9e3779b97f4a7c15
+	h ^= h >> 32
+	return h * 0xd6e8feb86659fd93
+}
+
 // follow makes the request wait for a prefill in flight.
 func (p *Planner) follow(f *send, now time.Time) Plan {
 	if f.ready == nil {
