Hold each VM to its budget of object API calls

Cause: the parts called the object API directly; one VM could spend the calls of the fleet. Change: wrap the store of a VM in its budget, claims with high priority, all else with normal; platform.calls sets the calls a second, 50 if left out. Measured: go test -race ./internal/daemon passes with 200 calls a second per VM. Conclusion: the calls of a fleet are bounded by its settings.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -14,6 +14,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/operator"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/limit"
+	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/queue"
 	"github.com/baobabdyke/baobabdyke/route"
@@ -39,6 +40,7 @@
 		Peer:        s.Peers.Address,
 		State:       vm.StateStarting,
 	}
+	v.buildBudget()
 	v.buildMembership()
 	v.buildPromises()
 	v.buildRouting()
@@ -57,6 +59,16 @@
 	return h.Sum64()
 }
 
+// buildBudget holds this VM to its calls of the object API.
+func (v *VM) buildBudget() {
+	calls := v.settings.Platform.Calls
+	v.budget = platform.NewBudget(v.outside.Store, platform.BudgetOptions{
+		PerSecond: calls,
+		Burst:     calls * budgetBurst.Seconds(),
+		Clock:     v.outside.Clock,
+	})
+}
+
 // buildMembership builds what knows other VMs and the configuration.
 func (v *VM) buildMembership() {
 	v.life = vm.NewLife(nil)
@@ -69,7 +81,7 @@
 		Seed:      v.seed(),
 	})
 	v.keeper = config.NewKeeper(config.Options{
-		Store:  v.outside.Store,
+		Store:  v.budget.At(platform.PriorityNormal),
 		Peers:  v.outside.Peers,
 		Roster: v.members,
 		Clock:  v.outside.Clock,
@@ -90,7 +102,7 @@
 func (v *VM) buildPromises() {
 	v.limits = limit.NewTask(limit.Options{
 		Self:   v.self,
-		Store:  v.outside.Store,
+		Store:  v.budget.At(platform.PriorityNormal),
 		Peers:  v.outside.Peers,
 		Roster: v.members,
 		Config: v.keeper.Current,
@@ -101,7 +113,7 @@
 	v.queue = queue.NewTask(queue.Options{Clock: v.outside.Clock, Log: v.log})
 	v.claims = claim.NewTask(claim.Options{
 		Self:  v.self.ID,
-		Store: v.outside.Store,
+		Store: v.budget.At(platform.PriorityHigh),
 		Clock: v.outside.Clock,
 		Log:   v.log,
 		Seed:  v.seed(),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,9 @@
 	Calls     peer.Registrar
 }
 
+// budgetBurst is the time whose calls of the object API may come at once.
+const budgetBurst = 2 * time.Second
+
 // maxKeptAnswer is the largest answer in bytes that is kept for a repeat.
 const maxKeptAnswer = 64 << 10
 
@@ -53,6 +56,7 @@
 	outside  Outside
 	log      log.Logger
 
+	budget  *platform.Budget
 	life    *vm.Life
 	members *vm.Task
 	keeper  *config.Keeper
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -5,6 +5,7 @@
 
 	"github.com/baobabdyke/baobabdyke/lease"
 	"github.com/baobabdyke/baobabdyke/order"
+	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -15,7 +16,7 @@
 func (v *VM) buildOrders() {
 	v.orders = order.NewTask(order.Options{
 		Self:      lease.Holder{ID: v.self.ID, Incarnation: v.self.Incarnation},
-		Store:     v.outside.Store,
+		Store:     v.budget.At(platform.PriorityNormal),
 		Client:    v.outside.Targets,
 		Config:    v.keeper.Current,
 		States:    v.fleet.States,
--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -47,6 +47,7 @@
 		"leases":   v.orders.Dump,
 		"claims":   v.claims.Dump,
 		"routes":   v.chooser.Dump,
+		"platform": v.budget.Dump,
 		"queue":    v.queue.Dump,
 		"requests": v.callers.Dump,
 		"keeper":   v.keeper.Dump,
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -99,7 +99,7 @@
 		Callers:    settings.Callers{Address: "127.0.0.1:0", Body: 1 << 20, Header: 1 << 16, Timeout: time.Minute},
 		Operators:  settings.Operators{Address: "127.0.0.1:0"},
 		Peers:      settings.Peers{Address: "127.0.0.1:0"},
-		Platform:   settings.Platform{Address: api},
+		Platform:   settings.Platform{Address: api, Calls: 200},
 		Entry:      settings.Entry{TTL: 100 * time.Millisecond, Lag: 100 * time.Millisecond},
 	}
 	l, s, err := Listen(f.t.Context(), s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,8 @@
 	DefaultBodyTimeout   = 20 * time.Second
 	DefaultTTL           = 10 * time.Second
 	DefaultLag           = 5 * time.Second
+	// DefaultCalls is the number of calls of the object API a second.
+	DefaultCalls = 50
 )
 
 // A Settings is the settings file of one process. Addresses are IP:port.
@@ -121,6 +123,9 @@
 	if s.Callers.Timeout == 0 {
 		s.Callers.Timeout = DefaultBodyTimeout
 	}
+	if s.Platform.Calls == 0 {
+		s.Platform.Calls = DefaultCalls
+	}
 	if s.Entry.TTL == 0 {
 		s.Entry.TTL = DefaultTTL
 	}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -58,7 +58,7 @@
 		positive("callers.timeout", int64(s.Callers.Timeout)),
 		positive("entry.ttl", int64(s.Entry.TTL)),
 		positive("entry.lag", int64(s.Entry.Lag)),
-		{s.Platform.Calls >= 0, "platform.calls", "is negative", "calls a second, 0 for no bound"},
+		{s.Platform.Calls >= 0, "platform.calls", "is negative", "calls a second, 0 for the default"},
 	}
 }
 
