--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -86,6 +86,9 @@
 	DataCentre string
 	// Accepting tells whether this VM takes requests; nil is a yes.
 	Accepting func() error
+	// Draining tells whether this VM stops as planned, so that connections must
+	// not be used again; nil is a no.
+	Draining func() bool
 }
 
 // A Handler serves the callers' port.
@@ -135,9 +138,14 @@
 	})
 }
 
-// accept refuses requests while this VM is not ready.
+// accept refuses requests while this VM is not ready. While it drains, callers
+// are told to close their connections, so that none sends a request on one that
+// is about to be closed.
 func (h *Handler) accept(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.opts.Draining != nil && h.opts.Draining() {
+			w.Header().Set("Connection", "close")
+		}
 		if h.opts.Accepting != nil {
 			if err := h.opts.Accepting(); err != nil {
 				h.refuse(w, r, Failure{
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -202,6 +202,14 @@
 	mustFail(t, w, http.StatusNotFound, CodeNotFound, OutcomeNotRun)
 }
 
+func TestDraining(t *testing.T) {
+	h := newParts().handler()
+	h.opts.Draining = func() bool { return true }
+	w := ask(t, h, http.MethodPost, "/v1/chat/completions", chatBody)
+	must.Eq(t, http.StatusCreated, w.Code)
+	must.Eq(t, "close", w.Header().Get("Connection"))
+}
+
 func TestWithdrawnWhileWaiting(t *testing.T) {
 	p := newParts()
 	granted := p.view
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -175,6 +175,7 @@
 		},
 		DataCentre: v.self.DataCentre,
 		Accepting:  v.accepting,
+		Draining:   v.draining,
 	})
 	v.operatorHandler = operator.NewHandler(operator.Options{
 		Token:  c.OperatorToken,
--- a/internal/daemon/warm.go
+++ b/internal/daemon/warm.go
@@ -24,6 +24,9 @@
 	}
 }
 
+// draining tells whether a planned stop has begun.
+func (v *VM) draining() bool { return v.life.State() == vm.StateDraining }
+
 // warm returns what this VM lacks to serve as well as the others, or nil.
 func (v *VM) warm() error {
 	switch {
