--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -138,7 +138,7 @@
 
 // hand takes out up to want for another VM and keeps its room closed.
 func (b *bucket) hand(key askKey, want Cost, until time.Time) Cost {
-	given := want.Min(b.level)
+	given := want.Min(b.level).grainsDown()
 	if given.Zero() {
 		return Cost{}
 	}
@@ -149,17 +149,17 @@
 	return given
 }
 
-// takeBack puts back what another VM did not need, as far as its room is still
-// closed.
+// takeBack ends a transfer: it opens the room, if that is still closed, and
+// puts back what the other VM did not need.
 func (b *bucket) takeBack(key askKey, amount Cost) {
 	i := slices.IndexFunc(b.closed, func(c closing) bool { return c.key == key })
 	if i < 0 {
 		return
 	}
-	back := amount.Min(b.closed[i].amount)
-	b.closed[i].amount = b.closed[i].amount.Minus(back)
-	b.closedSum = b.closedSum.Minus(back)
-	b.level = b.level.Plus(back)
+	sent := b.closed[i].amount
+	b.closed = slices.Delete(b.closed, i, i+1)
+	b.closedSum = b.closedSum.Minus(sent)
+	b.level = b.level.Plus(amount.Min(sent))
 	b.clip()
 }
 
--- a/limit/commands.go
+++ b/limit/commands.go
@@ -59,7 +59,7 @@
 		spare := a.level.Minus(need).Scale(0.5).Min(e.Ask.Spare.clean())
 		key := askKey{from: e.From, id: e.Ask.ID}
 		t.Given = a.hand(key, need.Plus(spare), now.Add(closedFor))
-		t.Left = a.level
+		t.Left = a.level.grainsDown()
 		t.Home = true
 		if !t.Given.Zero() {
 			s.counts.Transfers++
--- a/limit/event.go
+++ b/limit/event.go
@@ -141,36 +141,6 @@
 func (TakeSlot) effect()     {}
 func (GiveSlot) effect()     {}
 
-// An Ask is one VM's wish for tokens of a customer. Need is what a request
-// lacks; Spare is further room that the asking VM has.
-type Ask struct {
-	ID       uint64 `cbor:"1,keyasint"`
-	Customer string `cbor:"2,keyasint"`
-	Need     Cost   `cbor:"3,keyasint"`
-	Spare    Cost   `cbor:"4,keyasint"`
-}
-
-// A Transfer answers an Ask. The sender has already debited Given; the
-// receiver drops it when it comes later than TransferLifetime after the ask.
-type Transfer struct {
-	ID    uint64 `cbor:"1,keyasint"`
-	Given Cost   `cbor:"2,keyasint"`
-	// Left is what the sender holds after the transfer.
-	Left Cost `cbor:"3,keyasint"`
-	// Home tells whether the sender holds a share of the customer at all.
-	Home bool `cbor:"4,keyasint"`
-}
-
-// A Return gives back a part of a Transfer that was not spent.
-type Return struct {
-	ID       uint64 `cbor:"1,keyasint"`
-	Customer string `cbor:"2,keyasint"`
-	Amount   Cost   `cbor:"3,keyasint"`
-}
-
-// A ReturnReply answers a Return.
-type ReturnReply struct{}
-
 // A SlotRecord is one slot as the store holds it.
 type SlotRecord struct {
 	Slot int
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -7,8 +7,8 @@
 // A Cost is what one request takes from its customer's rate: one request and a
 // number of tokens.
 type Cost struct {
-	Requests float64 `cbor:"1,keyasint"`
-	Tokens   float64 `cbor:"2,keyasint"`
+	Requests float64 `json:"requests"`
+	Tokens   float64 `json:"tokens"`
 }
 
 // A Reservation is the cost that one admitted request holds until it settles.
--- a/limit/state.go
+++ b/limit/state.go
@@ -63,6 +63,8 @@
 	// hints is what other VMs held when last heard of.
 	hints map[string]hint
 	used  time.Time
+	// balanced is when tokens were last asked for without need.
+	balanced time.Time
 }
 
 // A hint is what another VM held at a time. It is not asked before its back.
