Agree on the layout of shares and test limits as tasks

Cause: VMs with different settings would have divided a rate differently, and the task around the step ran in no test. Change: The first VM writes the layout, all others use it; no slot is taken before. Ten tests run whole tasks on the in-memory store and network in virtual time: store down for 30 minutes, slow, lost answers of writes, all VMs restarted with the store down, a VM replaced at the same address, a planned stop, a VM cut off. Conclusion: The task holds what the pure step holds.

--- a/limit/commands.go
+++ b/limit/commands.go
@@ -27,6 +27,8 @@
 		s.returned(e, now)
 	case Tick:
 		return s.tick(now)
+	case Agreed:
+		s.agree(e.Layout)
 	case Configured:
 		s.configure(e.View, now)
 	case Membership:
@@ -137,6 +139,25 @@
 	}
 }
 
+// agree takes the layout of the fleet into use, in place of the one of the
+// settings. Nothing is held before.
+func (s *State) agree(l Layout) {
+	if s.agreed {
+		return
+	}
+	s.agreed = true
+	if l == s.layout {
+		return
+	}
+	s.layout = l
+	s.shards = nil
+	for i := range l.Shards {
+		s.shards = append(s.shards, newShard(i, l))
+	}
+	s.accounts = map[string]*account{}
+	s.live = nil
+}
+
 // activate counts the slots whose former holder's transfers have lapsed.
 func (s *State) activate(now time.Time) {
 	if s.settling == 0 {
--- a/limit/event.go
+++ b/limit/event.go
@@ -46,6 +46,9 @@
 // Tick lets time pass.
 type Tick struct{}
 
+// Agreed tells the layout that the fleet uses. No slot is taken before.
+type Agreed struct{ Layout Layout }
+
 // Configured tells the rates now in force.
 type Configured struct{ View *config.View }
 
@@ -82,6 +85,7 @@
 func (Answered) event()    {}
 func (Returned) event()    {}
 func (Tick) event()        {}
+func (Agreed) event()      {}
 func (Configured) event()  {}
 func (Membership) event()  {}
 func (Listed) event()      {}
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -110,6 +110,7 @@
 		f.nodes[i].dead = true
 		f.nodes[i] = n
 	}
+	n.step(limit.Agreed{Layout: f.layout})
 	n.step(limit.Configured{View: n.view})
 	f.inForce(true)
 	n.tick()
--- a/limit/layout.go
+++ b/limit/layout.go
@@ -17,6 +17,9 @@
 	DefaultSlots  = 8
 )
 
+// layoutKey is the object that holds the layout of the fleet.
+const layoutKey = "limit/layout"
+
 // slotPrefix is the prefix of the objects of slots in the store.
 const slotPrefix = "limit/slot/"
 
@@ -27,6 +30,9 @@
 	Slots  int `json:"slots"`
 }
 
+// Valid tells whether customers can be divided by the layout.
+func (l Layout) Valid() bool { return l.Shards > 0 && l.Slots > 0 }
+
 // Shard returns the shard of a customer.
 func (l Layout) Shard(customer string) int {
 	return int(xxhash.Sum64String(customer) % uint64(l.Shards))
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -14,7 +14,7 @@
 // tend does the next thing for this VM's slots of a shard.
 func (s *State) tend(sh *shard, now time.Time) []Effect {
 	have := len(sh.held)
-	if s.leaving || (sh.wanted == 0 && have == 0) {
+	if s.leaving || !s.agreed || (sh.wanted == 0 && have == 0) {
 		return nil
 	}
 	effects := s.relist(sh, now)
--- a/limit/state.go
+++ b/limit/state.go
@@ -22,6 +22,7 @@
 	lastAsk  uint64
 	// settling is the number of slots that are held but not active yet.
 	settling int
+	agreed   bool // the fleet's layout is known
 	leaving  bool
 	counts   Counts
 }
--- a/limit/store.go
+++ b/limit/store.go
@@ -2,10 +2,63 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
 
 	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/platform"
 )
 
+// agree reads the layout of the fleet, or writes this VM's as the first, and
+// posts it. It tries until it succeeds.
+func (t *Task) agree(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	for ctx.Err() == nil {
+		l, err := t.layout(ctx)
+		if err == nil {
+			if l != t.o.Layout {
+				_ = level.Error(t.log).Log("msg", "the fleet uses another layout than this VM's settings",
+					"shards", l.Shards, "slots", l.Slots)
+			}
+			_ = t.post(ctx, Agreed{Layout: l})
+			return
+		}
+		_ = level.Warn(t.log).Log("msg", "layout not read", "err", err)
+		select {
+		case <-time.After(pause.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// layout returns the layout in the store, which is written if there is none.
+func (t *Task) layout(ctx context.Context) (Layout, error) {
+	call, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	value, err := json.Marshal(t.o.Layout)
+	if err != nil {
+		return Layout{}, eris.Wrap(err, "encode layout")
+	}
+	o, err := t.o.Store.Get(call, layoutKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		t.o.Store.Put(call, layoutKey, value, platform.MustNotExist)
+		o, err = t.o.Store.Get(call, layoutKey)
+	}
+	if err != nil {
+		return Layout{}, eris.Wrap(err, "read layout")
+	}
+	var l Layout
+	if err := json.Unmarshal(o.Value, &l); err != nil || !l.Valid() {
+		return Layout{}, eris.Errorf("object %s is no layout", layoutKey)
+	}
+	return l, nil
+}
+
 // listShard reads the slots of a shard and posts them.
 func (t *Task) listShard(ctx context.Context, e ListShard) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/limit/task.go
+++ b/limit/task.go
@@ -195,6 +195,7 @@
 func (t *Task) Run(ctx context.Context) error {
 	defer close(t.stopped)
 	l := newLoop(ctx, t)
+	go t.agree(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- /dev/null
+++ b/limit/task_test.go
@@ -0,0 +1,233 @@
+package limit_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/internal/seed"
+	"github.com/baobabdyke/baobabdyke/limit"
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// A cluster is several tasks on an in-memory store and network. It is their
+// roster as well.
+type cluster struct {
+	t       *testing.T
+	store   *platform.Memory
+	network *peer.Memory
+	view    *config.View
+	members []vm.Member
+	removed []string
+	stops   map[string]func()
+	layout  limit.Layout
+}
+
+// member is the roster of one VM.
+type member struct {
+	*cluster
+	self vm.Member
+}
+
+func (m member) Self() vm.Member        { return m.self }
+func (m member) Live() []vm.Member      { return slices.Clone(m.members) }
+func (m member) Listed() int            { return len(m.members) }
+func (m member) Removed(id string) bool { return slices.Contains(m.removed, id) }
+
+// runCluster runs a test on a number of tasks, in virtual time.
+func runCluster(t *testing.T, vms int, f func(t *testing.T, c *cluster, tasks []*limit.Task)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{
+			t: t, store: platform.NewMemory(), network: peer.NewMemory(), stops: map[string]func(){},
+			view: config.NewView(oneCustomer(hakata)), layout: limit.Layout{Shards: 2, Slots: 4},
+		}
+		var tasks []*limit.Task
+		for i := range vms {
+			tasks = append(tasks, c.start(fmt.Sprint("vm", i), 1))
+		}
+		time.Sleep(20 * time.Second)
+		f(t, c, tasks)
+		for _, stop := range c.stops {
+			stop()
+		}
+	})
+}
+
+// start starts a process of a VM, after the end of an earlier one.
+func (c *cluster) start(id string, incarnation uint64) *limit.Task {
+	c.stop(id)
+	self := vm.Member{ID: id, Incarnation: incarnation, Peer: "10.0.0.1:" + id, State: vm.StateServing}
+	c.members = append(c.members, self)
+	node := c.network.Node(id, self.Peer)
+	task := limit.NewTask(limit.Options{
+		Self: self, Layout: c.layout, Store: c.store.For(id), Peers: node, Roster: member{cluster: c, self: self},
+		Config: func() *config.View { return c.view }, Seed: seed.Value(),
+	})
+	task.Register(node)
+	ctx, cancel := context.WithCancel(c.t.Context())
+	done := make(chan error, 1)
+	go func() { done <- task.Run(ctx) }()
+	c.stops[id] = func() {
+		cancel()
+		must.NoError(c.t, <-done)
+	}
+	return task
+}
+
+func (c *cluster) stop(id string) {
+	if stop := c.stops[id]; stop != nil {
+		stop()
+		delete(c.stops, id)
+	}
+	c.members = slices.DeleteFunc(c.members, func(m vm.Member) bool { return m.ID == id })
+}
+
+// admit spends tokens in requests on one task and returns how many got in.
+func admit(t *testing.T, task *limit.Task, tokens float64, requests int) int {
+	admitted := 0
+	for range requests {
+		d := task.Reserve(t.Context(), "hakata", limit.Cost{Requests: 1, Tokens: tokens})
+		if _, ok := d.(limit.Admitted); ok {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+func mine(task *limit.Task) int {
+	count := 0
+	for _, s := range task.Dump().(limit.Dump).Slots {
+		if s.Active {
+			count++
+		}
+	}
+	return count
+}
+
+func TestTask(t *testing.T) {
+	t.Run("VMs spend one burst together", func(t *testing.T) {
+		runCluster(t, 3, func(t *testing.T, _ *cluster, tasks []*limit.Task) {
+			must.Eq(t, 2, admit(t, tasks[0], 5000, 2))
+			must.Eq(t, 1, admit(t, tasks[1], 5000, 5))
+			must.Eq(t, 0, admit(t, tasks[2], 5000, 5))
+		})
+	})
+	t.Run("what was not used is refunded", func(t *testing.T) {
+		runCluster(t, 1, func(t *testing.T, _ *cluster, tasks []*limit.Task) {
+			d := tasks[0].Reserve(t.Context(), "hakata", limit.Cost{Requests: 1, Tokens: 16000})
+			tasks[0].Settle(mustAdmit(t, d), limit.Cost{Requests: 1, Tokens: 100})
+			must.Eq(t, 1, admit(t, tasks[0], 15900, 2))
+		})
+	})
+	t.Run("a planned stop hands the slots to others", func(t *testing.T) {
+		runCluster(t, 2, func(t *testing.T, c *cluster, tasks []*limit.Task) {
+			must.NoError(t, tasks[0].Release(t.Context()))
+			must.Eq(t, 0, mine(tasks[0]))
+			c.stop("vm0")
+			time.Sleep(time.Minute)
+			must.Eq(t, 8, mine(tasks[1]))
+		})
+	})
+	t.Run("lost answers of writes leave every slot held", func(t *testing.T) {
+		runCluster(t, 0, func(t *testing.T, c *cluster, _ []*limit.Task) {
+			writes := 0
+			c.store.SetFault(func(call platform.Call) platform.Fault {
+				if call.Kind == platform.KindPut {
+					writes++
+				}
+				return platform.Fault{LoseAnswer: call.Kind == platform.KindPut && writes%2 == 1}
+			})
+			first, second := c.start("vm0", 1), c.start("vm1", 1)
+			time.Sleep(2 * time.Minute)
+			must.Eq(t, 8, mine(first)+mine(second))
+			must.Eq(t, 1, admit(t, first, 16000, 3))
+		})
+	})
+	t.Run("all VMs restart while the store is down", func(t *testing.T) {
+		runCluster(t, 2, func(t *testing.T, c *cluster, _ []*limit.Task) {
+			c.store.SetFault(platform.Down())
+			first, second := c.start("vm0", 2), c.start("vm1", 2)
+			time.Sleep(time.Minute)
+			must.Eq(t, 0, admit(t, first, 10, 3))
+			c.store.SetFault(nil)
+			time.Sleep(3 * time.Minute)
+			must.Eq(t, 8, mine(first)+mine(second))
+			must.Eq(t, 1, admit(t, second, 16000, 3))
+		})
+	})
+	t.Run("a store that is down for 30 minutes changes nothing", func(t *testing.T) {
+		runCluster(t, 3, func(t *testing.T, c *cluster, tasks []*limit.Task) {
+			c.store.SetFault(platform.Down())
+			time.Sleep(30 * time.Minute)
+			must.Eq(t, 1, admit(t, tasks[0], 16000, 3))
+		})
+	})
+	t.Run("a slow store delays slots only", func(t *testing.T) {
+		runCluster(t, 0, func(t *testing.T, c *cluster, _ []*limit.Task) {
+			c.store.SetFault(platform.Slow(1900 * time.Millisecond))
+			task := c.start("vm0", 1)
+			time.Sleep(5 * time.Minute)
+			must.Eq(t, 8, mine(task))
+		})
+	})
+	t.Run("a new VM at the address of a lost one is not taken for it", func(t *testing.T) {
+		runCluster(t, 2, func(t *testing.T, c *cluster, tasks []*limit.Task) {
+			c.stop("vm1")
+			c.network.Node("vm9", "10.0.0.1:vm1")
+			must.Eq(t, 4, mine(tasks[0]))
+			time.Sleep(time.Minute)
+			must.Eq(t, 4, mine(tasks[0]))
+			c.removed = append(c.removed, "vm1")
+			time.Sleep(time.Minute)
+			must.Eq(t, 8, mine(tasks[0]))
+		})
+	})
+	t.Run("a VM with another layout uses the fleet's", func(t *testing.T) {
+		runCluster(t, 1, func(t *testing.T, c *cluster, _ []*limit.Task) {
+			c.layout = limit.Layout{Shards: 7, Slots: 3}
+			task := c.start("vm1", 1)
+			time.Sleep(2 * time.Minute)
+			must.Eq(t, limit.Layout{Shards: 2, Slots: 4}, task.Dump().(limit.Dump).Layout)
+			must.Eq(t, 4, mine(task))
+		})
+	})
+	t.Run("a request on a VM that is cut off is refused in time", func(t *testing.T) {
+		runCluster(t, 2, func(t *testing.T, c *cluster, tasks []*limit.Task) {
+			c.network.Silence("vm0", "vm1")
+			began := time.Now()
+			must.Eq(t, 0, admit(t, tasks[0], 16000, 1))
+			must.LessEq(t, 200*time.Millisecond, time.Since(began))
+			must.Eq(t, 1, admit(t, tasks[0], 7000, 1))
+		})
+	})
+}
+
+func ExampleTask() {
+	store, network := platform.NewMemory(), peer.NewMemory()
+	self := vm.Member{ID: "vm0", Incarnation: 1, Peer: "10.0.0.1:9000", State: vm.StateServing}
+	c := &cluster{members: []vm.Member{self}}
+	task := limit.NewTask(limit.Options{
+		Self: self, Store: store, Peers: network.Node(self.ID, self.Peer), Roster: member{cluster: c, self: self},
+		Config: func() *config.View { return config.NewView(oneCustomer(hakata)) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = task.Run(ctx) }()
+	switch d := task.Reserve(ctx, "hakata", limit.Cost{Requests: 1, Tokens: 1e6}).(type) {
+	case limit.Admitted:
+		defer task.Settle(d.Reservation, limit.Cost{Requests: 1, Tokens: 900})
+	case limit.Refused:
+		fmt.Println("retry after", d.RetryAfter)
+	case limit.TooLarge:
+		fmt.Println("larger than the burst of", d.Burst.Tokens, "tokens")
+	}
+	// Output: larger than the burst of 16000 tokens
+}
