Test targets, streams and choices, and cut allocations of a choice

Cause: No test held the parts to one send, no key passed on, or an explicit end, and a choice made nine allocations. An attempt is one value. A new incarnation in a report is published at once; a bad event decodes to nothing.

--- a/route/chooser.go
+++ b/route/chooser.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/target"
@@ -51,14 +52,10 @@
 	reply   chan Plan
 }
 
-// Commands to the task.
+// Messages to the task, beside *planQuery and *attempt.
 type (
 	firstCommand struct{ id uint64 }
-	doneCommand  struct {
-		id     uint64
-		failed bool
-	}
-	dumpQuery struct{ reply chan Dump }
+	dumpQuery    struct{ reply chan Dump }
 )
 
 // NewChooser returns a Chooser, which works while Run runs.
@@ -97,7 +94,7 @@
 		m.reply <- c.planner.Plan(now, m.request, m.states, m.held)
 	case firstCommand:
 		c.planner.First(m.id)
-	case doneCommand:
+	case *attempt:
 		c.planner.Done(now, m.id, m.failed)
 	case dumpQuery:
 		m.reply <- c.planner.dump()
@@ -134,7 +131,7 @@
 	select {
 	case plan := <-q.reply:
 		if plan.State != nil {
-			c.say(doneCommand{id: plan.ID, failed: true})
+			c.say(&attempt{id: plan.ID, failed: true})
 		}
 	case <-c.ended:
 	}
@@ -156,26 +153,50 @@
 	case plan.State == nil:
 		return NoTarget{Reason: plan.Reason, RetryAfter: plan.After}
 	}
-	s := plan.State
+	a := &attempt{
+		chooser: c,
+		id:      plan.ID,
+		target:  plan.State.Target,
+		report:  &plan.State.Report,
+		keys:    r.Prompt.Keys,
+	}
 	return Chosen{
-		Target:      s.Target,
-		Incarnation: s.Report.Incarnation,
-		Weights:     s.Report.Weights,
+		Target:      a.target,
+		Incarnation: a.report.Incarnation,
+		Weights:     a.report.Weights,
 		Held:        plan.Held,
 		Expected:    plan.Expected,
-		First: func() {
-			c.say(firstCommand{plan.ID})
-			if c.opts.Index != nil {
-				c.opts.Index.Expect(s.Target.Name, s.Report.Incarnation, s.Report.Weights, r.Prompt.Keys)
-			}
-			c.opts.Fleet.Note(target.Worked{Target: s.Target.Name})
-		},
-		Done: func(_ time.Duration, err error) {
-			c.say(doneCommand{id: plan.ID, failed: err != nil})
-		},
+		First:       a.first,
+		Done:        a.done,
 	}
 }
 
+// An attempt is a send that the Chooser is told the progress of.
+type attempt struct {
+	chooser *Chooser
+	id      uint64
+	target  *config.Target
+	report  *target.Report
+	keys    []prefix.Key
+	failed  bool
+}
+
+// first records the first byte: the prompt is computed and cached.
+func (a *attempt) first() {
+	c := a.chooser
+	c.say(firstCommand{a.id})
+	if c.opts.Index != nil {
+		c.opts.Index.Expect(a.target.Name, a.report.Incarnation, a.report.Weights, a.keys)
+	}
+	c.opts.Fleet.Note(target.Worked{Target: a.target.Name})
+}
+
+// done records the end of the attempt.
+func (a *attempt) done(_ time.Duration, err error) {
+	a.failed = err != nil
+	a.chooser.say(a)
+}
+
 // current keeps the holdings of the incarnation and weight version that the
 // engine reports: entries of a dead incarnation or older weights never count.
 func current(held []prefix.Holding, states []target.State) []prefix.Holding {
--- a/route/planner.go
+++ b/route/planner.go
@@ -289,9 +289,7 @@
 
 // place records the send.
 func (p *Planner) place(now time.Time, r Request, c *score) Plan {
-	invariant.Hold(!c.state.Reported || now.Sub(c.state.At) < noticeLimit,
-		"leaving-notice", "target %s chosen on a report of %s ago", c.state.Target.Name, now.Sub(c.state.At))
-	invariant.Hold(c.state.Life != target.LifeLeaving, "leaving-chosen", "target %s", c.state.Target.Name)
+	holdNotice(now, c.state)
 	p.serial++
 	s := &send{
 		id:      p.serial,
@@ -312,6 +310,15 @@
 	return Plan{ID: s.id, State: c.state, Held: c.held, Expected: c.expected}
 }
 
+// holdNotice stops the process if a target that leaves, or may have given notice
+// of that, is about to get a request. The arguments of Hold are made only then.
+func holdNotice(now time.Time, s *target.State) {
+	age := now.Sub(s.At)
+	if s.Life == target.LifeLeaving || s.Reported && age >= noticeLimit {
+		invariant.Hold(false, "leaving-notice", "target %s (%s) chosen on a report of %s ago", s.Target.Name, s.Life, age)
+	}
+}
+
 // First records the first byte of an answer: the prompt is computed.
 func (p *Planner) First(id uint64) {
 	s, ok := p.sends[id]
--- /dev/null
+++ b/route/planner_test.go
@@ -0,0 +1,200 @@
+package route_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/prefix"
+	"github.com/baobabdyke/baobabdyke/route"
+	"github.com/baobabdyke/baobabdyke/target"
+)
+
+// A table is a fleet and an index that say what the test set.
+type table struct {
+	states   []target.State
+	held     []prefix.Holding
+	expected int
+	noted    []target.Evidence
+}
+
+func (f *table) States(string) []target.State { return f.states }
+
+func (f *table) Note(e target.Evidence) { f.noted = append(f.noted, e) }
+
+func (f *table) Held(_ context.Context, _ []prefix.Key, dst []prefix.Holding) []prefix.Holding {
+	return append(dst, f.held...)
+}
+
+func (f *table) Expect(string, string, string, []prefix.Key) { f.expected++ }
+
+// hold sets that an engine of an incarnation and weight version holds pieces.
+func (f *table) hold(engine int, incarnation, weights string, pieces int) {
+	f.held = append(f.held, prefix.Holding{
+		Engine: f.states[engine].Target.Name, Incarnation: incarnation, Weights: weights, Pieces: pieces, Worth: 1,
+	})
+}
+
+// A scene is a chooser before three engines.
+type scene struct {
+	t       *testing.T
+	table   *table
+	chooser *route.Chooser
+	request route.Request
+}
+
+func newScene(t *testing.T) *scene {
+	s := &scene{t: t, table: &table{}}
+	for i := range 3 {
+		s.table.states = append(s.table.states, target.State{
+			Target: &config.Target{Name: fmt.Sprintf("e%d", i), Kind: config.TargetEngine, Slots: 8},
+			Life:   target.LifeLive, Reported: true, At: time.Now(),
+			Report: target.Report{Incarnation: "i1", Weights: "w1", PrefillRate: 1000},
+		})
+	}
+	s.request = route.Request{
+		Route:  &config.Route{Kind: config.RouteModel, Model: "m", Version: "v1"},
+		Prompt: prefix.Split(prefix.Salt{Customer: "a"}, make([]byte, 10*4000), 4000),
+	}
+	s.chooser = route.NewChooser(route.Options{Fleet: s.table, Index: s.table})
+	go func() { _ = s.chooser.Run(t.Context()) }()
+	return s
+}
+
+func (s *scene) choose() route.Choice { return s.chooser.Choose(s.t.Context(), s.request) }
+
+// mustChoose checks the chosen engine and returns the choice.
+func (s *scene) mustChoose(name string) route.Chosen {
+	s.t.Helper()
+	c, ok := s.choose().(route.Chosen)
+	must.True(s.t, ok)
+	if name != "" {
+		must.Eq(s.t, name, c.Target.Name)
+	}
+	return c
+}
+
+func (s *scene) mustNotChoose(reason string) {
+	s.t.Helper()
+	c, ok := s.choose().(route.NoTarget)
+	must.True(s.t, ok)
+	must.Eq(s.t, reason, c.Reason)
+}
+
+func TestChoose(t *testing.T) {
+	for name, run := range map[string]func(s *scene){
+		"warm engine": func(s *scene) {
+			s.table.hold(1, "i1", "w1", 10)
+			must.Eq(s.t, 10_000, s.mustChoose("e1").Held)
+		},
+		"longer of nested prefixes": func(s *scene) {
+			s.table.hold(0, "i1", "w1", 4)
+			s.table.hold(2, "i1", "w1", 9)
+			s.mustChoose("e2")
+		},
+		"dead incarnation and older weights count nothing": func(s *scene) {
+			s.table.hold(0, "i0", "w1", 10)
+			s.table.hold(1, "i1", "w0", 10)
+			s.table.hold(2, "i1", "w1", 1)
+			c := s.mustChoose("e2")
+			must.Eq(s.t, "i1", c.Incarnation)
+			must.Eq(s.t, "w1", c.Weights)
+		},
+		"copied when waiting costs more": func(s *scene) {
+			s.table.hold(1, "i1", "w1", 10)
+			s.table.states[1].Report.Pending = 40_000
+			s.mustChoose("e1")
+			s.table.states[1].Report.Pending = 60_000
+			must.NotEq(s.t, "e1", s.mustChoose("").Target.Name)
+		},
+		"own sends count before a report shows them": func(s *scene) {
+			seen := map[string]bool{}
+			for i := range 3 {
+				s.request.Prompt = prefix.Split(prefix.Salt{Customer: fmt.Sprint(i)}, make([]byte, 40_000), 4000)
+				seen[s.mustChoose("").Target.Name] = true
+			}
+			must.Eq(s.t, 3, len(seen))
+		},
+		"prefill in flight is followed": func(s *scene) {
+			first := s.mustChoose("")
+			follow, ok := s.choose().(route.Follow)
+			must.True(s.t, ok)
+			must.True(s.t, time.Until(follow.Until) <= 2*time.Second)
+			first.First()
+			<-follow.Ready
+			must.Eq(s.t, 1, s.table.expected)
+		},
+		"a follower goes on when the first fails": func(s *scene) {
+			first := s.mustChoose("")
+			follow := s.choose().(route.Follow)
+			first.Done(0, context.Canceled)
+			<-follow.Ready
+		},
+		"leaving, failing, excluded": func(s *scene) {
+			s.table.states[0].Life = target.LifeLeaving
+			s.table.states[1].Life = target.LifeFailing
+			s.mustChoose("e2").Done(0, nil)
+			s.request.Excluded = []string{"e2"}
+			s.mustNotChoose("no usable target")
+		},
+		"report too old to know of a leave": func(s *scene) {
+			time.Sleep(target.ReportLimit + time.Millisecond)
+			s.mustNotChoose("no usable target")
+		},
+		"probed by one request": func(s *scene) {
+			for i := range s.table.states {
+				s.table.states[i].Life = target.LifeProbing
+			}
+			s.request.Excluded = []string{"e1", "e2"}
+			first := s.mustChoose("e0")
+			s.mustNotChoose("no usable target")
+			first.Done(0, nil)
+			s.mustChoose("e0")
+		},
+		"adapter not loaded": func(s *scene) {
+			for i := range s.table.states {
+				s.table.states[i].Report.Models = []target.Loaded{{Model: "m", Version: "v1"}}
+			}
+			s.mustChoose("").Done(0, nil)
+			s.request.Prompt.Salt.Adapter = "x"
+			s.mustNotChoose("no usable target")
+			s.table.states[2].Report.Models[0].Adapters = []string{"x"}
+			s.mustChoose("e2")
+		},
+		"deadline cannot be met": func(s *scene) {
+			s.request.Deadline = time.Now().Add(time.Second)
+			for i := range s.table.states {
+				s.table.states[i].Report.Pending = 10_000
+			}
+			s.mustNotChoose("deadline cannot be met")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { run(newScene(t)) })
+		})
+	}
+}
+
+// ExampleChooser shows how a request gets its target.
+func ExampleChooser() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	fleet := &table{states: []target.State{{
+		Target: &config.Target{Name: "engine-1", Kind: config.TargetEngine}, Life: target.LifeLive,
+	}}}
+	chooser := route.NewChooser(route.Options{Fleet: fleet})
+	go func() { _ = chooser.Run(ctx) }()
+	switch c := chooser.Choose(ctx, route.Request{Route: &config.Route{Kind: config.RouteModel}}).(type) {
+	case route.Chosen:
+		fmt.Println(c.Target.Name)
+		c.Done(0, nil)
+	case route.NoTarget:
+		fmt.Println(c.Reason)
+	}
+	// Output: engine-1
+}
--- /dev/null
+++ b/stream/stream_test.go
@@ -0,0 +1,209 @@
+package stream_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/stream"
+	"github.com/baobabdyke/baobabdyke/target"
+)
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: t%d\n\n", n, n) }
+
+func last(n int) string { return fmt.Sprintf("id: %d\ndata: [DONE]\n\n", n) }
+
+func response(contentType string, body io.ReadCloser) target.Response {
+	return target.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {contentType}}, Body: body}
+}
+
+func fixed(parts ...string) target.Response {
+	return response("text/event-stream", io.NopCloser(strings.NewReader(strings.Join(parts, ""))))
+}
+
+// endOf names an End.
+func endOf(e stream.End) string { return strings.TrimPrefix(fmt.Sprintf("%T", e), "stream.") }
+
+// resumes returns a Resume that gives the responses in turn, and notes the
+// offsets that it was asked for.
+func resumes(asked *[]int64, responses ...target.Response) stream.Resume {
+	return func(_ context.Context, from int64) target.Result {
+		*asked = append(*asked, from)
+		if len(responses) == 0 {
+			return target.NotRun{Reason: "gone"}
+		}
+		r := responses[0]
+		responses = responses[1:]
+		return target.Answered{Response: r}
+	}
+}
+
+func TestRelay(t *testing.T) {
+	for name, c := range map[string]struct {
+		first target.Response
+		then  []target.Response
+		end   string
+		body  string
+		asked []int64
+	}{
+		"complete":              {fixed(event(1), ": ping\n\n", event(2), last(3)), nil, "Complete", event(1) + event(2) + last(3), nil},
+		"ends without the last": {fixed(event(1)), nil, "Broken", event(1), []int64{2}},
+		"event missing":         {fixed(event(1), event(3)), []target.Response{fixed(event(2), last(3))}, "Complete", event(1) + event(2) + last(3), []int64{2}},
+		"events repeated":       {fixed(event(1), event(2)), []target.Response{fixed(event(1), event(2), last(3))}, "Complete", event(1) + event(2) + last(3), []int64{3}},
+		"ends within an event":  {fixed(event(1), "id: 2\ndata: t"), []target.Response{fixed(event(2), last(3))}, "Complete", event(1) + event(2) + last(3), []int64{2}},
+		"event without offset":  {fixed("data: x\n\n"), nil, "Broken", "", []int64{1}},
+		"event too large":       {fixed("data: ", strings.Repeat("x", stream.MaxEventBytes), "\n\n"), nil, "Broken", "", []int64{1}},
+		"after the last":        {fixed(event(1), last(2), event(3)), nil, "Complete", event(1) + last(2), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := httptest.NewRecorder()
+				a := stream.NewAnswer(w, stream.Options{Numbered: true})
+				var asked []int64
+				must.Eq(t, c.end, endOf(a.Relay(t.Context(), c.first, resumes(&asked, c.then...), func() {})))
+				must.Eq(t, c.body, w.Body.String())
+				must.Eq(t, c.asked, asked)
+			})
+		})
+	}
+}
+
+// TestRelayIdle checks that an idle caller gets pings, and that a target that
+// pings and makes no progress is given up.
+func TestRelayIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := httptest.NewRecorder()
+		a := stream.NewAnswer(w, stream.Options{Numbered: true, Stall: 10 * time.Second})
+		read, write := io.Pipe()
+		go func() {
+			for err := error(nil); err == nil; time.Sleep(time.Second) {
+				_, err = write.Write([]byte(": ping\n\n"))
+			}
+		}()
+		start := time.Now()
+		must.Eq(t, "Broken", endOf(a.Relay(t.Context(), response("text/event-stream", read), nil, func() {})))
+		must.Eq(t, 10*time.Second, time.Since(start))
+		must.Between(t, 9, strings.Count(w.Body.String(), ": ping\n\n"), 10)
+		must.True(t, a.Fail("unknown", "no progress"))
+		must.StrContains(t, w.Body.String(), "event: error\ndata: {\"error\":{\"outcome\":\"unknown\"")
+		must.False(t, a.Fail("unknown", "twice"))
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// A slowCaller takes nothing until it is released.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	release chan struct{}
+}
+
+func (s *slowCaller) Write(p []byte) (int, error) {
+	<-s.release
+	return s.ResponseRecorder.Write(p)
+}
+
+// TestRelaySlowCaller checks that a slow caller stops the reading from the
+// target, and loses nothing by it.
+func TestRelaySlowCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 1000
+		w := &slowCaller{httptest.NewRecorder(), make(chan struct{})}
+		read, write := io.Pipe()
+		var written atomic.Int64
+		go func() {
+			for i := range n {
+				_, _ = write.Write([]byte(event(i + 1)))
+				written.Add(1)
+			}
+			_, _ = write.Write([]byte(last(n + 1)))
+		}()
+		time.AfterFunc(time.Minute, func() {
+			must.Less(t, 50, written.Load())
+			close(w.release)
+		})
+		a := stream.NewAnswer(w, stream.Options{Numbered: true})
+		must.Eq(t, "Complete", endOf(a.Relay(t.Context(), response("text/event-stream", read), nil, func() {})))
+		must.Eq(t, n+1, strings.Count(w.Body.String(), "data: "))
+	})
+}
+
+// TestRelayCut checks that the reason why a context ended reaches the caller.
+func TestRelayCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		read, write := io.Pipe()
+		go func() { _, _ = write.Write([]byte(event(1))) }()
+		time.AfterFunc(time.Second, func() { cancel(errors.New("key withdrawn")) })
+		a := stream.NewAnswer(httptest.NewRecorder(), stream.Options{Numbered: true})
+		end := a.Relay(ctx, response("text/event-stream", read), nil, func() {})
+		gone, ok := end.(stream.Gone)
+		must.True(t, ok)
+		must.EqError(t, gone.Err, "key withdrawn")
+	})
+}
+
+func TestRelayWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		body io.Reader
+		end  string
+		want string
+	}{
+		"complete": {strings.NewReader("{}"), "Complete", "{}"},
+		"cut off":  {io.MultiReader(strings.NewReader("{"), brokenReader{}), "Broken", ""},
+		"too long": {io.LimitReader(zeros{}, stream.MaxWhole+1), "Broken", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			a := stream.NewAnswer(w, stream.Options{Numbered: true})
+			must.Eq(t, c.end, endOf(a.Relay(t.Context(), response("application/json", io.NopCloser(c.body)), nil, func() {})))
+			must.Eq(t, c.want, w.Body.String())
+			must.Eq(t, c.want != "", a.Started())
+		})
+	}
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// FuzzSSE checks that events hold the bytes that were read, in order and
+// bounded, whatever comes.
+func FuzzSSE(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n: ping\n\nid: 2\ndata: [DONE]\n\n"))
+	f.Add([]byte("data\r\ndata:x\r\n\r\nid: -1\n\n"))
+	f.Add([]byte("event: error\nid: 9223372036854775808\n\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		r := stream.NewReader(bytes.NewReader(input))
+		rest := input
+		for {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			must.NonNegative(t, e.Offset)
+			must.LessEq(t, stream.MaxEventBytes, len(e.Raw))
+			i := bytes.Index(rest, e.Raw)
+			must.NonNegative(t, i)
+			must.Eq(t, "", strings.Trim(string(rest[:i]), "\r\n"))
+			rest = rest[i+len(e.Raw):]
+		}
+	})
+}
--- a/target/feed.go
+++ b/target/feed.go
@@ -91,7 +91,10 @@
 	if ev.Kind == "" && ev.Sequence == 0 {
 		return CacheEvent{}, true, nil
 	}
-	return ev, false, ev.check()
+	if err := ev.check(); err != nil {
+		return CacheEvent{}, false, err
+	}
+	return ev, false, nil
 }
 
 // check refuses an event that no engine sends.
--- /dev/null
+++ b/target/fleet_test.go
@@ -0,0 +1,184 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/target"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// loads is a target.Client that answers only for loads.
+type loads struct {
+	target.Client
+	mu     sync.Mutex
+	report target.Report
+	err    error
+	polls  int
+}
+
+func (l *loads) Load(context.Context, string) (target.Report, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.polls++
+	return l.report, l.err
+}
+
+func (l *loads) set(report target.Report, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report, l.err, l.polls = report, err, 0
+}
+
+type roster struct {
+	vm.Roster
+	live []vm.Member
+}
+
+func (r *roster) Live() []vm.Member { return r.live }
+
+// A scene is the fleets of several VMs before one target.
+type scene struct {
+	t      *testing.T
+	loads  *loads
+	fleets []*target.Fleet
+	memory *peer.Memory
+}
+
+func newScene(t *testing.T, vms int) *scene {
+	s := &scene{t: t, loads: &loads{report: target.Report{Incarnation: "i1"}}, memory: peer.NewMemory()}
+	view := config.NewView(&config.Config{Version: 1, Targets: []config.Target{{Name: "e", Kind: config.TargetEngine, Pool: "p", Address: "10.0.0.1:80"}}})
+	r := &roster{}
+	for i := range vms {
+		r.live = append(r.live, vm.Member{ID: fmt.Sprintf("vm%d", i), Peer: fmt.Sprintf("10.1.0.%d:90", i)})
+	}
+	for _, m := range r.live {
+		node := s.memory.Node(m.ID, m.Peer)
+		f := target.NewFleet(target.Options{
+			Client: s.loads, Config: func() *config.View { return view }, Roster: r, Peers: node, Self: m.ID,
+		})
+		f.Register(node)
+		s.fleets = append(s.fleets, f)
+		go func() { _ = f.Run(t.Context()) }()
+	}
+	s.settle(time.Second)
+	return s
+}
+
+func (s *scene) settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// mustUse checks on every VM whether the target may get a request.
+func (s *scene) mustUse(usable bool) {
+	s.t.Helper()
+	for i, f := range s.fleets {
+		state := f.States("p")[0]
+		must.Eq(s.t, usable, state.Usable(time.Now()), must.Sprintf("VM %d: %+v", i, state))
+	}
+}
+
+func TestFleet(t *testing.T) {
+	failed := errors.New("no answer")
+	for name, run := range map[string]func(s *scene){
+		"one VM asks": func(s *scene) {
+			s.mustUse(true)
+			s.loads.set(target.Report{}, nil)
+			s.settle(10 * time.Second)
+			must.Between(s.t, 35, s.loads.polls, 45)
+		},
+		"leaving is known within three seconds": func(s *scene) {
+			s.loads.set(target.Report{Leaving: true}, nil)
+			s.settle(time.Second)
+			s.mustUse(false)
+			s.loads.set(target.Report{Incarnation: "i2"}, nil)
+			s.settle(time.Second)
+			s.mustUse(true)
+		},
+		"no report for three seconds": func(s *scene) {
+			s.loads.set(target.Report{}, failed)
+			s.settle(3 * time.Second)
+			s.mustUse(false)
+			s.loads.set(target.Report{}, nil)
+			s.settle(3 * time.Second)
+			s.mustUse(true)
+		},
+		"cut off from the VM that asks": func(s *scene) {
+			for i := range s.fleets {
+				for j := range i {
+					s.memory.Cut(fmt.Sprintf("vm%d", i), fmt.Sprintf("vm%d", j))
+				}
+			}
+			s.settle(3 * time.Second)
+			s.mustUse(true)
+			s.loads.set(target.Report{Leaving: true}, nil)
+			s.settle(2 * time.Second)
+			s.mustUse(false)
+		},
+		"failing requests, then probed by one": func(s *scene) {
+			for range 3 {
+				s.fleets[0].Note(target.Failed{Target: "e"})
+			}
+			s.settle(0)
+			must.Eq(s.t, target.LifeFailing, s.fleets[0].States("p")[0].Life)
+			s.settle(2 * time.Second)
+			must.Eq(s.t, target.LifeProbing, s.fleets[0].States("p")[0].Life)
+			s.fleets[0].Note(target.Failed{Target: "e"})
+			s.settle(1500 * time.Millisecond)
+			must.Eq(s.t, target.LifeFailing, s.fleets[0].States("p")[0].Life)
+			s.settle(time.Second)
+			s.fleets[0].Note(target.Worked{Target: "e"})
+			s.settle(0)
+			must.Eq(s.t, target.LifeLive, s.fleets[0].States("p")[0].Life)
+		},
+		"moved on": func(s *scene) {
+			s.loads.set(target.Report{Incarnation: "i2"}, nil)
+			for _, f := range s.fleets {
+				f.Note(target.Moved{Target: "e"})
+			}
+			s.settle(60 * time.Millisecond)
+			for _, f := range s.fleets {
+				must.Eq(s.t, "i2", f.States("p")[0].Report.Incarnation)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { run(newScene(t, 3)) })
+		})
+	}
+}
+
+// TestEventsSilence checks that a feed that falls silent ends, and that a new
+// one goes on behind it.
+func TestEventsSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := fake.NewNetwork()
+		e := fake.NewEngine(fake.EngineOptions{})
+		t.Cleanup(e.Crash)
+		network.Add("10.0.0.1:80", e)
+		client := target.NewHTTPClient(target.HTTPOptions{Transport: network})
+		events, err := client.Events(t.Context(), "10.0.0.1:80", 0)
+		must.NoError(t, err)
+		must.Eq(t, uint64(1), (<-events).Sequence)
+		time.Sleep(time.Minute)
+		e.Silence()
+		start := time.Now()
+		_, open := <-events
+		must.False(t, open)
+		must.Eq(t, target.FeedSilence, time.Since(start).Round(time.Second))
+		events, err = client.Events(t.Context(), "10.0.0.1:80", 0)
+		must.NoError(t, err)
+		must.Eq(t, uint64(1), (<-events).Sequence)
+	})
+}
--- a/target/fleettask.go
+++ b/target/fleettask.go
@@ -118,12 +118,16 @@
 	if !ok || r.state.Reported && at.Before(r.state.At) {
 		return
 	}
+	old := r.state.Report
 	r.asked = true
 	r.state.Reported = true
 	r.state.Report = report
 	r.state.At = at
 	f.dirty = true
 	f.withLife(name, func(l *life) { l.reported(report.Leaving, now) })
+	if old.Incarnation != report.Incarnation || old.Weights != report.Weights {
+		f.publish()
+	}
 }
 
 // tick follows the configuration, asks targets, shares and publishes.
--- /dev/null
+++ b/target/httpclient_test.go
@@ -0,0 +1,152 @@
+package target_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/target"
+)
+
+// A wire is a server below HTTP that counts the requests it read, and answers
+// each with what it was told before it closes the connection.
+type wire struct {
+	listener net.Listener
+	answer   string
+	requests atomic.Int64
+	last     atomic.Pointer[http.Request]
+}
+
+func newWire(t *testing.T, answer string) *wire {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	w := &wire{listener: l, answer: answer}
+	t.Cleanup(func() { _ = l.Close() })
+	go w.serve()
+	return w
+}
+
+func (w *wire) address() string { return w.listener.Addr().String() }
+
+func (w *wire) serve() {
+	for {
+		conn, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		go w.serveConn(conn)
+	}
+}
+
+func (w *wire) serveConn(conn net.Conn) {
+	defer conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	w.last.Store(r)
+	w.requests.Add(1)
+	_, _ = fmt.Fprint(conn, w.answer)
+}
+
+func answerOf(status string, headers ...string) string {
+	return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n" + strings.Join(headers, "\r\n") + "\r\n\r\n"
+}
+
+// kind names a Result.
+func kind(r target.Result) string {
+	switch r := r.(type) {
+	case target.Answered:
+		_ = r.Response.Body.Close()
+		return fmt.Sprint("answered ", r.Response.Status)
+	case target.NotRun:
+		return fmt.Sprint("not run ", r.Stale, " ", r.Unreachable)
+	case target.Lost:
+		return "lost"
+	}
+	return "none"
+}
+
+func request(method string) target.Request {
+	return target.Request{
+		ID: "r1", Attempt: "r1.1", Method: method, Path: "/holds", Body: []byte(`{"seat":"A1"}`),
+		Incarnation: "i1", Weights: "w1",
+		Header: http.Header{
+			"Content-Type": {"application/json"}, "Authorization": {"Bearer caller-key"}, "Cookie": {"key=caller-key"},
+			"X-Api-Key": {"caller-key"}, "Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"},
+		},
+	}
+}
+
+// TestSendOnce checks each way a send can end, and that the request is written
+// at most once.
+func TestSendOnce(t *testing.T) {
+	for name, c := range map[string]struct{ answer, kind string }{
+		"closed without an answer": {"", "lost"},
+		"cut off in the headers":   {"HTTP/1.1 200 OK\r\nContent-Le", "lost"},
+		"answered":                 {answerOf("200 OK"), "answered 200"},
+		"redirected":               {answerOf("307 Temporary Redirect", "Location: /elsewhere"), "answered 307"},
+		"refused":                  {answerOf("503 Leaving", "X-Not-Run: true"), "not run false false"},
+		"moved on":                 {answerOf("409 Conflict", "X-Not-Run: true"), "not run true false"},
+		"answer of another try":    {answerOf("200 OK", "X-Attempt-Id: r1.0"), "lost"},
+		"answer to another":        {answerOf("200 OK", "X-Request-Id: r2"), "lost"},
+		"other weights":            {answerOf("200 OK", "X-Weights-Version: w0"), "lost"},
+		"dead incarnation":         {answerOf("200 OK", "X-Engine-Incarnation: i0"), "lost"},
+	} {
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				w := newWire(t, c.answer)
+				client := target.NewHTTPClient(target.HTTPOptions{})
+				for i := range 3 {
+					must.Eq(t, c.kind, kind(client.Send(t.Context(), w.address(), request(method))))
+					must.Eq(t, int64(i+1), w.requests.Load())
+				}
+			})
+		}
+	}
+}
+
+func TestSendNothingWritten(t *testing.T) {
+	w := newWire(t, "")
+	must.NoError(t, w.listener.Close())
+	client := target.NewHTTPClient(target.HTTPOptions{})
+	must.Eq(t, "not run false true", kind(client.Send(t.Context(), w.address(), request(http.MethodPost))))
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(errors.New("caller gone"))
+	must.Eq(t, "not run false true", kind(client.Send(ctx, w.address(), request(http.MethodPost))))
+}
+
+func TestSendHidesKeys(t *testing.T) {
+	w := newWire(t, answerOf("200 OK"))
+	client := target.NewHTTPClient(target.HTTPOptions{Credential: "own"})
+	must.Eq(t, "answered 200", kind(client.Send(t.Context(), w.address(), request(http.MethodPost))))
+	h := w.last.Load().Header
+	must.Eq(t, []string{"Bearer own"}, h["Authorization"])
+	must.Eq(t, []string{"application/json"}, h["Content-Type"])
+	must.False(t, strings.Contains(fmt.Sprint(h), "caller-key"))
+	must.Eq(t, "r1", h.Get(target.HeaderRequestID))
+}
+
+func FuzzCacheEvent(f *testing.F) {
+	f.Add([]byte(`{"sequence":1,"incarnation":"i","weights":"w","kind":"stored","pieces":[1,2]}`))
+	f.Add([]byte(`{}`))
+	f.Add([]byte(`{"sequence":18446744073709551615,"kind":"cleared"}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		ev, ping, err := target.ParseEvent(line)
+		if err != nil || ping {
+			must.Eq(t, target.CacheEvent{}, ev)
+			return
+		}
+		must.Positive(t, ev.Sequence)
+		must.NotEq(t, "", ev.Incarnation)
+	})
+}
