--- a/config/problem.go
+++ b/config/problem.go
@@ -69,13 +69,21 @@
 	})
 }
 
+// maxProblems bounds the problems of one file that are reported.
+const maxProblems = 200
+
 // Err returns all problems in the order of their lines as a *Problems, or nil.
+// Of very many problems it returns the first ones and the number of the rest.
 func (r *Report) Err() error {
 	if len(r.list) == 0 {
 		return nil
 	}
 	list := append([]Problem(nil), r.list...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].Line < list[j].Line })
+	if rest := len(list) - maxProblems; rest > 0 {
+		reason := fmt.Sprintf("has %d more problems", rest)
+		list = append(list[:maxProblems:maxProblems], Problem{File: r.File, Reason: reason})
+	}
 	return &Problems{List: list}
 }
 
