--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/caller"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/limit"
+	"github.com/baobabdyke/baobabdyke/order"
 	"github.com/baobabdyke/baobabdyke/peer"
 	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/prefix"
@@ -37,6 +38,9 @@
 	Calls     peer.Registrar
 }
 
+// budgetBurst is the time whose calls of the object API may come at once.
+const budgetBurst = 2 * time.Second
+
 // maxKeptAnswer is the largest answer in bytes that is kept for a repeat.
 const maxKeptAnswer = 64 << 10
 
@@ -52,6 +56,7 @@
 	outside  Outside
 	log      log.Logger
 
+	budget  *platform.Budget
 	life    *vm.Life
 	members *vm.Task
 	keeper  *config.Keeper
@@ -63,6 +68,7 @@
 	index   *prefix.Task
 	chooser *route.Chooser
 	runner  *dispatch.Runner
+	orders  *order.Task
 	callers *caller.Handler
 
 	operatorHandler http.Handler
@@ -122,6 +128,7 @@
 		v.fleet.Run,
 		v.index.Run,
 		v.chooser.Run,
+		v.orders.Run,
 	}
 }
 
