Add serve and demo, and lines in the errors of settings

Cause: an operator needs a process to run, and a newcomer one command that shows the whole path with its failures. Errors of settings named no line. Change: serve runs a VM with a settings file. demo runs the platform, eight targets, three VMs and callers in one process through the public interfaces: entry, streams of two workloads, a repeated seat hold, lost answers, broken streams, a crashed engine, a lowered rate, a conflict, a withdrawn key, a killed VM and a drained VM. It ends with a table and a non-zero exit code if something did not hold. config.EncodePatch writes large numbers in full, since its decoder reads 1e+07 as text. Settings report their problems as configuration does. Clerks were told to wait for the rate although inside it in about every second run, in the first two seconds after the start: VMs do not know yet who holds the other slots. Refusals inside the rate after a start of all VMs are the first thing to look at.

--- a/config/first.go
+++ b/config/first.go
@@ -1,5 +1,11 @@
 package config
 
+import (
+	"strconv"
+
+	"github.com/goccy/go-yaml"
+)
+
 // FirstPatch returns the patch that makes cfg the first configuration.
 func FirstPatch(cfg *Config) Patch {
 	p := Patch{
@@ -11,3 +17,9 @@
 	p.ID = "import-" + p.digest()[:16]
 	return p
 }
+
+// EncodePatch returns a patch in YAML as DecodePatch reads it.
+func EncodePatch(p Patch) ([]byte, error) {
+	plain := func(v float64) ([]byte, error) { return strconv.AppendFloat(nil, v, 'f', -1, 64), nil }
+	return yaml.MarshalWithOptions(p, yaml.CustomMarshaler(plain))
+}
--- a/internal/cmd/checkcmd.go
+++ b/internal/cmd/checkcmd.go
@@ -10,8 +10,9 @@
 
 // checkCommand is the subcommand "check".
 type checkCommand struct {
-	File  string `arg:"positional,required" help:"file in YAML"`
-	Patch bool   `arg:"--patch" help:"the file holds a patch, not a configuration"`
+	File     string `arg:"positional,required" help:"file in YAML"`
+	Settings bool   `arg:"--settings" help:"the file holds the settings of a process, not a configuration"`
+	Patch    bool   `arg:"--patch" help:"the file holds a patch, not a configuration"`
 }
 
 func (c *checkCommand) run(stdout, stderr io.Writer) int {
@@ -30,6 +31,8 @@
 // check returns what the file holds, or all its problems.
 func (c *checkCommand) check(data []byte) (string, error) {
 	switch {
+	case c.Settings:
+		return checkSettings(c.File, data)
 	case c.Patch:
 		p, err := config.DecodePatch(c.File, data)
 		if err != nil {
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -33,10 +33,12 @@
 
 // arguments are the arguments of the program: one subcommand.
 type arguments struct {
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a VM with the settings in a file"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a configuration, a patch or settings without sending them"`
 	Patch   *patchCommand   `arg:"subcommand:patch" help:"change the configuration"`
 	Show    *showCommand    `arg:"subcommand:show" help:"show the state of a VM"`
 	Drain   *drainCommand   `arg:"subcommand:drain" help:"stop a VM without cutting requests"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run VMs, targets and callers in this process"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -113,6 +113,7 @@
 	runCases(t, []commandCase{
 		{name: "hakata", args: "check ../../examples/hakata.yaml", stdout: "5 customers, 5 routes, 1 models, 14 targets"},
 		{name: "saldo", args: "check ../../examples/saldo.yaml", stdout: "5 customers, 5 routes, 1 models, 16 targets"},
+		{name: "settings", args: "check --settings ../../examples/settings.yaml", stdout: "settings of VM hakata-vm-1"},
 		{name: "patch", args: "check --patch testdata/patches/accepted.yaml", stdout: "patch accepted against version 7"},
 		{name: "malformed", args: "check testdata/bad/malformed.yaml", code: ExitUsage, stderr: `malformed.yaml:3: `},
 		{name: "unknown and duplicate fields", args: "check testdata/bad/fields.yaml", code: ExitUsage, stderr: `fields.yaml:4: customers.a..colour: is not a known field
@@ -123,7 +124,10 @@
 			values.yaml:13: .*digest: .*permitted: 64
 			values.yaml:14: .*rate.requests: .*permitted: more than 0`},
 		{name: "empty", args: "check testdata/bad/empty.yaml", code: ExitUsage, stderr: "empty.yaml"},
+		{name: "configuration as settings", args: "check --settings ../../examples/hakata.yaml", code: ExitUsage, stderr: "models: is not a known field"},
 		{name: "settings as configuration", args: "check ../../examples/settings.yaml", code: ExitUsage, stderr: "callers: is not a known field"},
+		{name: "bad settings", args: "check --settings testdata/bad/settings.yaml", code: ExitUsage, stderr: `settings.yaml:4: callers.address: .*permitted: IP:port
+			peers.secret: `},
 		{name: "half valid patch", args: "check --patch testdata/bad/patch-halfvalid.yaml", code: ExitUsage, stderr: "halfvalid.yaml:7: withdraw.0..colour: is not a known field"},
 	})
 }
--- a/internal/cmd/patchcmd.go
+++ b/internal/cmd/patchcmd.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"os"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/baobabdyke/baobabdyke/config"
 )
 
@@ -57,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return yaml.Marshal(config.FirstPatch(cfg))
+	return config.EncodePatch(config.FirstPatch(cfg))
 }
 
 // report prints the outcome and returns its exit code.
--- /dev/null
+++ b/internal/cmd/settings.go
@@ -0,0 +1,16 @@
+package cmd
+
+import (
+	"fmt"
+
+	"github.com/baobabdyke/baobabdyke/internal/settings"
+)
+
+// checkSettings returns what a settings file holds, or all its problems.
+func checkSettings(file string, data []byte) (string, error) {
+	s, err := settings.Decode(file, data)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("settings of VM %s in data centre %s", s.VM, s.DataCentre), nil
+}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,178 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+const (
+	// readyLimit bounds the time until all VMs are ready.
+	readyLimit = 8 * time.Second
+	// pollInterval is the time between two looks at a VM's state.
+	pollInterval = 20 * time.Millisecond
+	// anyPort is an address with a free port of the loopback interface.
+	anyPort = "127.0.0.1:0"
+)
+
+// places are the data centres of the VMs.
+var places = []string{"hakata", "hakata", "kokura"}
+
+// A fleet is all that the demo runs: the platform, the targets and the VMs.
+type fleet struct {
+	*standIns
+	memory  *platform.Memory
+	objects string
+	vms     []*node
+	client  *http.Client
+	log     log.Logger
+}
+
+// startFleet starts the platform, the targets and the VMs until ctx ends, and
+// sends the first configuration.
+func startFleet(ctx context.Context, logger log.Logger) (*fleet, error) {
+	targets, err := startStandIns(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{standIns: targets, memory: platform.NewMemory(), client: &http.Client{Transport: &http.Transport{}}, log: logger}
+	f.objects, err = fake.Serve(ctx, fake.NewObjects(f.memory))
+	if err != nil {
+		return nil, err
+	}
+	for i, place := range places {
+		f.vms = append(f.vms, newNode(fmt.Sprintf("vm-%d", i+1), place))
+	}
+	for _, n := range f.vms {
+		if err := f.start(ctx, n); err != nil {
+			return nil, err
+		}
+	}
+	f.list()
+	return f, f.configure(ctx)
+}
+
+// list tells the platform which VMs there are.
+func (f *fleet) list() {
+	records := make([]platform.VMRecord, len(f.vms))
+	for i, n := range f.vms {
+		records[i] = platform.VMRecord{ID: n.id, Address: n.peers, DataCentre: n.dataCentre, State: platform.VMLive}
+	}
+	f.memory.SetVMs(records)
+}
+
+// configure sends the first configuration to a VM.
+func (f *fleet) configure(ctx context.Context) error {
+	patch, err := config.EncodePatch(config.FirstPatch(configuration(f.targets)))
+	if err != nil {
+		return err
+	}
+	for {
+		status, body, err := f.operator(ctx, f.vms[0], http.MethodPost, "/patch", string(patch))
+		switch {
+		case err != nil:
+			return err
+		case status == http.StatusOK:
+			return nil
+		case status != http.StatusServiceUnavailable || ctx.Err() != nil:
+			return eris.Errorf("first configuration answered %d: %s", status, body)
+		}
+		pause(ctx, pollInterval)
+	}
+}
+
+// callers returns the callers' addresses of the VMs that run.
+func (f *fleet) callers() []string {
+	var list []string
+	for _, n := range f.vms {
+		if n.running() {
+			list = append(list, n.callers)
+		}
+	}
+	return list
+}
+
+// operator sends one request to the operators' port of a VM.
+func (f *fleet) operator(ctx context.Context, n *node, method, path, body string) (status int, answer string, err error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.operators+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+operatorToken)
+	resp, err := f.client.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// await waits until every running VM answers a path of its operators' port with
+// an answer that done accepts.
+func (f *fleet) await(ctx context.Context, path string, limit time.Duration, done func(status int, body string) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for _, n := range f.vms {
+		if !n.running() {
+			continue
+		}
+		for {
+			status, body, err := f.operator(ctx, n, http.MethodGet, path, "")
+			if err == nil && done(status, body) {
+				break
+			}
+			if ctx.Err() != nil {
+				return eris.Errorf("%s: %s after %s: status %d: %s", n.id, path, limit, status, strings.TrimSpace(body))
+			}
+			pause(ctx, pollInterval)
+		}
+	}
+	return nil
+}
+
+// awaitReady waits until every running VM is ready.
+func (f *fleet) awaitReady(ctx context.Context) error {
+	return f.await(ctx, "/ready", readyLimit, func(status int, _ string) bool { return status == http.StatusOK })
+}
+
+// awaitVersion waits until every running VM has the version in force.
+func (f *fleet) awaitVersion(ctx context.Context, version int64) error {
+	want := fmt.Sprintf(`"version": %d,`, version)
+	return f.await(ctx, "/config", forceLimit, func(_ int, body string) bool { return strings.Contains(body, want) })
+}
+
+// at returns the VM with a callers' address.
+func (f *fleet) at(callers string) (*node, error) {
+	for _, n := range f.vms {
+		if n.callers == callers {
+			return n, nil
+		}
+	}
+	return nil, eris.Errorf("there is no VM at %s", callers)
+}
+
+// start starts a VM on its addresses.
+func (f *fleet) start(ctx context.Context, n *node) error { return n.start(ctx, f.objects, f.log) }
+
+// drain asks a VM to stop as planned and waits until it has ended.
+func (f *fleet) drain(ctx context.Context, n *node) error {
+	status, body, err := f.operator(ctx, n, http.MethodPost, "/drain", "")
+	if err != nil {
+		return err
+	}
+	if status/100 != 2 {
+		return eris.Errorf("drain answered %d: %s", status, body)
+	}
+	return n.wait(ctx)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,11 +103,12 @@
 // Decode decodes and checks settings. The error lists every problem.
 func Decode(file string, data []byte) (Settings, error) {
 	var s Settings
-	if err := strict.Decode(file, data, &s); err != nil {
+	lines, err := strict.DecodeLines(file, data, &s)
+	if err != nil {
 		return Settings{}, err
 	}
 	s = s.withDefaults()
-	return s, s.validate(file)
+	return s, s.validate(file, lines)
 }
 
 // withDefaults fills in what may be left out.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -1,22 +1,10 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
-)
-
-// A Problem is one setting that cannot be used.
-type Problem struct {
-	File      string
-	Field     string
-	Reason    string
-	Permitted string
-}
 
-// Error implements error.
-func (p Problem) Error() string {
-	return fmt.Sprintf("%s: %s: %s (permitted: %s)", p.File, p.Field, p.Reason, p.Permitted)
-}
+	"github.com/baobabdyke/baobabdyke/config"
+)
 
 // A check is one rule on a setting.
 type check struct {
@@ -26,15 +14,15 @@
 	permitted string
 }
 
-// validate returns all problems of the settings, joined.
-func (s Settings) validate(file string) error {
-	var all []error
+// validate returns all problems of the settings as a *config.Problems.
+func (s Settings) validate(file string, lines config.Lines) error {
+	r := &config.Report{File: file, Lines: lines}
 	for _, c := range s.checks() {
 		if !c.ok {
-			all = append(all, Problem{File: file, Field: c.field, Reason: c.reason, Permitted: c.permitted})
+			r.Add(c.field, c.permitted, "%s", c.reason)
 		}
 	}
-	return errors.Join(all...)
+	return r.Err()
 }
 
 func (s Settings) checks() []check {
