Wait out refusals inside the rate in the demo

Cause: after a start of the whole fleet, a VM that read a shard's slots before the others took theirs refuses requests inside the rate for up to 5 s, and the demo's callers gave up after three waits. Measured: three waits were not enough in one of four runs with -race. Conclusion: the refusals stay visible; the limit package has to shorten them.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -29,7 +29,7 @@
 	// callTimeout bounds one call of a caller.
 	callTimeout = 10 * time.Second
 	// maxDelays is how often a caller over its rate sends again.
-	maxDelays = 3
+	maxDelays = 8
 )
 
 // A caller is one client of the public interface. It keeps the answer to the
