--- a/internal/cmd/table.go
+++ b/internal/cmd/table.go
@@ -9,6 +9,9 @@
 	"text/tabwriter"
 )
 
+// emptyCell stands for a value that is not there.
+const emptyCell = "-"
+
 // A document is a decoded JSON value of any shape.
 type document = any
 
@@ -50,7 +53,8 @@
 	}
 	fmt.Fprintln(w, strings.ToUpper(strings.Join(columns, "\t")))
 	for _, item := range list {
-		object, _ := item.(map[string]document)
+		object := map[string]document{}
+		flatten(object, "", item)
 		cells := make([]string, len(columns))
 		for i, column := range columns {
 			cells[i] = cell(object[column])
@@ -59,17 +63,34 @@
 	}
 }
 
+// flatten adds the fields of an object to flat, those of objects within it under
+// dotted names.
+func flatten(flat map[string]document, name string, doc document) {
+	object, ok := doc.(map[string]document)
+	if !ok {
+		flat[name] = doc
+		return
+	}
+	for key, value := range object {
+		flatten(flat, strings.TrimPrefix(name+"."+key, "."), value)
+	}
+}
+
 // columnsOf returns the names of the fields of all objects of a list: those that
-// name the object first, the others in alphabetical order.
+// name the object first, the others in alphabetical order. Fields that are empty
+// in all objects are left out.
 func columnsOf(list []document) []string {
 	all := map[string]document{}
 	for _, item := range list {
-		object, ok := item.(map[string]document)
-		if !ok {
+		if _, ok := item.(map[string]document); !ok {
 			return nil
 		}
-		for key := range object {
-			all[key] = nil
+		object := map[string]document{}
+		flatten(object, "", item)
+		for key, value := range object {
+			if cell(value) != emptyCell {
+				all[key] = nil
+			}
 		}
 	}
 	return sortedKeys(all)
@@ -91,7 +112,7 @@
 
 // naming tells whether a field names its object.
 func naming(key string) bool {
-	key = strings.ToLower(key)
+	key = strings.ToLower(key[strings.LastIndex(key, ".")+1:])
 	return key == "id" || key == "name" || key == "version" || key == "customer" || key == "duty"
 }
 
@@ -99,16 +120,35 @@
 func cell(doc document) string {
 	switch v := doc.(type) {
 	case nil:
-		return "-"
+		return emptyCell
 	case string:
-		if v == "" {
-			return "-"
-		}
-		return v
+		return textCell(v)
 	case float64:
 		return strings.TrimSuffix(fmt.Sprintf("%.3f", v), ".000")
+	case []document:
+		return listCell(v)
 	default:
 		data, _ := json.Marshal(v)
 		return string(data)
 	}
 }
+
+// textCell returns a text in one cell. The zero time counts as empty.
+func textCell(s string) string {
+	if s == "" || strings.HasPrefix(s, "0001-01-01T") {
+		return emptyCell
+	}
+	return s
+}
+
+// listCell returns the elements of a list in one cell.
+func listCell(list []document) string {
+	if len(list) == 0 {
+		return emptyCell
+	}
+	cells := make([]string, len(list))
+	for i, item := range list {
+		cells[i] = cell(item)
+	}
+	return strings.Join(cells, " ")
+}
