Give the next turn to the customer that has used the least

Each arrival scanned all waiting requests. Change: The customer with the fewest tokens used of late (half-life 1 s) has the next turn, by a heap whose order needs no update as usage decays.

--- a/queue/commands.go
+++ b/queue/commands.go
@@ -39,6 +39,8 @@
 		effects = s.dispatch(e.Pool, now)
 	case Tick:
 		for _, name := range slices.Sorted(maps.Keys(s.pools)) {
+			s.pools[name].forget(now)
+			effects = append(effects, s.expire(s.pools[name], now)...)
 			effects = append(effects, s.dispatch(name, now)...)
 		}
 	}
@@ -48,22 +50,23 @@
 // arrive puts a request into its queue or rejects it.
 func (s *State) arrive(e Arrive, now time.Time) []Effect {
 	p := s.pool(e.Ticket.Pool)
-	wait := p.expectedWait(e.Ticket)
-	if !e.Ticket.Deadline.IsZero() && now.Add(wait).After(e.Ticket.Deadline) {
-		return []Effect{Reject{ID: e.ID, Reason: ReasonDeadline, RetryAfter: retryAfter(wait)}}
+	if !e.Ticket.Deadline.IsZero() {
+		if wait := p.expectedWait(e.Ticket); now.Add(wait).After(e.Ticket.Deadline) {
+			return []Effect{Reject{ID: e.ID, Reason: ReasonDeadline, RetryAfter: retryAfter(wait)}}
+		}
 	}
 	var effects []Effect
 	if s.routes[e.Ticket.Route] >= limitOf(e.Ticket) {
+		wait := retryAfter(p.expectedWait(e.Ticket))
 		victim := s.victim(e.Ticket)
 		if victim == nil {
-			return []Effect{Reject{ID: e.ID, Reason: ReasonFull, RetryAfter: retryAfter(wait)}}
+			return []Effect{Reject{ID: e.ID, Reason: ReasonFull, RetryAfter: wait}}
 		}
 		s.take(victim)
-		effects = append(effects, Reject{ID: victim.id, Reason: ReasonFull, RetryAfter: retryAfter(wait)})
+		effects = append(effects, Reject{ID: victim.id, Reason: ReasonFull, RetryAfter: wait})
 	}
 	w := &waiter{id: e.ID, ticket: e.Ticket, tokens: max(e.Ticket.Tokens, minTokens)}
-	p.tenant(e.Ticket.Customer).insert(w)
-	p.tokens += w.tokens
+	p.enter(w)
 	s.routes[e.Ticket.Route]++
 	invariant.Hold(s.routes[e.Ticket.Route] <= limitOf(e.Ticket), "queue-bound",
 		"route %s holds %d of %d", e.Ticket.Route, s.routes[e.Ticket.Route], limitOf(e.Ticket))
@@ -77,7 +80,7 @@
 	own := max(t.Tokens, minTokens)
 	held := map[string]float64{}
 	last := map[string]*waiter{}
-	for _, tn := range s.pool(t.Pool).ring {
+	for _, tn := range s.pool(t.Pool).turns {
 		for _, w := range tn.waiting {
 			if w.ticket.Route == t.Route {
 				held[tn.name] += w.tokens
@@ -99,16 +102,11 @@
 // take removes a waiter from its queue.
 func (s *State) take(w *waiter) {
 	p := s.pool(w.ticket.Pool)
-	t := p.tenants[w.ticket.Customer]
-	t.remove(w.id)
-	p.tokens -= w.tokens
+	p.leave(p.tenants[w.ticket.Customer], w)
 	s.routes[w.ticket.Route]--
 	if s.routes[w.ticket.Route] == 0 {
 		delete(s.routes, w.ticket.Route)
 	}
-	if len(t.waiting) == 0 {
-		p.leaveRing(t)
-	}
 }
 
 // abandon drops a waiting request, or ends it if it has just been started.
@@ -140,45 +138,37 @@
 	return s.dispatch(r.pool, now)
 }
 
-// dispatch starts waiting requests while the pool has room: deficit round
-// robin on tokens among customers. What cannot meet its deadline any more is
-// rejected.
+// dispatch starts waiting requests while the pool has room.
 func (s *State) dispatch(name string, now time.Time) []Effect {
 	p := s.pool(name)
-	effects := s.expire(p, now)
-	for p.running < p.window.size() && len(p.ring) > 0 {
-		t := p.ring[0]
-		if !t.visited {
-			t.deficit += quantumTokens
-			t.visited = true
-		}
+	var effects []Effect
+	for p.running < p.window.size() && len(p.turns) > 0 {
+		t := p.turns[0]
 		w := t.waiting[0]
-		if w.tokens > t.deficit {
-			t.visited = false
-			p.ring = append(p.ring[1:], t)
+		s.take(w)
+		if w.late(now) {
+			effects = append(effects, Reject{ID: w.id, Reason: ReasonDeadline, RetryAfter: minRetryAfter})
 			continue
 		}
-		t.deficit -= w.tokens
-		s.take(w)
+		p.charge(t, w.tokens, now)
 		p.running++
 		s.running[w.id] = &run{pool: name, tokens: w.tokens, started: now}
 		effects = append(effects, Start{ID: w.id})
 	}
-	invariant.Hold(p.running >= p.window.size() || len(p.ring) == 0, "queue-idle",
-		"pool %s has room while requests wait", name)
 	return effects
 }
 
 // expire rejects the waiting requests whose deadline has passed.
 func (s *State) expire(p *pool, now time.Time) []Effect {
 	var late []*waiter
-	for _, t := range p.ring {
+	for _, t := range p.turns {
 		for _, w := range t.waiting {
-			if !w.ticket.Deadline.IsZero() && !now.Before(w.ticket.Deadline) {
+			if w.late(now) {
 				late = append(late, w)
 			}
 		}
 	}
+	slices.SortFunc(late, func(a, b *waiter) int { return cmp.Compare(a.id, b.id) })
 	effects := make([]Effect, 0, len(late))
 	for _, w := range late {
 		s.take(w)
--- a/queue/queries.go
+++ b/queue/queries.go
@@ -19,7 +19,7 @@
 		ahead += own.ahead(t.Priority)
 	}
 	total := ahead - t.Tokens
-	for _, other := range p.ring {
+	for _, other := range p.turns {
 		if other.name != t.Customer {
 			total += min(other.tokens, ahead)
 		}
@@ -60,6 +60,9 @@
 		}
 		for _, customer := range slices.Sorted(maps.Keys(p.tenants)) {
 			t := p.tenants[customer]
+			if len(t.waiting) == 0 {
+				continue
+			}
 			pd.Waiting = append(pd.Waiting, CustomerDump{Customer: customer, Requests: len(t.waiting), Tokens: t.tokens})
 		}
 		d.Pools = append(d.Pools, pd)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,5 +1,9 @@
 // Package queue holds the requests that wait for a target: bounded for each
 // route, with fair shares of tokens among customers, and aware of deadlines.
+//
+// The customer that has used the fewest tokens of late has the next turn. Its
+// own requests run by priority, then in the order of arrival. A pool's bound
+// on running requests follows the latency of its answers.
 package queue
 
 import "time"
@@ -19,8 +23,8 @@
 // An Outcome is the result of waiting: Entered or Rejected.
 type Outcome interface{ outcome() }
 
-// Entered reports that the request may run. Leave must be called once when the
-// request has ended; it tells how long the first byte took, zero for none.
+// Entered reports that the request may run. Leave must be called when the
+// request has ended, and counts once; it tells how long the first byte took, zero for none.
 type Entered struct {
 	Leave func(firstByte time.Duration, failed bool)
 }
--- a/queue/state.go
+++ b/queue/state.go
@@ -2,20 +2,23 @@
 
 import (
 	"cmp"
+	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// quantumTokens is what a customer's turn adds to its deficit.
-	quantumTokens = 4000
 	// defaultCapacity is the number of running requests of a pool whose
 	// capacity nobody has set.
 	defaultCapacity = 64
 	// defaultLimit bounds the waiting requests of a route that sets no bound.
 	defaultLimit = 256
+	// usageHalfLife is the time in which half of what a customer has used is
+	// forgotten.
+	usageHalfLife = time.Second
 	// minTokens is the least cost of a request, so that requests without
-	// tokens take turns as well.
+	// tokens take turns as well, and the usage that is worth remembering.
 	minTokens = 1
 )
 
@@ -42,33 +45,105 @@
 	return p
 }
 
-// A pool is a set of targets with one bound on running requests. The ring
-// holds the customers that wait, in the order of their turns.
+// A pool is a set of targets with one bound on running requests. The customer
+// with waiting requests that has used the least of late has the next turn.
 type pool struct {
 	tenants map[string]*tenant
-	ring    []*tenant
+	turns   turns
 	running int
 	window  window
-	// tokens is the sum over all waiting requests.
-	tokens float64
 }
 
-// tenant returns the customer's queue in the pool, which is put at the end of
-// the ring if nothing of it waited.
-func (p *pool) tenant(name string) *tenant {
-	t := p.tenants[name]
+// enter puts a request into its customer's queue.
+func (p *pool) enter(w *waiter) {
+	t := p.tenants[w.ticket.Customer]
 	if t == nil {
-		t = &tenant{name: name}
-		p.tenants[name] = t
-		p.ring = append(p.ring, t)
+		t = &tenant{name: w.ticket.Customer, used: nothing, place: -1}
+		p.tenants[t.name] = t
+	}
+	t.insert(w)
+	if t.place < 0 {
+		heap.Push(&p.turns, t)
+	}
+}
+
+// leave takes a waiting request out.
+func (p *pool) leave(t *tenant, w *waiter) {
+	t.remove(w)
+	if len(t.waiting) == 0 {
+		heap.Remove(&p.turns, t.place)
+	}
+}
+
+// charge counts what a customer has used.
+func (p *pool) charge(t *tenant, tokens float64, now time.Time) {
+	t.used = t.used.plus(tokens, now)
+	if t.place >= 0 {
+		heap.Fix(&p.turns, t.place)
+	}
+}
+
+// forget drops the customers that have used nothing of late.
+func (p *pool) forget(now time.Time) {
+	for name, t := range p.tenants {
+		if t.place < 0 && t.used.tokens(now) < minTokens {
+			delete(p.tenants, name)
+		}
+	}
+}
+
+// A usage is a number of tokens that decays with time. It is the binary
+// logarithm of the tokens that would have the same worth at the epoch, so that
+// usages of all customers compare without regard to time.
+type usage float64
+
+// nothing is the usage of a customer that has used no tokens.
+var nothing = usage(math.Inf(-1))
+
+// halfLives returns the time since the epoch.
+func halfLives(now time.Time) float64 {
+	return float64(now.UnixNano()) / float64(usageHalfLife)
+}
+
+// tokens returns what is left at a time.
+func (u usage) tokens(now time.Time) float64 {
+	return math.Exp2(float64(u) - halfLives(now))
+}
+
+// plus returns the usage with more tokens.
+func (u usage) plus(tokens float64, now time.Time) usage {
+	return usage(math.Log2(u.tokens(now)+tokens) + halfLives(now))
+}
+
+// turns is a heap of the customers with waiting requests.
+type turns []*tenant
+
+func (t turns) Len() int { return len(t) }
+
+// Less puts the least usage first, then the oldest request.
+func (t turns) Less(i, j int) bool {
+	if t[i].used != t[j].used {
+		return t[i].used < t[j].used
 	}
-	return t
+	return t[i].waiting[0].id < t[j].waiting[0].id
+}
+
+func (t turns) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].place, t[j].place = i, j
+}
+
+func (t *turns) Push(x any) {
+	added := x.(*tenant)
+	added.place = len(*t)
+	*t = append(*t, added)
 }
 
-// leaveRing drops a customer of which nothing waits.
-func (p *pool) leaveRing(t *tenant) {
-	delete(p.tenants, t.name)
-	p.ring = slices.DeleteFunc(p.ring, func(other *tenant) bool { return other == t })
+func (t *turns) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	last.place = -1
+	return last
 }
 
 // A tenant is what waits of one customer, highest priority first, then in the
@@ -77,9 +152,8 @@
 	name    string
 	waiting []*waiter
 	tokens  float64
-	deficit float64
-	// visited tells that the current turn has already added its quantum.
-	visited bool
+	used    usage
+	place   int // in the heap of turns; -1 while nothing waits
 }
 
 // insert puts a waiter behind all of the same or a higher priority.
@@ -94,16 +168,10 @@
 	t.tokens += w.tokens
 }
 
-// remove takes a waiter out and tells whether it was there.
-func (t *tenant) remove(id uint64) *waiter {
-	i := slices.IndexFunc(t.waiting, func(w *waiter) bool { return w.id == id })
-	if i < 0 {
-		return nil
-	}
-	w := t.waiting[i]
-	t.waiting = slices.Delete(t.waiting, i, i+1)
+// remove takes a waiter out.
+func (t *tenant) remove(w *waiter) {
+	t.waiting = slices.DeleteFunc(t.waiting, func(other *waiter) bool { return other == w })
 	t.tokens -= w.tokens
-	return w
 }
 
 // ahead returns the tokens of the customer that run before a new ticket.
@@ -124,6 +192,11 @@
 	tokens float64
 }
 
+// late tells whether the deadline has passed.
+func (w *waiter) late(now time.Time) bool {
+	return !w.ticket.Deadline.IsZero() && !now.Before(w.ticket.Deadline)
+}
+
 // A run is one running request.
 type run struct {
 	pool    string
--- a/queue/task.go
+++ b/queue/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -148,9 +147,8 @@
 	switch e := e.(type) {
 	case Start:
 		t.counts.entered.Add(1)
-		var once sync.Once
 		return Entered{Leave: func(firstByte time.Duration, failed bool) {
-			once.Do(func() { t.post(End{ID: id, FirstByte: firstByte, Failed: failed}) })
+			t.post(End{ID: id, FirstByte: firstByte, Failed: failed})
 		}}
 	case Reject:
 		t.count(e.Reason)
