Measure slopes of limits and bound the work of a tick

Cause: A tick walked all accounts (630 us at 12,000), a change of membership at 340 VMs held the task for 148 ms, and VMs that start together read and wrote at once. Change: Accounts are evicted every 2 s and slots looked after every 200 ms; homes are found without sorting all members; a VM's first read waits for up to 10 ms for each live VM. A request is large above 1/16 of the burst, whatever the number of homes.

--- a/limit/balance.go
+++ b/limit/balance.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// largePart is the part of a share above which a request counts as large.
-	largePart = 0.5
+	// largePart is the part of a burst above which a request counts as large.
+	largePart = 1.0 / 16
 	// balanceGap is the difference in the parts of their shares that two VMs
 	// hold at which tokens are moved.
 	balanceGap = 0.25
@@ -12,15 +12,15 @@
 	balanceEvery = 100 * time.Millisecond
 )
 
-// large tells whether a cost is a large part of one slot's share.
-func (s *State) large(a *account, cost Cost) bool {
-	return !burstOf(a.limits).Scale(s.layout.share(1) * largePart).Covers(cost)
+// large tells whether a cost is a large part of the customer's burst.
+func large(a *account, cost Cost) bool {
+	return !burstOf(a.limits).Scale(largePart).Covers(cost)
 }
 
 // spread tells whether a large request that the own bucket covers should draw
 // on the other homes as well, because they would be left with more.
 func (s *State) spread(a *account, cost Cost, now time.Time) bool {
-	if !s.large(a, cost) {
+	if !large(a, cost) {
 		return false
 	}
 	own := fraction(a.level.Minus(cost), a.cap)
--- a/limit/commands.go
+++ b/limit/commands.go
@@ -8,8 +8,15 @@
 	"github.com/baobabdyke/baobabdyke/config"
 )
 
-// evictAfter is the time without use after which a full account is forgotten.
-const evictAfter = 10 * time.Second
+const (
+	// tendEvery is how often the slots are looked after.
+	tendEvery = 200 * time.Millisecond
+	// evictEvery is how often unused accounts are looked for.
+	evictEvery = 2 * time.Second
+	// evictAfter is the time without use after which a full account is
+	// forgotten.
+	evictAfter = 10 * time.Second
+)
 
 // Step applies one event and returns what has to be done. It is deterministic.
 func (s *State) Step(e Event, now time.Time) []Effect {
@@ -82,15 +89,18 @@
 // tick lets time pass.
 func (s *State) tick(now time.Time) []Effect {
 	effects := s.expire(now)
-	for _, sh := range s.shards {
-		effects = append(effects, s.tend(sh, now)...)
+	if now.Sub(s.tended) >= tendEvery {
+		effects = append(effects, s.tendAll(now)...)
+	}
+	if now.Sub(s.evicted) >= evictEvery {
+		s.evict(now)
 	}
-	s.evict(now)
 	return effects
 }
 
 // evict forgets the accounts that would be the same if they were made anew.
 func (s *State) evict(now time.Time) {
+	s.evicted = now
 	for name, a := range s.accounts {
 		if now.Sub(a.used) <= evictAfter {
 			continue
@@ -155,7 +165,7 @@
 		s.shards = append(s.shards, newShard(i, l))
 	}
 	s.accounts = map[string]*account{}
-	s.live = nil
+	s.rank()
 }
 
 // activate counts the slots whose former holder's transfers have lapsed.
--- a/limit/gather.go
+++ b/limit/gather.go
@@ -107,7 +107,7 @@
 	a := g.account
 	a.advance(now)
 	g.rounds++
-	if g.rounds == 1 && s.large(a, g.cost) {
+	if g.rounds == 1 && large(a, g.cost) {
 		if effects := s.askAll(g, now); len(effects) > 0 {
 			return effects
 		}
--- a/limit/hint.go
+++ b/limit/hint.go
@@ -24,7 +24,7 @@
 // first.
 func (s *State) estimates(a *account, now time.Time) []estimate {
 	var list []estimate
-	for id := range a.shard.homes(s.self.ID) {
+	for id := range s.homes(a.shard) {
 		if left := s.believed(a, id, now); !left.Zero() {
 			list = append(list, estimate{vm: id, left: left})
 		}
@@ -41,7 +41,7 @@
 // believed returns what another VM holds at most: what it held when last heard
 // of, refilled since. Refunds apart, a VM cannot hold more.
 func (s *State) believed(a *account, id string, now time.Time) Cost {
-	share := s.layout.share(a.shard.homes(s.self.ID)[id])
+	share := s.layout.share(s.homes(a.shard)[id])
 	top := s.topOf(a, id)
 	h, known := a.hints[id]
 	switch {
@@ -53,9 +53,32 @@
 	return h.left.Plus(rateOf(a.limits).Scale(share * now.Sub(h.at).Seconds())).Min(top)
 }
 
+// homes returns the other VMs that hold slots of a shard as the store showed
+// them, with the number of their slots; before the store was read, those that
+// should hold them.
+func (s *State) homes(sh *shard) map[string]int {
+	if sh.others != nil {
+		return sh.others
+	}
+	sh.others = map[string]int{}
+	if sh.listed.IsZero() {
+		homes := s.layout.homes(sh.id, s.candidates)
+		for rank, c := range homes {
+			sh.others[c.id] = s.layout.wanted(rank, len(homes))
+		}
+	}
+	for _, sl := range sh.slots {
+		if holder := sl.record.Lease.Holder; sl.known && holder != "" {
+			sh.others[holder]++
+		}
+	}
+	delete(sh.others, s.self.ID)
+	return sh.others
+}
+
 // topOf returns what another VM holds at most when its bucket is full.
 func (s *State) topOf(a *account, id string) Cost {
-	return burstOf(a.limits).Scale(s.layout.share(a.shard.homes(s.self.ID)[id]))
+	return burstOf(a.limits).Scale(s.layout.share(s.homes(a.shard)[id]))
 }
 
 // reachable returns what all other homes together hold at most.
--- a/limit/layout.go
+++ b/limit/layout.go
@@ -41,29 +41,70 @@
 // Rank returns the members in the order in which they should hold slots of a
 // shard. Members that drain or stop are left out.
 func (l Layout) Rank(shard int, members []vm.Member) []vm.Member {
-	able := slices.DeleteFunc(slices.Clone(members), func(m vm.Member) bool {
-		return m.State == vm.StateDraining || m.State == vm.StateStopped
-	})
-	score := func(m vm.Member) uint64 {
-		return xxhash.Sum64String(strconv.Itoa(shard) + "/" + m.ID)
-	}
+	able := slices.DeleteFunc(slices.Clone(members), func(m vm.Member) bool { return !able(m) })
 	slices.SortFunc(able, func(a, b vm.Member) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(score(shard, hashOf(b)), score(shard, hashOf(a))), cmp.Compare(a.ID, b.ID))
 	})
 	return able
 }
 
-// Wanted returns how many slots of a shard each member should hold.
-func (l Layout) Wanted(shard int, members []vm.Member) map[string]int {
-	ranked := l.Rank(shard, members)
-	homes := min(len(ranked), l.Slots)
-	wanted := make(map[string]int, homes)
-	for slot := range l.Slots {
-		if homes > 0 {
-			wanted[ranked[slot%homes].ID]++
+// A candidate is a member that may hold slots.
+type candidate struct {
+	id   string
+	hash uint64
+}
+
+// candidates returns the members that may hold slots, in the order given.
+func candidates(members []vm.Member) []candidate {
+	list := make([]candidate, 0, len(members))
+	for _, m := range members {
+		if able(m) {
+			list = append(list, candidate{id: m.ID, hash: hashOf(m)})
+		}
+	}
+	return list
+}
+
+// homes returns the candidates that should hold slots of a shard, in the order
+// of Rank. The candidates are sorted by id.
+func (l Layout) homes(shard int, list []candidate) []candidate {
+	best := make([]candidate, 0, l.Slots+1)
+	for _, c := range list {
+		s := score(shard, c.hash)
+		at := len(best)
+		for at > 0 && score(shard, best[at-1].hash) < s {
+			at--
+		}
+		if at < l.Slots {
+			best = slices.Insert(best, at, c)
+			best = best[:min(len(best), l.Slots)]
 		}
 	}
-	return wanted
+	return best
+}
+
+// wanted returns how many slots of a shard the home with a rank should hold.
+func (l Layout) wanted(rank, homes int) int {
+	n := l.Slots / homes
+	if rank < l.Slots%homes {
+		n++
+	}
+	return n
+}
+
+func able(m vm.Member) bool {
+	return m.State != vm.StateDraining && m.State != vm.StateStopped
+}
+
+func hashOf(m vm.Member) uint64 { return xxhash.Sum64String(m.ID) }
+
+// score returns the weight of a member for a shard: the finaliser of
+// SplitMix64 over both.
+func score(shard int, member uint64) uint64 {
+	x := member + uint64(shard)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // share returns the part of a rate that a number of slots stands for.
--- a/limit/shard.go
+++ b/limit/shard.go
@@ -14,6 +14,9 @@
 	relistSoon = 5 * time.Second
 	// writeRetry is the pause after a write that did not succeed.
 	writeRetry = 2 * time.Second
+	// startSpread is, for each live VM, the time over which VMs that start
+	// together spread their first reads of the store.
+	startSpread = 10 * time.Millisecond
 	// giveAfter is how long a surplus of slots must last before one is given
 	// back.
 	giveAfter = 10 * time.Second
@@ -32,10 +35,11 @@
 	writing int
 	retryAt time.Time // not before: the next write
 	listAt  time.Time // not before: the next read
-	// wanted is how many slots this VM should hold, nominal how many each
-	// other VM should.
-	wanted  int
-	nominal map[string]int
+	// wanted is how many slots this VM should hold.
+	wanted int
+	// others is the number of slots of each other home; nil when it has to be
+	// worked out anew.
+	others  map[string]int
 	surplus time.Time // since when this VM holds too many
 }
 
@@ -68,24 +72,6 @@
 	return n
 }
 
-// homes returns the VMs that hold slots as the store showed them, with the
-// number of their slots; before the store was read, those that should hold
-// them. Own slots are left out.
-func (sh *shard) homes(self string) map[string]int {
-	homes := map[string]int{}
-	if sh.listed.IsZero() {
-		maps.Copy(homes, sh.nominal)
-		delete(homes, self)
-		return homes
-	}
-	for _, sl := range sh.slots {
-		if holder := sl.record.Lease.Holder; sl.known && holder != "" && holder != self {
-			homes[holder]++
-		}
-	}
-	return homes
-}
-
 // numbers returns the numbers of the held slots in order.
 func (sh *shard) numbers() []int {
 	return slices.Sorted(maps.Keys(sh.held))
--- /dev/null
+++ b/limit/slope_test.go
@@ -0,0 +1,124 @@
+package limit_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/internal/seed"
+	"github.com/baobabdyke/baobabdyke/limit"
+)
+
+var (
+	slopeVMs       = []int{8, 85, 340}
+	slopeCustomers = []int{5, 1000, 12000}
+)
+
+func manyCustomers(n int) *config.Config {
+	cfg := &config.Config{Version: 1}
+	for i := range n {
+		cfg.Customers = append(cfg.Customers, config.Customer{Name: fmt.Sprint("customer", i), Rate: hakata})
+	}
+	return cfg
+}
+
+// inUse returns the bytes that f leaves in use.
+func inUse(f func()) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkSlope reports the cost of limits as functions of customers and VMs.
+func BenchmarkSlope(b *testing.B) {
+	for _, n := range slopeCustomers {
+		b.Run(fmt.Sprintf("reserve/customers=%d", n), func(b *testing.B) { slopeReserve(b, n) })
+	}
+	for _, n := range slopeCustomers {
+		b.Run(fmt.Sprintf("tick/accounts=%d", n), func(b *testing.B) { slopeTick(b, n) })
+	}
+	for _, n := range slopeVMs {
+		b.Run(fmt.Sprintf("members/VMs=%d", n), func(b *testing.B) { slopeMembers(b, n) })
+	}
+	for _, n := range slopeVMs {
+		b.Run(fmt.Sprintf("fleet/VMs=%d", n), func(b *testing.B) { slopeFleet(b, n) })
+	}
+}
+
+// slopeReserve measures one request that the own bucket covers, and the memory
+// of one active customer.
+func slopeReserve(b *testing.B, customers int) {
+	cfg := manyCustomers(customers)
+	f := newFleet(1, limit.Layout{Shards: limit.DefaultShards, Slots: limit.DefaultSlots}, cfg, seed.Value())
+	f.run(20 * time.Second)
+	n := f.nodes[0]
+	reserve := func(id uint64) {
+		name := cfg.Customers[id%uint64(customers)].Name
+		n.s.Step(limit.Reserve{ID: id, Customer: name, Cost: limit.Cost{Requests: 1, Tokens: 10}}, f.now)
+	}
+	bytes := inUse(func() {
+		for i := range customers {
+			reserve(uint64(i))
+		}
+	})
+	id := uint64(customers)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		f.now = f.now.Add(10 * time.Millisecond)
+		reserve(id)
+	}
+	b.ReportMetric(bytes/float64(customers), "B/customer")
+	runtime.KeepAlive(f)
+}
+
+// slopeTick measures one tick with many active accounts.
+func slopeTick(b *testing.B, accounts int) {
+	cfg := manyCustomers(accounts)
+	f := newFleet(1, limit.Layout{Shards: limit.DefaultShards, Slots: limit.DefaultSlots}, cfg, seed.Value())
+	f.run(20 * time.Second)
+	for i, c := range cfg.Customers {
+		f.nodes[0].s.Step(limit.Reserve{ID: uint64(i), Customer: c.Name, Cost: limit.Cost{Tokens: 10}}, f.now)
+	}
+	for b.Loop() {
+		f.nodes[0].s.Step(limit.Tick{}, f.now)
+	}
+}
+
+// slopeMembers measures a change of the membership on one VM, with one shard
+// for each VM and four slots for each shard.
+func slopeMembers(b *testing.B, vms int) {
+	f := newFleet(vms, limit.Layout{Shards: vms, Slots: 4}, manyCustomers(1), seed.Value())
+	live := f.live()
+	s := f.nodes[0].s
+	i := 0
+	for b.Loop() {
+		i++
+		s.Step(limit.Membership{Live: live[i%2:]}, f.now)
+	}
+}
+
+// slopeFleet measures a fleet at rest for a minute, after it has settled.
+func slopeFleet(b *testing.B, vms int) {
+	var f *fleet
+	bytes := inUse(func() {
+		f = newFleet(vms, limit.Layout{Shards: vms, Slots: 4}, manyCustomers(1), seed.Value())
+		f.run(40 * time.Second)
+	})
+	f.calls, f.writes, f.messages = 0, 0, 0
+	for b.Loop() {
+		f.run(time.Minute)
+	}
+	seconds := float64(b.N) * 60 * float64(vms)
+	b.ReportMetric(bytes/float64(vms), "B/VM")
+	b.ReportMetric(float64(f.calls)/seconds, "calls/s/VM")
+	b.ReportMetric(float64(f.writes)/seconds, "writes/s/VM")
+	b.ReportMetric(float64(f.messages)/seconds, "messages/s/VM")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/seconds, "ns/s/VM")
+}
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -14,7 +14,7 @@
 // tend does the next thing for this VM's slots of a shard.
 func (s *State) tend(sh *shard, now time.Time) []Effect {
 	have := len(sh.held)
-	if s.leaving || !s.agreed || (sh.wanted == 0 && have == 0) {
+	if s.leaving || !s.agreed || now.Before(s.begun) || (sh.wanted == 0 && have == 0) {
 		return nil
 	}
 	effects := s.relist(sh, now)
@@ -122,6 +122,7 @@
 	sh.writing--
 	if e.Record.Version > sh.slots[e.Slot].record.Version {
 		sh.slots[e.Slot] = slot{record: e.Record, known: true}
+		sh.others = nil
 	}
 	if !e.Held {
 		sh.retryAt = now.Add(writeRetry)
@@ -150,7 +151,7 @@
 		sh.listAt = now.Add(writeRetry)
 		return s.proceedAll(sh, now)
 	}
-	sh.listed, sh.wrong = now, false
+	sh.listed, sh.wrong, sh.others = now, false, nil
 	for n := range sh.slots {
 		sh.slots[n].known = true
 	}
@@ -193,12 +194,44 @@
 		return a.ID == b.ID && a.State == b.State
 	})
 	s.live = e.Live
-	var effects []Effect
+	if s.begun.IsZero() {
+		s.begun = now.Add(s.startDelay())
+	}
+	if changed {
+		s.rank()
+	}
+	return s.tendAll(now)
+}
+
+// rank works out how many slots of each shard this VM should hold.
+func (s *State) rank() {
+	s.candidates = candidates(s.live)
 	for _, sh := range s.shards {
-		if changed {
-			sh.nominal = s.layout.Wanted(sh.id, s.live)
-			sh.wanted = sh.nominal[s.self.ID]
+		homes := s.layout.homes(sh.id, s.candidates)
+		rank := slices.IndexFunc(homes, func(c candidate) bool { return c.id == s.self.ID })
+		sh.wanted = 0
+		if rank >= 0 {
+			sh.wanted = s.layout.wanted(rank, len(homes))
 		}
+		sh.others = nil
+	}
+}
+
+// startDelay spreads the first reads and writes of VMs that start together.
+func (s *State) startDelay() time.Duration {
+	window := time.Duration(len(s.live)) * startSpread
+	if window == 0 {
+		return 0
+	}
+	hash := xxhash.Sum64String(s.self.ID) + s.self.Incarnation
+	return time.Duration(hash % uint64(window))
+}
+
+// tendAll does the next thing for this VM's slots of all shards.
+func (s *State) tendAll(now time.Time) []Effect {
+	s.tended = now
+	var effects []Effect
+	for _, sh := range s.shards {
 		effects = append(effects, s.tend(sh, now)...)
 	}
 	return effects
--- a/limit/state.go
+++ b/limit/state.go
@@ -10,21 +10,28 @@
 // A State is all that a VM knows of limits: the slots that it holds, the
 // accounts of customers and the gathers under way. It is changed by Step only.
 type State struct {
-	self     vm.Member
-	layout   Layout
-	view     *config.View
-	live     []vm.Member
-	removed  map[string]bool
-	shards   []*shard
-	accounts map[string]*account
-	gathers  map[uint64]*gather
-	asks     map[uint64]*pending
-	lastAsk  uint64
+	self   vm.Member
+	layout Layout
+	view   *config.View
+	live   []vm.Member
+	// candidates are those of the live VMs that may hold slots.
+	candidates []candidate
+	removed    map[string]bool
+	shards     []*shard
+	accounts   map[string]*account
+	gathers    map[uint64]*gather
+	asks       map[uint64]*pending
+	lastAsk    uint64
 	// settling is the number of slots that are held but not active yet.
 	settling int
-	agreed   bool // the fleet's layout is known
-	leaving  bool
-	counts   Counts
+	// begun is when this VM reads the store first; tended when it last looked
+	// after its slots.
+	begun   time.Time
+	tended  time.Time
+	evicted time.Time
+	agreed  bool // the fleet's layout is known
+	leaving bool
+	counts  Counts
 }
 
 // NewState returns a State that holds nothing. The first number of its asks
