--- a/limit/task_test.go
+++ b/limit/task_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/config"
@@ -251,3 +252,30 @@
 	}
 	// Output: larger than the burst of 16000 tokens
 }
+
+// FuzzAsk feeds a VM with what another VM may send.
+func FuzzAsk(f *testing.F) {
+	for _, need := range []float64{0, 1, 4000, 1e18} {
+		data, err := cbor.Marshal(limit.Ask{ID: 1, Customer: "hakata", Need: limit.Cost{Tokens: need}})
+		must.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		n := settledFleet(1, hakata).nodes[0]
+		var ask limit.Ask
+		if cbor.Unmarshal(data, &ask) == nil {
+			n.step(limit.Asked{From: "vm99", Ask: ask})
+		}
+		var transfer limit.Transfer
+		if cbor.Unmarshal(data, &transfer) == nil {
+			n.step(limit.Answered{ID: transfer.ID, Transfer: transfer})
+		}
+		var back limit.Return
+		if cbor.Unmarshal(data, &back) == nil {
+			n.step(limit.Returned{From: "vm99", Return: back})
+		}
+		for _, a := range n.s.Dump(n.f.now).Accounts {
+			must.LessEq(t, 16000, a.Level.Tokens)
+		}
+	})
+}
