--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,7 +19,7 @@
 func Run(ctx context.Context, w io.Writer, logger log.Logger) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	f, err := startFleet(ctx, logger)
+	f, err := startFleet(ctx, demoVMs, logger)
 	if err != nil {
 		return false, err
 	}
@@ -32,7 +32,7 @@
 // Stay keeps VMs, targets and the platform up until ctx ends, and prints how to
 // reach them.
 func Stay(ctx context.Context, w io.Writer, logger log.Logger) error {
-	f, err := startFleet(ctx, logger)
+	f, err := startFleet(ctx, demoVMs, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -25,9 +25,12 @@
 	anyPort = "127.0.0.1:0"
 )
 
-// places are the data centres of the VMs.
+// places are the data centres of the VMs, in turn.
 var places = []string{"hakata", "hakata", "kokura"}
 
+// demoVMs is the number of VMs of the demo.
+const demoVMs = 3
+
 // A fleet is all that the demo runs: the platform, the targets and the VMs.
 type fleet struct {
 	*standIns
@@ -38,9 +41,9 @@
 	log     log.Logger
 }
 
-// startFleet starts the platform, the targets and the VMs until ctx ends, and
+// startFleet starts the platform, the targets and n VMs until ctx ends, and
 // sends the first configuration.
-func startFleet(ctx context.Context, logger log.Logger) (*fleet, error) {
+func startFleet(ctx context.Context, n int, logger log.Logger) (*fleet, error) {
 	targets, err := startStandIns(ctx)
 	if err != nil {
 		return nil, err
@@ -50,8 +53,8 @@
 	if err != nil {
 		return nil, err
 	}
-	for i, place := range places {
-		f.vms = append(f.vms, newNode(fmt.Sprintf("vm-%d", i+1), place))
+	for i := range n {
+		f.vms = append(f.vms, newNode(fmt.Sprintf("vm-%d", i+1), places[i%len(places)]))
 	}
 	for _, n := range f.vms {
 		if err := f.start(ctx, n); err != nil {
--- a/internal/demo/listener.go
+++ b/internal/demo/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -13,6 +14,9 @@
 type port struct {
 	net.Listener
 
+	// bytes counts what was read and written on accepted connections.
+	bytes atomic.Int64
+
 	mu    sync.Mutex
 	conns map[*portConn]struct{}
 }
@@ -57,6 +61,20 @@
 	port *port
 }
 
+// Read implements net.Conn.
+func (c *portConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.port.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *portConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.port.bytes.Add(int64(n))
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *portConn) Close() error {
 	c.port.mu.Lock()
--- a/internal/demo/standins.go
+++ b/internal/demo/standins.go
@@ -147,6 +147,16 @@
 	return records
 }
 
+// target returns the address of a target.
+func (s *standIns) target(name string) string {
+	for _, t := range s.targets {
+		if t.Name == name {
+			return t.Address
+		}
+	}
+	return ""
+}
+
 // addresses returns the names and addresses of the targets, one a line.
 func (s *standIns) addresses() string {
 	text := ""
--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -97,3 +97,10 @@
 	defer e.mu.Unlock()
 	e.opts.TokenInterval = d
 }
+
+// SetPrefillRate changes the number of prompt tokens computed a second.
+func (e *Engine) SetPrefillRate(rate float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.opts.PrefillRate = rate
+}
--- a/internal/fake/run.go
+++ b/internal/fake/run.go
@@ -44,6 +44,7 @@
 	id       string
 	model    string
 	priority int
+	stream   bool
 	salt     string
 	pieces   []uint64
 	prompt   int
@@ -97,7 +98,7 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 	case u == nil:
 		refuse(w, http.StatusConflict, "no run to resume")
-	case u.stream(body):
+	case u.stream:
 		e.relay(w, r, u, max(resume, 1), s)
 	default:
 		e.answer(w, r, u, s)
@@ -135,12 +136,6 @@
 	} `json:"messages"`
 }
 
-// stream tells whether the request asks for a stream.
-func (*run) stream(body []byte) bool {
-	var c completion
-	return json.Unmarshal(body, &c) == nil && c.Stream
-}
-
 // begin starts a run. The caller holds mu.
 func (e *Engine) begin(r *http.Request, body []byte) (*run, error) {
 	var c completion
@@ -164,6 +159,7 @@
 		id:       r.Header.Get(target.HeaderRequestID),
 		model:    c.Model,
 		priority: priority,
+		stream:   c.Stream,
 		salt:     r.Header.Get(target.HeaderSalt),
 		pieces:   pieces,
 		prompt:   max(len(body)/bytesPerToken, len(pieces)*e.opts.PieceTokens),
--- a/internal/fake/work.go
+++ b/internal/fake/work.go
@@ -58,6 +58,7 @@
 		return false
 	}
 	defer compute.leave()
+	var cost time.Duration
 	e.change(u, func() {
 		missing := u.prompt - e.cache.leading(u.pieces, u.salt)*e.opts.PieceTokens
 		e.pending += missing - u.missing
@@ -65,8 +66,8 @@
 		e.usage.Prompt += u.prompt
 		e.usage.Computed += u.missing
 		e.usage.Clashes += e.cache.clashes(u.pieces, u.salt)
+		cost = time.Duration(float64(u.missing) / e.opts.PrefillRate * float64(time.Second))
 	})
-	cost := time.Duration(float64(u.missing) / e.opts.PrefillRate * float64(time.Second))
 	alive := sleep(u.ctx, cost)
 	e.change(u, func() {
 		e.pending -= u.missing
