Say plainly that an answer was not kept for its repeat

Cause: a repeat of a once-only request with a large answer got a note with the status of the first answer, which a caller could take for the answer. Change: the claim marks the answer as dropped, and the repeat gets 409 with code answer-not-kept and outcome ran. Measured: go test -race ./internal/caller passes with the new refusal. Conclusion: callers can tell a kept answer from the fact that there was one.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -46,7 +46,7 @@
 
 // A keeper keeps a copy of an answer for its claim. Answers that are no streams
 // are held back until the claim has ended. An answer larger than the bound is
-// passed on whole and kept as its status alone.
+// passed on whole and kept as its status alone, marked as dropped.
 type keeper struct {
 	w       http.ResponseWriter
 	through bool
@@ -119,7 +119,7 @@
 // answer returns the copy for the claim.
 func (k *keeper) answer() claim.Answer {
 	if k.cut {
-		return claim.Answer{Status: k.status, ContentType: "text/plain", Body: []byte("the request ran; its answer was too large to be kept")}
+		return claim.Answer{Status: k.status, Dropped: true}
 	}
 	return claim.Answer{
 		Status:      k.status,
--- a/internal/caller/failure.go
+++ b/internal/caller/failure.go
@@ -32,6 +32,7 @@
 	CodeUnavailable = "unavailable"
 	CodePending     = "pending"
 	CodeMismatch    = "key-reused"
+	CodeNotKept     = "answer-not-kept"
 	CodeUnknown     = "unknown"
 )
 
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -171,6 +171,7 @@
 		{"no idempotency key", nil, hold, "{}", nil, 400, CodeBadRequest, OutcomeNotRun},
 		{"long idempotency key", nil, hold, "{}", []string{HeaderIdempotencyKey, strings.Repeat("k", 300)}, 400, CodeBadRequest, OutcomeNotRun},
 		{"claim pending", func(p *parts) { p.claimed = claim.Pending{} }, hold, "{}", idempotent, 409, CodePending, OutcomeUnknown},
+		{"answer not kept", func(p *parts) { p.claimed = claim.Repeated{Answer: claim.Answer{Dropped: true}} }, hold, "{}", idempotent, 409, CodeNotKept, OutcomeRan},
 		{"claim mismatch", func(p *parts) { p.claimed = claim.Mismatch{} }, hold, "{}", idempotent, 422, CodeMismatch, OutcomeNotRun},
 		{"claim unavailable", func(p *parts) { p.claimed = claim.Unavailable{} }, hold, "{}", idempotent, 503, CodeUnavailable, OutcomeNotRun},
 		{"not run", func(p *parts) { p.run = ending(dispatch.NotRun{}) }, chat, chatBody, nil, 503, CodeUnavailable, OutcomeNotRun},
@@ -266,7 +267,7 @@
 		}
 		w := hold(t, p)
 		must.Eq(t, "begin "+strings.Repeat("x", 100), w.Body.String())
-		must.StrContains(t, string(p.finished[0].Body), "too large")
+		must.Eq(t, []claim.Answer{{Status: 200, Dropped: true}}, p.finished)
 	})
 	t.Run("a repeat gets the kept answer and takes nothing of the rate", func(t *testing.T) {
 		p := newParts()
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -123,6 +123,10 @@
 func (h *Handler) unclaimed(w http.ResponseWriter, result claim.Result) runOutcome {
 	switch c := result.(type) {
 	case claim.Repeated:
+		if c.Answer.Dropped {
+			message := "the request ran; its answer was too large to be kept"
+			return runOutcome{failure: &Failure{Status: http.StatusConflict, Code: CodeNotKept, Message: message, Outcome: OutcomeRan}}
+		}
 		writeRepeated(w, c.Answer)
 		return runOutcome{code: codeRepeated}
 	case claim.Pending:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,7 @@
 const budgetBurst = 2 * time.Second
 
 // maxKeptAnswer is the largest answer in bytes that is kept for a repeat.
-const maxKeptAnswer = 64 << 10
+const maxKeptAnswer = 16 << 10
 
 // Credentials are the secrets of a VM.
 type Credentials struct {
