--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/baobabdyke/baobabdyke/claim"
@@ -45,7 +46,8 @@
 }
 
 // A keeper keeps a copy of an answer for its claim. Answers that are no streams
-// are held back until the claim has ended. An answer larger than the bound is
+// are held back until they are whole, so that they carry their length and the
+// caller need not wait for the claim to be written. An answer larger than the bound is
 // passed on whole and kept as its status alone, marked as dropped.
 type keeper struct {
 	w       http.ResponseWriter
@@ -98,6 +100,14 @@
 	return http.NewResponseController(k.w).Flush()
 }
 
+// end passes on a whole answer that was held back, with its length.
+func (k *keeper) end() {
+	if !k.through && k.started {
+		k.w.Header().Set("Content-Length", strconv.Itoa(k.body.Len()))
+	}
+	k.flush()
+}
+
 // release passes on what was held back and keeps no copy from here on.
 func (k *keeper) release() {
 	k.flush()
@@ -113,6 +123,7 @@
 	}
 	k.w.WriteHeader(k.status)
 	_, _ = k.w.Write(k.body.Bytes())
+	_ = http.NewResponseController(k.w).Flush()
 	k.through = true
 }
 
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -18,6 +18,10 @@
 	maxIdempotencyKey = 255
 	// claimedRunTime bounds a once-only request whose caller may be gone.
 	claimedRunTime = 2 * time.Minute
+	// pendingLook is the pause before a pending claim is looked at again, and
+	// pendingLooks how often that is done.
+	pendingLook  = 250 * time.Millisecond
+	pendingLooks = 2
 	// pendingRetry is when a repeat of a request that may run is worth while.
 	pendingRetry = 2 * time.Second
 )
@@ -85,7 +89,7 @@
 // runClaimed runs a request under a claim on its idempotency key. It goes on
 // when the caller is gone, so that the answer is there for a repeat.
 func (h *Handler) runClaimed(w http.ResponseWriter, r *http.Request, job *work, key string) runOutcome {
-	result := h.opts.Claims.Begin(r.Context(), claimName(job, key))
+	result := h.begin(r.Context(), claimName(job, key))
 	granted, ok := result.(claim.Granted)
 	if !ok {
 		return h.unclaimed(w, result)
@@ -99,11 +103,29 @@
 	outcome := h.runOnce(ctx, kept, job)
 	finish, cancelFinish := context.WithTimeout(context.WithoutCancel(r.Context()), claimedRunTime)
 	defer cancelFinish()
+	kept.end()
 	h.endClaim(finish, granted.Ticket, outcome, kept)
-	kept.flush()
 	return outcome
 }
 
+// begin claims a request. A claim that another try holds is asked for again
+// after a short wait, since that try may be about to record its answer.
+func (h *Handler) begin(ctx context.Context, n claim.Name) claim.Result {
+	result := h.opts.Claims.Begin(ctx, n)
+	for range pendingLooks {
+		if _, pending := result.(claim.Pending); !pending {
+			return result
+		}
+		select {
+		case <-ctx.Done():
+			return result
+		case <-time.After(pendingLook):
+		}
+		result = h.opts.Claims.Begin(ctx, n)
+	}
+	return result
+}
+
 // endClaim records how a claimed request ended. A request that may have run
 // leaves its claim in place.
 func (h *Handler) endClaim(ctx context.Context, t claim.Ticket, o runOutcome, k *keeper) {
--- /dev/null
+++ b/internal/cmd/standincmd.go
@@ -0,0 +1,106 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// standInHeaderTime bounds the header of a request to a stand-in.
+const standInHeaderTime = 5 * time.Second
+
+// standInCommand is the subcommand "standin": one small stand-in as a process
+// of its own, for tests and rehearsals.
+type standInCommand struct {
+	Kind    string   `arg:"positional,required" help:"platform, engine or service"`
+	Address string   `arg:"required" help:"IP:port to serve on"`
+	Name    string   `help:"name of the engine or service" default:"standin"`
+	Model   string   `help:"model of the engine" default:"kuroko"`
+	VM      []string `arg:"separate" help:"a VM that the platform lists, as id,address,datacentre"`
+}
+
+// A standInReport is what a stand-in says of its work.
+type standInReport struct {
+	Runs int `json:"runs"`
+	Most int `json:"most"`
+	Held int `json:"held"`
+}
+
+func (c *standInCommand) run(_, stderr io.Writer) int {
+	h, err := c.handler()
+	if err != nil {
+		return fail(stderr, ExitUsage, err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", c.Address)
+	if err != nil {
+		return fail(stderr, ExitFailure, err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: standInHeaderTime}
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	if err := s.Serve(l); ctx.Err() == nil {
+		return fail(stderr, ExitFailure, err)
+	}
+	return ExitOK
+}
+
+// handler returns the stand-in that the arguments name.
+func (c *standInCommand) handler() (http.Handler, error) {
+	switch c.Kind {
+	case "platform":
+		return c.platform()
+	case "engine":
+		e := fake.NewEngine(fake.EngineOptions{Name: c.Name, Model: c.Model})
+		return withReport(e, func() standInReport {
+			return standInReport{Runs: e.TotalRuns(), Most: e.MostRuns()}
+		}), nil
+	case "service":
+		s := fake.NewService(c.Name)
+		return withReport(s, func() standInReport {
+			return standInReport{Runs: s.TotalRuns(), Most: s.MostRuns(), Held: s.Held()}
+		}), nil
+	default:
+		return nil, eris.Errorf("%q is no stand-in; permitted: platform, engine, service", c.Kind)
+	}
+}
+
+func (c *standInCommand) platform() (http.Handler, error) {
+	memory := platform.NewMemory()
+	var list []platform.VMRecord
+	for _, text := range c.VM {
+		parts := strings.Split(text, ",")
+		if len(parts) != 3 {
+			return nil, eris.Errorf("--vm %q is not id,address,datacentre", text)
+		}
+		list = append(list, platform.VMRecord{
+			ID: parts[0], Address: parts[1], DataCentre: parts[2], State: platform.VMLive,
+		})
+	}
+	memory.SetVMs(list)
+	return fake.NewObjects(memory), nil
+}
+
+// withReport adds the path /standin, which shows what the stand-in ran.
+func withReport(h http.Handler, report func() standInReport) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", h)
+	mux.HandleFunc("GET /standin", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(report())
+	})
+	return mux
+}
