--- a/limit/event.go
+++ b/limit/event.go
@@ -46,6 +46,9 @@
 // Tick lets time pass.
 type Tick struct{}
 
+// Agreed tells the layout that the fleet uses. No slot is taken before.
+type Agreed struct{ Layout Layout }
+
 // Configured tells the rates now in force.
 type Configured struct{ View *config.View }
 
@@ -82,6 +85,7 @@
 func (Answered) event()    {}
 func (Returned) event()    {}
 func (Tick) event()        {}
+func (Agreed) event()      {}
 func (Configured) event()  {}
 func (Membership) event()  {}
 func (Listed) event()      {}
@@ -141,36 +145,6 @@
 func (TakeSlot) effect()     {}
 func (GiveSlot) effect()     {}
 
-// An Ask is one VM's wish for tokens of a customer. Need is what a request
-// lacks; Spare is further room that the asking VM has.
-type Ask struct {
-	ID       uint64 `cbor:"1,keyasint"`
-	Customer string `cbor:"2,keyasint"`
-	Need     Cost   `cbor:"3,keyasint"`
-	Spare    Cost   `cbor:"4,keyasint"`
-}
-
-// A Transfer answers an Ask. The sender has already debited Given; the
-// receiver drops it when it comes later than TransferLifetime after the ask.
-type Transfer struct {
-	ID    uint64 `cbor:"1,keyasint"`
-	Given Cost   `cbor:"2,keyasint"`
-	// Left is what the sender holds after the transfer.
-	Left Cost `cbor:"3,keyasint"`
-	// Home tells whether the sender holds a share of the customer at all.
-	Home bool `cbor:"4,keyasint"`
-}
-
-// A Return gives back a part of a Transfer that was not spent.
-type Return struct {
-	ID       uint64 `cbor:"1,keyasint"`
-	Customer string `cbor:"2,keyasint"`
-	Amount   Cost   `cbor:"3,keyasint"`
-}
-
-// A ReturnReply answers a Return.
-type ReturnReply struct{}
-
 // A SlotRecord is one slot as the store holds it.
 type SlotRecord struct {
 	Slot int
