Import pieces from a KV cache where that is cheaper than computing them

Cause: An engine that returned empty computed prompts that a KV cache held. Tests of eight faults of the whole path. Conclusion: The choice itself does not weigh transfers yet: they cost every engine the same.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -95,8 +95,9 @@
 
 // A Runner runs jobs. It may be used by many goroutines.
 type Runner struct {
-	opts    Options
-	budgets *budgets
+	opts      Options
+	budgets   *budgets
+	transfers *transfers
 }
 
 // NewRunner returns a Runner.
@@ -107,7 +108,7 @@
 	if opts.Clock == nil {
 		opts.Clock = platform.SystemClock{}
 	}
-	return &Runner{opts: opts, budgets: newBudgets()}
+	return &Runner{opts: opts, budgets: newBudgets(), transfers: newTransfers()}
 }
 
 // Run runs one job and writes its answer to w. It writes nothing for NotRun and
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -24,8 +24,6 @@
 	// with every refusal.
 	stalePause    = 100 * time.Millisecond
 	cancelTimeout = 2 * time.Second
-	// transferTimeout bounds the import from a KV cache before a send.
-	transferTimeout = 2 * time.Second
 	// noRetryAfter is what callers are told to wait after the last attempt.
 	noRetryAfter = time.Second
 )
@@ -143,17 +141,6 @@
 	return time.AfterFunc(r.job.Deadline.Sub(r.now()), func() { cancel(errDeadline) })
 }
 
-// transfer lets the engine import pieces from a KV cache. The request runs in
-// any case.
-func (r *run) transfer(ctx context.Context, c route.Chosen) {
-	if c.Transfer == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
-	_ = r.runner.opts.Client.Transfer(ctx, c.Target.Address, c.Transfer, r.pieces())
-}
-
 func (r *run) pieces() []uint64 {
 	list := make([]uint64, len(r.job.Prompt.Keys))
 	for i, k := range r.job.Prompt.Keys {
--- a/dispatch/whole_test.go
+++ b/dispatch/whole_test.go
@@ -39,13 +39,19 @@
 	serial  int
 }
 
-func newSite(t *testing.T, n int) *site {
+func newSite(t *testing.T, n int, kv bool) *site {
 	t.Helper()
 	s := &site{t: t, network: fake.NewNetwork()}
 	cfg := &config.Config{Version: 1, Routes: []config.Route{{
 		Name: "chat", Kind: config.RouteModel, Pool: "llm", Model: "m", Version: "v1",
 	}}}
-	o := fake.EngineOptions{Model: "m"}
+	cache := fake.NewCache(100)
+	s.network.Add("10.0.0.99:80", cache)
+	cfg.Targets = append(cfg.Targets, config.Target{Name: "kv", Kind: config.TargetCache, Pool: "kv", Address: "10.0.0.99:80"})
+	o := fake.EngineOptions{Model: "m", PrefillRate: 20_000, Client: &http.Client{Transport: s.network}}
+	if kv {
+		o.Cache = "10.0.0.99:80"
+	}
 	for i := range n {
 		o.Name = fmt.Sprintf("e%d", i)
 		address := fmt.Sprintf("10.0.0.%d:80", i+1)
@@ -123,7 +129,7 @@
 
 // whole runs a test of a site in virtual time.
 func whole(t *testing.T, n int, f func(s *site)) {
-	synctest.Test(t, func(t *testing.T) { f(newSite(t, n)) })
+	synctest.Test(t, func(t *testing.T) { f(newSite(t, n, false)) })
 }
 
 func TestWholePath(t *testing.T) {
@@ -158,22 +164,116 @@
 	})
 }
 
-func TestWholeEngineCrash(t *testing.T) {
-	whole(t, 1, func(s *site) {
-		s.mustComplete(s.ask("a"))
-		time.Sleep(time.Second)
-		s.engines[0].Crash()
-		s.mustComplete(s.ask("a"))
-		must.Eq(t, 1, s.engines[0].MostRuns())
-	})
+// A fault is what happens to a site between or during two requests for the same
+// prompt, and what must come of it.
+type fault struct {
+	engines  int
+	kv       bool
+	before   func(s *site)
+	complete bool
+	// computed is the number of prompts that the engines computed in all.
+	computed int
 }
 
-func TestWholeSilence(t *testing.T) {
-	whole(t, 2, func(s *site) {
-		for _, e := range s.engines {
-			e.SilenceAfter(2)
+func TestWholeFaults(t *testing.T) {
+	for name, f := range map[string]fault{
+		"engine returned empty": {
+			engines: 1, complete: true, computed: 2,
+			before: func(s *site) { s.engines[0].Crash() },
+		},
+		"warm engine leaves": {
+			engines: 2, complete: true, computed: 2,
+			before: func(s *site) { s.warm().SetLeaving(true) },
+		},
+		"warm engine down": {
+			engines: 2, complete: true, computed: 2,
+			before: func(s *site) { s.network.Refuse(s.warmAddress(), true) },
+		},
+		"weights change between choice and send": {
+			engines: 1, complete: false, computed: 1,
+			before: func(s *site) { s.load("v2") },
+		},
+		"stream silent, new connections work": {
+			engines: 1, complete: true, computed: 1,
+			before: func(s *site) { s.warm().SilenceAfter(2) },
+		},
+		"stream cut off": {
+			engines: 1, complete: true, computed: 1,
+			before: func(s *site) { s.warm().CutAfter(1) },
+		},
+		"crash in the stream": {
+			engines: 1, complete: false, computed: 1,
+			before: func(s *site) {
+				s.warm().SetTokenInterval(time.Second)
+				time.AfterFunc(1500*time.Millisecond, s.warm().Crash)
+			},
+		},
+		"returned empty, pieces in the KV cache": {
+			engines: 1, kv: true, complete: true, computed: 1,
+			before: func(s *site) { s.engines[0].Crash() },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { f.run(newSite(t, f.engines, f.kv)) })
+		})
+	}
+}
+
+func (f fault) run(s *site) {
+	s.mustComplete(s.ask("a"))
+	time.Sleep(time.Second)
+	f.before(s)
+	o, w := s.ask("a")
+	if f.complete {
+		s.mustComplete(o, w)
+	} else {
+		s.mustExplicit(o, w)
+	}
+	must.Eq(s.t, f.computed*promptPieces*pieceBytes/prefix.BytesPerToken, s.computed())
+	for _, e := range s.engines {
+		must.LessEq(s.t, 1, e.MostRuns())
+		must.Eq(s.t, 0, e.Usage().Clashes)
+	}
+}
+
+// mustExplicit checks that an answer that is not complete says so.
+func (s *site) mustExplicit(o dispatch.Outcome, w *httptest.ResponseRecorder) {
+	s.t.Helper()
+	switch o := o.(type) {
+	case dispatch.NotRun:
+		must.Eq(s.t, "", w.Body.String())
+	case dispatch.Ran:
+		must.False(s.t, o.Complete)
+		must.StrContains(s.t, w.Body.String(), "event: error")
+	default:
+		s.t.Fatalf("outcome %#v", o)
+	}
+}
+
+// warm returns the engine that ran the first request.
+func (s *site) warm() *fake.Engine {
+	for _, e := range s.engines {
+		if len(e.Pieces()) > 0 {
+			return e
 		}
-		s.mustComplete(s.ask("a"))
-		must.Eq(t, 1, s.engines[0].MostRuns()+s.engines[1].MostRuns())
+	}
+	return nil
+}
+
+func (s *site) warmAddress() string {
+	for i, e := range s.engines {
+		if e == s.warm() {
+			return s.view.Targets[i+1].Address
+		}
+	}
+	return ""
+}
+
+// load makes the first engine load another version of the weights.
+func (s *site) load(version string) {
+	client := target.NewHTTPClient(target.HTTPOptions{Transport: s.network})
+	o := client.Order(s.t.Context(), s.view.Targets[1].Address, target.Order{
+		ID: "o1", Kind: target.OrderLoad, Model: "m", Version: version, Lifetime: time.Minute,
 	})
+	must.Eq(s.t, target.OrderResult(target.OrderDone{}), o)
 }
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -165,6 +165,7 @@
 		Incarnation: a.report.Incarnation,
 		Weights:     a.report.Weights,
 		Held:        plan.Held,
+		Missing:     plan.Missing,
 		Expected:    plan.Expected,
 		First:       a.first,
 		Done:        a.done,
--- a/route/planner.go
+++ b/route/planner.go
@@ -98,6 +98,7 @@
 	ID       uint64
 	State    *target.State
 	Held     int
+	Missing  time.Duration
 	Expected time.Duration
 	Ready    <-chan struct{}
 	Until    time.Time
@@ -307,7 +308,7 @@
 	}
 	p.sends[s.id] = s
 	c.account.sends = append(c.account.sends, s)
-	return Plan{ID: s.id, State: c.state, Held: c.held, Expected: c.expected}
+	return Plan{ID: s.id, State: c.state, Held: c.held, Missing: compute(c.state, c.missing), Expected: c.expected}
 }
 
 // holdNotice stops the process if a target that leaves, or may have given notice
--- a/route/route.go
+++ b/route/route.go
@@ -25,16 +25,16 @@
 
 // Chosen names the target with the incarnation and weight version that the
 // choice relied on. Held is the number of prompt tokens expected in its cache,
-// Transfer the KV cache to import missing pieces from, empty for none. First
-// must be called when the first byte of the answer comes, if it does, and Done
-// once when the attempt has ended, with the outcome.
+// Missing the time that it takes to compute the others. First must be called
+// when the first byte of the answer comes, if it does, and Done once when the
+// attempt has ended, with the outcome.
 type Chosen struct {
 	Target      *config.Target
 	Incarnation string
 	Weights     string
 	Held        int
 	Expected    time.Duration
-	Transfer    string
+	Missing     time.Duration
 	First       func()
 	Done        func(firstByte time.Duration, err error)
 }
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -263,6 +263,22 @@
 	return c.call(ctx, http.MethodPost, address, "/import", body, nil)
 }
 
+// Cached implements CacheReader.
+func (c *HTTPClient) Cached(ctx context.Context, address string, pieces []uint64) (int, error) {
+	var body struct {
+		Pieces []uint64 `json:"pieces"`
+	}
+	err := c.call(ctx, http.MethodGet, address, "/pieces?keys="+formatPieces(pieces), nil, &body)
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for n < len(body.Pieces) && n < len(pieces) && body.Pieces[n] == pieces[n] {
+		n++
+	}
+	return n, nil
+}
+
 // Order implements Client.
 func (c *HTTPClient) Order(ctx context.Context, address string, o Order) OrderResult {
 	ctx, cancel := context.WithTimeout(ctx, o.Lifetime)
--- a/target/target.go
+++ b/target/target.go
@@ -194,3 +194,10 @@
 	// Transfer asks the engine at address to import pieces from a KV cache.
 	Transfer(ctx context.Context, address, cache string, pieces []uint64) error
 }
+
+// A CacheReader is a Client that can ask KV caches what they hold.
+type CacheReader interface {
+	// Cached returns how many of the pieces, from the first on, the KV cache at
+	// address holds.
+	Cached(ctx context.Context, address string, pieces []uint64) (int, error)
+}
