--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -50,8 +50,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &client{scripts: s.scripts}
 		w := httptest.NewRecorder()
-		got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(config.TargetEngine, 3)}).
+		begun := time.Now()
+		got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(3)}).
 			Run(t.Context(), s.job(), w)
+		must.LessEq(t, 5*time.Second, time.Since(begun))
 		synctest.Wait()
 		must.Eq(t, s.outcome, outcome(got))
 		must.Eq(t, s.sends, len(c.sent))
@@ -87,7 +89,7 @@
 }
 
 // assertAttempts checks that each send has an attempt id of its own.
-func assertAttempts(t *testing.T, sent []target.Request) {
+func assertAttempts(t must.T, sent []target.Request) {
 	t.Helper()
 	seen := map[string]bool{}
 	for _, r := range sent {
@@ -157,7 +159,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		c := &client{scripts: []script{events(1, 2, "silent")}}
 		time.AfterFunc(time.Second, cancel)
-		got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(config.TargetEngine, 1)}).
+		got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(1)}).
 			Run(ctx, scene{}.job(), httptest.NewRecorder())
 		synctest.Wait()
 		must.Eq(t, "cut short", outcome(got))
@@ -165,12 +167,48 @@
 	})
 }
 
+// TestRunWithdrawn checks that a key is asked for before a send, a retry and a
+// resume.
 func TestRunWithdrawn(t *testing.T) {
-	c := &client{scripts: []script{events(1, 1, "done")}}
-	job := scene{}.job()
-	job.Allowed = func() error { return errors.New("key withdrawn") }
-	got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(config.TargetEngine, 1)}).
-		Run(t.Context(), job, httptest.NewRecorder())
-	must.Eq(t, "not run", outcome(got))
-	must.Eq(t, 0, len(c.sent))
+	for name, c := range map[string]struct {
+		script  script
+		allowed int
+		outcome string
+		sends   int
+	}{
+		"before the send":   {events(1, 1, "done"), 0, "not run", 0},
+		"before the retry":  {result(target.Lost{Err: errReset}), 1, "unknown", 1},
+		"before the resume": {events(1, 1, "broken"), 1, "cut short", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c1 := &client{scripts: []script{c.script}}
+				job := scene{idempotent: true}.job()
+				job.Allowed = func() error {
+					if c.allowed--; c.allowed < 0 {
+						return errors.New("key withdrawn")
+					}
+					return nil
+				}
+				got := dispatch.NewRunner(dispatch.Options{Client: c1, Chooser: newChooser(2)}).
+					Run(t.Context(), job, httptest.NewRecorder())
+				synctest.Wait()
+				must.Eq(t, c.outcome, outcome(got))
+				must.Eq(t, c.sends, len(c1.sent))
+			})
+		})
+	}
+}
+
+// TestRunBudget checks that retries are a small share of the requests.
+func TestRunBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &client{scripts: []script{result(target.Lost{Err: errReset})}}
+		r := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: newChooser(3)})
+		for range 200 {
+			r.Run(t.Context(), scene{idempotent: true}.job(), httptest.NewRecorder())
+		}
+		synctest.Wait()
+		must.Between(t, 200, len(c.sent), 240)
+	})
 }
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -90,12 +90,12 @@
 	done    int
 }
 
-func newChooser(kind string, n int) *chooser {
+func newChooser(n int) *chooser {
 	c := &chooser{}
 	for i := range n {
 		c.targets = append(c.targets, &config.Target{
 			Name:    fmt.Sprintf("t%d", i),
-			Kind:    kind,
+			Kind:    config.TargetEngine,
 			Address: fmt.Sprintf("10.0.0.%d:80", i),
 		})
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -184,7 +184,7 @@
 }
 
 func (r *run) mayRetry() bool {
-	return r.job.Route.Idempotent && r.answer.Passed() == 0 && r.attempts < maxAttempts
+	return r.job.Route.Idempotent && r.attempts < maxAttempts
 }
 
 // again prepares another attempt after one that provably did not run.
--- a/target/httpclient_test.go
+++ b/target/httpclient_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -16,8 +17,9 @@
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
-// A wire is a server below HTTP that counts the requests it read, and answers
-// each with what it was told before it closes the connection.
+// A wire is a server below HTTP that counts the requests it read. It answers the
+// first of a connection with what it was told, and breaks off at the second, as
+// at an answer that is not whole.
 type wire struct {
 	listener net.Listener
 	answer   string
@@ -49,13 +51,23 @@
 
 func (w *wire) serveConn(conn net.Conn) {
 	defer conn.Close()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
+	requests := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		r, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		w.last.Store(r)
+		w.requests.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if !first || !strings.HasSuffix(w.answer, "\r\n\r\n") {
+			if first {
+				_, _ = fmt.Fprint(conn, w.answer)
+			}
+			return
+		}
+		_, _ = fmt.Fprint(conn, w.answer)
 	}
-	w.last.Store(r)
-	w.requests.Add(1)
-	_, _ = fmt.Fprint(conn, w.answer)
 }
 
 func answerOf(status string, headers ...string) string {
@@ -95,6 +107,7 @@
 		"cut off in the headers":   {"HTTP/1.1 200 OK\r\nContent-Le", "lost"},
 		"answered":                 {answerOf("200 OK"), "answered 200"},
 		"redirected":               {answerOf("307 Temporary Redirect", "Location: /elsewhere"), "answered 307"},
+		"redirected as a GET":      {answerOf("303 See Other", "Location: /elsewhere"), "answered 303"},
 		"refused":                  {answerOf("503 Leaving", "X-Not-Run: true"), "not run false false"},
 		"moved on":                 {answerOf("409 Conflict", "X-Not-Run: true"), "not run true false"},
 		"answer of another try":    {answerOf("200 OK", "X-Attempt-Id: r1.0"), "lost"},
