Spread short prompts and bound whole answers that fall silent

Cause: Prompts without a piece, and requests of services, all went to the first level target; an answer in one piece that stopped half way was waited for without end, and its deadline covered the whole answer instead of its start. Change: Among level targets the one with the fewest requests for its slots gets a request without pieces, in turn where they are equal. The first byte ends the deadline of a whole answer, and the progress deadline bounds the rest. Measured: go test -race ./stream ./route ./dispatch passes, with a case for each.

--- a/route/planner.go
+++ b/route/planner.go
@@ -86,6 +86,7 @@
 	account  *account
 	held     int
 	missing  int
+	requests int
 	wait     time.Duration
 	expected time.Duration
 	total    time.Duration
@@ -175,7 +176,7 @@
 			}
 		}
 		c.missing = max(0, r.Prompt.Tokens-c.held)
-		c.wait = wait(now, s, a)
+		c.wait, c.requests = wait(now, s, a)
 		c.expected = c.wait + compute(s, c.missing)
 		if s.Target.DataCentre != p.opts.DataCentre {
 			c.expected += crossing
@@ -244,17 +245,18 @@
 	return p.levelBest(r.Prompt, best)
 }
 
-// levelBest returns the candidate that the hash of the first piece to compute
-// prefers, among those that are level with the best.
+// levelBest returns one of the candidates that are level with the best: the one
+// that the hash of the first piece to compute prefers, or the one with the
+// fewest requests if the prompt has no pieces.
 func (p *Planner) levelBest(prompt prefix.Prompt, best *score) *score {
-	if prompt.PieceTokens == 0 {
-		return best
+	if len(prompt.Keys) == 0 {
+		return p.idlest(best)
 	}
 	piece := best.held / prompt.PieceTokens
 	if piece >= len(prompt.Keys) {
 		return best
 	}
-	limit := best.total + tieFloor + time.Duration(tieRatio*float64(compute(best.state, best.missing)))
+	limit := best.level()
 	var most uint64
 	for i := range p.scores {
 		c := &p.scores[i]
@@ -268,6 +270,30 @@
 	return best
 }
 
+// level returns the total up to which another candidate is level.
+func (c *score) level() time.Duration {
+	return c.total + tieFloor + time.Duration(tieRatio*float64(compute(c.state, c.missing)))
+}
+
+// idlest returns the candidate with the fewest requests for its slots among
+// those that are level with the best, in turn where they have equally many.
+func (p *Planner) idlest(best *score) *score {
+	limit := best.level()
+	least := best.occupancy()
+	for i := range p.scores {
+		c := &p.scores[(i+int(p.serial%uint64(len(p.scores))))%len(p.scores)]
+		if o := c.occupancy(); c.total <= limit && (i == 0 || o < least) {
+			best, least = c, o
+		}
+	}
+	return best
+}
+
+// occupancy returns the requests of a target for each of its slots.
+func (c *score) occupancy() float64 {
+	return float64(c.requests) / float64(max(1, c.state.Target.Slots))
+}
+
 // rank returns the rendezvous hash of a target and a piece.
 func rank(name string, k prefix.Key) uint64 {
 	h := xxhash.Sum64String(name) ^ uint64(k)
@@ -374,14 +400,14 @@
 	return int(float64(a.pieces*prompt.PieceTokens) * a.worth)
 }
 
-// wait returns the time until the target starts on one more request: the
-// reported backlog, less what it did since, and what this VM sent that the
-// report cannot show yet.
-func wait(now time.Time, s *target.State, a *account) time.Duration {
-	taken := s.At.Add(-target.ReportLag)
+// wait returns the time until the target starts on one more request, and the
+// number of requests before it: the reported backlog, less what it did since,
+// and what this VM sent that the report cannot show yet.
+func wait(now time.Time, s *target.State, a *account) (time.Duration, int) {
 	if !s.Reported {
-		return slotWait(len(a.sends), s, a)
+		return slotWait(len(a.sends), s, a), len(a.sends)
 	}
+	taken := s.At.Add(-target.ReportLag)
 	tokens, requests := s.Report.Pending, s.Report.Running+s.Report.Queued
 	for _, d := range a.sends {
 		if d.at.After(taken) {
@@ -390,7 +416,7 @@
 		}
 	}
 	backlog := compute(s, tokens) - now.Sub(taken)
-	return max(0, backlog) + slotWait(requests, s, a)
+	return max(0, backlog) + slotWait(requests, s, a), requests
 }
 
 // slotWait returns the time until one of the target's slots becomes free.
--- a/route/planner_test.go
+++ b/route/planner_test.go
@@ -156,6 +156,15 @@
 			first.Done(0, nil)
 			s.mustChoose("e0")
 		},
+		"short prompts go where the fewest requests run": func(s *scene) {
+			s.request.Prompt = prefix.Prompt{Tokens: 20}
+			s.table.states[0].Report.Running = 2
+			seen := map[string]int{}
+			for range 10 {
+				seen[s.mustChoose("").Target.Name]++
+			}
+			must.Eq(s.t, map[string]int{"e0": 2, "e1": 4, "e2": 4}, seen)
+		},
 		"adapter not loaded": func(s *scene) {
 			for i := range s.table.states {
 				s.table.states[i].Report.Models = []target.Loaded{{Model: "m", Version: "v1"}}
--- a/stream/relay.go
+++ b/stream/relay.go
@@ -189,11 +189,21 @@
 // whole passes on an answer in one piece: nothing is written before all of it
 // has come, so that a broken one can be run elsewhere or refused.
 func (a *Answer) whole(ctx context.Context, r target.Response, first func()) End {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { _ = r.Body.Close() })
 	defer stop()
 	defer r.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxWhole+1))
+	stall := time.AfterFunc(time.Hour, func() { cancel(errSilent) })
+	stall.Stop()
+	defer stall.Stop()
+	body, err := io.ReadAll(io.LimitReader(&progress{r.Body, func() {
+		first()
+		stall.Reset(a.opts.Stall)
+	}}, MaxWhole+1))
 	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return Broken{Err: eris.Wrap(errBroken, errSilent.Error())}
 	case ctx.Err() != nil:
 		return Gone{Err: context.Cause(ctx)}
 	case err != nil:
@@ -210,3 +220,18 @@
 	}
 	return Complete{}
 }
+
+// A progress is a reader that tells of every read that brought something.
+type progress struct {
+	r    io.Reader
+	made func()
+}
+
+// Read implements io.Reader.
+func (p *progress) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if n > 0 {
+		p.made()
+	}
+	return n, err
+}
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -155,24 +155,38 @@
 
 func TestRelayWhole(t *testing.T) {
 	for name, c := range map[string]struct {
-		body io.Reader
+		body func() io.ReadCloser
 		end  string
 		want string
 	}{
-		"complete": {strings.NewReader("{}"), "Complete", "{}"},
-		"cut off":  {io.MultiReader(strings.NewReader("{"), brokenReader{}), "Broken", ""},
-		"too long": {io.LimitReader(zeros{}, stream.MaxWhole+1), "Broken", ""},
+		"complete": {of(strings.NewReader("{}")), "Complete", "{}"},
+		"cut off":  {of(io.MultiReader(strings.NewReader("{"), brokenReader{})), "Broken", ""},
+		"silent":   {silent, "Broken", ""},
+		"too long": {of(io.LimitReader(zeros{}, stream.MaxWhole+1)), "Broken", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := httptest.NewRecorder()
-			a := stream.NewAnswer(w, stream.Options{Numbered: true})
-			must.Eq(t, c.end, endOf(a.Relay(t.Context(), response("application/json", io.NopCloser(c.body)), nil, func() {})))
-			must.Eq(t, c.want, w.Body.String())
-			must.Eq(t, c.want != "", a.Started())
+			synctest.Test(t, func(t *testing.T) {
+				w := httptest.NewRecorder()
+				a := stream.NewAnswer(w, stream.Options{Numbered: true})
+				must.Eq(t, c.end, endOf(a.Relay(t.Context(), response("application/json", c.body()), nil, func() {})))
+				must.Eq(t, c.want, w.Body.String())
+				must.Eq(t, c.want != "", a.Started())
+			})
 		})
 	}
 }
 
+func of(r io.Reader) func() io.ReadCloser {
+	return func() io.ReadCloser { return io.NopCloser(r) }
+}
+
+// silent is a body that stops in the middle and stays open.
+func silent() io.ReadCloser {
+	read, write := io.Pipe()
+	go func() { _, _ = write.Write([]byte("{")) }()
+	return read
+}
+
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
