Read a chat completion in one pass and replace its model in place

Cause: a profile of a 160,000-byte prompt put most of a VM's processor time for a request into decoding the body twice and encoding it again. Change: read the fields in one pass, note where the model's value ends, and splice the engine's model name in. A field that stands twice is now refused; an engine might have read the other one.

--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -157,6 +157,8 @@
 		{"no route", nil, chat, `{"messages":[]}`, nil, 400, CodeBadRequest, OutcomeNotRun},
 		{"no messages", nil, chat, `{"model":"verdict"}`, nil, 400, CodeBadRequest, OutcomeNotRun},
 		{"wrong type", nil, chat, `{"model":7}`, nil, 400, CodeBadRequest, OutcomeNotRun},
+		{"two models", nil, chat, strings.Replace(chatBody, "{", `{"model":"hold",`, 1), nil, 400, CodeBadRequest, OutcomeNotRun},
+		{"two bodies", nil, chat, chatBody + chatBody, nil, 400, CodeBadRequest, OutcomeNotRun},
 		{"wrong limit", nil, chat, `{"model":"verdict","max_tokens":0}`, nil, 400, CodeBadRequest, OutcomeNotRun},
 		{"unknown route", nil, "/s/none/x", "", nil, 404, CodeNotFound, OutcomeNotRun},
 		{"route of another kind", nil, "/s/verdict/x", "", nil, 404, CodeNotFound, OutcomeNotRun},
