Hand over what is left of a slot when it is given back

Cause: a new holder of a slot started with nothing, also when the former one had given it back in full, so that a fleet restarted in turn refused requests inside the rate until its buckets had filled again; so did a new fleet. Change: a slot's record carries what was left of its part, under the term in which it was given back and the version of the configuration; it counts for the next term only. The first holder of a slot has its whole share. A term that a process has begun before brings nothing. Count writes atomically in a test of lost answers, which raced. Conclusion: planned stops keep the customers' bursts; proof of an unplanned end still gives the new holder nothing.

--- a/limit/commands.go
+++ b/limit/commands.go
@@ -168,12 +168,25 @@
 			h := sh.held[n]
 			if !h.active && !now.Before(h.from) {
 				s.reshare(sh, h.from, func() { h.active = true })
+				s.addStart(sh, h)
 				s.settling--
 			}
 		}
 	}
 }
 
+// addStart adds what a slot that becomes active held at its taking to the
+// accounts that there are; later ones count it in when they are made.
+func (s *State) addStart(sh *shard, h *holding) {
+	for _, a := range s.accounts {
+		if a.shard == sh {
+			whole := burstOf(a.limits).Scale(s.layout.share(1))
+			a.level = a.level.Plus(h.start.level(a.customer, whole))
+			a.clip()
+		}
+	}
+}
+
 // reshare changes the active slots of a shard and the shares of its accounts
 // at a time.
 func (s *State) reshare(sh *shard, at time.Time, change func()) {
--- a/limit/event.go
+++ b/limit/event.go
@@ -130,11 +130,12 @@
 	Ended lease.Holder
 }
 
-// GiveSlot releases a slot.
+// GiveSlot releases a slot. Data is what goes with its record.
 type GiveSlot struct {
 	Shard  int
 	Slot   int
 	Record lease.Record
+	Data   []byte
 }
 
 func (Decide) effect()       {}
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -259,7 +259,7 @@
 			})
 		case limit.GiveSlot:
 			n.write(effect.Shard, effect.Slot, func(lease.Record) lease.Event {
-				return lease.Give{Self: n.holder(), Nonce: fmt.Sprint(n.f.version), Term: effect.Record.Lease.Term}
+				return lease.Give{Self: n.holder(), Nonce: fmt.Sprint(n.f.version), Term: effect.Record.Lease.Term, Data: effect.Data}
 			})
 		}
 	}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -224,17 +224,104 @@
 	return mine, active
 }
 
+// end removes the VM from the platform's list.
+func (n *node) end() {
+	n.dead = true
+	n.gone = true
+}
+
+// slowFleet returns a fleet of one VM that holds all slots of a customer whose
+// bucket refills slowly.
+func slowFleet(slots int) (*fleet, *node) {
+	slow := config.Rate{Requests: 10, RequestBurst: 160, Tokens: 1, TokenBurst: 16000}
+	f := newFleet(1, limit.Layout{Shards: 1, Slots: slots}, oneCustomer(slow), seed.Value())
+	f.run(20 * time.Second)
+	return f, f.nodes[0]
+}
+
 func TestSlots(t *testing.T) {
-	t.Run("a new holder starts empty, after the old transfers have lapsed", func(t *testing.T) {
+	t.Run("a holder waits until the old transfers have lapsed", func(t *testing.T) {
 		f := newFleet(1, limit.Layout{Shards: 1, Slots: 1}, oneCustomer(hakata), seed.Value())
 		f.run(100 * time.Millisecond)
 		f.nodes[0].step(limit.Tick{})
 		mine, active := held(f, f.nodes[0])
 		must.Eq(t, 1, mine)
 		must.Zero(t, active)
-		f.run(300 * time.Millisecond)
-		mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 800}))
-		mustRefuse(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 8000}))
+	})
+	t.Run("the first holder of a slot has its whole share", func(t *testing.T) {
+		f, first := slowFleet(1)
+		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
+		mustRefuse(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 5000}))
+	})
+	t.Run("a holder after one that is gone starts empty", func(t *testing.T) {
+		f, first := slowFleet(1)
+		first.end()
+		second := f.start("vm02")
+		f.members()
+		f.run(time.Minute)
+		_, active := held(f, second)
+		must.Eq(t, 1, active)
+		mustRefuse(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 500}))
+	})
+	t.Run("a holder after one that gave back has what was left", func(t *testing.T) {
+		f, first := slowFleet(1)
+		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
+		first.step(limit.GiveUp{})
+		f.run(time.Second)
+		first.end()
+		second := f.start("vm02")
+		f.members()
+		f.run(time.Minute)
+		mustRefuse(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 5000}))
+		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 3500}))
+		mustHold(t, f)
+	})
+	t.Run("what was given back counts for one term", func(t *testing.T) {
+		f, first := slowFleet(1)
+		first.step(limit.GiveUp{})
+		f.run(time.Second)
+		first.end()
+		second := f.start("vm02")
+		f.members()
+		f.run(time.Minute)
+		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 15000}))
+		second.end()
+		third := f.start("vm03")
+		f.members()
+		f.run(time.Minute)
+		mustRefuse(t, decide(f, third, limit.Cost{Requests: 1, Tokens: 5000}))
+		mustHold(t, f)
+	})
+	t.Run("a part that is given back is taken out of the account", func(t *testing.T) {
+		f, first := slowFleet(2)
+		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
+		second := f.start("vm02")
+		f.members()
+		f.run(time.Minute)
+		_, active := held(f, second)
+		must.Eq(t, 1, active)
+		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 3500}))
+		mustRefuse(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 1000}))
+		mustHold(t, f)
+	})
+	t.Run("a slot whose return did not arrive brings nothing twice", func(t *testing.T) {
+		f, first := slowFleet(2)
+		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
+		second := f.start("vm02")
+		f.members()
+		f.run(5 * time.Second)
+		f.storeOff = true
+		f.run(10 * time.Second)
+		mine, _ := held(f, first)
+		must.Eq(t, 1, mine)
+		f.storeOff = false
+		second.end()
+		f.members()
+		f.run(time.Minute)
+		mine, _ = held(f, first)
+		must.Eq(t, 2, mine)
+		mustRefuse(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 4500}))
+		mustHold(t, f)
 	})
 	t.Run("slots of a dead VM are taken on proof, never by time", func(t *testing.T) {
 		f := settledFleet(2, hakata)
--- a/limit/shard.go
+++ b/limit/shard.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/baobabdyke/baobabdyke/lease"
 )
 
 const (
@@ -25,6 +27,8 @@
 	slots []slot
 	// held is the slots that belong to this VM, by number.
 	held map[int]*holding
+	// begun is the last term in which this VM began to spend from a slot.
+	begun map[int]int64
 	// listed is when the slots were last read; zero for never.
 	listed  time.Time
 	listing bool
@@ -51,10 +55,22 @@
 	record SlotRecord
 	from   time.Time
 	active bool
+	// start is what the slot held at its taking; nil for nothing.
+	start *Handover
 }
 
 func newShard(id int, l Layout) *shard {
-	return &shard{id: id, slots: make([]slot, l.Slots), held: map[int]*holding{}}
+	return &shard{id: id, slots: make([]slot, l.Slots), held: map[int]*holding{}, begun: map[int]int64{}}
+}
+
+// begin returns what this VM may begin with in a slot's term. A term that it
+// has begun before brings nothing: its part was given out then.
+func (sh *shard) begin(n int, l lease.Lease, version int64) *Handover {
+	if l.Term <= sh.begun[n] {
+		return nil
+	}
+	sh.begun[n] = l.Term
+	return inherited(l, version)
 }
 
 // active returns the number of slots whose share counts.
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -99,12 +99,14 @@
 	return TakeSlot{Shard: sh.id, Slot: n, Ended: lease.Holder{ID: old.Holder, Incarnation: old.Incarnation}}
 }
 
-// giveSlot stops spending a slot's share and starts its release.
+// giveSlot stops spending a slot's share and starts its release, with what is
+// left of it.
 func (s *State) giveSlot(sh *shard, n int, now time.Time) Effect {
 	held := sh.held[n].record.Record
+	left := s.handOver(sh, n, now)
 	s.drop(sh, n, now)
 	sh.writing++
-	return GiveSlot{Shard: sh.id, Slot: n, Record: held}
+	return GiveSlot{Shard: sh.id, Slot: n, Record: held, Data: left.encode()}
 }
 
 // drop takes a slot's share out of force.
@@ -133,7 +135,7 @@
 		"slot %s is held by %s/%d", l.Duty, l.Holder, l.Incarnation)
 	invariant.Hold(sh.held[e.Slot] == nil && len(sh.held) < s.layout.Slots, "limit-shares",
 		"slot %s is taken twice", l.Duty)
-	sh.held[e.Slot] = &holding{record: e.Record, from: now.Add(closedFor)}
+	sh.held[e.Slot] = &holding{record: e.Record, from: now.Add(closedFor), start: sh.begin(e.Slot, l, s.view.Version)}
 	s.settling++
 	if s.leaving {
 		return []Effect{s.giveSlot(sh, e.Slot, now)}
--- a/limit/state.go
+++ b/limit/state.go
@@ -93,7 +93,7 @@
 	a = &account{customer: customer, shard: sh, limits: c.Rate, hints: map[string]hint{}, used: now}
 	a.at = now
 	a.resize(s.layout.share(sh.active()), rateOf(c.Rate), burstOf(c.Rate), now)
-	a.level = s.refilled(sh, c.Rate, now)
+	a.level = s.refilled(sh, c, now)
 	a.clip()
 	s.accounts[customer] = a
 	return a
@@ -101,15 +101,13 @@
 
 // refilled returns what the active slots of a shard hold of a customer that
 // has spent nothing since they were taken.
-func (s *State) refilled(sh *shard, r config.Rate, now time.Time) Cost {
+func (s *State) refilled(sh *shard, c *config.Customer, now time.Time) Cost {
 	var sum Cost
 	share := s.layout.share(1)
 	for _, h := range sh.held {
-		if !h.active {
-			continue
+		if h.active {
+			sum = sum.Plus(h.level(c.Name, rateOf(c.Rate).Scale(share), burstOf(c.Rate).Scale(share), now))
 		}
-		grown := rateOf(r).Scale(share * refillFactor * now.Sub(h.from).Seconds())
-		sum = sum.Plus(grown.Min(burstOf(r).Scale(share)))
 	}
 	return sum
 }
--- a/limit/store.go
+++ b/limit/store.go
@@ -100,7 +100,7 @@
 func (t *Task) giveSlot(ctx context.Context, e GiveSlot) {
 	call, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	result := lease.Release(call, t.o.Store, slotKey(e.Shard, e.Slot), e.Record, nil)
+	result := lease.Release(call, t.o.Store, slotKey(e.Shard, e.Slot), e.Record, e.Data)
 	t.written(ctx, e.Shard, e.Slot, result)
 }
 
--- a/limit/task_test.go
+++ b/limit/task_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,12 +159,10 @@
 	})
 	t.Run("lost answers of writes leave every slot held", func(t *testing.T) {
 		runCluster(t, 0, func(t *testing.T, c *cluster, _ []*limit.Task) {
-			writes := 0
+			var writes atomic.Int64
 			c.store.SetFault(func(call platform.Call) platform.Fault {
-				if call.Kind == platform.KindPut {
-					writes++
-				}
-				return platform.Fault{LoseAnswer: call.Kind == platform.KindPut && writes%2 == 1}
+				lose := call.Kind == platform.KindPut && writes.Add(1)%2 == 1
+				return platform.Fault{LoseAnswer: lose}
 			})
 			first, second := c.start("vm0", 1), c.start("vm1", 1)
 			time.Sleep(2 * time.Minute)
