Weigh recomputation less for what several engines hold

Cause: At half the load the fixed weight kept new prefixes on the few engines that held a customer's base, so that the other caches lay idle: Hakata lost to the hash of the prefix on hits there. Change: A token that several candidates hold weighs less for each of them, and the weight is 3.

--- a/route/measure_test.go
+++ b/route/measure_test.go
@@ -156,6 +156,9 @@
 }
 
 func newTrial(l load, way, fault string) *trial {
+	if fault == "half the load" {
+		l.rate /= 2
+	}
 	t := &trial{load: l, way: way, fault: fault, rng: rand.New(rand.NewPCG(seed.Value(), 2)), pending: map[string]bool{}}
 	t.now = measureStart
 	t.route = &config.Route{Kind: config.RouteModel, Idempotent: true}
@@ -415,7 +418,7 @@
 
 func BenchmarkMeasureWays(b *testing.B) {
 	for _, l := range loads {
-		for _, fault := range []string{"calm", "hot prefix moves", "engine lost", "events lost", "VMs restarted"} {
+		for _, fault := range []string{"calm", "half the load", "hot prefix moves", "engine lost", "events lost", "VMs restarted"} {
 			for _, way := range []string{"round robin", "least loaded", "prefix hash", "ttft alone", "chosen"} {
 				b.Run(fmt.Sprintf("%s/%s/%s", l.name, fault, way), func(b *testing.B) {
 					var r result
--- a/route/planner.go
+++ b/route/planner.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,12 +35,12 @@
 	tieFloor = 2 * time.Millisecond
 )
 
-// DefaultWaste is the weight of recomputation that another engine could save.
-const DefaultWaste = 4.0
+// DefaultWaste is the weight of recomputation that another engine would save.
+const DefaultWaste = 3.0
 
 // PlannerOptions are the settings of a Planner. Waste weighs the time to
 // recompute what another engine holds, beyond the wait that it causes to the
-// request itself; a negative value stands for zero.
+// request itself; a negative value stands for none.
 type PlannerOptions struct {
 	DataCentre string
 	Waste      float64
@@ -162,7 +163,6 @@
 func (p *Planner) score(now time.Time, r Request, states []target.State) {
 	p.scores = p.scores[:0]
 	flight, depth := p.inFlight(r.Prompt)
-	most := 0
 	for i := range states {
 		s := &states[i]
 		a := p.account(s.Target.Name)
@@ -181,13 +181,23 @@
 		if s.Target.DataCentre != p.opts.DataCentre {
 			c.expected += crossing
 		}
-		most = max(most, c.held)
 		p.scores = append(p.scores, c)
 	}
+	p.addWaste()
+}
+
+// addWaste adds to each candidate's time the weighed recomputation of what
+// others hold. A token that several hold weighs less for each of them: it is in
+// demand, so that one more copy is of use.
+func (p *Planner) addWaste() {
+	slices.SortStableFunc(p.scores, func(a, b score) int { return b.held - a.held })
+	wasted := 0.0
 	for i := range p.scores {
 		c := &p.scores[i]
-		wasted := compute(c.state, most-c.held)
-		c.total = c.expected + time.Duration(p.opts.Waste*float64(wasted))
+		if i > 0 {
+			wasted += float64(p.scores[i-1].held-c.held) / float64(i)
+		}
+		c.total = c.expected + time.Duration(p.opts.Waste*float64(compute(c.state, int(wasted))))
 	}
 }
 
