--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/baobabdyke/baobabdyke/claim"
@@ -45,8 +46,9 @@
 }
 
 // A keeper keeps a copy of an answer for its claim. Answers that are no streams
-// are held back until the claim has ended. An answer larger than the bound is
-// passed on whole and kept as its status alone.
+// are held back until they are whole, so that they carry their length and the
+// caller need not wait for the claim to be written. An answer larger than the bound is
+// passed on whole and kept as its status alone, marked as dropped.
 type keeper struct {
 	w       http.ResponseWriter
 	through bool
@@ -98,6 +100,14 @@
 	return http.NewResponseController(k.w).Flush()
 }
 
+// end passes on a whole answer that was held back, with its length.
+func (k *keeper) end() {
+	if !k.through && k.started {
+		k.w.Header().Set("Content-Length", strconv.Itoa(k.body.Len()))
+	}
+	k.flush()
+}
+
 // release passes on what was held back and keeps no copy from here on.
 func (k *keeper) release() {
 	k.flush()
@@ -113,13 +123,14 @@
 	}
 	k.w.WriteHeader(k.status)
 	_, _ = k.w.Write(k.body.Bytes())
+	_ = http.NewResponseController(k.w).Flush()
 	k.through = true
 }
 
 // answer returns the copy for the claim.
 func (k *keeper) answer() claim.Answer {
 	if k.cut {
-		return claim.Answer{Status: k.status, ContentType: "text/plain", Body: []byte("the request ran; its answer was too large to be kept")}
+		return claim.Answer{Status: k.status, Dropped: true}
 	}
 	return claim.Answer{
 		Status:      k.status,
--- a/limit/state.go
+++ b/limit/state.go
@@ -22,6 +22,7 @@
 	lastAsk  uint64
 	// settling is the number of slots that are held but not active yet.
 	settling int
+	agreed   bool // the fleet's layout is known
 	leaving  bool
 	counts   Counts
 }
@@ -63,6 +64,8 @@
 	// hints is what other VMs held when last heard of.
 	hints map[string]hint
 	used  time.Time
+	// balanced is when tokens were last asked for without need.
+	balanced time.Time
 }
 
 // A hint is what another VM held at a time. It is not asked before its back.
