--- a/route/planner.go
+++ b/route/planner.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,12 +35,12 @@
 	tieFloor = 2 * time.Millisecond
 )
 
-// DefaultWaste is the weight of recomputation that another engine could save.
-const DefaultWaste = 4.0
+// DefaultWaste is the weight of recomputation that another engine would save.
+const DefaultWaste = 3.0
 
 // PlannerOptions are the settings of a Planner. Waste weighs the time to
 // recompute what another engine holds, beyond the wait that it causes to the
-// request itself; a negative value stands for zero.
+// request itself; a negative value stands for none.
 type PlannerOptions struct {
 	DataCentre string
 	Waste      float64
@@ -86,6 +87,7 @@
 	account  *account
 	held     int
 	missing  int
+	requests int
 	wait     time.Duration
 	expected time.Duration
 	total    time.Duration
@@ -98,6 +100,7 @@
 	ID       uint64
 	State    *target.State
 	Held     int
+	Missing  time.Duration
 	Expected time.Duration
 	Ready    <-chan struct{}
 	Until    time.Time
@@ -160,7 +163,6 @@
 func (p *Planner) score(now time.Time, r Request, states []target.State) {
 	p.scores = p.scores[:0]
 	flight, depth := p.inFlight(r.Prompt)
-	most := 0
 	for i := range states {
 		s := &states[i]
 		a := p.account(s.Target.Name)
@@ -174,18 +176,28 @@
 			}
 		}
 		c.missing = max(0, r.Prompt.Tokens-c.held)
-		c.wait = wait(now, s, a)
+		c.wait, c.requests = wait(now, s, a)
 		c.expected = c.wait + compute(s, c.missing)
 		if s.Target.DataCentre != p.opts.DataCentre {
 			c.expected += crossing
 		}
-		most = max(most, c.held)
 		p.scores = append(p.scores, c)
 	}
+	p.addWaste()
+}
+
+// addWaste adds to each candidate's time the weighed recomputation of what
+// others hold. A token that several hold weighs less for each of them: it is in
+// demand, so that one more copy is of use.
+func (p *Planner) addWaste() {
+	slices.SortStableFunc(p.scores, func(a, b score) int { return b.held - a.held })
+	wasted := 0.0
 	for i := range p.scores {
 		c := &p.scores[i]
-		wasted := compute(c.state, most-c.held)
-		c.total = c.expected + time.Duration(p.opts.Waste*float64(wasted))
+		if i > 0 {
+			wasted += float64(p.scores[i-1].held-c.held) / float64(i)
+		}
+		c.total = c.expected + time.Duration(p.opts.Waste*float64(compute(c.state, int(wasted))))
 	}
 }
 
@@ -243,17 +255,18 @@
 	return p.levelBest(r.Prompt, best)
 }
 
-// levelBest returns the candidate that the hash of the first piece to compute
-// prefers, among those that are level with the best.
+// levelBest returns one of the candidates that are level with the best: the one
+// that the hash of the first piece to compute prefers, or the one with the
+// fewest requests if the prompt has no pieces.
 func (p *Planner) levelBest(prompt prefix.Prompt, best *score) *score {
-	if prompt.PieceTokens == 0 {
-		return best
+	if len(prompt.Keys) == 0 {
+		return p.idlest(best)
 	}
 	piece := best.held / prompt.PieceTokens
 	if piece >= len(prompt.Keys) {
 		return best
 	}
-	limit := best.total + tieFloor + time.Duration(tieRatio*float64(compute(best.state, best.missing)))
+	limit := best.level()
 	var most uint64
 	for i := range p.scores {
 		c := &p.scores[i]
@@ -267,6 +280,30 @@
 	return best
 }
 
+// level returns the total up to which another candidate is level.
+func (c *score) level() time.Duration {
+	return c.total + tieFloor + time.Duration(tieRatio*float64(compute(c.state, c.missing)))
+}
+
+// idlest returns the candidate with the fewest requests for its slots among
+// those that are level with the best, in turn where they have equally many.
+func (p *Planner) idlest(best *score) *score {
+	limit := best.level()
+	least := best.occupancy()
+	for i := range p.scores {
+		c := &p.scores[(i+int(p.serial%uint64(len(p.scores))))%len(p.scores)]
+		if o := c.occupancy(); c.total <= limit && (i == 0 || o < least) {
+			best, least = c, o
+		}
+	}
+	return best
+}
+
+// occupancy returns the requests of a target for each of its slots.
+func (c *score) occupancy() float64 {
+	return float64(c.requests) / float64(max(1, c.state.Target.Slots))
+}
+
 // rank returns the rendezvous hash of a target and a piece.
 func rank(name string, k prefix.Key) uint64 {
 	h := xxhash.Sum64String(name) ^ uint64(k)
@@ -307,7 +344,7 @@
 	}
 	p.sends[s.id] = s
 	c.account.sends = append(c.account.sends, s)
-	return Plan{ID: s.id, State: c.state, Held: c.held, Expected: c.expected}
+	return Plan{ID: s.id, State: c.state, Held: c.held, Missing: compute(c.state, c.missing), Expected: c.expected}
 }
 
 // holdNotice stops the process if a target that leaves, or may have given notice
@@ -373,14 +410,14 @@
 	return int(float64(a.pieces*prompt.PieceTokens) * a.worth)
 }
 
-// wait returns the time until the target starts on one more request: the
-// reported backlog, less what it did since, and what this VM sent that the
-// report cannot show yet.
-func wait(now time.Time, s *target.State, a *account) time.Duration {
-	taken := s.At.Add(-target.ReportLag)
+// wait returns the time until the target starts on one more request, and the
+// number of requests before it: the reported backlog, less what it did since,
+// and what this VM sent that the report cannot show yet.
+func wait(now time.Time, s *target.State, a *account) (time.Duration, int) {
 	if !s.Reported {
-		return slotWait(len(a.sends), s, a)
+		return slotWait(len(a.sends), s, a), len(a.sends)
 	}
+	taken := s.At.Add(-target.ReportLag)
 	tokens, requests := s.Report.Pending, s.Report.Running+s.Report.Queued
 	for _, d := range a.sends {
 		if d.at.After(taken) {
@@ -389,7 +426,7 @@
 		}
 	}
 	backlog := compute(s, tokens) - now.Sub(taken)
-	return max(0, backlog) + slotWait(requests, s, a)
+	return max(0, backlog) + slotWait(requests, s, a), requests
 }
 
 // slotWait returns the time until one of the target's slots becomes free.
