Check that a fleet never holds more than the burst, and measure lost VMs

Cause: The state machine judged admissions only, which shows an excess only when somebody spends it. A list of slots that was read before the fleet's layout was known could stop the process. The measures had no planned stops and no list that catches up. Change: After every action the sum over all VMs of what could be given out is compared with the burst. Lists of an earlier layout are dropped. Measure has columns for planned stops one after the other and for lost VMs that the list drops after 30 s.

--- a/limit/machine_test.go
+++ b/limit/machine_test.go
@@ -127,10 +127,30 @@
 		"": func(t *rapid.T) {
 			count, worst := m.f.violations()
 			must.Zero(t, count, must.Sprintf("over-admission by up to %v", worst))
+			m.conserved(t)
 		},
 	}
 }
 
+// conserved checks that what all VMs could give out at once is no more than
+// the burst.
+func (m *machine) conserved(t *rapid.T) {
+	sums := map[string]limit.Cost{}
+	for _, n := range m.f.nodes {
+		if n.dead {
+			continue
+		}
+		for _, a := range n.s.Dump(m.f.now).Accounts {
+			sums[a.Customer] = sums[a.Customer].Plus(a.Level).Plus(a.Held).Plus(a.Closed)
+		}
+	}
+	for _, name := range customers {
+		top := m.f.oracles[name].since
+		burst := limit.Cost{Requests: top.RequestBurst, Tokens: top.TokenBurst}
+		must.True(t, burst.Covers(sums[name]), must.Sprintf("%s: %v could be given out, burst %v", name, sums[name], burst))
+	}
+}
+
 func (m *machine) wait(t *rapid.T) {
 	ms := rapid.SampledFrom([]int{20, 1, 190, 215, 260, 1000, 12000, 70000}).Draw(t, "ms")
 	m.f.run(time.Duration(ms) * time.Millisecond)
--- a/limit/measure_test.go
+++ b/limit/measure_test.go
@@ -34,6 +34,10 @@
 type load struct {
 	name string
 	lost bool // the two VMs that hold the most are lost, but listed
+	// unlisted takes the lost VMs off the platform's list after listLag.
+	unlisted bool
+	// rolling restarts one VM after the other, each by a planned stop.
+	rolling bool
 	// vm returns where a request goes at a time.
 	vm func(r *rand.Rand, at time.Duration) int
 	// pace returns the factor on the mean pace at a time.
@@ -66,8 +70,16 @@
 	}, least: 100, most: 900},
 	{name: "large", vm: anyVM, pace: steady, least: 2000, most: 6000},
 	{name: "lost", lost: true, vm: anyVM, pace: steady, least: 100, most: 900},
+	{name: "unlisted", lost: true, unlisted: true, vm: anyVM, pace: steady, least: 100, most: 900},
+	{name: "rolling", rolling: true, vm: anyVM, pace: steady, least: 100, most: 900},
 }
 
+// listLag is the time after which the platform's list drops a lost VM.
+const listLag = 30 * time.Second
+
+// rollEvery is the time between two planned stops of the rolling load.
+const rollEvery = 10 * time.Second
+
 // offers returns the requests of a load, the same for every way.
 func (l load) offers(part float64) []offer {
 	r := rand.New(rand.NewPCG(seed.Value(), 7))
@@ -94,6 +106,10 @@
 // A way admits requests to a fleet. Lose makes two VMs end.
 type way interface {
 	lose()
+	// unlist takes the lost VMs off the platform's list.
+	unlist()
+	// roll restarts a VM by a planned stop.
+	roll(vm int)
 	offer(o offer, done func(admitted bool))
 	run(d time.Duration)
 }
@@ -124,6 +140,17 @@
 
 func (s *static) lose()             { s.lost = 2 }
 func (s *static) run(time.Duration) {}
+func (s *static) unlist()           {}
+
+// roll starts the VM's buckets empty, since nobody knows what was spent.
+func (s *static) roll(vm int) {
+	for _, name := range measured {
+		if p := s.pots[fmt.Sprint(name, vm)]; p != nil {
+			p.level = 0
+		}
+	}
+}
+
 func (s *static) offer(o offer, done func(bool)) {
 	key := fmt.Sprint(o.customer, o.vm%(s.n-s.lost))
 	if s.pots[key] == nil {
@@ -155,6 +182,13 @@
 
 func (l *leased) lose()             { l.lost = true }
 func (l *leased) run(time.Duration) {}
+func (l *leased) unlist()           {}
+func (l *leased) roll(vm int) {
+	for _, name := range measured {
+		delete(l.grants, fmt.Sprint(name, vm))
+	}
+}
+
 func (l *leased) offer(o offer, done func(bool)) {
 	a := l.accounts[o.customer]
 	if a == nil {
@@ -202,6 +236,29 @@
 }
 
 func (e *escrow) run(d time.Duration) { e.f.run(d) }
+
+func (e *escrow) unlist() {
+	for _, n := range e.f.nodes {
+		n.gone = n.dead
+	}
+	e.f.members()
+}
+
+// roll gives the VM's slots back and starts it again a second later.
+func (e *escrow) roll(vm int) {
+	n := e.f.nodes[vm]
+	n.member.State = "draining"
+	n.step(limit.GiveUp{})
+	e.f.after(time.Second, func() {
+		n.dead = true
+		e.f.members()
+	})
+	e.f.after(2*time.Second, func() {
+		e.f.start(n.member.ID)
+		e.f.members()
+	})
+}
+
 func (e *escrow) lose() {
 	lost := 0
 	for _, n := range e.f.nodes {
@@ -216,7 +273,7 @@
 // keep several addresses.
 func (e *escrow) offer(o offer, done func(bool)) {
 	n := e.f.nodes[o.vm]
-	for i := 1; n.dead; i++ {
+	for i := 1; n.dead || n.member.State == "draining"; i++ {
 		n = e.f.nodes[(o.vm+i)%measureVMs]
 	}
 	n.reserve(o.customer, limit.Cost{Requests: 1, Tokens: o.tokens}, func(d limit.Decision, _ int) {
@@ -229,12 +286,19 @@
 // way refuses, in %.
 func refusals(w way, l load, part float64) float64 {
 	ideal := newStatic(1)
-	wrong, total := 0, 0
+	wrong, total, rolled := 0, 0, 0
 	var last time.Duration
 	if l.lost {
 		w.lose()
 	}
 	for _, o := range l.offers(part) {
+		if vm := int(o.at/rollEvery) - 1; l.rolling && vm >= rolled && vm < measureVMs {
+			w.roll(vm)
+			rolled++
+		}
+		if l.unlisted && o.at >= listLag && last < listLag {
+			w.unlist()
+		}
 		w.run(o.at - last)
 		last = o.at
 		inside := false
--- a/limit/queries.go
+++ b/limit/queries.go
@@ -93,11 +93,13 @@
 	Active bool   `json:"active"`
 }
 
-// An AccountDump is what this VM holds of one customer.
+// An AccountDump is what this VM holds of one customer: the level, what
+// gathers hold of it, and the room of transfers on the way.
 type AccountDump struct {
 	Customer string `json:"customer"`
 	Level    Cost   `json:"level"`
 	Cap      Cost   `json:"cap"`
+	Held     Cost   `json:"held"`
 	Closed   Cost   `json:"closed"`
 }
 
@@ -122,7 +124,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.accounts)) {
 		a := s.accounts[name]
 		a.advance(now)
-		d.Accounts = append(d.Accounts, AccountDump{Customer: name, Level: a.level, Cap: a.cap, Closed: a.closedSum})
+		d.Accounts = append(d.Accounts, AccountDump{Customer: name, Level: a.level, Cap: a.cap, Held: a.held, Closed: a.closedSum})
 	}
 	return d
 }
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -147,6 +147,9 @@
 // listed takes a shard's slots as the store shows them. A read may be stale,
 // so nothing goes back to an earlier version.
 func (s *State) listed(e Listed, now time.Time) []Effect {
+	if e.Shard >= len(s.shards) {
+		return nil // of the layout before the fleet's was known
+	}
 	sh := s.shards[e.Shard]
 	sh.listing = false
 	if e.Failed {
--- /dev/null
+++ b/limit/slot_test.go
@@ -0,0 +1,226 @@
+package limit_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/internal/seed"
+	"github.com/baobabdyke/baobabdyke/limit"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// held returns how many slots a VM holds, and how many of them count.
+func held(f *fleet, n *node) (mine, active int) {
+	for _, s := range n.s.Dump(f.now).Slots {
+		if s.Mine {
+			mine++
+		}
+		if s.Active {
+			active++
+		}
+	}
+	return mine, active
+}
+
+// end removes the VM from the platform's list.
+func (n *node) end() {
+	n.dead = true
+	n.gone = true
+}
+
+// slowFleet returns a fleet of one VM that holds all slots of a customer whose
+// bucket refills slowly.
+func slowFleet(slots int) (*fleet, *node) {
+	slow := config.Rate{Requests: 10, RequestBurst: 160, Tokens: 1, TokenBurst: 16000}
+	f := newFleet(1, limit.Layout{Shards: 1, Slots: slots}, oneCustomer(slow), seed.Value())
+	f.run(20 * time.Second)
+	return f, f.nodes[0]
+}
+
+func TestSlots(t *testing.T) {
+	t.Run("a holder waits until the old transfers have lapsed", func(t *testing.T) {
+		f := newFleet(1, limit.Layout{Shards: 1, Slots: 1}, oneCustomer(hakata), seed.Value())
+		f.run(300 * time.Millisecond)
+		f.nodes[0].step(limit.Tick{})
+		mine, active := held(f, f.nodes[0])
+		must.Eq(t, 1, mine)
+		must.Zero(t, active)
+	})
+	t.Run("the first holder of a slot has its whole share", func(t *testing.T) {
+		f, first := slowFleet(1)
+		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
+		mustRefuse(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 5000}))
+	})
+	t.Run("a holder after one that is gone starts empty", func(t *testing.T) {
+		f, first := slowFleet(1)
+		first.end()
+		second := f.start("vm02")
+		f.members()
+		f.run(time.Minute)
+		_, active := held(f, second)
+		must.Eq(t, 1, active)
+		mustRefuse(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 500}))
+	})
+	t.Run("a holder after one that gave back has what was left", func(t *testing.T) {
+		f, first := slowFleet(1)
+		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
+		first.step(limit.GiveUp{})
+		f.run(time.Second)
+		first.end()
+		second := f.start("vm02")
+		f.members()
+		f.run(time.Minute)
+		mustRefuse(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 5000}))
+		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 3500}))
+		mustHold(t, f)
+	})
+	t.Run("what was given back counts for one term", func(t *testing.T) {
+		f, first := slowFleet(1)
+		first.step(limit.GiveUp{})
+		f.run(time.Second)
+		first.end()
+		second := f.start("vm02")
+		f.members()
+		f.run(time.Minute)
+		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 15000}))
+		second.end()
+		third := f.start("vm03")
+		f.members()
+		f.run(time.Minute)
+		mustRefuse(t, decide(f, third, limit.Cost{Requests: 1, Tokens: 5000}))
+		mustHold(t, f)
+	})
+	t.Run("a part that is given back is taken out of the account", func(t *testing.T) {
+		f, first := slowFleet(2)
+		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
+		second := f.start("vm02")
+		f.members()
+		f.run(time.Minute)
+		_, active := held(f, second)
+		must.Eq(t, 1, active)
+		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 3500}))
+		mustRefuse(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 1000}))
+		mustHold(t, f)
+	})
+	t.Run("a slot whose return did not arrive brings nothing twice", func(t *testing.T) {
+		f, first := slowFleet(2)
+		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
+		second := f.start("vm02")
+		f.members()
+		f.run(5 * time.Second)
+		f.storeOff = true
+		f.run(10 * time.Second)
+		mine, _ := held(f, first)
+		must.Eq(t, 1, mine)
+		f.storeOff = false
+		second.end()
+		f.members()
+		f.run(time.Minute)
+		mine, _ = held(f, first)
+		must.Eq(t, 2, mine)
+		mustRefuse(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 4500}))
+		mustHold(t, f)
+	})
+	t.Run("what was read under another layout is dropped", func(t *testing.T) {
+		s := limit.NewState(vm.Member{ID: "vm01", Incarnation: 1}, limit.Layout{Shards: 7, Slots: 3}, 1)
+		s.Step(limit.Agreed{Layout: limit.Layout{Shards: 2, Slots: 3}}, time.Time{})
+		must.SliceEmpty(t, s.Step(limit.Listed{Shard: 6}, time.Time{}))
+	})
+	t.Run("slots of a dead VM are taken on proof, never by time", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		f.nodes[1].dead = true
+		f.members()
+		f.run(time.Hour)
+		mine, _ := held(f, f.nodes[0])
+		must.Eq(t, 4, mine)
+		f.nodes[1].gone = true
+		f.members()
+		f.run(30 * time.Second)
+		mine, _ = held(f, f.nodes[0])
+		must.Eq(t, 8, mine)
+	})
+	t.Run("a restarted VM takes its own slots again", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		n := f.start("vm02")
+		f.members()
+		f.run(20 * time.Second)
+		_, active := held(f, n)
+		must.Eq(t, 4, active)
+		mustHold(t, f)
+	})
+	t.Run("a paused VM that wakes up still owns what it spends", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		f.nodes[1].paused = true
+		f.run(time.Minute)
+		must.Eq(t, "vm02", f.slots["0/"+slotOf(f, "vm02")].Lease.Holder)
+		f.nodes[1].resume()
+		mustAdmit(t, within(f, 3*time.Millisecond)(f.nodes[1], 8000))
+		mustAdmit(t, within(f, 3*time.Millisecond)(f.nodes[0], 8000))
+		mustHold(t, f)
+	})
+	t.Run("a process that was replaced drops its slots and takes none", func(t *testing.T) {
+		f := settledFleet(1, hakata)
+		old := f.nodes[0]
+		f.start("vm01")
+		f.members()
+		f.run(20 * time.Second)
+		var slots []limit.SlotRecord
+		for _, r := range f.slots {
+			slots = append(slots, r)
+		}
+		must.SliceEmpty(t, old.s.Step(limit.Listed{Shard: 0, Slots: slots}, f.now))
+		mine, _ := held(f, old)
+		must.Zero(t, mine)
+	})
+	t.Run("slots given back are taken by others", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		f.nodes[1].step(limit.GiveUp{})
+		f.nodes[1].member.State = vm.StateDraining
+		mine, _ := held(f, f.nodes[1])
+		must.Zero(t, mine)
+		f.run(time.Second)
+		f.members()
+		f.run(60 * time.Second)
+		mine, _ = held(f, f.nodes[0])
+		must.Eq(t, 8, mine)
+		mustHold(t, f)
+	})
+	t.Run("a store that is away changes nothing for holders", func(t *testing.T) {
+		f := settledFleet(3, hakata)
+		f.storeOff = true
+		f.run(30 * time.Minute)
+		mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 16000}))
+		mustHold(t, f)
+	})
+	t.Run("a write whose answer was lost is found out and taken", func(t *testing.T) {
+		f := newFleet(2, limit.Layout{Shards: 1, Slots: 4}, oneCustomer(hakata), seed.Value())
+		f.unsure = true
+		f.run(10 * time.Second)
+		must.Zero(t, f.nodes[0].s.Held())
+		f.unsure = false
+		f.run(30 * time.Second)
+		must.Eq(t, 2, f.nodes[0].s.Held())
+	})
+	t.Run("a new VM gets slots from those that hold more than their part", func(t *testing.T) {
+		f := settledFleet(2, hakata)
+		n := f.start("")
+		f.members()
+		f.run(5 * time.Minute)
+		must.Positive(t, n.s.Held())
+		mustHold(t, f)
+	})
+}
+
+// slotOf returns the number of a slot that a VM holds.
+func slotOf(f *fleet, id string) string {
+	for n := range f.layout.Slots {
+		if number := strconv.Itoa(n); f.slots["0/"+number].Lease.Holder == id {
+			return number
+		}
+	}
+	return ""
+}
