Probe a target as soon as it reports again

Change: A target that could not be reached is probed with its next report; while no target is usable a failing one that reports gets one request at a time. The random run of the whole path is a test: answers are the requests' own, routes that are not idempotent run at most once, "not run" is true, ends are explicit. Files of route and target are split by what they do.

--- a/dispatch/whole_test.go
+++ b/dispatch/whole_test.go
@@ -42,9 +42,10 @@
 func newSite(t *testing.T, n int, kv bool) *site {
 	t.Helper()
 	s := &site{t: t, network: fake.NewNetwork()}
-	cfg := &config.Config{Version: 1, Routes: []config.Route{{
-		Name: "chat", Kind: config.RouteModel, Pool: "llm", Model: "m", Version: "v1",
-	}}}
+	cfg := &config.Config{Version: 1, Routes: []config.Route{
+		{Name: "chat", Kind: config.RouteModel, Pool: "llm", Model: "m", Version: "v1"},
+		{Name: "repeatable", Kind: config.RouteModel, Pool: "llm", Model: "m", Version: "v1", Idempotent: true},
+	}}
 	cache := fake.NewCache(100)
 	s.network.Add("10.0.0.99:80", cache)
 	cfg.Targets = append(cfg.Targets, config.Target{Name: "kv", Kind: config.TargetCache, Pool: "kv", Address: "10.0.0.99:80"})
@@ -87,23 +88,26 @@
 	must.True(s.t, s.index.Warm())
 }
 
-// ask sends a prompt for a customer and returns
-// the outcome and the recorded answer.
+// ask sends a prompt for a customer and returns the outcome and the recorded
+// answer.
 func (s *site) ask(name string) (dispatch.Outcome, *httptest.ResponseRecorder) {
-	prompt := make([]byte, promptPieces*pieceBytes)
 	s.serial++
+	return s.askFor(name, fmt.Sprintf("r%d", s.serial), "chat")
+}
+
+// askFor sends a prompt whose last message is the request's id.
+func (s *site) askFor(name, id, route string) (dispatch.Outcome, *httptest.ResponseRecorder) {
+	prompt := make([]byte, promptPieces*pieceBytes)
 	w := httptest.NewRecorder()
 	o := s.runner.Run(s.t.Context(), dispatch.Job{
-		ID:     fmt.Sprintf("r%d", s.serial),
+		ID:     id,
 		Grant:  customer.Grant{Customer: name},
-		Route:  s.view.Route("chat"),
+		Route:  s.view.Route(route),
 		Method: http.MethodPost,
 		Path:   "/v1/chat/completions",
 		Header: http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer caller-secret"}, "X-Api-Key": {"caller-secret"}},
-		Body:   []byte(`{"stream":true,"max_tokens":3,"messages":[{"content":"hello"}]}`),
+		Body:   fmt.Appendf(nil, `{"stream":true,"max_tokens":3,"messages":[{"content":%q}]}`, id),
 		Prompt: prefix.Split(prefix.Salt{Customer: name, Model: "m", Version: "v1"}, prompt, pieceBytes),
-		Output: 3,
-		Stream: true,
 	}, w)
 	return o, w
 }
--- a/route/planner_test.go
+++ b/route/planner_test.go
@@ -135,11 +135,15 @@
 			first.Done(0, context.Canceled)
 			<-follow.Ready
 		},
-		"leaving, failing, excluded": func(s *scene) {
+		"leaving and excluded never, failing as the last resort": func(s *scene) {
 			s.table.states[0].Life = target.LifeLeaving
 			s.table.states[1].Life = target.LifeFailing
 			s.mustChoose("e2").Done(0, nil)
 			s.request.Excluded = []string{"e2"}
+			last := s.mustChoose("e1")
+			s.mustNotChoose("no usable target")
+			last.Done(0, nil)
+			s.request.Excluded = []string{"e1", "e2"}
 			s.mustNotChoose("no usable target")
 		},
 		"report too old to know of a leave": func(s *scene) {
--- /dev/null
+++ b/target/control.go
@@ -0,0 +1,134 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+)
+
+// Cancel implements Client.
+func (c *HTTPClient) Cancel(ctx context.Context, address, requestID string) error {
+	return c.call(ctx, http.MethodPost, address, "/cancel?id="+url.QueryEscape(requestID), nil, nil)
+}
+
+// Load implements Client.
+func (c *HTTPClient) Load(ctx context.Context, address string) (Report, error) {
+	var report Report
+	err := c.call(ctx, http.MethodGet, address, "/load", nil, &report)
+	return report, err
+}
+
+// Snapshot implements Client.
+func (c *HTTPClient) Snapshot(ctx context.Context, address string) (CacheSnapshot, error) {
+	var s CacheSnapshot
+	err := c.call(ctx, http.MethodGet, address, "/snapshot", nil, &s)
+	return s, err
+}
+
+// Transfer implements Client.
+func (c *HTTPClient) Transfer(ctx context.Context, address, cache string, pieces []uint64) error {
+	body := struct {
+		Cache  string   `json:"cache"`
+		Pieces []uint64 `json:"pieces"`
+	}{cache, pieces}
+	return c.call(ctx, http.MethodPost, address, "/import", body, nil)
+}
+
+// Cached implements CacheReader.
+func (c *HTTPClient) Cached(ctx context.Context, address string, pieces []uint64) (int, error) {
+	var body struct {
+		Pieces []uint64 `json:"pieces"`
+	}
+	err := c.call(ctx, http.MethodGet, address, "/pieces?keys="+formatPieces(pieces), nil, &body)
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for n < len(body.Pieces) && n < len(pieces) && body.Pieces[n] == pieces[n] {
+		n++
+	}
+	return n, nil
+}
+
+// Order implements Client.
+func (c *HTTPClient) Order(ctx context.Context, address string, o Order) OrderResult {
+	ctx, cancel := context.WithTimeout(ctx, o.Lifetime)
+	defer cancel()
+	body, err := json.Marshal(o)
+	if err != nil {
+		return OrderRefused{Reason: err.Error()}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", onceReader{bytes.NewReader(body)})
+	if err != nil {
+		return OrderRefused{Reason: err.Error()}
+	}
+	c.authorize(req.Header)
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderFence, strconv.FormatInt(o.Fence, 10))
+	resp, err := c.sends.Do(req)
+	if err != nil {
+		return OrderLost{Err: eris.Wrap(err, "order to target")}
+	}
+	defer resp.Body.Close()
+	return orderResult(resp)
+}
+
+func orderResult(resp *http.Response) OrderResult {
+	var refusal struct {
+		Reason string `json:"reason"`
+		Fenced bool   `json:"fenced"`
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return OrderDone{}
+	case http.StatusConflict:
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&refusal); err != nil {
+			return OrderLost{Err: eris.Wrap(err, "answer to order")}
+		}
+		return OrderRefused{Reason: refusal.Reason, Fenced: refusal.Fenced}
+	default:
+		return OrderLost{Err: eris.Errorf("answer to order: %s", resp.Status)}
+	}
+}
+
+// call sends one control message and decodes the answer into out, if any.
+func (c *HTTPClient) call(ctx context.Context, method, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return eris.Wrap(err, "encode message to target")
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return eris.Wrap(err, "message to target")
+	}
+	c.authorize(req.Header)
+	resp, err := c.control.Do(req)
+	if err != nil {
+		return eris.Wrapf(err, "%s %s", method, path)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return ErrNoReport
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return eris.Errorf("%s %s: %s", method, path, resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(out)
+	return eris.Wrapf(err, "answer to %s", path)
+}
--- a/target/fleet.go
+++ b/target/fleet.go
@@ -53,9 +53,17 @@
 // Usable tells whether the target may get a request at now. A target that
 // publishes no reports is judged by its answers alone.
 func (s *State) Usable(now time.Time) bool {
-	if s.Life != LifeLive && s.Life != LifeProbing {
-		return false
-	}
+	return (s.Life == LifeLive || s.Life == LifeProbing) && s.fresh(now)
+}
+
+// LastResort tells whether the target may get one request at a time while no
+// target is usable: it fails requests, and reports all the same.
+func (s *State) LastResort(now time.Time) bool {
+	return s.Life == LifeFailing && s.fresh(now)
+}
+
+// fresh tells whether a notice to leave would be known.
+func (s *State) fresh(now time.Time) bool {
 	return !s.Reported || now.Sub(s.At) <= ReportLimit
 }
 
--- a/target/fleet_test.go
+++ b/target/fleet_test.go
@@ -142,6 +142,13 @@
 			s.settle(0)
 			must.Eq(s.t, target.LifeLive, s.fleets[0].States("p")[0].Life)
 		},
+		"unreachable, probed when it reports again": func(s *scene) {
+			s.fleets[0].Note(target.Unreached{Target: "e"})
+			s.settle(0)
+			must.Eq(s.t, target.LifeFailing, s.fleets[0].States("p")[0].Life)
+			s.settle(600 * time.Millisecond)
+			must.Eq(s.t, target.LifeProbing, s.fleets[0].States("p")[0].Life)
+		},
 		"moved on": func(s *scene) {
 			s.loads.set(target.Report{Incarnation: "i2"}, nil)
 			for _, f := range s.fleets {
--- a/target/fleettask.go
+++ b/target/fleettask.go
@@ -47,13 +47,13 @@
 	case Worked:
 		f.withLife(m.Target, (*life).answered)
 	case Failed:
-		f.withLife(m.Target, func(l *life) { l.failed(false, now) })
+		f.withLife(m.Target, func(l *life) { l.failed(now) })
 	case Moved:
 		if r, ok := f.records[m.Target]; ok {
 			r.moved, r.nextPoll = true, now
 		}
 	case Unreached:
-		f.withLife(m.Target, func(l *life) { l.failed(true, now) })
+		f.withLife(m.Target, func(l *life) { l.unreachable(now) })
 	}
 }
 
@@ -90,7 +90,7 @@
 	case errors.Is(p.err, ErrNoReport):
 		f.withLife(p.target, func(l *life) { l.reported(false, now) })
 	default:
-		f.withLife(p.target, func(l *life) { l.failed(false, now) })
+		f.withLife(p.target, func(l *life) { l.silent(now) })
 	}
 }
 
--- a/target/life.go
+++ b/target/life.go
@@ -44,6 +44,9 @@
 	failures int
 	wait     time.Duration
 	retryAt  time.Time
+	// unreached tells that the last failure was of a connection or a report, so
+	// that the next report shows the target to be back.
+	unreached bool
 }
 
 func newLife() *life {
@@ -86,19 +89,37 @@
 		l.fire(lifeReturn)
 	case l.state() == LifeUnknown:
 		l.answered()
+	case l.unreached:
+		l.unreached, l.failures = false, 0
+		l.fire(lifeProbe)
 	default:
 		l.tick(now)
 	}
 }
 
-// failed records a failure. Certain failures take the target out at once.
-func (l *life) failed(certain bool, now time.Time) {
+// unreachable records that no connection could be made, which takes the target
+// out at once.
+func (l *life) unreachable(now time.Time) {
+	l.failures = failuresInRow
+	l.failed(now)
+	l.unreached = true
+}
+
+// silent records that the target gave no report.
+func (l *life) silent(now time.Time) {
+	l.failed(now)
+	l.unreached = true
+}
+
+// failed records a request that failed.
+func (l *life) failed(now time.Time) {
 	l.failures++
+	l.unreached = false
 	if l.state() == LifeFailing {
 		return
 	}
 	probing := l.state() == LifeProbing
-	if !certain && !probing && l.failures < failuresInRow {
+	if !probing && l.failures < failuresInRow {
 		return
 	}
 	if probing {
