Open an engine's feed again when it restarted unseen

When the engine restarts before the feed opens, that number belongs to the incarnation before, and the new one's events stay out until they pass it. Change: An engine that reports another incarnation than its feed for a second is read anew. A slope gives the time to decode an event. Measured: go test -race ./prefix passes; without the reopening TestTaskFleet/engine restarted behind an open feed fails.

--- a/prefix/feed.go
+++ b/prefix/feed.go
@@ -13,6 +13,9 @@
 	feedRetry = 500 * time.Millisecond
 	// snapshotEvery is the least time between two snapshots of one engine.
 	snapshotEvery = 500 * time.Millisecond
+	// strangeLimit is the time that an engine may report another incarnation
+	// than its feed before the feed is opened again.
+	strangeLimit = time.Second
 )
 
 // A feed is the reading of one engine's cache events. Its goroutine reads; the
@@ -26,6 +29,8 @@
 	unsure      bool
 	asking      bool
 	nextAsk     time.Time
+	// strange is since when the engine reports another incarnation.
+	strange time.Time
 }
 
 // Messages of a feed to the task. Each carries the feed that it is of, so that
@@ -234,6 +239,23 @@
 	return p
 }
 
+// compare opens a feed again whose engine has restarted without the feed showing
+// it: what it asked to be sent after belongs to the incarnation before.
+func (t *Task) compare(ctx context.Context, s *target.State, now time.Time) {
+	f, ok := t.feeds[s.Target.Name]
+	switch {
+	case !ok || !s.Reported:
+		return
+	case f.incarnation == s.Report.Incarnation || f.incarnation == "":
+		f.strange = time.Time{}
+	case f.strange.IsZero():
+		f.strange = now
+	case now.Sub(f.strange) >= strangeLimit:
+		f.cancel()
+		t.openFeed(ctx, s.Target)
+	}
+}
+
 // takeBroken makes the engine's entries unsure.
 func (t *Task) takeBroken(m feedBroken) {
 	if t.feeds[m.engine] == m.feed {
--- a/prefix/task.go
+++ b/prefix/task.go
@@ -147,8 +147,11 @@
 	t.published.Store(t.placement)
 	t.followFeeds(ctx)
 	if t.opts.States != nil {
-		for _, s := range t.opts.States() {
+		states := t.opts.States()
+		for i := range states {
+			s := &states[i]
 			t.index.Pressure(s.Target.Name, s.Report.CachePieces, s.Report.Evictions)
+			t.compare(ctx, s, now)
 		}
 	}
 	t.askSnapshots(ctx, now)
--- a/prefix/task_test.go
+++ b/prefix/task_test.go
@@ -154,13 +154,27 @@
 	node := f.memory.Node(self.ID, self.Peer)
 	f.tasks[i] = prefix.NewTask(prefix.Options{
 		Client: f.engines, Config: func() *config.View { return f.view },
-		Roster: f.roster, Peers: node, Self: self.ID,
+		Roster: f.roster, Peers: node, Self: self.ID, States: f.states,
 	})
 	f.tasks[i].Register(node)
 	task := f.tasks[i]
 	go func() { _ = task.Run(ctx) }()
 }
 
+// states reports the incarnations of the engines.
+func (f *fleet) states() []target.State {
+	f.engines.mu.Lock()
+	defer f.engines.mu.Unlock()
+	var list []target.State
+	for i := range f.view.Targets {
+		t := &f.view.Targets[i]
+		list = append(list, target.State{Target: t, Reported: true, Report: target.Report{
+			Incarnation: fmt.Sprintf("i%d", f.engines.births[t.Address]),
+		}})
+	}
+	return list
+}
+
 func (f *fleet) settle(d time.Duration) {
 	time.Sleep(d)
 	synctest.Wait()
@@ -211,6 +225,14 @@
 			f.settle(2 * time.Second)
 			f.mustHold("e1", chain, 2)
 		}},
+		"engine restarted behind an open feed": {4, func(f *fleet) {
+			f.engines.store("10.0.0.1:80", chain, false)
+			f.settle(time.Second)
+			f.engines.crash("10.0.0.1:80")
+			f.engines.store("10.0.0.1:80", chain[:3], true)
+			f.settle(3 * time.Second)
+			f.mustHold("e1", chain, 3)
+		}},
 		"VM restarted with engines silent": {4, func(f *fleet) {
 			f.engines.store("10.0.0.0:80", chain, false)
 			f.settle(time.Second)
--- a/target/slope_test.go
+++ b/target/slope_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -62,3 +63,21 @@
 	}
 	return messages / int(slopeTime.Seconds()), bytes / int(slopeTime.Seconds())
 }
+
+// BenchmarkSlopeEvent gives the time to decode one event of growing size.
+func BenchmarkSlopeEvent(b *testing.B) {
+	for _, pieces := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint(pieces), func(b *testing.B) {
+			ev := CacheEvent{Sequence: 1, Incarnation: "1764820000", Weights: "v1", Kind: EventStored}
+			for i := range pieces {
+				ev.Pieces = append(ev.Pieces, uint64(i+1)*0x9e3779b97f4a7c15)
+			}
+			line, err := json.Marshal(ev)
+			must.NoError(b, err)
+			for b.Loop() {
+				_, _, err = ParseEvent(line)
+			}
+			must.NoError(b, err)
+		})
+	}
+}
