Tell the other homes of a long prefill when it is sent

Change: A send that computes four pieces or more is announced to the other homes of its family (one call each, not repeated). Until the events can show it, the index gives the pieces as in flight on that engine, and the planner counts them as held there. peer gets the name of the call, CallAnnounce. EnginePart and Change are encoded as arrays.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -25,6 +25,9 @@
 	// CallHeld asks a home which engines hold pieces: prefix.HeldRequest,
 	// prefix.HeldReply.
 	CallHeld = "/prefix/Held"
+	// CallAnnounce tells a home of a prefill that was sent: prefix.Announcement,
+	// prefix.AnnouncementReply.
+	CallAnnounce = "/prefix/Announce"
 	// CallTargets sends targets' states: target.States, target.StatesReply.
 	CallTargets = "/target/States"
 )
--- a/prefix/index.go
+++ b/prefix/index.go
@@ -27,6 +27,7 @@
 	runs    []run
 	engines map[string]*engine
 	byID    []*engine
+	flights map[Key]*flight
 	start   time.Time
 	max     int
 	dropped int
@@ -73,6 +74,7 @@
 	}
 	return &Index{
 		engines: map[string]*engine{},
+		flights: map[Key]*flight{},
 		start:   start,
 		max:     maxPieces,
 	}
--- a/prefix/part.go
+++ b/prefix/part.go
@@ -19,20 +19,22 @@
 // to To, or all of its entries at To if it is Full. Unsure tells that events
 // are missing.
 type EnginePart struct {
-	Engine      string   `cbor:"1,keyasint"`
-	Incarnation string   `cbor:"2,keyasint"`
-	Weights     string   `cbor:"3,keyasint"`
-	From        uint64   `cbor:"4,keyasint,omitempty"`
-	To          uint64   `cbor:"5,keyasint"`
-	Full        bool     `cbor:"6,keyasint,omitempty"`
-	Unsure      bool     `cbor:"7,keyasint,omitempty"`
-	Changes     []Change `cbor:"8,keyasint,omitempty"`
+	_           struct{} `cbor:",toarray"`
+	Engine      string
+	Incarnation string
+	Weights     string
+	From        uint64
+	To          uint64
+	Full        bool
+	Unsure      bool
+	Changes     []Change
 }
 
 // A Change is pieces that an engine stored or evicted, or that it cleared all.
 type Change struct {
-	Kind   uint8    `cbor:"1,keyasint"`
-	Pieces []uint64 `cbor:"2,keyasint,omitempty"`
+	_      struct{} `cbor:",toarray"`
+	Kind   uint8
+	Pieces []uint64
 }
 
 // A PartReply names the engines of which the receiver needs all entries.
--- a/prefix/peers.go
+++ b/prefix/peers.go
@@ -35,6 +35,10 @@
 		reply chan Part
 	}
 	pulled struct{ part Part }
+	// announced is an announcement of another VM.
+	announced struct{ announcement Announcement }
+	// announceCommand is one of this VM for the other homes.
+	announceCommand struct{ announcement Announcement }
 )
 
 // Register takes the calls of other VMs.
@@ -45,6 +49,10 @@
 	peer.Handle(r, peer.CallIndexPull, func(ctx context.Context, from string, _ Pull) (Part, error) {
 		return ask(ctx, t, func(reply chan Part) any { return pullQuery{from, reply} })
 	})
+	peer.Handle(r, peer.CallAnnounce, func(ctx context.Context, _ string, a Announcement) (AnnouncementReply, error) {
+		t.say(ctx, announced{a})
+		return AnnouncementReply{}, ctx.Err()
+	})
 	peer.Handle(r, peer.CallHeld, func(ctx context.Context, _ string, q HeldRequest) (HeldReply, error) {
 		keys := make([]Key, len(q.Keys))
 		for i, k := range q.Keys {
@@ -54,6 +62,26 @@
 	})
 }
 
+// announce tells the other homes of a prefill that this VM has sent. A lost
+// message is not repeated: it would come too late.
+func (t *Task) announce(ctx context.Context, a Announcement) {
+	if t.opts.Peers == nil || len(a.Keys) == 0 {
+		return
+	}
+	for _, m := range t.placement.Homes(Key(a.Keys[0]).Division()) {
+		if m.ID != t.opts.Self {
+			go t.tell(ctx, m, a)
+		}
+	}
+}
+
+func (t *Task) tell(ctx context.Context, to vm.Member, a Announcement) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply AnnouncementReply
+	_ = t.opts.Peers.Call(ctx, peer.Destination{VM: to.ID, Address: to.Peer}, peer.CallAnnounce, a, &reply)
+}
+
 // ask sends a message with a channel for the reply and waits for it.
 func ask[Reply any](ctx context.Context, t *Task, message func(chan Reply) any) (Reply, error) {
 	var none Reply
--- a/prefix/queries.go
+++ b/prefix/queries.go
@@ -16,12 +16,15 @@
 	Pieces      int    `cbor:"4,keyasint"`
 	// Worth is the probability, from 0 to 1, that the pieces are still there.
 	Worth float64 `cbor:"5,keyasint"`
+	// Flight is the number of pieces from the start that the engine will hold
+	// when a prefill that another VM sent is done; zero for none.
+	Flight int `cbor:"6,keyasint,omitempty"`
 
 	engine *engine
 }
 
 // Held appends to dst one Holding for each engine that holds the first piece of
-// keys, and returns the extended slice.
+// keys, or is about to, and returns the extended slice.
 func (x *Index) Held(dst []Holding, keys []Key, now time.Time) []Holding {
 	t := x.stamp(now)
 	first := len(dst)
@@ -42,7 +45,7 @@
 			break
 		}
 	}
-	return dst
+	return x.inFlight(dst, first, keys, now)
 }
 
 // begin appends the engines that hold the first piece.
--- a/prefix/task.go
+++ b/prefix/task.go
@@ -109,18 +109,22 @@
 		case <-ticker.C:
 			t.tick(ctx, t.opts.Clock.Now())
 		case m := <-t.inbox:
-			t.take(m, t.opts.Clock.Now())
+			t.take(ctx, m, t.opts.Clock.Now())
 		}
 	}
 }
 
 // take handles one message.
-func (t *Task) take(m any, now time.Time) {
+func (t *Task) take(ctx context.Context, m any, now time.Time) {
 	switch m := m.(type) {
 	case *heldQuery:
 		m.reply <- t.index.Held(m.dst, m.keys, now)
 	case expectCommand:
 		t.index.Expect(m.engine, m.incarnation, m.weights, m.keys, now)
+	case announceCommand:
+		t.announce(ctx, m.announcement)
+	case announced:
+		t.index.Announce(m.announcement, now)
 	case feedEvent:
 		t.takeEvent(m, now)
 	case feedSnapshot:
@@ -195,6 +199,15 @@
 	}
 }
 
+// Announce tells the other VMs of a prefill that this one has sent. It never
+// blocks: what the task cannot take is dropped.
+func (t *Task) Announce(a Announcement) {
+	select {
+	case t.inbox <- announceCommand{a}:
+	default:
+	}
+}
+
 // A Dump is the state of a Task for operators.
 type Dump struct {
 	Warm  bool `json:"warm"`
--- a/prefix/task_test.go
+++ b/prefix/task_test.go
@@ -265,6 +265,20 @@
 				f.mustHold(fmt.Sprintf("e%d", i), chain, 10)
 			}
 		}},
+		"prefill announced to the other VMs": {4, func(f *fleet) {
+			f.tasks[1].Announce(prefix.Announcement{Engine: "e2", Incarnation: "i1", Weights: "w", Keys: raw(chain), Ready: time.Second})
+			for _, c := range []struct {
+				after  time.Duration
+				flight int
+			}{{0, 10}, {time.Second, 10}, {2 * time.Second, 0}} {
+				f.settle(c.after)
+				got := 0
+				for _, h := range f.tasks[3].Held(f.t.Context(), chain, nil) {
+					got = h.Flight
+				}
+				must.Eq(f.t, c.flight, got)
+			}
+		}},
 		"VM lost, its engines read by others": {4, func(f *fleet) {
 			f.stops[1]()
 			f.roster.change(func(l []vm.Member) []vm.Member { return append(l[:1], l[2:]...) })
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -11,7 +11,12 @@
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
-const inboxSize = 256
+const (
+	inboxSize = 256
+	// announcePieces is the number of pieces to compute from which on other VMs
+	// hear of a send.
+	announcePieces = 4
+)
 
 // A Fleet is what a Chooser needs of target.Fleet.
 type Fleet interface {
@@ -23,6 +28,7 @@
 type Index interface {
 	Held(ctx context.Context, keys []prefix.Key, dst []prefix.Holding) []prefix.Holding
 	Expect(engine, incarnation, weights string, keys []prefix.Key)
+	Announce(prefix.Announcement)
 }
 
 // Options are the parts that a Chooser needs.
@@ -160,6 +166,9 @@
 		report:  &plan.State.Report,
 		keys:    r.Prompt.Keys,
 	}
+	if told, ok := AnnouncementOf(plan, r.Prompt); ok && c.opts.Index != nil {
+		c.opts.Index.Announce(told)
+	}
 	return Chosen{
 		Target:      a.target,
 		Incarnation: a.report.Incarnation,
@@ -172,6 +181,28 @@
 	}
 }
 
+// AnnouncementOf returns what other VMs should hear of a placed plan, and
+// whether they should: it computes announcePieces or more.
+func AnnouncementOf(plan Plan, prompt prefix.Prompt) (prefix.Announcement, bool) {
+	if prompt.PieceTokens == 0 {
+		return prefix.Announcement{}, false
+	}
+	missing := prompt.Keys[min(len(prompt.Keys), plan.Held/prompt.PieceTokens):]
+	if len(missing) < announcePieces {
+		return prefix.Announcement{}, false
+	}
+	a := prefix.Announcement{
+		Engine:      plan.State.Target.Name,
+		Incarnation: plan.State.Report.Incarnation,
+		Weights:     plan.State.Report.Weights,
+		Ready:       plan.Expected,
+	}
+	for _, k := range missing {
+		a.Keys = append(a.Keys, uint64(k))
+	}
+	return a, true
+}
+
 // An attempt is a send that the Chooser is told the progress of.
 type attempt struct {
 	chooser *Chooser
--- a/route/measure_test.go
+++ b/route/measure_test.go
@@ -312,9 +312,27 @@
 		t.follow(a, begun, excluded, plan)
 		return 0, 0, false
 	}
+	if t.way == "chosen" {
+		t.announce(n, plan, a)
+	}
 	return slices.IndexFunc(n.states, func(s target.State) bool { return s.Target == plan.State.Target }), plan.ID, true
 }
 
+// announce tells the other VMs of a long prefill.
+func (t *trial) announce(n *node, plan route.Plan, a arrival) {
+	told, ok := route.AnnouncementOf(plan, a.prompt)
+	if !ok {
+		return
+	}
+	t.after(modelPeer, func() {
+		for _, other := range t.nodes {
+			if other != n {
+				other.index.Announce(told, t.now)
+			}
+		}
+	})
+}
+
 // follow sends a request when the prefill that it follows is done, or late.
 func (t *trial) follow(a arrival, begun time.Time, excluded []string, plan route.Plan) {
 	sent := false
@@ -419,7 +437,7 @@
 func BenchmarkMeasureWays(b *testing.B) {
 	for _, l := range loads {
 		for _, fault := range []string{"calm", "half the load", "hot prefix moves", "engine lost", "events lost", "VMs restarted"} {
-			for _, way := range []string{"round robin", "least loaded", "prefix hash", "ttft alone", "chosen"} {
+			for _, way := range []string{"round robin", "least loaded", "prefix hash", "ttft alone", "unannounced", "chosen"} {
 				b.Run(fmt.Sprintf("%s/%s/%s", l.name, fault, way), func(b *testing.B) {
 					var r result
 					for range b.N {
--- a/route/model_test.go
+++ b/route/model_test.go
@@ -21,6 +21,7 @@
 	modelEventLag  = 300 * time.Millisecond
 	modelSnapshots = 600 * time.Millisecond
 	modelDown      = 5 * time.Second
+	modelPeer      = 2 * time.Millisecond
 )
 
 // A schedule runs functions in virtual time, in the order of their times and
--- a/route/planner.go
+++ b/route/planner.go
@@ -61,6 +61,7 @@
 	hold   time.Duration
 	plan   uint64
 	pieces int
+	flight int
 	worth  float64
 }
 
--- a/route/planner_test.go
+++ b/route/planner_test.go
@@ -21,6 +21,7 @@
 	held     []prefix.Holding
 	expected int
 	noted    []target.Evidence
+	told     []prefix.Announcement
 }
 
 func (f *table) States(string) []target.State { return f.states }
@@ -33,6 +34,8 @@
 
 func (f *table) Expect(string, string, string, []prefix.Key) { f.expected++ }
 
+func (f *table) Announce(a prefix.Announcement) { f.told = append(f.told, a) }
+
 // hold sets that an engine of an incarnation and weight version holds pieces.
 func (f *table) hold(engine int, incarnation, weights string, pieces int) {
 	f.held = append(f.held, prefix.Holding{
@@ -129,6 +132,20 @@
 			<-follow.Ready
 			must.Eq(s.t, 1, s.table.expected)
 		},
+		"other VMs hear of a long prefill, not of a short one": func(s *scene) {
+			name := s.mustChoose("").Target.Name
+			must.Eq(s.t, 1, len(s.table.told))
+			must.Eq(s.t, name, s.table.told[0].Engine)
+			must.Eq(s.t, 10, len(s.table.told[0].Keys))
+			s.table.hold(1, "i1", "w1", 8)
+			s.request.Followed = true
+			s.mustChoose("")
+			must.Eq(s.t, 1, len(s.table.told))
+		},
+		"prefill of another VM": func(s *scene) {
+			s.table.held = []prefix.Holding{{Engine: "e2", Incarnation: "i1", Weights: "w1", Flight: 9, Worth: 1}}
+			must.Eq(s.t, 9000, s.mustChoose("e2").Held)
+		},
 		"a follower goes on when the first fails": func(s *scene) {
 			first := s.mustChoose("")
 			follow := s.choose().(route.Follow)
--- a/route/score.go
+++ b/route/score.go
@@ -30,6 +30,7 @@
 		a := p.account(held[i].Engine)
 		a.plan = p.plan
 		a.pieces = held[i].Pieces
+		a.flight = held[i].Flight
 		a.worth = held[i].Worth
 	}
 }
--- a/route/wait.go
+++ b/route/wait.go
@@ -8,12 +8,13 @@
 )
 
 // heldTokens returns the tokens of the prompt that the engine is expected to
-// hold.
+// hold when it starts on it.
 func (a *account) heldTokens(plan uint64, prompt prefix.Prompt) int {
 	if a.plan != plan {
 		return 0
 	}
-	return int(float64(a.pieces*prompt.PieceTokens) * a.worth)
+	held := int(float64(a.pieces*prompt.PieceTokens) * a.worth)
+	return max(held, a.flight*prompt.PieceTokens)
 }
 
 // wait returns the time until the target starts on one more request, and the
