Choose anew after a pause, and among targets that make the deadline

Cause: A VM paused between a choice and its send, or a transfer that took seconds, could send to a target whose notice to leave was older than 3 s. A request was refused for its deadline although another target could have begun in time. Change: A choice carries its time, and one that is 400 ms old at its send is made anew; transfers end within 300 ms. Candidates that should answer before the deadline go before those that should only begin before it. Conclusion: A pause after the check and before the write stays open: there the target itself refuses.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -200,6 +200,21 @@
 	}
 }
 
+// TestRunPaused checks that a VM that was paused between a choice and its send
+// chooses again.
+func TestRunPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &client{scripts: []script{events(1, 1, "done")}}
+		choose := newChooser(1)
+		choose.pause = 10 * time.Second
+		got := dispatch.NewRunner(dispatch.Options{Client: c, Chooser: choose}).
+			Run(t.Context(), scene{}.job(), httptest.NewRecorder())
+		must.Eq(t, "complete", outcome(got))
+		must.Eq(t, 1, len(c.sent))
+		must.Eq(t, 2, choose.done)
+	})
+}
+
 // TestRunBudget checks that retries are a small share of the requests.
 func TestRunBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -88,6 +88,8 @@
 	targets []*config.Target
 	first   int
 	done    int
+	// pause is how long the first choice takes to arrive.
+	pause time.Duration
 }
 
 func newChooser(n int) *chooser {
@@ -105,8 +107,12 @@
 func (c *chooser) Choose(_ context.Context, r route.Request) route.Choice {
 	for _, t := range c.targets {
 		if !contains(r.Excluded, t.Name) {
+			at := time.Now()
+			time.Sleep(c.pause)
+			c.pause = 0
 			return route.Chosen{
 				Target:      t,
+				At:          at,
 				Incarnation: "i1",
 				Weights:     "w1",
 				First:       func() { c.first++ },
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -24,6 +24,9 @@
 	// with every refusal.
 	stalePause    = 100 * time.Millisecond
 	cancelTimeout = 2 * time.Second
+	// sendLimit is the time from a choice to its send after which the target may
+	// have given notice to leave, and is chosen anew.
+	sendLimit = 400 * time.Millisecond
 	// noRetryAfter is what callers are told to wait after the last attempt.
 	noRetryAfter = time.Second
 )
@@ -31,6 +34,9 @@
 // errDeadline ends an attempt whose first part did not come in time.
 var errDeadline = errors.New("deadline passed before the first part of the answer")
 
+// errLate ends an attempt that was not sent in time.
+var errLate = errors.New("too much time from the choice to the send")
+
 // A run is one job under way. One goroutine owns it.
 type run struct {
 	runner   *Runner
@@ -127,11 +133,23 @@
 	defer deadline.Stop()
 	r.transfer(ctx, c)
 	a := &attempt{run: r, choice: c, deadline: deadline, sent: r.now()}
+	if a.sent.Sub(c.At) > sendLimit {
+		c.Done(0, errLate)
+		return r.late()
+	}
 	s, err := a.try(ctx)
 	c.Done(a.first, err)
 	return s
 }
 
+// late prepares another choice after one that came to its send too late.
+func (r *run) late() step {
+	if r.attempts >= maxAttempts {
+		return final(r.refuse(errLate.Error(), noRetryAfter))
+	}
+	return step{}
+}
+
 // startDeadline ends the attempt when the deadline passes before its first
 // part.
 func (r *run) startDeadline(cancel context.CancelCauseFunc) *time.Timer {
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -19,6 +19,8 @@
 	pieceTime = 5 * time.Millisecond
 	// pieceWeight is the weight of the newest transfer in the mean time.
 	pieceWeight = 0.2
+	// transferLimit bounds one transfer. It is below sendLimit.
+	transferLimit = 300 * time.Millisecond
 	// restTime is how long a KV cache that failed is not asked.
 	restTime = 5 * time.Second
 )
@@ -115,12 +117,13 @@
 		known.failed(cache, r.now())
 		return false
 	}
-	saved := time.Duration(n-held) * each
-	if took, _ := known.expected(cache, n-held, r.now()); n <= held || took >= saved {
+	piece, _ := known.expected(cache, 1, r.now())
+	n = min(n, held+int(transferLimit/max(1, piece)))
+	if n <= held || piece >= each {
 		return false
 	}
 	begun := r.now()
-	limited, cancel = context.WithTimeout(ctx, saved)
+	limited, cancel = context.WithTimeout(ctx, min(transferLimit, time.Duration(n-held)*each))
 	defer cancel()
 	if err := r.runner.opts.Client.Transfer(limited, c.Target.Address, cache, pieces[held:n]); err != nil {
 		known.failed(cache, r.now())
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -171,6 +171,7 @@
 	}
 	return Chosen{
 		Target:      a.target,
+		At:          plan.At,
 		Incarnation: a.report.Incarnation,
 		Weights:     a.report.Weights,
 		Held:        plan.Held,
--- a/route/planner.go
+++ b/route/planner.go
@@ -82,6 +82,7 @@
 // it follows a prefill if Ready is set, and has no target otherwise.
 type Plan struct {
 	ID       uint64
+	At       time.Time
 	State    *target.State
 	Held     int
 	Missing  time.Duration
@@ -114,13 +115,13 @@
 	if len(p.scores) == 0 {
 		p.score(now, r, states, (*target.State).LastResort)
 	}
-	best := p.best(r)
-	if best == nil {
+	if len(p.scores) == 0 {
 		return Plan{Reason: "no usable target", After: retryAfter}
 	}
-	if wait := best.wait; !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
+	if wait, ok := p.keepInTime(now, r.Deadline); !ok {
 		return Plan{Reason: "deadline cannot be met", After: wait}
 	}
+	best := p.best(r)
 	if f := best.follows; f != nil && !r.Followed {
 		return p.follow(f, now)
 	}
@@ -159,7 +160,7 @@
 	}
 	p.sends[s.id] = s
 	c.account.sends = append(c.account.sends, s)
-	return Plan{ID: s.id, State: c.state, Held: c.held, Missing: compute(c.state, c.missing), Expected: c.expected}
+	return Plan{ID: s.id, At: now, State: c.state, Held: c.held, Missing: compute(c.state, c.missing), Expected: c.expected}
 }
 
 // holdNotice stops the process if a target that leaves, or may have given notice
--- a/route/planner_test.go
+++ b/route/planner_test.go
@@ -146,6 +146,11 @@
 			s.table.held = []prefix.Holding{{Engine: "e2", Incarnation: "i1", Weights: "w1", Flight: 9, Worth: 1}}
 			must.Eq(s.t, 9000, s.mustChoose("e2").Held)
 		},
+		"no prefill is followed beyond the deadline": func(s *scene) {
+			first := s.mustChoose("")
+			s.request.Deadline = time.Now().Add(5 * time.Second)
+			must.NotEq(s.t, first.Target.Name, s.mustChoose("").Target.Name)
+		},
 		"a follower goes on when the first fails": func(s *scene) {
 			first := s.mustChoose("")
 			follow := s.choose().(route.Follow)
--- a/route/route.go
+++ b/route/route.go
@@ -27,9 +27,11 @@
 // choice relied on. Held is the number of prompt tokens expected in its cache,
 // Missing the time that it takes to compute the others. First must be called
 // when the first byte of the answer comes, if it does, and Done once when the
-// attempt has ended, with the outcome.
+// attempt has ended, with the outcome. At is when the choice was made; a send much
+// later must be chosen anew.
 type Chosen struct {
 	Target      *config.Target
+	At          time.Time
 	Incarnation string
 	Weights     string
 	Held        int
--- a/route/score.go
+++ b/route/score.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -117,6 +118,23 @@
 	return nil, 0
 }
 
+// keepInTime keeps the candidates that should answer before the deadline, or
+// those that should begin before it if none does. It returns false and the
+// shortest wait if there are none.
+func (p *Planner) keepInTime(now, deadline time.Time) (time.Duration, bool) {
+	if deadline.IsZero() {
+		return 0, true
+	}
+	left := deadline.Sub(now)
+	late := func(c score) bool { return c.expected > left }
+	if !slices.ContainsFunc(p.scores, func(c score) bool { return !late(c) }) {
+		late = func(c score) bool { return c.wait > left }
+	}
+	shortest := slices.MinFunc(p.scores, func(a, b score) int { return cmp.Compare(a.wait, b.wait) }).wait
+	p.scores = slices.DeleteFunc(p.scores, late)
+	return shortest, len(p.scores) > 0
+}
+
 // best returns the candidate with the lowest total. A target that is probed
 // gets the first request that may be repeated. Among candidates that are level
 // the hash of the prompt's family decides, so that VMs that do not know of one
--- a/target/target.go
+++ b/target/target.go
@@ -182,8 +182,8 @@
 
 // A Client speaks the protocol of targets. Addresses are IP:port. The paths of
 // the HTTP variant are /load, /events?after=N (one JSON object a line),
-// /snapshot, /orders, /cancel?id=N, and /export?piece=K and /import?piece=K for
-// KV caches; requests keep the path that they came with.
+// /snapshot, /orders, /cancel?id=N and /import of engines, and /pieces?keys=K,L
+// of KV caches; requests keep the path that they came with.
 type Client interface {
 	Send(ctx context.Context, address string, r Request) Result
 	Cancel(ctx context.Context, address, requestID string) error
