Publish changes of targets together and remember their readers

Cause: At 600 engines every first report published all states, 1.1 s of processor time at a start, and the reader of each target was hashed over all VMs at every tick. Change: Changes are published once no message waits; readers are remembered until other VMs are live. A slope gives the time of a tick.

--- a/prefix/feed.go
+++ b/prefix/feed.go
@@ -56,6 +56,9 @@
 // followFeeds opens the feeds of the engines that this VM reads and closes all
 // others. Entries of engines that are no longer configured are dropped.
 func (t *Task) followFeeds(ctx context.Context) {
+	if t.opts.Roster != nil {
+		t.readers.Follow(t.opts.Roster.Live())
+	}
 	wanted := map[string]*config.Target{}
 	known := map[string]bool{}
 	for i, targets := 0, t.opts.Config().Targets; i < len(targets); i++ {
@@ -87,7 +90,7 @@
 
 // reads tells whether this VM is the one that reads the engine's feed.
 func (t *Task) reads(engine string) bool {
-	return t.opts.Roster == nil || target.Reader(t.opts.Roster.Live(), engine) == t.opts.Self
+	return t.opts.Roster == nil || t.readers.Reader(engine) == t.opts.Self
 }
 
 // openFeed starts to read an engine. All homes get all of its entries.
--- a/prefix/task.go
+++ b/prefix/task.go
@@ -42,6 +42,7 @@
 	inbox     chan any
 	index     *Index
 	feeds     map[string]*feed
+	readers   target.Readers
 	tried     map[string]bool
 	outboxes  map[string]*outbox
 	placement *Placement
--- a/target/fleet.go
+++ b/target/fleet.go
@@ -125,9 +125,11 @@
 	inbox     chan any
 	published atomic.Pointer[published]
 	records   map[string]*record
+	readers   Readers
 	told      map[string]shared
 	peers     map[string]uint64
 	dirty     bool
+	urgent    bool
 	nextShare time.Time
 }
 
--- a/target/fleettask.go
+++ b/target/fleettask.go
@@ -5,10 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabdyke/baobabdyke/config"
-	"github.com/baobabdyke/baobabdyke/vm"
 )
 
 const fleetTick = 50 * time.Millisecond
@@ -34,6 +31,9 @@
 		case m := <-f.inbox:
 			f.take(m, f.opts.Clock.Now())
 		}
+		if f.urgent && len(f.inbox) == 0 {
+			f.publish()
+		}
 	}
 }
 
@@ -57,7 +57,7 @@
 	}
 }
 
-// withLife changes the life of a target and publishes the change at once.
+// withLife changes the life of a target. A new state is published at once.
 func (f *Fleet) withLife(name string, change func(*life)) {
 	r, ok := f.records[name]
 	if !ok {
@@ -69,8 +69,7 @@
 		return
 	}
 	f.logLife(name, before, r.life.state())
-	f.dirty = true
-	f.publish()
+	f.urgent = true
 }
 
 func (f *Fleet) logLife(name, before, after string) {
@@ -107,14 +106,15 @@
 	r.state.At = at
 	f.dirty = true
 	f.withLife(name, func(l *life) { l.reported(report.Leaving, now) })
-	if old.Incarnation != report.Incarnation || old.Weights != report.Weights {
-		f.publish()
-	}
+	f.urgent = f.urgent || old.Incarnation != report.Incarnation || old.Weights != report.Weights
 }
 
 // tick follows the configuration, asks targets, shares and publishes.
 func (f *Fleet) tick(ctx context.Context, now time.Time) {
 	f.follow()
+	if f.opts.Roster != nil {
+		f.readers.Follow(f.opts.Roster.Live())
+	}
 	for name, r := range f.records {
 		f.withLife(name, func(l *life) { l.tick(now) })
 		if f.due(r, now) {
@@ -127,7 +127,7 @@
 		f.nextShare = now.Add(shareEvery)
 		f.share(ctx, now)
 	}
-	if f.dirty {
+	if f.dirty || f.urgent {
 		f.publish()
 	}
 }
@@ -174,25 +174,12 @@
 
 // reads tells whether this VM is the one that reads the target.
 func (f *Fleet) reads(t *config.Target) bool {
-	return f.opts.Roster == nil || Reader(f.opts.Roster.Live(), t.Name) == f.opts.Self
-}
-
-// Reader returns the id of the VM that reads the state and the event feed of a
-// target: the one with the highest rendezvous hash.
-func Reader(live []vm.Member, name string) string {
-	var best uint64
-	var id string
-	for i := range live {
-		if score := xxhash.Sum64String(live[i].ID + "/" + name); id == "" || score > best {
-			best, id = score, live[i].ID
-		}
-	}
-	return id
+	return f.opts.Roster == nil || f.readers.Reader(t.Name) == f.opts.Self
 }
 
 // publish replaces the copy that queries read.
 func (f *Fleet) publish() {
-	f.dirty = false
+	f.dirty, f.urgent = false, false
 	p := &published{pools: map[string][]State{}, warm: true}
 	v := f.opts.Config()
 	if v == nil {
--- /dev/null
+++ b/target/reader.go
@@ -0,0 +1,49 @@
+package target
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// Reader returns the id of the VM that reads the state and the event feed of a
+// target: the one with the highest rendezvous hash.
+func Reader(live []vm.Member, name string) string {
+	var best uint64
+	var id string
+	for i := range live {
+		if score := xxhash.Sum64String(live[i].ID + "/" + name); id == "" || score > best {
+			best, id = score, live[i].ID
+		}
+	}
+	return id
+}
+
+// Readers remembers the reader of each target until other VMs are live. The
+// zero value is ready to use.
+type Readers struct {
+	live    []vm.Member
+	readers map[string]string
+}
+
+// Follow takes the live VMs.
+func (r *Readers) Follow(live []vm.Member) {
+	same := slices.EqualFunc(r.live, live, func(a, b vm.Member) bool { return a.ID == b.ID })
+	if r.readers != nil && same {
+		return
+	}
+	r.live = slices.Clone(live)
+	r.readers = map[string]string{}
+}
+
+// Reader returns the id of the VM that reads the target.
+func (r *Readers) Reader(name string) string {
+	id, ok := r.readers[name]
+	if !ok {
+		id = Reader(r.live, name)
+		r.readers[name] = id
+	}
+	return id
+}
--- a/target/slope_test.go
+++ b/target/slope_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -81,3 +82,46 @@
 		})
 	}
 }
+
+// slopeRoster is a roster of VMs that never change.
+type slopeRoster struct {
+	vm.Roster
+	live []vm.Member
+}
+
+func (r slopeRoster) Live() []vm.Member { return r.live }
+
+// slopeLoads is a Client whose targets report nothing new.
+type slopeLoads struct{ Client }
+
+func (slopeLoads) Load(context.Context, string) (Report, error) { return Report{}, nil }
+
+// BenchmarkSlopeTick gives the time of one tick of a Fleet, of which there are
+// twenty a second.
+func BenchmarkSlopeTick(b *testing.B) {
+	for _, size := range []struct{ vms, engines int }{{8, 13}, {85, 150}, {340, 600}} {
+		b.Run(fmt.Sprintf("%d-%d", size.vms, size.engines), func(b *testing.B) {
+			cfg := &config.Config{Version: 1}
+			for i := range size.engines {
+				cfg.Targets = append(cfg.Targets, config.Target{Name: fmt.Sprintf("engine-%03d", i), Pool: fmt.Sprint(i % 4)})
+			}
+			view := config.NewView(cfg)
+			r := slopeRoster{}
+			for i := range size.vms {
+				r.live = append(r.live, vm.Member{ID: fmt.Sprintf("vm-%03d", i)})
+			}
+			f := NewFleet(Options{Client: slopeLoads{}, Config: func() *config.View { return view }, Roster: r, Self: "vm-000"})
+			ctx, cancel := context.WithCancel(b.Context())
+			cancel()
+			now := slopeStart
+			for b.Loop() {
+				f.tick(ctx, now)
+				for name, record := range f.records {
+					record.polling = false
+					f.takeReport(name, Report{Incarnation: "i"}, now, now)
+				}
+				now = now.Add(fleetTick)
+			}
+		})
+	}
+}
