--- a/limit/commands.go
+++ b/limit/commands.go
@@ -27,6 +27,8 @@
 		s.returned(e, now)
 	case Tick:
 		return s.tick(now)
+	case Agreed:
+		s.agree(e.Layout)
 	case Configured:
 		s.configure(e.View, now)
 	case Membership:
@@ -59,7 +61,7 @@
 		spare := a.level.Minus(need).Scale(0.5).Min(e.Ask.Spare.clean())
 		key := askKey{from: e.From, id: e.Ask.ID}
 		t.Given = a.hand(key, need.Plus(spare), now.Add(closedFor))
-		t.Left = a.level
+		t.Left = a.level.grainsDown()
 		t.Home = true
 		if !t.Given.Zero() {
 			s.counts.Transfers++
@@ -137,6 +139,25 @@
 	}
 }
 
+// agree takes the layout of the fleet into use, in place of the one of the
+// settings. Nothing is held before.
+func (s *State) agree(l Layout) {
+	if s.agreed {
+		return
+	}
+	s.agreed = true
+	if l == s.layout {
+		return
+	}
+	s.layout = l
+	s.shards = nil
+	for i := range l.Shards {
+		s.shards = append(s.shards, newShard(i, l))
+	}
+	s.accounts = map[string]*account{}
+	s.live = nil
+}
+
 // activate counts the slots whose former holder's transfers have lapsed.
 func (s *State) activate(now time.Time) {
 	if s.settling == 0 {
@@ -147,12 +168,25 @@
 			h := sh.held[n]
 			if !h.active && !now.Before(h.from) {
 				s.reshare(sh, h.from, func() { h.active = true })
+				s.addStart(sh, h)
 				s.settling--
 			}
 		}
 	}
 }
 
+// addStart adds what a slot that becomes active held at its taking to the
+// accounts that there are; later ones count it in when they are made.
+func (s *State) addStart(sh *shard, h *holding) {
+	for _, a := range s.accounts {
+		if a.shard == sh {
+			whole := burstOf(a.limits).Scale(s.layout.share(1))
+			a.level = a.level.Plus(h.start.level(a.customer, whole))
+			a.clip()
+		}
+	}
+}
+
 // reshare changes the active slots of a shard and the shares of its accounts
 // at a time.
 func (s *State) reshare(sh *shard, at time.Time, change func()) {
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -15,7 +14,7 @@
 // tend does the next thing for this VM's slots of a shard.
 func (s *State) tend(sh *shard, now time.Time) []Effect {
 	have := len(sh.held)
-	if s.leaving || (sh.wanted == 0 && have == 0) {
+	if s.leaving || !s.agreed || (sh.wanted == 0 && have == 0) {
 		return nil
 	}
 	effects := s.relist(sh, now)
@@ -93,37 +92,21 @@
 	return found && s.live[i].Incarnation > l.Incarnation
 }
 
-// takeSlot starts the write that makes a slot this VM's.
+// takeSlot starts the acquisition of a slot.
 func (s *State) takeSlot(sh *shard, n int) Effect {
-	old := sh.slots[n].record
+	old := sh.slots[n].record.Lease
 	sh.writing++
-	return TakeSlot{
-		Shard: sh.id, Slot: n, Expect: old.Version,
-		Lease: s.newLease(sh.id, n, old.Lease.Term+1, s.self.ID),
-	}
+	return TakeSlot{Shard: sh.id, Slot: n, Ended: lease.Holder{ID: old.Holder, Incarnation: old.Incarnation}}
 }
 
-// giveSlot stops spending a slot's share and starts the write that frees it.
+// giveSlot stops spending a slot's share and starts its release, with what is
+// left of it.
 func (s *State) giveSlot(sh *shard, n int, now time.Time) Effect {
-	h := sh.held[n]
+	held := sh.held[n].record.Record
+	left := s.handOver(sh, n, now)
 	s.drop(sh, n, now)
 	sh.writing++
-	return GiveSlot{
-		Shard: sh.id, Slot: n, Expect: h.record.Version,
-		Lease: s.newLease(sh.id, n, h.record.Lease.Term, ""),
-	}
-}
-
-func (s *State) newLease(shard, slot int, term int64, holder string) lease.Lease {
-	s.lastNonce++
-	l := lease.Lease{
-		Duty: slotKey(shard, slot), Holder: holder, Term: term,
-		Nonce: fmt.Sprintf("%s/%d/%d", s.self.ID, s.self.Incarnation, s.lastNonce),
-	}
-	if holder != "" {
-		l.Incarnation = s.self.Incarnation
-	}
-	return l
+	return GiveSlot{Shard: sh.id, Slot: n, Record: held, Data: left.encode()}
 }
 
 // drop takes a slot's share out of force.
@@ -139,7 +122,7 @@
 func (s *State) slotWritten(e SlotWritten, now time.Time) []Effect {
 	sh := s.shards[e.Shard]
 	sh.writing--
-	if e.Record.Version > 0 {
+	if e.Record.Version > sh.slots[e.Slot].record.Version {
 		sh.slots[e.Slot] = slot{record: e.Record, known: true}
 	}
 	if !e.Held {
@@ -152,7 +135,7 @@
 		"slot %s is held by %s/%d", l.Duty, l.Holder, l.Incarnation)
 	invariant.Hold(sh.held[e.Slot] == nil && len(sh.held) < s.layout.Slots, "limit-shares",
 		"slot %s is taken twice", l.Duty)
-	sh.held[e.Slot] = &holding{record: e.Record, from: now.Add(closedFor)}
+	sh.held[e.Slot] = &holding{record: e.Record, from: now.Add(closedFor), start: sh.begin(e.Slot, l, s.view.Version)}
 	s.settling++
 	if s.leaving {
 		return []Effect{s.giveSlot(sh, e.Slot, now)}
--- a/limit/state.go
+++ b/limit/state.go
@@ -21,10 +21,10 @@
 	asks     map[uint64]*pending
 	lastAsk  uint64
 	// settling is the number of slots that are held but not active yet.
-	settling  int
-	lastNonce uint64
-	leaving   bool
-	counts    Counts
+	settling int
+	agreed   bool // the fleet's layout is known
+	leaving  bool
+	counts   Counts
 }
 
 // NewState returns a State that holds nothing. The first number of its asks
@@ -64,6 +64,8 @@
 	// hints is what other VMs held when last heard of.
 	hints map[string]hint
 	used  time.Time
+	// balanced is when tokens were last asked for without need.
+	balanced time.Time
 }
 
 // A hint is what another VM held at a time. It is not asked before its back.
@@ -91,7 +93,7 @@
 	a = &account{customer: customer, shard: sh, limits: c.Rate, hints: map[string]hint{}, used: now}
 	a.at = now
 	a.resize(s.layout.share(sh.active()), rateOf(c.Rate), burstOf(c.Rate), now)
-	a.level = s.refilled(sh, c.Rate, now)
+	a.level = s.refilled(sh, c, now)
 	a.clip()
 	s.accounts[customer] = a
 	return a
@@ -99,15 +101,13 @@
 
 // refilled returns what the active slots of a shard hold of a customer that
 // has spent nothing since they were taken.
-func (s *State) refilled(sh *shard, r config.Rate, now time.Time) Cost {
+func (s *State) refilled(sh *shard, c *config.Customer, now time.Time) Cost {
 	var sum Cost
 	share := s.layout.share(1)
 	for _, h := range sh.held {
-		if !h.active {
-			continue
+		if h.active {
+			sum = sum.Plus(h.level(c.Name, rateOf(c.Rate).Scale(share), burstOf(c.Rate).Scale(share), now))
 		}
-		grown := rateOf(r).Scale(share * refillFactor * now.Sub(h.from).Seconds())
-		sum = sum.Plus(grown.Min(burstOf(r).Scale(share)))
 	}
 	return sum
 }
