Wait for nearly all VMs before choosing watchers

Cause: in a herd of 340 VMs many took themselves for watchers, since they knew three quarters of the others, and 2244 reads fell on the store.

--- a/config/task.go
+++ b/config/task.go
@@ -265,7 +265,7 @@
 	if age < settleEarly {
 		return false
 	}
-	return age > settleLate || 4*len(l.opts.Roster.Live()) >= 3*l.opts.Roster.Listed()
+	return age > settleLate || 20*len(l.opts.Roster.Live()) >= 19*l.opts.Roster.Listed()
 }
 
 // watchHead follows the head until ctx ends. A watch that is silent for good is
