Check the peer's certificate against its IP number

Cause: calls over TLS failed unless the settings named a server.

Change: the client expects the IP number of the peer in its certificate when the TLS configuration names nothing else; the time to decode a configuration is measured.

Conclusion: TLS between VMs works from certificates for IP numbers.

--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/goccy/go-yaml"
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/peer"
@@ -318,3 +319,19 @@
 		})
 	}
 }
+
+// BenchmarkSlopeDecode reports the time to read and validate a whole
+// configuration in YAML, by customers.
+func BenchmarkSlopeDecode(b *testing.B) {
+	for _, customers := range []int{5, 1000, 12000} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			data, err := yaml.Marshal(sample(customers))
+			must.NoError(b, err)
+			for b.Loop() {
+				_, err := Decode("c.yaml", data)
+				must.NoError(b, err)
+			}
+			b.ReportMetric(float64(len(data)), "file-B")
+		})
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -148,11 +148,22 @@
 		return nil, errors.Join(ErrUnreachable, err)
 	}
 	if c.opts.TLS != nil {
-		raw = tls.Client(raw, c.opts.TLS)
+		raw = tls.Client(raw, c.tlsFor(to.Address))
 	}
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions(0)}), nil
 }
 
+// tlsFor returns the TLS configuration for an address, whose IP number the
+// certificate must name unless the configuration says otherwise.
+func (c *Client) tlsFor(address string) *tls.Config {
+	if c.opts.TLS.ServerName != "" || c.opts.TLS.InsecureSkipVerify {
+		return c.opts.TLS
+	}
+	cfg := c.opts.TLS.Clone()
+	cfg.ServerName, _, _ = net.SplitHostPort(address)
+	return cfg
+}
+
 func (c *Client) reuse(to Destination) *drpcconn.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
