Keep the chunks of a version that could not be read whole

Cause: a VM whose budget of calls ends in the middle of the chunks began again with the first chunk and never came to the last.

Change: chunks that were read are kept for the next try.

Conclusion: a small budget of calls delays a start and does not prevent it.

--- a/config/cluster_test.go
+++ b/config/cluster_test.go
@@ -238,6 +238,7 @@
 	hide   string // the VM with this id gets no answer
 
 	hideFrom map[string]bool // nor do these
+	budget   int             // calls before the store refuses for a second
 
 	downAfterLoss bool
 	chance        *rand.Rand // draws faults of Put
@@ -256,6 +257,9 @@
 func (f *faulty) delay(ctx context.Context, count *int) error {
 	f.mu.Lock()
 	*count++
+	if f.budget > 0 && *count%f.budget == 0 {
+		f.away = time.Now().Add(time.Second)
+	}
 	down, slow := f.down || time.Now().Before(f.away), f.slow
 	f.mu.Unlock()
 	if down {
--- a/config/fetch.go
+++ b/config/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +23,8 @@
 	maxReplyBytes = 2 << 20
 	// maxWanted bounds the chunks that one Pull asks for.
 	maxWanted = 256
+	// maxPartial bounds the chunks kept of a version that is not whole.
+	maxPartial = 256
 )
 
 // A fetched is a newer version with the patches that lead to it, if they are
@@ -57,7 +60,9 @@
 	get := func(digests []string) ([][]byte, error) {
 		list := make([][]byte, len(digests))
 		for i, digest := range digests {
-			data, err := k.readChunk(ctx, digest)
+			data, err := k.partial.read(digest, func() ([]byte, error) {
+				return k.readChunk(ctx, digest)
+			})
 			if err != nil {
 				return nil, err
 			}
@@ -65,7 +70,45 @@
 		}
 		return list, nil
 	}
-	return complete(base, h, get)
+	snap, err := complete(base, h, get)
+	if err == nil {
+		k.partial.clear()
+	}
+	return snap, err
+}
+
+// A partial keeps the chunks of a version that could not be read to its end, as
+// when the budget of calls was spent, for the next try.
+type partial struct {
+	mu     sync.Mutex
+	chunks map[string][]byte
+}
+
+// read returns a kept chunk, or else the one that get reads.
+func (p *partial) read(digest string, get func() ([]byte, error)) ([]byte, error) {
+	p.mu.Lock()
+	data, kept := p.chunks[digest]
+	p.mu.Unlock()
+	if kept {
+		return data, nil
+	}
+	data, err := get()
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.chunks == nil || len(p.chunks) >= maxPartial {
+		p.chunks = map[string][]byte{}
+	}
+	p.chunks[digest] = data
+	return data, nil
+}
+
+func (p *partial) clear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.chunks = nil
 }
 
 func (k *Keeper) readChunk(ctx context.Context, digest string) ([]byte, error) {
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -44,6 +44,7 @@
 	rng         *rand.Rand
 
 	commits sync.Mutex // held during a Submit
+	partial partial
 
 	reads  atomic.Int64
 	writes atomic.Int64
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -308,3 +308,16 @@
 	}
 	return set
 }
+
+// TestFewReads starts a VM without others whose budget of calls ends in the
+// middle of the chunks, again and again.
+func TestFewReads(t *testing.T) {
+	virtual(t, 1, func(t *testing.T, c *cluster) {
+		n := c.nodes[0]
+		version := c.submit(n, Patch{ID: "more", Base: 1, Set: items(sample(500))})
+		c.kill(n)
+		c.store.set(func(f *faulty) { f.budget = 20 })
+		c.start(n, 2)
+		c.mustReach(c.nodes, version, 20*time.Second)
+	})
+}
