--- a/claim/claim.go
+++ b/claim/claim.go
@@ -40,6 +40,8 @@
 type Ticket struct {
 	Name Name
 	ID   string
+	// version is that of the shard when the claim was in it.
+	version int64
 }
 
 // Repeated reports that the request ran before, with its answer.
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -51,8 +51,8 @@
 	return got
 }
 
-// virtual runs a test in virtual time with a memory store and two VMs.
-func virtual(t *testing.T, f func(t *testing.T, m *platform.Memory, one, two *Task)) {
+// twoVMs runs a test in virtual time with a memory store and two VMs.
+func twoVMs(t *testing.T, f func(t *testing.T, m *platform.Memory, one, two *Task)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		m := platform.NewMemory()
@@ -63,7 +63,7 @@
 }
 
 func TestRepeatOnAnotherVM(t *testing.T) {
-	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		mustBe[Pending](t, two.Begin(t.Context(), seat("a")))
 		mustBe[Mismatch](t, two.Begin(t.Context(), seat("b")))
@@ -76,7 +76,7 @@
 }
 
 func TestTwoVMsAtOnce(t *testing.T) {
-	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
 		results := make(chan Result, 20)
 		for i := range 20 {
 			go func() { results <- []*Task{one, two}[i%2].Begin(t.Context(), seat("a")) }()
@@ -96,7 +96,7 @@
 }
 
 func TestAbandonFreesTheKey(t *testing.T) {
-	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		must.NoError(t, one.Abandon(t.Context(), k))
 		other := mustGrant(t, two, seat("b"))
@@ -107,7 +107,7 @@
 }
 
 func TestLargeAnswerIsNotKept(t *testing.T) {
-	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		large := Answer{Status: 200, ContentType: "text/plain", Body: make([]byte, maxAnswerBytes+1)}
 		must.NoError(t, one.Finish(t.Context(), k, large))
@@ -129,7 +129,7 @@
 }
 
 func TestStoreDownThirtyMinutes(t *testing.T) {
-	virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		m.SetFault(platform.Down())
 		mustBe[Unavailable](t, two.Begin(t.Context(), seat("a")))
@@ -146,7 +146,7 @@
 }
 
 func TestSlowStore(t *testing.T) {
-	virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
 		m.SetFault(platform.Slow(2 * time.Second))
 		k := mustGrant(t, one, seat("a"))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -159,7 +159,7 @@
 }
 
 func TestStoreRefusesOverItsRate(t *testing.T) {
-	virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
 		m.SetRate(10)
 		granted := map[string]int{}
 		for i := range 200 {
@@ -182,7 +182,7 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+			twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
 				m.SetFault(everyOther(fault))
 				k := mustGrant(t, one, seat("a"))
 				mustBe[Pending](t, two.Begin(t.Context(), seat("a")))
@@ -213,7 +213,7 @@
 // TestUnknownClaimIsFreed loses every answer of the writes, so that a claim is
 // refused though its write took effect: the task frees it later.
 func TestUnknownClaimIsFreed(t *testing.T) {
-	virtual(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
 		m.SetFault(func(c platform.Call) platform.Fault {
 			wrote := m.Total().Writes > 0
 			return platform.Fault{LoseAnswer: c.Kind == platform.KindPut, Refuse: c.Kind == platform.KindGet && wrote}
@@ -227,11 +227,13 @@
 }
 
 func TestRetention(t *testing.T) {
-	virtual(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
-		must.NoError(t, one.Finish(t.Context(), k, Answer{Status: 200}))
-		time.Sleep(DefaultRetention - time.Second)
-		mustBe[Repeated](t, two.Begin(t.Context(), seat("a")))
+		must.NoError(t, one.Finish(t.Context(), k, Answer{Status: 200, Body: []byte("x")}))
+		time.Sleep(answerTime - time.Second)
+		must.Eq(t, "x", string(mustBe[Repeated](t, two.Begin(t.Context(), seat("a"))).Answer.Body))
+		time.Sleep(DefaultRetention - answerTime)
+		must.Eq(t, Answer{Status: 200, Dropped: true}, mustBe[Repeated](t, two.Begin(t.Context(), seat("a"))).Answer)
 		time.Sleep(2 * time.Second)
 		mustGrant(t, two, seat("a"))
 	})
@@ -278,3 +280,32 @@
 		must.Eq(t, r.size, again.size)
 	})
 }
+
+// TestFinishAfterStaleRead finishes a request after its worker has ended, and
+// lets the first read show the shard without the claim.
+func TestFinishAfterStaleRead(t *testing.T) {
+	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+		k := mustGrant(t, one, seat("a"))
+		time.Sleep(2 * idleTime)
+		must.Eq(t, 0, one.Dump().(Dump).Shards)
+		reads := int64(0)
+		m.SetFault(func(c platform.Call) platform.Fault {
+			if c.Kind == platform.KindGet {
+				reads++
+			}
+			return platform.Fault{Stale: max(0, 2-reads)}
+		})
+		must.NoError(t, one.Finish(t.Context(), k, Answer{Status: 200}))
+		mustBe[Repeated](t, two.Begin(t.Context(), seat("a")))
+	})
+}
+
+func TestWorkerWithJobsStays(t *testing.T) {
+	task := NewTask(Options{Clock: platform.SystemClock{}})
+	w := &worker{shard: 1, jobs: make(chan job, 1)}
+	task.workers[1] = w
+	w.jobs <- job{}
+	must.False(t, task.retire(w))
+	<-w.jobs
+	must.True(t, task.retire(w))
+}
--- a/claim/commands.go
+++ b/claim/commands.go
@@ -14,9 +14,9 @@
 // Begin asks for the sole right to run the named request. Whatever it returns
 // but Granted, this try must not run it.
 func (t *Task) Begin(ctx context.Context, n Name) Result {
-	p := placeOf(n)
+	p := placeOf(n, t.opts.shards)
 	o := begin{key: p.key, digest: sum(n.Digest), id: rand.Text()}
-	r, ok := t.submit(ctx, p.shard, o, 0)
+	r, ok := t.submit(ctx, p.shard, o, 0, 0)
 	if !ok {
 		return t.unavailable(errStopped)
 	}
@@ -27,7 +27,7 @@
 	case won:
 		t.stats.granted.Add(1)
 		t.open(p.key, o.id)
-		return Granted{Ticket: Ticket{Name: n, ID: o.id}}
+		return Granted{Ticket: Ticket{Name: n, ID: o.id, version: r.version}}
 	case repeated:
 		t.stats.repeated.Add(1)
 		return Repeated{Answer: out.answer}
@@ -46,21 +46,21 @@
 // answer is written; the answer may be given to the caller before. If ctx ends
 // first, the task goes on trying.
 func (t *Task) Finish(ctx context.Context, k Ticket, a Answer) error {
-	p := placeOf(k.Name)
+	p := placeOf(k.Name, t.opts.shards)
 	t.settle(p.key, k.ID)
 	if len(a.Body) > maxAnswerBytes {
 		a.Body = nil
 		a.Dropped = true
 	}
-	return t.settled(t.submit(ctx, p.shard, finish{key: p.key, id: k.ID, answer: a}, t.opts.Linger))
+	return t.settled(t.submit(ctx, p.shard, finish{key: p.key, id: k.ID, answer: a}, t.opts.Linger, k.version))
 }
 
 // Abandon frees the key of a request that provably did not run, so that a
 // further try may run it.
 func (t *Task) Abandon(ctx context.Context, k Ticket) error {
-	p := placeOf(k.Name)
+	p := placeOf(k.Name, t.opts.shards)
 	t.settle(p.key, k.ID)
-	return t.settled(t.submit(ctx, p.shard, abandon{key: p.key, id: k.ID}, 0))
+	return t.settled(t.submit(ctx, p.shard, abandon{key: p.key, id: k.ID}, 0, k.version))
 }
 
 func (t *Task) settled(r reply, ok bool) error {
--- a/claim/job.go
+++ b/claim/job.go
@@ -8,18 +8,22 @@
 
 // A job is one op with the caller that waits for its outcome.
 type job struct {
-	ctx  context.Context
-	op   op
-	due  time.Time
-	done chan reply
+	ctx context.Context
+	op  op
+	due time.Time
+	// since is a version that the shard surely had reached.
+	since int64
+	done  chan reply
 	// left is set once: by the caller when it stops waiting, or by the worker
 	// when it answers.
 	left *atomic.Bool
 }
 
-// A reply is what a worker answers. Err is set if the op was not carried out.
+// A reply is what a worker answers, with the version of the shard that it found
+// or wrote. Err is set if the op was not carried out.
 type reply struct {
 	outcome outcome
+	version int64
 	err     error
 }
 
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
+	"github.com/baobabdyke/baobabdyke/internal/virtual"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
 
@@ -227,22 +228,9 @@
 	time.Sleep(time.Duration(rapid.IntRange(1, 60_000).Draw(t, "pass")) * time.Millisecond)
 }
 
-// inBubble runs f in virtual time and passes on what it panics with, which is
-// how rapid ends a sequence.
-func inBubble(t *testing.T, f func()) {
-	var ended any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { ended = recover() }()
-		f()
-	})
-	if ended != nil {
-		panic(ended)
-	}
-}
-
 func TestMachine(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		inBubble(t, func() {
+		virtual.Bubble(t, func() {
 			m := newMachine(rapid.Uint64().Draw(r, "source"))
 			defer m.stop()
 			r.Repeat(map[string]func(*rapid.T){
--- a/claim/record.go
+++ b/claim/record.go
@@ -19,7 +19,7 @@
 	// Prefix is the start of the object keys of shards.
 	Prefix = "claim/"
 	// shardCount is the number of shards. All VMs of a fleet share it for good.
-	shardCount = 1024
+	shardCount = 1 << 14
 	// hashBytes is the length of the hashes in a record.
 	hashBytes = 16
 	// maxEntries bounds the entries that a record is decoded into.
@@ -53,13 +53,13 @@
 	key   hash
 }
 
-func placeOf(n Name) place {
+func placeOf(n Name, shards int) place {
 	key := sum(n.Customer, n.Route, n.Key)
-	return place{shard: int(binary.BigEndian.Uint32(key[:4]) % shardCount), key: key}
+	return place{shard: int(binary.BigEndian.Uint32(key[:4]) % uint32(shards)), key: key}
 }
 
 // objectKey returns the object key of a shard.
-func objectKey(shard int) string { return fmt.Sprintf("%s%04d", Prefix, shard) }
+func objectKey(shard int) string { return fmt.Sprintf("%s%05d", Prefix, shard) }
 
 // An entry is one claim as the object API holds it. Its key and its request are
 // kept as hashes only.
@@ -86,6 +86,14 @@
 // extra is the part of size that shrink can drop.
 func (e entry) extra() int { return len(e.ContentType) + len(e.Body) }
 
+// withoutAnswer is the entry with no more of its answer than the status.
+func (e entry) withoutAnswer() entry {
+	e.Body = nil
+	e.ContentType = ""
+	e.Dropped = true
+	return e
+}
+
 func (e entry) at() time.Time { return time.UnixMilli(e.At) }
 
 func (e entry) answer() Answer {
--- a/claim/step.go
+++ b/claim/step.go
@@ -13,6 +13,9 @@
 	// maxRecordBytes bounds a shard; above it answers are dropped, then new
 	// claims are refused.
 	maxRecordBytes = platform.MaxValueBytes * 7 / 8
+	// answerTime is the time that an answer is remembered. The claim and the
+	// status stay for the whole retention.
+	answerTime = time.Hour
 	// maxAnswerBytes is the largest body that is remembered.
 	maxAnswerBytes = 16 << 10
 )
@@ -164,11 +167,15 @@
 	return now.Sub(e.at()) > retention
 }
 
-// expire drops the claims whose retention is over.
+// expire drops the claims whose retention is over, and the answers of those
+// that are older than answerTime.
 func expire(r *record, now time.Time, retention time.Duration) {
 	for key, e := range r.entries {
-		if expired(e, now, retention) {
+		switch {
+		case expired(e, now, retention):
 			r.remove(key)
+		case e.extra() > 0 && expired(e, now, answerTime):
+			r.set(e.withoutAnswer())
 		}
 	}
 }
@@ -183,10 +190,7 @@
 			return
 		}
 		if e.extra() > 0 {
-			e.Body = nil
-			e.ContentType = ""
-			e.Dropped = true
-			r.set(e)
+			r.set(e.withoutAnswer())
 		}
 	}
 }
--- a/claim/task.go
+++ b/claim/task.go
@@ -30,6 +30,9 @@
 	Retention time.Duration
 	// Seed fixes the jitter of retries.
 	Seed uint64
+
+	// shards is the number of shards; the measurements vary it.
+	shards int
 }
 
 // Defaults of Options.
@@ -40,7 +43,7 @@
 )
 
 // workerQueue is the number of ops that may wait for a worker to take them.
-const workerQueue = 64
+const workerQueue = 256
 
 // stats counts calls of the object API and their outcomes.
 type stats struct {
@@ -83,6 +86,9 @@
 	if o.Retention <= 0 {
 		o.Retention = DefaultRetention
 	}
+	if o.shards <= 0 {
+		o.shards = shardCount
+	}
 	if o.Log == nil {
 		o.Log = log.NewNopLogger()
 	}
@@ -113,24 +119,46 @@
 
 // submit hands an op to the worker of its shard and waits for the reply. It
 // reports false if the op was not answered.
-func (t *Task) submit(ctx context.Context, shard int, o op, linger time.Duration) (reply, bool) {
+func (t *Task) submit(ctx context.Context, shard int, o op, linger time.Duration, since int64) (reply, bool) {
 	select {
 	case <-t.started:
 	case <-ctx.Done():
 		return reply{}, false
 	}
-	w, ok := t.worker(shard)
-	if !ok {
-		return reply{}, false
-	}
 	j := newJob(ctx, o, t.opts.Clock.Now().Add(linger))
+	j.since = since
+	if err := t.hand(shard, j); err != nil {
+		return reply{err: err}, true
+	}
+	return j.wait(t.ended(o))
+}
+
+// hand queues a job with the worker of its shard.
+func (t *Task) hand(shard int, j job) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	select {
-	case w.jobs <- j:
-		return j.wait(t.ended(o))
-	case <-ctx.Done():
 	case <-t.stopped:
+		return errStopped
+	default:
 	}
-	return reply{}, false
+	select {
+	case t.worker(shard).jobs <- j:
+		return nil
+	default:
+		return errBusy
+	}
+}
+
+// retire forgets a worker unless a job waits for it.
+func (t *Task) retire(w *worker) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(w.jobs) > 0 {
+		return false
+	}
+	delete(t.workers, w.shard)
+	return true
 }
 
 // ended is the channel that ends the wait for an op: a begin need not wait for
@@ -142,28 +170,22 @@
 	return t.finished
 }
 
-// worker returns the worker of a shard and starts it if need be. It reports
-// false once the task has stopped.
-func (t *Task) worker(shard int) (*worker, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	select {
-	case <-t.stopped:
-		return nil, false
-	default:
-	}
+// worker returns the worker of a shard and starts it if need be. The caller
+// holds mu.
+func (t *Task) worker(shard int) *worker {
 	if w, ok := t.workers[shard]; ok {
-		return w, true
+		return w
 	}
 	w := &worker{
-		shard: shard,
-		store: t.opts.Store,
-		clock: t.opts.Clock,
-		log:   t.opts.Log,
-		opts:  &t.opts,
-		stats: &t.stats,
-		jobs:  make(chan job, workerQueue),
-		rand:  rand.New(rand.NewPCG(t.opts.Seed, uint64(shard))),
+		shard:  shard,
+		store:  t.opts.Store,
+		clock:  t.opts.Clock,
+		log:    t.opts.Log,
+		opts:   &t.opts,
+		stats:  &t.stats,
+		jobs:   make(chan job, workerQueue),
+		rand:   rand.New(rand.NewPCG(t.opts.Seed, uint64(shard))),
+		retire: t.retire,
 	}
 	t.workers[shard] = w
 	t.running.Add(1)
@@ -171,5 +193,5 @@
 		defer t.running.Done()
 		w.run(ctx)
 	}(t.ctx)
-	return w, true
+	return w
 }
--- a/claim/worker.go
+++ b/claim/worker.go
@@ -26,8 +26,8 @@
 	backlogMax = 256
 	// backlogWait is the time between two tries to write the backlog.
 	backlogWait = 2 * time.Second
-	// cacheIdle is the time after which an unused record is dropped.
-	cacheIdle = 30 * time.Second
+	// idleTime is the time after which a worker without jobs ends.
+	idleTime = 30 * time.Second
 	// flushTimeout bounds the last commit of a shard at a planned stop.
 	flushTimeout = 3 * time.Second
 	// flushTries bounds the commits of a shard at a planned stop.
@@ -54,6 +54,8 @@
 	seen int64
 	last time.Time
 	rand *rand.Rand
+	// retire ends the worker unless a job waits for it.
+	retire func(*worker) bool
 }
 
 func (w *worker) run(ctx context.Context) {
@@ -70,11 +72,13 @@
 			continue
 		case <-timer.C:
 		}
-		if len(w.queue) == 0 {
-			w.cached = nil
+		if len(w.queue) > 0 {
+			w.commit(ctx)
 			continue
 		}
-		w.commit(ctx)
+		if w.retire(w) {
+			return
+		}
 	}
 }
 
@@ -91,7 +95,7 @@
 // earlier than a window after the last commit.
 func (w *worker) untilDue() time.Duration {
 	if len(w.queue) == 0 {
-		return cacheIdle
+		return idleTime
 	}
 	now := w.clock.Now()
 	due := w.queue[0].due
@@ -175,6 +179,7 @@
 // try makes one update. It reports true once all jobs are answered. Doubt is
 // set while an update may still take effect.
 func (w *worker) try(ctx context.Context, jobs []job, doubt *bool) (bool, error) {
+	w.catchUp(jobs)
 	fresh, err := w.load(ctx)
 	if err != nil {
 		return false, err
@@ -215,6 +220,16 @@
 	panic("claim: unknown result of a write")
 }
 
+// catchUp drops a kept record that is older than what a job has seen.
+func (w *worker) catchUp(jobs []job) {
+	for _, j := range jobs {
+		w.seen = max(w.seen, j.since)
+	}
+	if w.cached != nil && w.cached.version < w.seen {
+		w.cached = nil
+	}
+}
+
 // certain tells whether outcomes taken from a kept record still hold: only what
 // never changes within its retention does.
 func certain(outcomes []outcome) bool {
@@ -261,7 +276,7 @@
 // provably not run, and is freed.
 func (w *worker) answer(jobs []job, outcomes []outcome) {
 	for i, j := range jobs {
-		heard := j.answer(reply{outcome: outcomes[i]})
+		heard := j.answer(reply{outcome: outcomes[i], version: w.cached.version})
 		if _, ok := outcomes[i].(won); ok && !heard {
 			w.free(j.op.(begin), false)
 		}
