--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,13 +11,13 @@
 	"github.com/go-kit/log"
 )
 
-// limit bounds the time of the whole demo.
-const limit = 20 * time.Second
+// timeLimit bounds the time of the whole demo.
+const timeLimit = 20 * time.Second
 
 // Run runs all steps, prints what happened and tells whether everything held
 // that must hold.
 func Run(ctx context.Context, w io.Writer, logger log.Logger) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
 	f, err := startFleet(ctx, demoVMs, logger)
 	if err != nil {
