--- a/internal/demo/slope_test.go
+++ b/internal/demo/slope_test.go
@@ -90,6 +90,7 @@
 // sent to an engine and through a VM. The difference is the VM's.
 func BenchmarkSlopeRequests(b *testing.B) {
 	f := benchFleet(b, demoVMs)
+	pause(b.Context(), settleTime)
 	for _, e := range f.engines {
 		e.SetTokenInterval(time.Nanosecond)
 		e.SetPrefillRate(1e12)
