Refund what a gathered request did not use to the VMs that gave it

Change: The VM that gave tokens keeps the right to their refund, and gets it when the request settles. A message that ends a transfer refunds nothing. The state machine's harness forgot an earlier rate too soon when two patches came within 250 ms (rapid); it now counts from the last one.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -45,9 +45,10 @@
 	id   uint64
 }
 
-// A right is the largest refund of one running request.
+// A right is the largest refund of one running request: of a reservation of
+// this VM, whose key has no VM, or of an ask that another VM has spent.
 type right struct {
-	id     uint64
+	key    askKey
 	amount Cost
 }
 
@@ -113,19 +114,19 @@
 // take takes a cost that the level covers and remembers the right to refund.
 func (b *bucket) take(id uint64, c Cost) {
 	b.level = b.level.Minus(c)
-	b.addRight(id, c)
+	b.addRight(askKey{id: id}, c)
 }
 
-func (b *bucket) addRight(id uint64, c Cost) {
-	b.rights = append(b.rights, right{id: id, amount: c})
+func (b *bucket) addRight(key askKey, c Cost) {
+	b.rights = append(b.rights, right{key: key, amount: c})
 	b.rightsSum = b.rightsSum.Plus(c)
 	b.clip()
 }
 
-// settle ends the right of a reservation and puts the unused part of it back,
-// as far as the bucket has not been refilled since.
-func (b *bucket) settle(id uint64, refund Cost) {
-	i := slices.IndexFunc(b.rights, func(r right) bool { return r.id == id })
+// settle ends a right and puts the unused part of it back, as far as the bucket
+// has not been refilled since.
+func (b *bucket) settle(key askKey, refund Cost) {
+	i := slices.IndexFunc(b.rights, func(r right) bool { return r.key == key })
 	if i < 0 {
 		return
 	}
@@ -150,17 +151,34 @@
 }
 
 // takeBack ends a transfer: it opens the room, if that is still closed, and
-// puts back what the other VM did not need.
+// puts back what the other VM did not need. What that VM has spent it may
+// refund later.
 func (b *bucket) takeBack(key askKey, amount Cost) {
+	if sent, ok := b.open(key); ok {
+		b.level = b.level.Plus(amount.Min(sent))
+		b.addRight(key, sent.Minus(amount))
+	}
+}
+
+// refund puts back what a request did not use of a transfer, also when the
+// message that ends the transfer is still on the way.
+func (b *bucket) refund(key askKey, amount Cost) {
+	if sent, ok := b.open(key); ok {
+		b.addRight(key, sent)
+	}
+	b.settle(key, amount)
+}
+
+// open opens the room of a transfer and returns what was sent.
+func (b *bucket) open(key askKey) (Cost, bool) {
 	i := slices.IndexFunc(b.closed, func(c closing) bool { return c.key == key })
 	if i < 0 {
-		return
+		return Cost{}, false
 	}
 	sent := b.closed[i].amount
 	b.closed = slices.Delete(b.closed, i, i+1)
 	b.closedSum = b.closedSum.Minus(sent)
-	b.level = b.level.Plus(amount.Min(sent))
-	b.clip()
+	return sent, true
 }
 
 // hold back takes a part of the level into a gather.
@@ -181,12 +199,12 @@
 	b.clip()
 }
 
-// spend ends a gather's hold by spending it, with the whole cost as the right
-// to a refund. The room that it opens counts from now on only.
-func (b *bucket) spend(id uint64, own, cost Cost, now time.Time) {
+// spend ends a gather's hold by spending it. The room that it opens counts from
+// now on only.
+func (b *bucket) spend(id uint64, own Cost, now time.Time) {
 	b.advance(now)
 	b.held = b.held.Minus(own)
-	b.addRight(id, cost)
+	b.addRight(askKey{id: id}, own)
 }
 
 // keep adds what another VM sent beyond the need and returns what has no room.
--- a/limit/commands.go
+++ b/limit/commands.go
@@ -25,7 +25,7 @@
 	case Reserve:
 		return s.reserve(e, now)
 	case Settle:
-		s.settle(e, now)
+		return s.settle(e, now)
 	case Asked:
 		return s.asked(e, now)
 	case Answered:
@@ -50,15 +50,6 @@
 	return nil
 }
 
-// settle refunds what a request did not use.
-func (s *State) settle(e Settle, now time.Time) {
-	if s.accounts[e.Reservation.Customer] == nil {
-		return
-	}
-	a := s.account(e.Reservation.Customer, now)
-	a.settle(e.Reservation.ID, e.Reservation.Cost.Minus(e.Used.clean()))
-}
-
 // asked gives another VM what it needs, and half of what remains up to its
 // spare room. The debit comes before the transfer is sent.
 func (s *State) asked(e Asked, now time.Time) []Effect {
@@ -77,13 +68,18 @@
 	return []Effect{SendTransfer{To: e.From, Transfer: t}}
 }
 
-// returned takes back what another VM did not spend.
+// returned takes back what another VM did not spend, or not use.
 func (s *State) returned(e Returned, now time.Time) {
 	if s.accounts[e.Return.Customer] == nil {
 		return
 	}
 	a := s.account(e.Return.Customer, now)
-	a.takeBack(askKey{from: e.From, id: e.Return.ID}, e.Return.Amount.clean())
+	key, amount := askKey{from: e.From, id: e.Return.ID}, e.Return.Amount.clean()
+	if e.Return.Refund {
+		a.refund(key, amount)
+		return
+	}
+	a.takeBack(key, amount)
 }
 
 // tick lets time pass.
@@ -94,6 +90,7 @@
 	}
 	if now.Sub(s.evicted) >= evictEvery {
 		s.evict(now)
+		s.forget(now)
 	}
 	return effects
 }
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -34,7 +34,8 @@
 	slow     time.Duration // largest extra latency
 	lossy    float64       // part of messages that are lost
 	storeOff bool
-	unsure   bool // answers of writes to the store are lost
+	unsure   bool      // answers of writes to the store are lost
+	patched  time.Time // when a VM last put a configuration into force
 	started  int
 	lastID   uint64
 	bytes    int
@@ -335,7 +336,8 @@
 		n.view = v
 		n.step(limit.Configured{View: v})
 		n.f.inForce(true)
-		n.f.after(settleTime, func() { n.f.inForce(false) })
+		n.f.patched = n.f.now
+		n.f.after(settleTime, func() { n.f.inForce(n.f.now.Sub(n.f.patched) < settleTime) })
 	})
 }
 
--- a/limit/gather.go
+++ b/limit/gather.go
@@ -171,7 +171,8 @@
 	}
 	delete(s.gathers, g.id)
 	s.counts.Gathered++
-	g.account.spend(g.id, g.own, g.cost, now)
+	g.account.spend(g.id, g.own, now)
+	s.spent[g.id] = &spending{own: g.own, pieces: g.pieces, at: now}
 	effects := s.admit(g.id, g.account.customer, g.cost)
 	for _, p := range g.pieces {
 		effects = append(effects, s.sendBack(g.account, p.from, p.ask, p.spare))
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -90,6 +90,13 @@
 	}
 }
 
+// settle ends a reservation of a fleet whose requests were all admitted.
+func settle(f *fleet, n *node, r limit.Reservation, tokens float64) {
+	used := limit.Cost{Requests: 1, Tokens: tokens}
+	f.oracles["hakata"].settle(int(r.ID)-1, used)
+	n.step(limit.Settle{Reservation: r, Used: used})
+}
+
 func TestTransfers(t *testing.T) {
 	t.Run("room that a gather held opens from now on only", func(t *testing.T) {
 		f := settledFleet(2, hakata)
@@ -140,8 +147,19 @@
 		}
 		for range 3 {
 			n.step(limit.Returned{From: "vm02", Return: limit.Return{ID: 7, Customer: "hakata", Amount: limit.Cost{Tokens: 3000}}})
+			n.step(limit.Returned{From: "vm02", Return: limit.Return{ID: 8, Customer: "hakata", Amount: limit.Cost{Tokens: 500}}})
 		}
-		must.Eq(t, 5100, n.s.Dump(f.now).Accounts[0].Level.Tokens)
+		must.Eq(t, 5600, n.s.Dump(f.now).Accounts[0].Level.Tokens)
+	})
+	t.Run("what a gathered request did not use goes back to those who gave it", func(t *testing.T) {
+		f := settledFleet(4, hakata)
+		var admitted limit.Decision
+		f.nodes[0].reserve("hakata", limit.Cost{Requests: 1, Tokens: 16000}, func(d limit.Decision, _ int) { admitted = d })
+		f.run(10 * time.Millisecond)
+		settle(f, f.nodes[0], mustAdmit(t, admitted), 1000)
+		f.run(10 * time.Millisecond)
+		mustAdmit(t, decide(f, f.nodes[1], limit.Cost{Requests: 1, Tokens: 15000}))
+		mustHold(t, f)
 	})
 	t.Run("more than was asked for is not kept above the cap", func(t *testing.T) {
 		f := settledFleet(2, hakata)
@@ -169,21 +187,16 @@
 	n := f.nodes[0]
 	all := limit.Cost{Requests: 1, Tokens: 16000}
 	first := mustAdmit(t, decide(f, n, all))
-	settle := func(r limit.Reservation, tokens float64) {
-		used := limit.Cost{Requests: 1, Tokens: tokens}
-		f.oracles["hakata"].settle(int(r.ID)-1, used)
-		n.step(limit.Settle{Reservation: r, Used: used})
-	}
-	settle(first, 1000)
+	settle(f, n, first, 1000)
 	second := mustAdmit(t, decide(f, n, limit.Cost{Requests: 1, Tokens: 15000}))
 	f.run(5 * time.Second)
 	third := mustAdmit(t, decide(f, n, all))
-	settle(second, 0)
+	settle(f, n, second, 0)
 	mustRefuse(t, within(f, 0)(n, 5000))
 
 	f.run(time.Second - 200*time.Millisecond)
 	mustAdmit(t, decide(f, n, limit.Cost{Requests: 1, Tokens: 7900}))
-	settle(third, 0)
+	settle(f, n, third, 0)
 	mustRefuse(t, within(f, 0)(n, 12000))
 	mustHold(t, f)
 }
--- a/limit/measure_test.go
+++ b/limit/measure_test.go
@@ -42,6 +42,8 @@
 	vm func(r *rand.Rand, at time.Duration) int
 	// pace returns the factor on the mean pace at a time.
 	pace func(at time.Duration) float64
+	// unused is the part of a reservation that comes back after holdTime.
+	unused float64
 	// least and most bound the tokens of one request.
 	least, most float64
 }
@@ -69,11 +71,15 @@
 		return 0
 	}, least: 100, most: 900},
 	{name: "large", vm: anyVM, pace: steady, least: 2000, most: 6000},
+	{name: "unused", unused: 0.6, vm: anyVM, pace: func(time.Duration) float64 { return 1.75 }, least: 250, most: 2250},
 	{name: "lost", lost: true, vm: anyVM, pace: steady, least: 100, most: 900},
 	{name: "unlisted", lost: true, unlisted: true, vm: anyVM, pace: steady, least: 100, most: 900},
 	{name: "rolling", rolling: true, vm: anyVM, pace: steady, least: 100, most: 900},
 }
 
+// holdTime is the time until a reservation settles.
+const holdTime = 500 * time.Millisecond
+
 // listLag is the time after which the platform's list drops a lost VM.
 const listLag = 30 * time.Second
 
@@ -110,7 +116,9 @@
 	unlist()
 	// roll restarts a VM by a planned stop.
 	roll(vm int)
-	offer(o offer, done func(admitted bool))
+	// offer offers a request; done is told how to refund it, or nil if it is
+	// refused.
+	offer(o offer, done func(refund func(tokens float64)))
 	run(d time.Duration)
 }
 
@@ -130,6 +138,9 @@
 	return true
 }
 
+// refund puts tokens back; what exceeds the top is lost.
+func (p *pot) refund(tokens float64) { p.level = min(p.top, p.level+tokens) }
+
 // static gives every VM the n-th part of rate and burst.
 type static struct {
 	n, lost int
@@ -151,13 +162,17 @@
 	}
 }
 
-func (s *static) offer(o offer, done func(bool)) {
+func (s *static) offer(o offer, done func(func(float64))) {
 	key := fmt.Sprint(o.customer, o.vm%(s.n-s.lost))
 	if s.pots[key] == nil {
 		top := burstTokens / float64(s.n)
 		s.pots[key] = &pot{level: top, top: top, rate: rateTokens / float64(s.n)}
 	}
-	done(s.pots[key].take(o.at, o.tokens))
+	if !s.pots[key].take(o.at, o.tokens) {
+		done(nil)
+		return
+	}
+	done(s.pots[key].refund)
 }
 
 // leased keeps a customer's account on one VM, which grants amounts that lapse.
@@ -189,7 +204,7 @@
 	}
 }
 
-func (l *leased) offer(o offer, done func(bool)) {
+func (l *leased) offer(o offer, done func(func(float64))) {
 	a := l.accounts[o.customer]
 	if a == nil {
 		a = &pot{level: burstTokens, top: burstTokens, rate: rateTokens}
@@ -212,11 +227,12 @@
 			g.until = o.at + grantTime
 		}
 	}
-	ok := g.left >= o.tokens
-	if ok {
-		g.left -= o.tokens
+	if g.left < o.tokens {
+		done(nil)
+		return
 	}
-	done(ok)
+	g.left -= o.tokens
+	done(a.refund)
 }
 
 // escrow is the real thing.
@@ -271,23 +287,39 @@
 
 // offer sends a request to the VM, or to the next one if it is lost: callers
 // keep several addresses.
-func (e *escrow) offer(o offer, done func(bool)) {
+func (e *escrow) offer(o offer, done func(func(float64))) {
 	n := e.f.nodes[o.vm]
 	for i := 1; n.dead || n.member.State == "draining"; i++ {
 		n = e.f.nodes[(o.vm+i)%measureVMs]
 	}
-	n.reserve(o.customer, limit.Cost{Requests: 1, Tokens: o.tokens}, func(d limit.Decision, _ int) {
-		_, ok := d.(limit.Admitted)
-		done(ok)
+	n.reserve(o.customer, limit.Cost{Requests: 1, Tokens: o.tokens}, func(d limit.Decision, admission int) {
+		a, ok := d.(limit.Admitted)
+		if !ok {
+			done(nil)
+			return
+		}
+		done(func(tokens float64) {
+			used := limit.Cost{Requests: 1, Tokens: o.tokens - tokens}
+			e.f.oracles[o.customer].settle(admission, used)
+			n.step(limit.Settle{Reservation: a.Reservation, Used: used})
+		})
 	})
 }
 
+// A due is one settlement.
+type due struct {
+	at     time.Duration
+	tokens float64
+	refund func(tokens float64)
+}
+
 // refusals returns the part of the requests that an ideal bucket admits and a
 // way refuses, in %.
 func refusals(w way, l load, part float64) float64 {
 	ideal := newStatic(1)
 	wrong, total, rolled := 0, 0, 0
 	var last time.Duration
+	var dues []due
 	if l.lost {
 		w.lose()
 	}
@@ -299,18 +331,33 @@
 		if l.unlisted && o.at >= listLag && last < listLag {
 			w.unlist()
 		}
+		for len(dues) > 0 && dues[0].at <= o.at {
+			w.run(dues[0].at - last)
+			last = dues[0].at
+			dues[0].refund(dues[0].tokens)
+			dues = dues[1:]
+		}
 		w.run(o.at - last)
 		last = o.at
+		settle := func(refund func(float64)) {
+			if refund != nil && l.unused > 0 {
+				dues = append(dues, due{at: last + holdTime, tokens: l.unused * o.tokens, refund: refund})
+			}
+		}
 		inside := false
-		ideal.offer(o, func(ok bool) { inside = ok })
+		ideal.offer(o, func(refund func(float64)) {
+			inside = refund != nil
+			settle(refund)
+		})
 		total++
 		if !inside {
 			continue
 		}
-		w.offer(o, func(ok bool) {
-			if !ok {
+		w.offer(o, func(refund func(float64)) {
+			if refund == nil {
 				wrong++
 			}
+			settle(refund)
 		})
 	}
 	w.run(time.Second)
--- a/limit/state.go
+++ b/limit/state.go
@@ -21,6 +21,7 @@
 	accounts   map[string]*account
 	gathers    map[uint64]*gather
 	asks       map[uint64]*pending
+	spent      map[uint64]*spending
 	lastAsk    uint64
 	// settling is the number of slots that are held but not active yet.
 	settling int
@@ -40,7 +41,7 @@
 	s := &State{
 		self: self, layout: layout, view: config.NewView(&config.Config{}),
 		removed: map[string]bool{}, accounts: map[string]*account{},
-		gathers: map[uint64]*gather{}, asks: map[uint64]*pending{}, lastAsk: firstAsk,
+		gathers: map[uint64]*gather{}, asks: map[uint64]*pending{}, spent: map[uint64]*spending{}, lastAsk: firstAsk,
 	}
 	for i := range layout.Shards {
 		s.shards = append(s.shards, newShard(i, layout))
--- a/limit/wire.go
+++ b/limit/wire.go
@@ -34,11 +34,13 @@
 }
 
 // A Return ends a Transfer: Amount comes back and the rest is spent, so that
-// the sender may open its room before the transfer lapses.
+// the sender may open its room before the transfer lapses. With Refund, Amount is
+// what a request did not use of what was spent.
 type Return struct {
 	ID       uint64 `cbor:"1,keyasint"`
 	Customer string `cbor:"2,keyasint"`
 	Amount   Cost   `cbor:"3,keyasint"`
+	Refund   bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // A ReturnReply answers a Return.
