--- a/internal/demo/slope_test.go
+++ b/internal/demo/slope_test.go
@@ -56,7 +56,7 @@
 func (f *fleet) peerBytes() int64 {
 	var n int64
 	for _, one := range f.vms {
-		n += one.ports[2].bytes.Load()
+		n += one.past + one.ports[peerPort].bytes.Load()
 	}
 	return n
 }
@@ -90,6 +90,7 @@
 // sent to an engine and through a VM. The difference is the VM's.
 func BenchmarkSlopeRequests(b *testing.B) {
 	f := benchFleet(b, demoVMs)
+	pause(b.Context(), settleTime)
 	for _, e := range f.engines {
 		e.SetTokenInterval(time.Nanosecond)
 		e.SetPrefillRate(1e12)
--- a/prefix/task.go
+++ b/prefix/task.go
@@ -42,6 +42,7 @@
 	inbox     chan any
 	index     *Index
 	feeds     map[string]*feed
+	readers   target.Readers
 	tried     map[string]bool
 	outboxes  map[string]*outbox
 	placement *Placement
@@ -109,18 +110,22 @@
 		case <-ticker.C:
 			t.tick(ctx, t.opts.Clock.Now())
 		case m := <-t.inbox:
-			t.take(m, t.opts.Clock.Now())
+			t.take(ctx, m, t.opts.Clock.Now())
 		}
 	}
 }
 
 // take handles one message.
-func (t *Task) take(m any, now time.Time) {
+func (t *Task) take(ctx context.Context, m any, now time.Time) {
 	switch m := m.(type) {
 	case *heldQuery:
 		m.reply <- t.index.Held(m.dst, m.keys, now)
 	case expectCommand:
 		t.index.Expect(m.engine, m.incarnation, m.weights, m.keys, now)
+	case announceCommand:
+		t.announce(ctx, m.announcement)
+	case announced:
+		t.index.Announce(m.announcement, now)
 	case feedEvent:
 		t.takeEvent(m, now)
 	case feedSnapshot:
@@ -147,8 +152,11 @@
 	t.published.Store(t.placement)
 	t.followFeeds(ctx)
 	if t.opts.States != nil {
-		for _, s := range t.opts.States() {
+		states := t.opts.States()
+		for i := range states {
+			s := &states[i]
 			t.index.Pressure(s.Target.Name, s.Report.CachePieces, s.Report.Evictions)
+			t.compare(ctx, s, now)
 		}
 	}
 	t.askSnapshots(ctx, now)
@@ -192,6 +200,15 @@
 	}
 }
 
+// Announce tells the other VMs of a prefill that this one has sent. It never
+// blocks: what the task cannot take is dropped.
+func (t *Task) Announce(a Announcement) {
+	select {
+	case t.inbox <- announceCommand{a}:
+	default:
+	}
+}
+
 // A Dump is the state of a Task for operators.
 type Dump struct {
 	Warm  bool `json:"warm"`
