Admit a request of exactly the burst, and tell when the shares count

Cause: Transfers were rounded down to whole grains, so that with 7 slots a request of exactly the burst was refused for ever. Nothing told a starting VM whether its shares counted yet. Change: What is nearly a whole share is sent exactly. Task.Warm tells that the slots that this VM can take count, or that the object API kept it waiting for 5 s.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -11,6 +11,10 @@
 // does not exceed it.
 const refillFactor = 0.9995
 
+// exactPart is the part of a full bucket above which a transfer is not rounded
+// down to whole grains: a request of the whole burst needs every part of it.
+const exactPart = 0.99
+
 // A bucket is the part of one customer's rate and burst that this VM holds.
 //
 // What it may still give out stays within its cap at every instant: the level,
@@ -139,7 +143,14 @@
 
 // hand takes out up to want for another VM and keeps its room closed.
 func (b *bucket) hand(key askKey, want Cost, until time.Time) Cost {
-	given := want.Min(b.level).grainsDown()
+	given := want.Min(b.level)
+	whole := given.grainsDown()
+	if given.Requests < exactPart*b.cap.Requests {
+		given.Requests = whole.Requests
+	}
+	if given.Tokens < exactPart*b.cap.Tokens {
+		given.Tokens = whole.Tokens
+	}
 	if given.Zero() {
 		return Cost{}
 	}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -60,6 +60,15 @@
 		mustRefuse(t, decide(f, f.nodes[1], limit.Cost{Requests: 1, Tokens: 15000}))
 		mustHold(t, f)
 	})
+	t.Run("a request of exactly the burst is admitted", func(t *testing.T) {
+		for _, requests := range []float64{1, 100} {
+			odd := config.Rate{Requests: 1, RequestBurst: requests, Tokens: 3333, TokenBurst: 9999}
+			f := newFleet(3, limit.Layout{Shards: 1, Slots: 7}, oneCustomer(odd), seed.Value())
+			f.run(20 * time.Second)
+			mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 9999}))
+			mustHold(t, f)
+		}
+	})
 	t.Run("a request above the burst is never admitted", func(t *testing.T) {
 		f := settledFleet(3, hakata)
 		d := decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 16001})
--- a/limit/loop.go
+++ b/limit/loop.go
@@ -86,6 +86,9 @@
 		l.step(Membership{Live: l.t.o.Roster.Live(), Removed: removed})
 	}
 	l.step(Tick{})
+	if !l.t.warm.Load() && l.state.Warm(now) {
+		l.t.warm.Store(true)
+	}
 }
 
 // pace returns the time until the next tick.
--- a/limit/queries.go
+++ b/limit/queries.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// warmPatience is how long a VM that starts waits for its slots.
+const warmPatience = 5 * time.Second
+
 // Bounds of Refused.RetryAfter.
 const (
 	minRetryAfter = 50 * time.Millisecond
@@ -46,6 +49,25 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
+// Warm tells whether the slots that this VM can take count, or the object API
+// has kept it waiting for too long.
+func (s *State) Warm(now time.Time) bool {
+	if s.begun.IsZero() || now.Before(s.begun) {
+		return false
+	}
+	if now.Sub(s.begun) >= warmPatience {
+		return true
+	}
+	for _, sh := range s.shards {
+		_, more := s.takeable(sh)
+		lacking := sh.listed.IsZero() || sh.active() < len(sh.held) || (more && len(sh.held) < sh.wanted)
+		if sh.wanted > 0 && lacking {
+			return false
+		}
+	}
+	return s.agreed
+}
+
 // Pending returns the number of writes of slots under way.
 func (s *State) Pending() int {
 	n := 0
--- a/limit/task.go
+++ b/limit/task.go
@@ -53,6 +53,7 @@
 	mailbox chan any
 	stopped chan struct{}
 	lastID  atomic.Uint64
+	warm    atomic.Bool
 }
 
 // Messages of the mailbox, besides events.
@@ -143,6 +144,10 @@
 	}
 }
 
+// Warm tells whether this VM has its part of the rates, as far as the object
+// API lets it.
+func (t *Task) Warm() bool { return t.warm.Load() }
+
 // Settle ends a reservation with what was really used, and refunds the rest as
 // far as the customer's burst allows.
 func (t *Task) Settle(r Reservation, used Cost) {
--- a/limit/task_test.go
+++ b/limit/task_test.go
@@ -151,6 +151,12 @@
 	})
 	t.Run("a planned stop hands the slots to others", func(t *testing.T) {
 		runCluster(t, 2, func(t *testing.T, c *cluster, tasks []*limit.Task) {
+			restarted := c.start("vm0", 2)
+			must.False(t, restarted.Warm())
+			time.Sleep(2 * time.Second)
+			must.True(t, restarted.Warm())
+			must.Eq(t, 4, mine(restarted))
+			tasks[0] = restarted
 			must.NoError(t, tasks[0].Release(t.Context()))
 			must.Eq(t, 0, mine(tasks[0]))
 			c.stop("vm0")
@@ -175,7 +181,10 @@
 		runCluster(t, 2, func(t *testing.T, c *cluster, _ []*limit.Task) {
 			c.store.SetFault(platform.Down())
 			first, second := c.start("vm0", 2), c.start("vm1", 2)
+			time.Sleep(4 * time.Second)
+			must.False(t, first.Warm())
 			time.Sleep(time.Minute)
+			must.True(t, first.Warm())
 			must.Eq(t, 0, admit(t, first, 10, 3))
 			c.store.SetFault(nil)
 			time.Sleep(3 * time.Minute)
@@ -278,3 +287,13 @@
 		}
 	})
 }
+
+func TestCostOnTheWire(t *testing.T) {
+	for _, c := range []limit.Cost{{}, {Requests: 1, Tokens: 2000}, {Requests: 1. / 7, Tokens: 9999. / 7}, {Tokens: 0.25}} {
+		data, err := cbor.Marshal(c)
+		must.NoError(t, err)
+		var got limit.Cost
+		must.NoError(t, cbor.Unmarshal(data, &got))
+		must.Eq(t, c, got)
+	}
+}
--- a/limit/wire.go
+++ b/limit/wire.go
@@ -46,22 +46,28 @@
 // A ReturnReply answers a Return.
 type ReturnReply struct{}
 
-// MarshalCBOR implements cbor.Marshaler: a cost is sent as whole grains.
+// MarshalCBOR implements cbor.Marshaler: a cost is sent as whole grains, or
+// exactly if it has none.
 func (c Cost) MarshalCBOR() ([]byte, error) {
 	c = c.clean()
-	return cbor.Marshal([2]uint64{
-		uint64(math.Round(c.Requests / requestGrain)), uint64(math.Round(c.Tokens / tokenGrain)),
-	})
+	if c != c.grainsDown() {
+		return cbor.Marshal([2]float64{c.Requests, c.Tokens})
+	}
+	return cbor.Marshal([2]uint64{uint64(c.Requests / requestGrain), uint64(c.Tokens / tokenGrain)})
 }
 
 // UnmarshalCBOR implements cbor.Unmarshaler.
 func (c *Cost) UnmarshalCBOR(data []byte) error {
 	var grains [2]uint64
-	if err := cbor.Unmarshal(data, &grains); err != nil {
+	if cbor.Unmarshal(data, &grains) == nil {
+		*c = Cost{Requests: float64(grains[0]) * requestGrain, Tokens: float64(grains[1]) * tokenGrain}
+		return nil
+	}
+	var exact [2]float64
+	if err := cbor.Unmarshal(data, &exact); err != nil {
 		return err
 	}
-	c.Requests = float64(grains[0]) * requestGrain
-	c.Tokens = float64(grains[1]) * tokenGrain
+	*c = Cost{Requests: exact[0], Tokens: exact[1]}.clean()
 	return nil
 }
 
