--- a/limit/loop.go
+++ b/limit/loop.go
@@ -86,7 +86,9 @@
 		l.step(Membership{Live: l.t.o.Roster.Live(), Listed: l.t.o.Roster.Listed(), Removed: removed})
 	}
 	l.step(Tick{})
-	l.t.warm.Store(l.state.Warm())
+	if !l.t.warm.Load() && l.state.Warm(now) {
+		l.t.warm.Store(true)
+	}
 }
 
 // pace returns the time until the next tick.
--- a/limit/shard.go
+++ b/limit/shard.go
@@ -16,9 +16,11 @@
 	relistSoon = 5 * time.Second
 	// writeRetry is the pause after a write that did not succeed.
 	writeRetry = 2 * time.Second
+	// contendedRetry is the pause after a write that found another holder.
+	contendedRetry = 250 * time.Millisecond
 	// startSpread is, for each live VM, the time over which VMs that start
 	// together spread their first reads of the store.
-	startSpread = 10 * time.Millisecond
+	startSpread = 20 * time.Millisecond
 	// joinTime is how long a VM that starts leaves slots to VMs that are listed
 	// and not heard of.
 	joinTime = 10 * time.Second
@@ -42,12 +44,11 @@
 	writing int
 	retryAt time.Time // not before: the next write
 	listAt  time.Time // not before: the next read
-	// wanted is how many slots this VM should hold.
+	// wanted is how many slots this VM should hold as the home with the given
+	// rank, or -1, among a number of homes.
 	wanted int
-	// place is this VM's rank among the homes that should hold slots, and
-	// homesWanted their number.
-	place       int
-	homesWanted int
+	rank   int
+	homes  int
 	// others is the number of slots of each other home; nil when it has to be
 	// worked out anew.
 	others  map[string]int
@@ -71,7 +72,7 @@
 }
 
 func newShard(id int, l Layout) *shard {
-	return &shard{id: id, slots: make([]slot, l.Slots), held: map[int]*holding{}, begun: map[int]int64{}, homesWanted: 1}
+	return &shard{id: id, slots: make([]slot, l.Slots), held: map[int]*holding{}, begun: map[int]int64{}}
 }
 
 // begin returns what this VM may begin with in a slot's term. A term that it
@@ -84,18 +85,6 @@
 	return inherited(l, version)
 }
 
-// preferred returns the numbers of all slots, those first that no other home
-// prefers, so that VMs that start together do not try for the same ones.
-func (sh *shard) preferred() []int {
-	order := make([]int, 0, len(sh.slots))
-	for turn := range sh.homesWanted {
-		for n := (sh.place + turn) % sh.homesWanted; n < len(sh.slots); n += sh.homesWanted {
-			order = append(order, n)
-		}
-	}
-	return order
-}
-
 // active returns the number of slots whose share counts.
 func (sh *shard) active() int {
 	n := 0
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -51,33 +51,24 @@
 	return []Effect{ListShard{Shard: sh.id}}
 }
 
-// Warm tells whether this VM holds the slots that it should, as far as they are
-// free to be taken.
-func (s *State) Warm() bool {
-	if !s.agreed || s.begun.IsZero() || s.settling > 0 {
-		return false
-	}
-	for _, sh := range s.shards {
-		if sh.wanted == 0 || len(sh.held) >= sh.wanted {
-			continue
-		}
-		if sh.listed.IsZero() || sh.writing > 0 || s.unheld(sh) {
-			return false
-		}
-	}
-	return true
-}
-
 // takeable returns a slot that belongs to nobody any more: it is free, its
 // holder has provably ended, or it belongs to an earlier process of the same
 // VM. Time proves nothing here.
 func (s *State) takeable(sh *shard) (int, bool) {
-	for _, n := range sh.preferred() {
-		if sh.held[n] == nil && sh.slots[n].known && s.ended(sh.slots[n].record.Lease) {
+	found := -1
+	for n, sl := range sh.slots {
+		if sh.held[n] != nil || !sl.known || !s.ended(sl.record.Lease) {
+			continue
+		}
+		// Homes begin with different slots, so that they do not contend.
+		if sh.homes > 0 && n%sh.homes == sh.rank {
 			return n, true
 		}
+		if found < 0 {
+			found = n
+		}
 	}
-	return 0, false
+	return found, found >= 0
 }
 
 // unheld tells whether a slot was last seen without a holder, so that another
@@ -142,13 +133,13 @@
 		sh.others = nil
 	}
 	if !e.Held {
-		sh.wrong = true
-		if e.Record.Version == 0 {
-			sh.retryAt = now.Add(writeRetry)
-			return nil
+		sh.retryAt = now.Add(writeRetry)
+		if e.Record.Version > 0 {
+			sh.retryAt = now.Add(contendedRetry)
+		} else {
+			sh.wrong = true
 		}
-		// The record shows who holds the slot, so another one can be tried.
-		return s.tend(sh, now)
+		return nil
 	}
 	l := e.Record.Lease
 	invariant.Hold(l.Holder == s.self.ID && l.Incarnation == s.self.Incarnation, "limit-slot",
@@ -242,8 +233,7 @@
 			number = max(number, min(s.expected, s.layout.Slots))
 		}
 		rank := slices.IndexFunc(homes, func(c candidate) bool { return c.id == s.self.ID })
-		sh.wanted = 0
-		sh.place, sh.homesWanted = max(rank, 0), max(number, 1)
+		sh.wanted, sh.rank, sh.homes = 0, rank, number
 		if rank >= 0 {
 			sh.wanted = s.layout.wanted(rank, number)
 		}
--- a/limit/task.go
+++ b/limit/task.go
@@ -48,12 +48,12 @@
 // A Task owns the limits of one VM: its Run is the only goroutine that touches
 // the state.
 type Task struct {
-	warm    atomic.Bool
 	o       Options
 	log     log.Logger
 	mailbox chan any
 	stopped chan struct{}
 	lastID  atomic.Uint64
+	warm    atomic.Bool
 }
 
 // Messages of the mailbox, besides events.
@@ -144,6 +144,10 @@
 	}
 }
 
+// Warm tells whether this VM has its part of the rates, as far as the object
+// API lets it.
+func (t *Task) Warm() bool { return t.warm.Load() }
+
 // Settle ends a reservation with what was really used, and refunds the rest as
 // far as the customer's burst allows.
 func (t *Task) Settle(r Reservation, used Cost) {
@@ -166,10 +170,6 @@
 	}
 }
 
-// Warm tells whether this VM holds the shares that it should, so that it
-// admits what a settled VM admits.
-func (t *Task) Warm() bool { return t.warm.Load() }
-
 // Dump returns the state for operators, a Dump.
 func (t *Task) Dump() any {
 	m := dumpRequest{reply: make(chan Dump, 1)}
