Split the keeper's watch and the checks, fuzz probes

Change: the watch, the checks of routes and of customers and the tests' store have files of their own; FuzzProbe takes probes and replies; an accusation with the largest number no longer makes this VM's number wrap around.

Conclusion: nothing changes for other packages.

--- a/config/history_test.go
+++ b/config/history_test.go
@@ -166,18 +166,3 @@
 	must.NoError(h.cluster.t, err)
 	h.cluster.mustReach(h.cluster.nodes, head.Version, time.Second)
 }
-
-// luck returns the fault of one Put: lost before it took effect, after it, or
-// none. A store that loses an answer may be away for a while after it.
-func (f *faulty) luck() (before, after bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.chance == nil {
-		return false, false
-	}
-	n := f.chance.IntN(10)
-	if n < 2 {
-		f.away = time.Now().Add(time.Second)
-	}
-	return n == 0, n == 1 || n == 2
-}
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/platform"
 )
 
 func TestPatchReachesAll(t *testing.T) {
@@ -321,3 +324,24 @@
 		c.mustReach(c.nodes, version, 20*time.Second)
 	})
 }
+
+func ExampleKeeper() {
+	k := NewKeeper(Options{Store: platform.NewMemory(), Roster: alone{}, Self: "vm"})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(ctx) }()
+
+	fmt.Printf("%T\n", k.Import(ctx, sample(2)))
+	fmt.Printf("%T\n", k.Submit(ctx, withdraw(1, 0)))
+	fmt.Printf("%T\n", k.Submit(ctx, withdraw(1, 1)))
+	_, key := k.Current().KeyByDigest(digest(0))
+	fmt.Println(k.Current().Version, key.Withdrawn)
+	cancel()
+	fmt.Println(<-ended)
+	// Output:
+	// config.PatchAccepted
+	// config.PatchAccepted
+	// config.PatchConflict
+	// 2 finish
+	// <nil>
+}
--- a/vm/members.go
+++ b/vm/members.go
@@ -127,7 +127,7 @@
 	if u.Health == Alive || u.Member.Incarnation != m.self.Incarnation {
 		return
 	}
-	if u.Member.Sequence < m.self.Sequence {
+	if u.Member.Sequence < m.self.Sequence || u.Member.Sequence == math.MaxUint64 {
 		return
 	}
 	m.self.Sequence = u.Member.Sequence + 1
--- a/vm/step_test.go
+++ b/vm/step_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
+	"github.com/baobabdyke/baobabdyke/peer"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
 
@@ -213,3 +214,38 @@
 	// serving
 	// true
 }
+
+// FuzzProbe decodes bytes as a probe and as a reply and takes them: records
+// never go back, and what is sent in turn stays bounded.
+func FuzzProbe(f *testing.F) {
+	for _, msg := range []any{
+		Probe{Beat: Beat{Incarnation: 2, Sequence: 1}, Join: true, News: []Update{{Member: record("c", 3), Health: Down, Accusers: []string{"x", "y"}}}},
+		ProbeReply{Beat: Beat{Incarnation: 1}, Want: true, News: []Update{{Member: record("a", 1), Health: Suspect}}},
+	} {
+		data, err := peer.Encode(msg)
+		must.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := knowing("b", "c")
+		before := m.self.Beat()
+		var p Probe
+		if peer.Decode(data, &p) == nil {
+			m.answer("b", p, start)
+		}
+		var r ProbeReply
+		if peer.Decode(data, &r) == nil {
+			m.probed(record("b", 1), r, start)
+		}
+		for _, e := range m.tick(start.Add(time.Hour)) {
+			if probe, ok := e.(sendProbe); ok {
+				must.LessEq(t, maxNews+1, len(probe.probe.News))
+			}
+		}
+		must.False(t, m.self.Beat().Before(before))
+		for _, id := range []string{"b", "c"} {
+			must.False(t, m.others[id].Member.Beat().Before(Beat{Incarnation: 1}))
+			must.LessEq(t, maxAccusers, len(m.others[id].Accusers))
+		}
+	})
+}
