Trust no age that may have waited in a buffer

Cause: a VM that wakes from a pause reads probes and pushes that others sent long before, and took their words for young; the same holds for answers to its own probes, and for the first newer version that it hears of.

Change: a word counts only in an answer, from the time of the question; a late answer adds nothing to the VMs in reach; a VM that was not fresh within the last two seconds and hears of a newer version is not fresh until it has it.

Measured: go test -race ./config ./vm passes with the new TestOldMessages and new cases of TestStandingFresh and TestMissedAfterPause.

Conclusion: a VM is fresh by its own clock only.

--- a/config/commands.go
+++ b/config/commands.go
@@ -43,18 +43,18 @@
 }
 
 // handlePush takes a version from another VM. One that is in force already is
-// relayed all the same, since it may have come another way.
+// relayed all the same, since it may have come another way. A push says nothing
+// on the age of its version, since it may have waited in a buffer while this VM
+// was paused.
 func (k *Keeper) handlePush(ctx context.Context, from string, p Push) (PushReply, error) {
-	now := k.opts.Clock.Now()
-	at := wordTime(now, p.Age)
 	base := k.state.Load().snap
 	snap, whole := replay(base, p.Patches)
 	if !whole || snap.version != p.Version {
-		k.send(ctx, word{version: p.Version, at: at, source: from})
+		k.send(ctx, word{version: p.Version, source: from})
 		return PushReply{Version: base.version}, nil
 	}
 	done := make(chan struct{})
-	f := fetched{snap: snap, patches: p.Patches, version: p.Version, at: at, source: from}
+	f := fetched{snap: snap, patches: p.Patches, version: p.Version, source: from}
 	k.send(ctx, adoption{fetched: f, near: p.Relay, done: done})
 	select {
 	case <-done:
@@ -96,9 +96,8 @@
 }
 
 // newPush returns the push of a version.
-func (k *Keeper) newPush(version int64, patches []Stamped) Push {
-	s := k.state.Load()
-	return Push{Version: version, Age: s.age(k.opts.Clock.Now()), Patches: patches}
+func newPush(version int64, patches []Stamped) Push {
+	return Push{Version: version, Patches: patches}
 }
 
 // pushNear pushes to the other VMs of this data centre.
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -46,6 +46,9 @@
 	commits sync.Mutex // held during a Submit
 	partial partial
 
+	// claimed is the newest version that a heartbeat named.
+	claimed atomic.Int64
+
 	reads  atomic.Int64
 	writes atomic.Int64
 	pulls  atomic.Int64
@@ -117,6 +120,9 @@
 // heard takes the word of a heartbeat. It does not block: a word that finds
 // the inbox full comes again with the next heartbeat.
 func (k *Keeper) heard(from vm.Member, w vm.Word, sent time.Time) {
+	for old := k.claimed.Load(); w.Version > old; old = k.claimed.Load() {
+		k.claimed.CompareAndSwap(old, w.Version)
+	}
 	select {
 	case k.inbox <- word{version: w.Version, at: wordTime(sent, w.Age), source: from.ID}:
 	default:
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -52,6 +52,25 @@
 	})
 }
 
+// TestOldMessages brings a VM that is cut off the messages of others, which may
+// be old: it is not fresh for having them.
+func TestOldMessages(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		lost := c.nodes[0]
+		for _, o := range c.nodes[1:] {
+			c.net.CutWay(lost.id, o.id)
+		}
+		c.store.set(func(f *faulty) { f.hide = lost.id })
+		time.Sleep(5 * time.Second)
+		for range 20 {
+			_, err := lost.keeper.handlePush(context.Background(), "vm-001", Push{Version: 1})
+			must.NoError(t, err)
+			time.Sleep(time.Second)
+			c.mustFresh(false, lost)
+		}
+	})
+}
+
 // TestCutOffFromPeers leaves VMs with the store only, one after the other: each
 // polls the store.
 func TestCutOffFromPeers(t *testing.T) {
--- a/config/message.go
+++ b/config/message.go
@@ -9,14 +9,12 @@
 	Root    string `cbor:"3,keyasint"`
 }
 
-// A Push tells a VM of a version. Patches may lack the ones that it needs. Age
-// is how long ago the object API named the version as the newest. Relay asks
-// the receiver to push it on within its data centre.
+// A Push tells a VM of a version. Patches may lack the ones that it needs.
+// Relay asks the receiver to push it on within its data centre.
 type Push struct {
-	Version int64         `cbor:"1,keyasint"`
-	Age     time.Duration `cbor:"2,keyasint"`
-	Patches []Stamped     `cbor:"3,keyasint,omitempty"`
-	Relay   bool          `cbor:"4,keyasint,omitempty"`
+	Version int64     `cbor:"1,keyasint"`
+	Patches []Stamped `cbor:"2,keyasint,omitempty"`
+	Relay   bool      `cbor:"3,keyasint,omitempty"`
 }
 
 // A PushReply tells the version that the receiver has in force.
--- a/config/message_test.go
+++ b/config/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -17,7 +18,7 @@
 	base, err := newSnapshot(cfg, emptySnapshot())
 	must.NoError(f, err)
 	for _, msg := range []any{
-		Push{Version: 3, Age: 5, Relay: true, Patches: []Stamped{{Version: 2, Patch: withdraw(1, 1), Root: "x"}}},
+		Push{Version: 3, Relay: true, Patches: []Stamped{{Version: 2, Patch: withdraw(1, 1), Root: "x"}}},
 		Pull{Have: 2, Chunks: []string{base.root, base.index[0].Digest, "none"}},
 		PullReply{Version: 9, Root: "r", Age: -1, Chunks: [][]byte{{1}}},
 		vm.Word{Version: 1 << 62, Age: vm.NoWord},
@@ -34,7 +35,7 @@
 		if peer.Decode(data, &push) == nil {
 			snap, whole := replay(c.snap, push.Patches)
 			must.True(t, !whole || snap.version >= c.snap.version)
-			c.hear(push.Version, wordTime(epoch, push.Age), "b", epoch)
+			c.hear(push.Version, time.Time{}, "b", epoch)
 		}
 		var pull Pull
 		if peer.Decode(data, &pull) == nil {
--- a/config/queries.go
+++ b/config/queries.go
@@ -15,8 +15,15 @@
 // Fresh tells whether keyed routes may be served: whether this VM can be
 // trusted not to have missed the withdrawal of a key.
 func (k *Keeper) Fresh() bool {
+	// The VMs in reach are read first: a heartbeat that adds to them has told
+	// its version before.
 	reached, listed := k.inReach()
-	return k.state.Load().fresh(reached, listed, k.opts.Clock.Now())
+	now := k.opts.Clock.Now()
+	s := k.state.Load().standing
+	if k.claimed.Load() > s.version && !s.lagging {
+		s.lagging, s.behind = true, now
+	}
+	return s.fresh(reached, listed, now)
 }
 
 // inReach returns the number of VMs in reach and of listed ones.
--- a/config/step.go
+++ b/config/step.go
@@ -13,6 +13,9 @@
 	// behindLimit is how long a VM may know of a newer version without having
 	// it in force.
 	behindLimit = 3 * time.Second
+	// goodLimit is the age up to which a VM that hears of a newer version counts
+	// as fresh from before.
+	goodLimit = 2 * time.Second
 	// patchesKept is the number of patches that are kept for other VMs.
 	patchesKept = 64
 	// maxPatchBytes is the largest patch that is kept for other VMs; they pull
@@ -34,6 +37,8 @@
 	wanted     int64
 	wantedWord time.Time
 	behind     time.Time
+	// good is when the VM last found itself fresh.
+	good time.Time
 	// source is the VM that may have the wanted version, or "" for the store.
 	source string
 }
@@ -127,20 +132,24 @@
 	confirmed time.Time
 	lagging   bool
 	behind    time.Time
+	// good is when this VM last found itself fresh.
+	good time.Time
 }
 
 func (c *core) standing() standing {
 	return standing{
 		version: c.snap.version, confirmed: c.confirmed, lagging: c.lagging(), behind: c.behind,
+		good: c.good,
 	}
 }
 
 // fresh tells whether keyed routes may be served: no newer version has been
-// known for long, and either the word of the object API is young or at least
+// known for long, or was heard of by a VM that was not fresh before, as after a
+// pause; and either the word of the object API is young or at least
 // half of the listed VMs, and one besides this VM, are in reach. The latter
 // holds in an outage of the object API, during which no key is withdrawn.
 func (s standing) fresh(reached, listed int, now time.Time) bool {
-	if s.lagging && now.Sub(s.behind) > behindLimit {
+	if s.lagging && (now.Sub(s.behind) > behindLimit || now.Sub(s.good) > goodLimit) {
 		return false
 	}
 	if s.heard(now) {
--- a/config/step_test.go
+++ b/config/step_test.go
@@ -11,7 +11,8 @@
 
 func TestStandingFresh(t *testing.T) {
 	young := standing{version: 3, confirmed: epoch}
-	behind := standing{version: 3, confirmed: epoch, lagging: true, behind: epoch}
+	behind := standing{version: 3, confirmed: epoch, lagging: true, behind: epoch, good: epoch.Add(time.Second)}
+	woken := standing{version: 3, confirmed: epoch, lagging: true, behind: epoch.Add(time.Minute), good: epoch}
 	never := standing{version: 3}
 	cases := []struct {
 		name            string
@@ -28,6 +29,7 @@
 		{"the only VM", young, 1, 1, time.Hour, true},
 		{"never a word, nobody in reach", never, 1, 9, 0, false},
 		{"never a word, all in reach", never, 9, 9, 0, true},
+		{"a newer version is known after a pause", woken, 9, 9, time.Minute, false},
 		{"a newer version is known", behind, 9, 9, behindLimit, true},
 		{"a newer version is missing for long", behind, 9, 9, behindLimit + 1, false},
 	}
--- a/config/task.go
+++ b/config/task.go
@@ -148,7 +148,7 @@
 	if l.snap.version != f.snap.version || l.pushed >= f.snap.version {
 		return
 	}
-	push := l.newPush(f.snap.version, f.patches)
+	push := newPush(f.snap.version, f.patches)
 	if near {
 		l.pushed = f.snap.version
 		do(l.ctx, &l.work, func(ctx context.Context) { l.pushNear(ctx, push) })
@@ -160,6 +160,9 @@
 
 // tick starts what is due.
 func (l *loop) tick(now time.Time) {
+	if l.Fresh() {
+		l.good = now
+	}
 	l.keepWatch(now)
 	if l.alone(now) && l.nextPoll.Sub(now) > alonePoll {
 		l.nextPoll = now
--- a/vm/commands.go
+++ b/vm/commands.go
@@ -52,7 +52,9 @@
 	}
 	select {
 	case r := <-reply:
-		t.heard(from, p.Word, t.opts.Clock.Now())
+		// The probe may have waited in a buffer while this VM was paused, so
+		// its word has no age.
+		t.heard(from, Word{Version: p.Word.Version, Age: NoWord}, t.opts.Clock.Now())
 		r.Word = t.word()
 		return r, nil
 	case <-ctx.Done():
--- a/vm/runner.go
+++ b/vm/runner.go
@@ -23,6 +23,7 @@
 // replied is the answer to a probe of this VM.
 type replied struct {
 	to    Member
+	sent  time.Time
 	reply ProbeReply
 }
 
@@ -87,7 +88,7 @@
 		return
 	}
 	r.heard(e.to.ID, reply.Word, sent)
-	r.send(replied{to: e.to, reply: reply})
+	r.send(replied{to: e.to, sent: sent, reply: reply})
 }
 
 // ask asks the helpers side by side.
--- a/vm/step.go
+++ b/vm/step.go
@@ -179,9 +179,13 @@
 	}
 }
 
-// probed takes the reply to a probe.
-func (m *members) probed(to Member, r ProbeReply, now time.Time) []effect {
-	m.note(to.ID, true, now)
+// probed takes the reply to a probe that was sent at the given time. One that
+// took far longer than its timeout waited in a buffer during a pause of this VM,
+// and does not tell that the other is in reach.
+func (m *members) probed(to Member, r ProbeReply, sent, now time.Time) []effect {
+	if now.Sub(sent) <= 2*probeTimeout {
+		m.note(to.ID, true, now)
+	}
 	if len(r.News) > maxNews+1 {
 		m.learn(r.News, now)
 	} else {
--- a/vm/step_test.go
+++ b/vm/step_test.go
@@ -86,12 +86,18 @@
 	must.Eq(t, Alive, m.health("b"), must.Sprint("a probe of its own withdraws it"))
 }
 
-// TestMissedAfterPause takes the failure of a probe that was under way during a
-// pause of this VM.
+// TestMissedAfterPause takes the failure and the late answer of a probe that was
+// under way during a pause of this VM.
 func TestMissedAfterPause(t *testing.T) {
 	m := knowing("b", "c")
 	must.SliceEmpty(t, m.missed(record("b", 1), start, start.Add(time.Minute)))
 	must.SliceNotEmpty(t, m.missed(record("b", 1), start, start.Add(probeTimeout)))
+	reply := ProbeReply{Beat: Beat{Incarnation: 1}}
+	m = knowing("b", "c")
+	m.probed(record("b", 1), reply, start, start.Add(time.Minute))
+	must.Eq(t, 1, reach(m.outcomes, 2, start.Add(time.Minute)))
+	m.probed(record("b", 1), reply, start, start.Add(probeTimeout))
+	must.Eq(t, 3, reach(m.outcomes, 2, start.Add(probeTimeout)))
 }
 
 func TestReachEstimate(t *testing.T) {
@@ -235,7 +241,7 @@
 		}
 		var r ProbeReply
 		if peer.Decode(data, &r) == nil {
-			m.probed(record("b", 1), r, start)
+			m.probed(record("b", 1), r, start, start)
 		}
 		for _, e := range m.tick(start.Add(time.Hour)) {
 			if probe, ok := e.(sendProbe); ok {
--- a/vm/task.go
+++ b/vm/task.go
@@ -111,7 +111,7 @@
 	case received:
 		msg.reply <- m.answer(msg.from, msg.probe, now)
 	case replied:
-		r.do(m.probed(msg.to, msg.reply, now))
+		r.do(m.probed(msg.to, msg.reply, msg.sent, now))
 	case failed:
 		if errors.Is(msg.err, peer.ErrWrongVM) {
 			m.replaced(msg.to, now)
