--- a/config/step_test.go
+++ b/config/step_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/vm"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -126,3 +128,12 @@
 		must.False(t, whole, must.Sprint(name))
 	}
 }
+
+// TestClaimCountsAtOnce hears of a newer version before the task has seen it:
+// a VM that was not fresh before does not become so by the same heartbeat.
+func TestClaimCountsAtOnce(t *testing.T) {
+	k := NewKeeper(Options{Roster: alone{}, Self: "vm"})
+	must.True(t, k.Fresh())
+	k.heard(vm.Member{ID: "b"}, vm.Word{Version: 9}, epoch)
+	must.False(t, k.Fresh())
+}
