--- a/vm/step_test.go
+++ b/vm/step_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
+	"github.com/baobabdyke/baobabdyke/peer"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
 
@@ -85,12 +86,18 @@
 	must.Eq(t, Alive, m.health("b"), must.Sprint("a probe of its own withdraws it"))
 }
 
-// TestMissedAfterPause takes the failure of a probe that was under way during a
-// pause of this VM.
+// TestMissedAfterPause takes the failure and the late answer of a probe that was
+// under way during a pause of this VM.
 func TestMissedAfterPause(t *testing.T) {
 	m := knowing("b", "c")
 	must.SliceEmpty(t, m.missed(record("b", 1), start, start.Add(time.Minute)))
 	must.SliceNotEmpty(t, m.missed(record("b", 1), start, start.Add(probeTimeout)))
+	reply := ProbeReply{Beat: Beat{Incarnation: 1}}
+	m = knowing("b", "c")
+	m.probed(record("b", 1), reply, start, start.Add(time.Minute))
+	must.Eq(t, 1, reach(m.outcomes, 2, start.Add(time.Minute)))
+	m.probed(record("b", 1), reply, start, start.Add(probeTimeout))
+	must.Eq(t, 3, reach(m.outcomes, 2, start.Add(probeTimeout)))
 }
 
 func TestReachEstimate(t *testing.T) {
@@ -213,3 +220,38 @@
 	// serving
 	// true
 }
+
+// FuzzProbe decodes bytes as a probe and as a reply and takes them: records
+// never go back, and what is sent in turn stays bounded.
+func FuzzProbe(f *testing.F) {
+	for _, msg := range []any{
+		Probe{Beat: Beat{Incarnation: 2, Sequence: 1}, Join: true, News: []Update{{Member: record("c", 3), Health: Down, Accusers: []string{"x", "y"}}}},
+		ProbeReply{Beat: Beat{Incarnation: 1}, Want: true, News: []Update{{Member: record("a", 1), Health: Suspect}}},
+	} {
+		data, err := peer.Encode(msg)
+		must.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := knowing("b", "c")
+		before := m.self.Beat()
+		var p Probe
+		if peer.Decode(data, &p) == nil {
+			m.answer("b", p, start)
+		}
+		var r ProbeReply
+		if peer.Decode(data, &r) == nil {
+			m.probed(record("b", 1), r, start, start)
+		}
+		for _, e := range m.tick(start.Add(time.Hour)) {
+			if probe, ok := e.(sendProbe); ok {
+				must.LessEq(t, maxNews+1, len(probe.probe.News))
+			}
+		}
+		must.False(t, m.self.Beat().Before(before))
+		for _, id := range []string{"b", "c"} {
+			must.False(t, m.others[id].Member.Beat().Before(Beat{Incarnation: 1}))
+			must.LessEq(t, maxAccusers, len(m.others[id].Accusers))
+		}
+	})
+}
