--- /dev/null
+++ b/lease/example_test.go
@@ -0,0 +1,27 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+func ExampleAcquire() {
+	ctx := context.Background()
+	store := platform.NewMemory()
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		r := lease.Request{Duty: "orders", Self: lease.Holder{ID: vm, Incarnation: 1}, Length: 15 * time.Second}
+		switch r := lease.Acquire(ctx, store, r).(type) {
+		case lease.Held:
+			fmt.Println(vm, "holds term", r.Record.Lease.Term)
+		case lease.Taken:
+			fmt.Println(vm, "finds", r.Record.Lease.Holder)
+		}
+	}
+	// Output:
+	// vm-1 holds term 1
+	// vm-2 finds vm-1
+}
