--- a/config/step_test.go
+++ b/config/step_test.go
@@ -70,6 +70,8 @@
 	must.True(t, c.adopt(versioned(t, 8), nil))
 	must.False(t, c.lagging())
 	must.Eq(t, at(7), c.confirmed, must.Sprint("the word that came with the version"))
+	must.True(t, c.adopt(versioned(t, 9), nil))
+	must.True(t, c.confirmed.IsZero(), must.Sprint("the word was of an older version"))
 }
 
 func TestKeepPatches(t *testing.T) {
@@ -101,3 +103,24 @@
 	mustSince(6+2*patchesKept-patchesKept, patchesKept, true)
 	mustSince(6+2*patchesKept-patchesKept-1, 0, false)
 }
+
+func TestReplayChecksRoots(t *testing.T) {
+	base := versioned(t, 1)
+	p := withdraw(1, 0)
+	cfg, err := Apply(base.view.Config, p)
+	must.NoError(t, err)
+	after, err := newSnapshot(cfg, base)
+	must.NoError(t, err)
+	good := Stamped{Version: 2, Patch: p, Root: after.root}
+	got, whole := replay(base, []Stamped{good})
+	must.True(t, whole)
+	must.Eq(t, 2, got.version)
+	for name, bad := range map[string]Stamped{
+		"another root": {Version: 2, Patch: p, Root: base.root},
+		"a gap":        {Version: 3, Patch: p, Root: after.root},
+		"another base": {Version: 2, Patch: withdraw(0, 0), Root: after.root},
+	} {
+		_, whole := replay(base, []Stamped{bad})
+		must.False(t, whole, must.Sprint(name))
+	}
+}
