Pause VMs and crash all of them in the whole-VM fuzz

Cause: a paused VM and a herd of restarts are among what must be survived, and the machine had neither.

Change: the machine pauses a VM's messages and store calls for up to a minute, and ends all VMs at once. It waits for the end of pauses before it asks whether all is well again.

--- a/internal/daemon/machine_test.go
+++ b/internal/daemon/machine_test.go
@@ -40,6 +40,8 @@
 	machineVMs = 3
 	// maxCallRate is the most calls a second of one VM to the others.
 	maxCallRate = 200
+	// longestPause bounds the pause of a VM.
+	longestPause = time.Minute
 	// peerDelay is the time of a message between two VMs.
 	peerDelay = time.Millisecond
 )
@@ -69,6 +71,8 @@
 	done   chan struct{}
 	dead   atomic.Bool
 	node   *peer.MemoryNode
+	// store is the process's name at the store.
+	store string
 	// calls and checked are what the process had called when it was last checked.
 	calls   int64
 	checked time.Time
@@ -98,6 +102,7 @@
 	service *fake.Service
 	engines []*fake.Engine
 	vms     []*process
+	boots   int
 	patches int
 	holds   int
 	// keys tells which secrets are in force.
@@ -107,6 +112,8 @@
 	rand  *rand.Rand
 	fault string
 	dead  map[string]bool
+	// paused tells until when calls of a process stand.
+	paused map[string]time.Time
 }
 
 func newMachine(source uint64) *machine {
@@ -119,6 +126,7 @@
 		keys:    map[string]bool{machineKeys[0]: true, machineKeys[1]: true},
 		rand:    rand.New(rand.NewPCG(source, 0)),
 		dead:    map[string]bool{},
+		paused:  map[string]time.Time{},
 		vms:     make([]*process, machineVMs),
 	}
 	m.store.SetFault(m.faultOf)
@@ -157,10 +165,9 @@
 	node := m.peers.Node(s.VM, s.Peers.Address)
 	p.node, p.checked = node, time.Now()
 	client := target.NewHTTPClient(target.HTTPOptions{Transport: m.network})
-	view := m.store.For(fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano()))
-	m.mu.Lock()
-	m.dead[s.VM] = false
-	m.mu.Unlock()
+	m.boots++
+	p.store = fmt.Sprintf("%s/%d", s.VM, m.boots)
+	view := m.store.For(p.store)
 	p.vm = New(s, Credentials{OperatorToken: []byte(testToken)}, Outside{
 		Store: view, Directory: view, Clock: platform.SystemClock{},
 		Targets: mortalClient{Client: client, p: p}, Peers: node, Calls: node,
@@ -189,11 +196,12 @@
 	if m.dead[c.From] {
 		return platform.Fault{Refuse: true}
 	}
+	f.Delay = max(f.Delay, time.Until(m.paused[c.From]))
 	switch m.fault {
 	case "down":
 		f.Refuse = true
 	case "slow":
-		f.Delay = 2 * time.Second
+		f.Delay = max(f.Delay, 2*time.Second)
 	case "lossy":
 		f.LoseAnswer = m.rand.IntN(3) == 0
 		f.LoseRequest = m.rand.IntN(6) == 0
@@ -318,11 +326,33 @@
 }
 
 // crash ends a process at once: it reaches nobody any more.
-func (m *machine) crash(t *rapid.T) {
+func (m *machine) crash(t *rapid.T) { m.kill(m.draw(t)) }
+
+// herd ends all processes at once.
+func (m *machine) herd(*rapid.T) {
+	for i := range m.vms {
+		m.kill(i)
+	}
+}
+
+// pause holds up all messages of a VM for a while, and its calls of the store.
+func (m *machine) pause(t *rapid.T) {
 	i := m.draw(t)
+	d := time.Duration(rapid.IntRange(1, int(longestPause/time.Second)).Draw(t, "paused")) * time.Second
+	m.peers.Pause(vmID(i))
+	m.mu.Lock()
+	m.paused[m.vms[i].store] = time.Now().Add(d)
+	m.mu.Unlock()
+	time.AfterFunc(d, func() { m.peers.Resume(vmID(i)) })
+}
+
+func (m *machine) kill(i int) {
 	p := m.vms[i]
 	p.dead.Store(true)
 	m.peers.Remove(vmAddress(i))
+	m.mu.Lock()
+	m.dead[p.store] = true
+	m.mu.Unlock()
 	p.cancel()
 	m.boot(i)
 }
@@ -410,6 +440,7 @@
 	for _, s := range []func(int){m.service.LoseAnswers, m.service.RefuseNext} {
 		s(0)
 	}
+	time.Sleep(longestPause)
 	time.Sleep(time.Minute)
 	for i, p := range m.vms {
 		if err := p.vm.accepting(); err != nil {
@@ -482,7 +513,7 @@
 			m.prepare(t)
 			r.Repeat(map[string]func(*rapid.T){
 				"hold": m.hold, "hold again": m.hold, "chat": m.chat, "toggle": m.toggle,
-				"crash": m.crash, "restart": m.restart, "spoil": m.spoil, "trouble": m.trouble,
+				"crash": m.crash, "herd": m.herd, "pause": m.pause, "restart": m.restart, "spoil": m.spoil, "trouble": m.trouble,
 				"pass": m.pass, "": m.check,
 			})
 			m.calm(r.Fatalf)
