Test a patch whose VM answers with an error of its own

Cause: a patch answered by a status of 500 is reported as unknown, and no test failed when that guard was removed. Change: add the case. Measured: with the guard removed, TestPatch/VM broken fails; with it, go test ./internal/cmd passes. Conclusion: each outcome of a patch has a test that bites.

--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -87,6 +87,7 @@
 		{"accepted", http.StatusOK, `{"outcome":"accepted","version":8}`},
 		{"conflict", http.StatusConflict, `{"outcome":"conflict","version":9}`},
 		{"refused", http.StatusUnprocessableEntity, `{"outcome":"refused","problems":[{"file":"patch.yaml","line":4,"field":"set.routes[0].pool","reason":"unknown pool"}]}`},
+		{"broken", http.StatusInternalServerError, `out of order`},
 		{"unknown", http.StatusServiceUnavailable, `{"outcome":"unknown","error":"store away"}`},
 	} {
 		if strings.Contains(string(body), "id: "+c.id) {
@@ -139,6 +140,7 @@
 		{name: "conflict", args: "patch testdata/patches/conflict.yaml OPERATOR", code: ExitConflict, stderr: "conflict: the current version is 9; nothing was changed"},
 		{name: "unknown", args: "patch testdata/patches/unknown.yaml OPERATOR", code: ExitUnknown, stderr: `unknown: the patch may or may not be in force \(store away\)`},
 		{name: "answer lost", args: "patch testdata/patches/cut.yaml OPERATOR", code: ExitUnknown, stderr: "unknown: the patch may or may not be in force"},
+		{name: "VM broken", args: "patch testdata/patches/broken.yaml OPERATOR", code: ExitUnknown, stderr: "unknown: .*500: out of order"},
 		{name: "refused", args: "patch testdata/patches/refused.yaml OPERATOR", code: ExitRefused, stderr: `refused, nothing was changed
 			set.routes\[0\].pool: .*unknown pool`},
 		{name: "not reached", args: "patch testdata/patches/accepted.yaml --operator 127.0.0.1:1 --token-file testdata/token", code: ExitFailure, stderr: "not sent"},
