--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/goccy/go-yaml"
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/peer"
@@ -308,6 +309,15 @@
 			b.ReportMetric(float64(time.Since(start).Nanoseconds())/replays, "replay-ns")
 			b.ReportMetric(float64(apply.Nanoseconds()), "ns/op")
 			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "state-B")
+			head := Head{}
+			for i := range int64(2 * recentPatches) {
+				named := withdraw(i, 2)
+				named.ID = "p-" + named.digest()
+				head = head.after(named, base.root)
+			}
+			value, err := encodeHead(head)
+			must.NoError(b, err)
+			b.ReportMetric(float64(len(value)), "head-B")
 			size := 0
 			for _, ref := range base.index {
 				data, _ := base.encoded(ref.Digest)
@@ -318,3 +328,19 @@
 		})
 	}
 }
+
+// BenchmarkSlopeDecode reports the time to read and validate a whole
+// configuration in YAML, by customers.
+func BenchmarkSlopeDecode(b *testing.B) {
+	for _, customers := range []int{5, 1000, 12000} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			data, err := yaml.Marshal(sample(customers))
+			must.NoError(b, err)
+			for b.Loop() {
+				_, err := Decode("c.yaml", data)
+				must.NoError(b, err)
+			}
+			b.ReportMetric(float64(len(data)), "file-B")
+		})
+	}
+}
