Ask the operators' port over TLS, show all parts

Cause: settings can give the operators' port a certificate, and the command line spoke plain HTTP only. show knew seven of the parts that a VM dumps.

--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/pem"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -178,3 +181,21 @@
 		must.Eq(t, string(want), stdout.String())
 	}
 }
+
+// TestTLS checks that the certificate of the operators' port is checked.
+func TestTLS(t *testing.T) {
+	s := httptest.NewTLSServer(http.HandlerFunc(serveOperator))
+	t.Cleanup(s.Close)
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	authority := filepath.Join(t.TempDir(), "authority.pem")
+	data := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw})
+	must.NoError(t, os.WriteFile(authority, data, 0o600))
+	address := strings.TrimPrefix(s.URL, "https://")
+	port := " --operator " + address + " --token-file testdata/token --authority "
+	runCases(t, []commandCase{
+		{name: "trusted", args: "show life" + port + authority, code: ExitFailure, stderr: "is --operator the operators' port"},
+		{name: "trusted patch", args: "patch testdata/patches/accepted.yaml" + port + authority, stdout: "accepted as version 8"},
+		{name: "no certificate", args: "show vms" + port + "testdata/token", code: ExitFailure, stderr: "holds no certificate"},
+		{name: "other authority", args: "patch testdata/patches/accepted.yaml" + port + "testdata/other.pem", code: ExitFailure, stderr: "not sent: .*certificate"},
+	})
+}
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -25,6 +27,7 @@
 type operatorArguments struct {
 	Operator  string `arg:"--operator,required,env:BAOBABDYKE_OPERATOR" placeholder:"IP:PORT" help:"operators' port of any VM"`
 	TokenFile string `arg:"--token-file,required,env:BAOBABDYKE_TOKEN_FILE" placeholder:"FILE" help:"file with the operators' token"`
+	Authority string `arg:"--authority,env:BAOBABDYKE_AUTHORITY" placeholder:"FILE" help:"certificate of the authority that signed the VM's; the port is then asked over TLS"`
 }
 
 // An operatorAnswer is what the operators' port of a VM answered.
@@ -45,13 +48,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+a.Operator+path, strings.NewReader(body))
+	scheme, transport, err := a.transport()
+	if err != nil {
+		return operatorAnswer{}, notSent(err)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, scheme+"://"+a.Operator+path, strings.NewReader(body))
 	if err != nil {
 		return operatorAnswer{}, notSent(err)
 	}
 	r.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(r)
+	resp, err := (&http.Client{Transport: transport}).Do(r)
 	if err != nil {
 		return operatorAnswer{}, classify(err)
 	}
@@ -63,10 +69,30 @@
 	return operatorAnswer{status: resp.StatusCode, body: data}, nil
 }
 
+// transport returns how the operators' port is asked: over TLS if there is an
+// authority to check its certificate with.
+func (a operatorArguments) transport() (scheme string, t *http.Transport, err error) {
+	t = &http.Transport{DisableKeepAlives: true}
+	if a.Authority == "" {
+		return "http", t, nil
+	}
+	pem, err := os.ReadFile(a.Authority)
+	if err != nil {
+		return "", nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return "", nil, eris.Errorf("authority %s holds no certificate", a.Authority)
+	}
+	t.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	return "https", t, nil
+}
+
 // classify marks errors of connections that never stood.
 func classify(err error) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var certificate *tls.CertificateVerificationError
+	if errors.As(err, &certificate) || errors.As(err, &op) && op.Op == "dial" {
 		return notSent(err)
 	}
 	return err
--- a/internal/cmd/showcmd.go
+++ b/internal/cmd/showcmd.go
@@ -11,12 +11,15 @@
 )
 
 // showPages are the values of the argument of show.
-var showPages = []string{"config", "vms", "targets", "limits", "prefixes", "leases", "claims", "dump"}
+var showPages = []string{
+	"config", "vms", "targets", "limits", "prefixes", "leases", "claims",
+	"keeper", "queue", "requests", "routes", "platform", "life", "dump",
+}
 
 // showCommand is the subcommand "show".
 type showCommand struct {
 	operatorArguments
-	Page   string `arg:"positional,required" help:"config, vms, targets, limits, prefixes, leases, claims or dump"`
+	Page   string `arg:"positional,required" help:"config, vms, targets, limits, prefixes, leases, claims, keeper, queue, requests, routes, platform, life or dump"`
 	Output string `arg:"-o,--output" default:"table" help:"json or table"`
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -49,6 +49,7 @@
 	fmt.Fprintln(w, `  curl -sN -H "Authorization: Bearer $KEY" "http://$VM/v1/chat/completions" \
     -d '{"model":"seat-verdict","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"May row 3 be held?"}]}'`)
 	fmt.Fprintln(w, `  curl -s -H "Authorization: Bearer $KEY" -H 'Idempotency-Key: order-1' "http://$VM/s/seat-hold/holds" -d '{"seat":"C12"}'`)
+	fmt.Fprintf(w, "  printf %s > token; go run . show vms --operator %s --token-file token\n", operatorToken, f.vms[0].operators)
 	<-ctx.Done()
 	return nil
 }
