Check in the demo that a restarted VM finds prompts cached

Cause: the demo restarted a VM and did not ask whether it started cold. Change: send twelve requests to the restarted VM and want 80% of their prompt tokens from caches. Whether an empty index would fall below 80% was not tried.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -141,11 +141,16 @@
 	c.until = time.Time{}
 }
 
-// chat sends a streaming chat completion. Over the rate, it waits as long as it
-// is told and sends again.
+// chat sends a streaming chat completion to the VMs to use.
 func (c *caller) chat(ctx context.Context, system, question string, tokens int) answer {
+	return patiently(ctx, func() answer { return c.chatOnce(ctx, system, question, tokens) })
+}
+
+// patiently sends a request and, over the rate, waits as long as it is told and
+// sends it again.
+func patiently(ctx context.Context, send func() answer) answer {
 	for delayed := 0; ; delayed++ {
-		a := c.chatOnce(ctx, system, question, tokens)
+		a := send()
 		a.delayed = delayed
 		seconds, err := strconv.Atoi(a.retryAfter)
 		if a.status != http.StatusTooManyRequests || err != nil || delayed == maxDelays {
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -9,9 +9,16 @@
 	"time"
 )
 
-// forceLimit bounds the time until a change of the configuration is in force on
-// every VM.
-const forceLimit = 5 * time.Second
+const (
+	// forceLimit bounds the time until a change of the configuration is in force
+	// on every VM.
+	forceLimit = 5 * time.Second
+	// warmRequests is the number of requests sent to a restarted VM.
+	warmRequests = 12
+	// warmShare is the least share of prompt tokens that a warm VM finds cached,
+	// in %.
+	warmShare = 80
+)
 
 // A show is the state of one demo.
 type show struct {
@@ -339,7 +346,29 @@
 		took = time.Since(start).Round(time.Millisecond)
 		return err
 	})
-	return fmt.Sprintf("%s ready again after %s; clerks: %s", n.id, took, clerks), errors.Join(err, clerks.err(), traders.err())
+	warm, warmErr := s.warmth(ctx, n)
+	return fmt.Sprintf("%s ready again after %s, then %.0f%% of prompt tokens from caches; clerks: %s", n.id, took, warm, clerks),
+		errors.Join(err, clerks.err(), traders.err(), warmErr)
+}
+
+// warmth sends requests of the clerks to one VM and returns the share of their
+// prompt tokens that engines took from their caches, in %.
+func (s *show) warmth(ctx context.Context, n *node) (float64, error) {
+	before, t := s.fleet.usage(), &tally{}
+	for i := range warmRequests {
+		system, question := s.hakata.prompt(i)
+		t.add(question, patiently(ctx, func() answer { return s.clerk.chatAt(ctx, n.callers, system, question, answerTokens) }))
+	}
+	after := s.fleet.usage()
+	computed := float64(after.Computed - before.Computed)
+	share := 100 - 100*computed/float64(max(after.Prompt-before.Prompt, 1))
+	if err := t.allWhole(); err != nil {
+		return share, err
+	}
+	if share < warmShare {
+		return share, fmt.Errorf("%s started cold: %.0f%% of prompt tokens from caches", n.id, share)
+	}
+	return share, nil
 }
 
 // drainVM drains the clerks' VM and checks that it cuts no request.
