--- a/prefix/slope_test.go
+++ b/prefix/slope_test.go
@@ -154,3 +154,16 @@
 	}
 	return messages, bytes
 }
+
+// BenchmarkSlopeSplit gives the time to cut a prompt of growing length.
+func BenchmarkSlopeSplit(b *testing.B) {
+	for _, pieces := range []int{1, 10, 60} {
+		b.Run(fmt.Sprint(pieces), func(b *testing.B) {
+			prompt := make([]byte, pieces*8192)
+			b.SetBytes(int64(len(prompt)))
+			for b.Loop() {
+				prefix.Split(prefix.Salt{Customer: "a"}, prompt, 8192)
+			}
+		})
+	}
+}
--- a/prefix/split.go
+++ b/prefix/split.go
@@ -1,17 +1,15 @@
 package prefix
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-
-	"lukechampine.com/blake3"
 )
 
 // BytesPerToken is the number of prompt bytes that one token stands for.
 const BytesPerToken = 4
 
 const (
-	digestBytes = 32
 	// divisionBits is the number of leading bits of a Key that all keys of one
 	// family share.
 	divisionBits  = 16
@@ -35,13 +33,13 @@
 
 // sum hashes the fields of the salt, each with its length before it, so that
 // no two salts have the same input.
-func (s Salt) sum() [digestBytes]byte {
+func (s Salt) sum() [sha256.Size]byte {
 	var input []byte
 	for _, field := range []string{s.Customer, s.Model, s.Version, s.Adapter} {
 		input = binary.AppendUvarint(input, uint64(len(field)))
 		input = append(input, field...)
 	}
-	return blake3.Sum256(input)
+	return sha256.Sum256(input)
 }
 
 // Split returns the Prompt of the given bytes, cut into pieces of piece bytes.
@@ -58,9 +56,8 @@
 		return p
 	}
 	p.Keys = make([]Key, 0, n)
-	secret := salt.sum()
-	h := blake3.New(digestBytes, secret[:])
-	var chain [digestBytes]byte
+	chain := salt.sum()
+	h := sha256.New()
 	for i := range n {
 		h.Reset()
 		_, _ = h.Write(chain[:])
@@ -73,7 +70,7 @@
 
 // chainKey returns the key of the next piece: the leading bits of the family
 // and the digest's bits after them.
-func chainKey(before []Key, digest [digestBytes]byte) Key {
+func chainKey(before []Key, digest [sha256.Size]byte) Key {
 	k := Key(binary.BigEndian.Uint64(digest[:]))
 	if len(before) == 0 {
 		return k
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -138,6 +138,17 @@
 	})
 }
 
+// A goneCaller fails every write.
+type goneCaller struct{ *httptest.ResponseRecorder }
+
+func (goneCaller) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// TestRelayGone checks that a caller that cannot be written to ends the relay.
+func TestRelayGone(t *testing.T) {
+	a := stream.NewAnswer(goneCaller{httptest.NewRecorder()}, stream.Options{Numbered: true})
+	must.Eq(t, "Gone", endOf(a.Relay(t.Context(), fixed(event(1), last(2)), nil, func() {})))
+}
+
 // TestRelayCut checks that the reason why a context ended reaches the caller.
 func TestRelayCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
