--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -17,6 +17,15 @@
 	})
 }
 
+// TestPushAlone takes the watches away: the push is there before any heartbeat.
+func TestPushAlone(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		c.store.set(func(f *faulty) { f.silent = true })
+		time.Sleep(time.Minute)
+		c.mustReach(c.nodes, c.submit(c.nodes[3], withdraw(1, 2)), 0)
+	})
+}
+
 // TestCutOff withdraws a key while one VM reaches neither the store nor a peer:
 // within five seconds that VM is not fresh, and the others have the version.
 func TestCutOff(t *testing.T) {
@@ -40,14 +49,20 @@
 	})
 }
 
-// TestCutOffFromPeers leaves a VM with the store only: it polls the store.
+// TestCutOffFromPeers leaves VMs with the store only, one after the other: each
+// polls the store.
 func TestCutOffFromPeers(t *testing.T) {
 	virtual(t, 9, func(_ *testing.T, c *cluster) {
-		c.cutOff(c.nodes[0])
-		version := c.submit(c.nodes[1], withdraw(1, 2))
-		c.mustReach(c.nodes, version, 5*time.Second)
-		time.Sleep(5 * time.Second)
-		c.mustFresh(true, c.nodes...)
+		version := int64(1)
+		for i, lost := range c.nodes {
+			c.cutOff(lost)
+			version = c.submit(c.nodes[(i+1)%9], withdraw(version, i%5))
+			c.mustReach(c.nodes, version, 5*time.Second)
+			time.Sleep(5 * time.Second)
+			c.mustFresh(true, c.nodes...)
+			c.heal(lost)
+			time.Sleep(15 * time.Second)
+		}
 	})
 }
 
@@ -195,16 +210,114 @@
 	})
 }
 
-// TestSilentWatch takes the watches' events away, and the writer before it can
-// push: the watchers' polls find the version.
+// TestSilentWatch takes the watches' events away while a patch is committed by a
+// writer that no VM hears: the watchers' polls find the version.
 func TestSilentWatch(t *testing.T) {
 	virtual(t, 9, func(_ *testing.T, c *cluster) {
-		writer := c.nodes[0]
 		c.store.set(func(f *faulty) { f.silent = true })
 		time.Sleep(time.Minute)
-		c.cutOff(writer)
-		version := c.submit(writer, withdraw(1, 2))
-		c.kill(writer)
-		c.mustReach(c.nodes[1:], version, 5*time.Second)
+		c.mustReach(c.nodes, c.outsider(withdraw(1, 2)), 3*time.Second)
+	})
+}
+
+// TestWatch lets the watch alone tell of a patch whose writer no VM hears.
+func TestWatch(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		c.mustReach(c.nodes, c.outsider(withdraw(1, 2)), 0)
+	})
+}
+
+// TestSweep collects unused chunks while the fleet goes on.
+func TestSweep(t *testing.T) {
+	virtual(t, 3, func(t *testing.T, c *cluster) {
+		version := int64(1)
+		for i := range 5 {
+			version = c.submit(c.nodes[i%3], withdraw(version, i))
+		}
+		n, err := c.nodes[0].keeper.Sweep(context.Background())
+		must.NoError(t, err)
+		must.Eq(t, 10, n, must.Sprint("a chunk and an index of every patch"))
+		c.kill(c.nodes[2])
+		c.start(c.nodes[2], 2)
+		version = c.submit(c.nodes[0], withdraw(version, 0))
+		c.mustReach(c.nodes, version, 5*time.Second)
+	})
+}
+
+// TestRegionsApart parts the VMs for an hour, with the store on one side. The
+// larger side goes on; the smaller one, which may miss a withdrawal, is not
+// fresh. When they meet again no version falls.
+func TestRegionsApart(t *testing.T) {
+	virtual(t, 5, func(t *testing.T, c *cluster) {
+		with, without := c.nodes[:3], c.nodes[3:]
+		for _, a := range with {
+			for _, b := range without {
+				c.net.Silence(a.id, b.id)
+			}
+		}
+		c.store.set(func(f *faulty) { f.hideFrom = ids(without) })
+		version := c.submit(with[0], withdraw(1, 1))
+		c.mustReach(with, version, time.Second)
+		time.Sleep(20 * time.Second)
+		c.mustFresh(true, with...)
+		c.mustFresh(false, without...)
+		for i := range int64(6) {
+			time.Sleep(10 * time.Minute)
+			version = c.submit(with[i%3], withdraw(version, int(i)%5))
+		}
+		for _, n := range without {
+			must.Eq(t, 1, n.keeper.Current().Version)
+		}
+		for _, n := range without {
+			c.heal(n)
+		}
+		c.store.set(func(f *faulty) { f.hideFrom = nil })
+		c.mustReach(c.nodes, version, 30*time.Second)
+		time.Sleep(10 * time.Second)
+		c.mustFresh(true, c.nodes...)
+	})
+}
+
+// TestRestartCutOff restarts a VM that reaches one other only, which has an old
+// version, in an outage of the store: it takes that version and is not fresh.
+func TestRestartCutOff(t *testing.T) {
+	virtual(t, 9, func(t *testing.T, c *cluster) {
+		old, lost := c.nodes[0], c.nodes[1]
+		c.cutOff(old)
+		c.store.set(func(f *faulty) { f.hideFrom = ids(c.nodes[:2]) })
+		version := c.submit(c.nodes[4], withdraw(1, 1))
+		c.kill(lost)
+		c.store.set(func(f *faulty) { f.down = true })
+		c.cutOff(lost)
+		c.net.Heal(old.id, lost.id)
+		c.start(lost, 2)
+		time.Sleep(time.Minute)
+		must.Eq(t, 1, lost.keeper.Current().Version)
+		c.mustFresh(false, old, lost)
+		c.mustFresh(true, c.nodes[2:]...)
+		c.heal(old)
+		c.heal(lost)
+		c.mustReach(c.nodes, version, 30*time.Second)
+	})
+}
+
+func ids(nodes []*node) map[string]bool {
+	set := map[string]bool{}
+	for _, n := range nodes {
+		set[n.id] = true
+	}
+	return set
+}
+
+// TestFewReads starts a VM without others whose budget of calls ends in the
+// middle of the chunks, again and again.
+func TestFewReads(t *testing.T) {
+	virtual(t, 1, func(t *testing.T, c *cluster) {
+		n := c.nodes[0]
+		version := c.submit(n, Patch{ID: "more", Base: 1, Set: items(sample(500))})
+		c.kill(n)
+		c.store.set(func(f *faulty) { f.budget = 20 })
+		c.start(n, 2)
+		c.mustReach(c.nodes, version, 20*time.Second)
 	})
 }
