Try another slot at once when one is lost to another VM

Change: go on with the next slot at once; the record of the lost one is known. Conclusion: each conflict shows one holder, so that a shard costs at most as many tries as it has slots.

--- a/limit/shard.go
+++ b/limit/shard.go
@@ -16,8 +16,6 @@
 	relistSoon = 5 * time.Second
 	// writeRetry is the pause after a write that did not succeed.
 	writeRetry = 2 * time.Second
-	// contendedRetry is the pause after a write that found another holder.
-	contendedRetry = 250 * time.Millisecond
 	// startSpread is, for each live VM, the time over which VMs that start
 	// together spread their first reads of the store.
 	startSpread = 20 * time.Millisecond
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -133,12 +133,12 @@
 		sh.others = nil
 	}
 	if !e.Held {
-		sh.retryAt = now.Add(writeRetry)
 		if e.Record.Version > 0 {
-			sh.retryAt = now.Add(contendedRetry)
-		} else {
-			sh.wrong = true
+			// The record shows who holds the slot, so another one can be tried.
+			return s.tend(sh, now)
 		}
+		sh.retryAt = now.Add(writeRetry)
+		sh.wrong = true
 		return nil
 	}
 	l := e.Record.Lease
