--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/platform"
 )
 
 func TestPatchReachesAll(t *testing.T) {
@@ -49,6 +52,25 @@
 	})
 }
 
+// TestOldMessages brings a VM that is cut off the messages of others, which may
+// be old: it is not fresh for having them.
+func TestOldMessages(t *testing.T) {
+	virtual(t, 9, func(_ *testing.T, c *cluster) {
+		lost := c.nodes[0]
+		for _, o := range c.nodes[1:] {
+			c.net.CutWay(lost.id, o.id)
+		}
+		c.store.set(func(f *faulty) { f.hide = lost.id })
+		time.Sleep(5 * time.Second)
+		for range 20 {
+			_, err := lost.keeper.handlePush(context.Background(), "vm-001", Push{Version: 1})
+			must.NoError(t, err)
+			time.Sleep(time.Second)
+			c.mustFresh(false, lost)
+		}
+	})
+}
+
 // TestCutOffFromPeers leaves VMs with the store only, one after the other: each
 // polls the store.
 func TestCutOffFromPeers(t *testing.T) {
@@ -321,3 +343,24 @@
 		c.mustReach(c.nodes, version, 20*time.Second)
 	})
 }
+
+func ExampleKeeper() {
+	k := NewKeeper(Options{Store: platform.NewMemory(), Roster: alone{}, Self: "vm"})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(ctx) }()
+
+	fmt.Printf("%T\n", k.Import(ctx, sample(2)))
+	fmt.Printf("%T\n", k.Submit(ctx, withdraw(1, 0)))
+	fmt.Printf("%T\n", k.Submit(ctx, withdraw(1, 1)))
+	_, key := k.Current().KeyByDigest(digest(0))
+	fmt.Println(k.Current().Version, key.Withdrawn)
+	cancel()
+	fmt.Println(<-ended)
+	// Output:
+	// config.PatchAccepted
+	// config.PatchAccepted
+	// config.PatchConflict
+	// 2 finish
+	// <nil>
+}
--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/pem"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -87,6 +90,7 @@
 		{"accepted", http.StatusOK, `{"outcome":"accepted","version":8}`},
 		{"conflict", http.StatusConflict, `{"outcome":"conflict","version":9}`},
 		{"refused", http.StatusUnprocessableEntity, `{"outcome":"refused","problems":[{"file":"patch.yaml","line":4,"field":"set.routes[0].pool","reason":"unknown pool"}]}`},
+		{"broken", http.StatusInternalServerError, `out of order`},
 		{"unknown", http.StatusServiceUnavailable, `{"outcome":"unknown","error":"store away"}`},
 	} {
 		if strings.Contains(string(body), "id: "+c.id) {
@@ -139,6 +143,7 @@
 		{name: "conflict", args: "patch testdata/patches/conflict.yaml OPERATOR", code: ExitConflict, stderr: "conflict: the current version is 9; nothing was changed"},
 		{name: "unknown", args: "patch testdata/patches/unknown.yaml OPERATOR", code: ExitUnknown, stderr: `unknown: the patch may or may not be in force \(store away\)`},
 		{name: "answer lost", args: "patch testdata/patches/cut.yaml OPERATOR", code: ExitUnknown, stderr: "unknown: the patch may or may not be in force"},
+		{name: "VM broken", args: "patch testdata/patches/broken.yaml OPERATOR", code: ExitUnknown, stderr: "unknown: .*500: out of order"},
 		{name: "refused", args: "patch testdata/patches/refused.yaml OPERATOR", code: ExitRefused, stderr: `refused, nothing was changed
 			set.routes\[0\].pool: .*unknown pool`},
 		{name: "not reached", args: "patch testdata/patches/accepted.yaml --operator 127.0.0.1:1 --token-file testdata/token", code: ExitFailure, stderr: "not sent"},
@@ -176,3 +181,21 @@
 		must.Eq(t, string(want), stdout.String())
 	}
 }
+
+// TestTLS checks that the certificate of the operators' port is checked.
+func TestTLS(t *testing.T) {
+	s := httptest.NewTLSServer(http.HandlerFunc(serveOperator))
+	t.Cleanup(s.Close)
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	authority := filepath.Join(t.TempDir(), "authority.pem")
+	data := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw})
+	must.NoError(t, os.WriteFile(authority, data, 0o600))
+	address := strings.TrimPrefix(s.URL, "https://")
+	port := " --operator " + address + " --token-file testdata/token --authority "
+	runCases(t, []commandCase{
+		{name: "trusted", args: "show life" + port + authority, code: ExitFailure, stderr: "is --operator the operators' port"},
+		{name: "trusted patch", args: "patch testdata/patches/accepted.yaml" + port + authority, stdout: "accepted as version 8"},
+		{name: "no certificate", args: "show vms" + port + "testdata/token", code: ExitFailure, stderr: "holds no certificate"},
+		{name: "other authority", args: "patch testdata/patches/accepted.yaml" + port + "testdata/other.pem", code: ExitFailure, stderr: "not sent: .*certificate"},
+	})
+}
--- a/internal/daemon/warm.go
+++ b/internal/daemon/warm.go
@@ -36,6 +36,8 @@
 		return eris.New("the targets' states are not known yet")
 	case !v.index.Warm():
 		return eris.New("the prefix index is not filled yet")
+	case !v.limits.Warm():
+		return eris.New("the shares of the customers' rates are not held yet")
 	}
 	return nil
 }
--- a/limit/loop.go
+++ b/limit/loop.go
@@ -83,9 +83,12 @@
 		for _, id := range l.state.Holders() {
 			removed[id] = l.t.o.Roster.Removed(id)
 		}
-		l.step(Membership{Live: l.t.o.Roster.Live(), Removed: removed})
+		l.step(Membership{Live: l.t.o.Roster.Live(), Listed: l.t.o.Roster.Listed(), Removed: removed})
 	}
 	l.step(Tick{})
+	if !l.t.warm.Load() && l.state.Warm(now) {
+		l.t.warm.Store(true)
+	}
 }
 
 // pace returns the time until the next tick.
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -55,14 +55,20 @@
 // holder has provably ended, or it belongs to an earlier process of the same
 // VM. Time proves nothing here.
 func (s *State) takeable(sh *shard) (int, bool) {
-	start := int(xxhash.Sum64String(s.self.ID) % uint64(len(sh.slots)))
-	for i := range sh.slots {
-		n := (start + i) % len(sh.slots)
-		if sh.held[n] == nil && sh.slots[n].known && s.ended(sh.slots[n].record.Lease) {
+	found := -1
+	for n, sl := range sh.slots {
+		if sh.held[n] != nil || !sl.known || !s.ended(sl.record.Lease) {
+			continue
+		}
+		// Homes begin with different slots, so that they do not contend.
+		if sh.homes > 0 && n%sh.homes == sh.rank {
 			return n, true
 		}
+		if found < 0 {
+			found = n
+		}
 	}
-	return 0, false
+	return found, found >= 0
 }
 
 // unheld tells whether a slot was last seen without a holder, so that another
@@ -127,6 +133,10 @@
 		sh.others = nil
 	}
 	if !e.Held {
+		if e.Record.Version > 0 {
+			// The record shows who holds the slot, so another one can be tried.
+			return s.tend(sh, now)
+		}
 		sh.retryAt = now.Add(writeRetry)
 		sh.wrong = true
 		return nil
@@ -202,21 +212,30 @@
 	if s.begun.IsZero() {
 		s.begun = now.Add(s.startDelay())
 	}
-	if changed {
+	joined := !now.Before(s.begun.Add(joinTime))
+	if changed || e.Listed != s.expected || joined != s.joined {
+		s.expected = e.Listed
+		s.joined = joined
 		s.rank()
 	}
 	return s.tendAll(now)
 }
 
-// rank works out how many slots of each shard this VM should hold.
+// rank works out how many slots of each shard this VM should hold. Until the
+// other VMs have had time to be heard of, it leaves slots to all that are
+// listed: a VM that is alone at first must not take all of them.
 func (s *State) rank() {
 	s.candidates = candidates(s.live)
 	for _, sh := range s.shards {
 		homes := s.layout.homes(sh.id, s.candidates)
+		number := len(homes)
+		if !s.joined {
+			number = max(number, min(s.expected, s.layout.Slots))
+		}
 		rank := slices.IndexFunc(homes, func(c candidate) bool { return c.id == s.self.ID })
-		sh.wanted = 0
+		sh.wanted, sh.rank, sh.homes = 0, rank, number
 		if rank >= 0 {
-			sh.wanted = s.layout.wanted(rank, len(homes))
+			sh.wanted = s.layout.wanted(rank, number)
 		}
 		sh.others = nil
 	}
--- a/limit/state.go
+++ b/limit/state.go
@@ -21,17 +21,22 @@
 	accounts   map[string]*account
 	gathers    map[uint64]*gather
 	asks       map[uint64]*pending
+	spent      map[uint64]*spending
 	lastAsk    uint64
 	// settling is the number of slots that are held but not active yet.
 	settling int
 	// begun is when this VM reads the store first; tended when it last looked
 	// after its slots.
-	begun   time.Time
-	tended  time.Time
-	evicted time.Time
-	agreed  bool // the fleet's layout is known
-	leaving bool
-	counts  Counts
+	begun time.Time
+	// expected is the number of VMs that the platform lists, and joined tells that
+	// they have had time to be heard of.
+	expected int
+	joined   bool
+	tended   time.Time
+	evicted  time.Time
+	agreed   bool // the fleet's layout is known
+	leaving  bool
+	counts   Counts
 }
 
 // NewState returns a State that holds nothing. The first number of its asks
@@ -40,7 +45,7 @@
 	s := &State{
 		self: self, layout: layout, view: config.NewView(&config.Config{}),
 		removed: map[string]bool{}, accounts: map[string]*account{},
-		gathers: map[uint64]*gather{}, asks: map[uint64]*pending{}, lastAsk: firstAsk,
+		gathers: map[uint64]*gather{}, asks: map[uint64]*pending{}, spent: map[uint64]*spending{}, lastAsk: firstAsk,
 	}
 	for i := range layout.Shards {
 		s.shards = append(s.shards, newShard(i, layout))
