Wait and rank in one place

Change: platform.Sleep and vm.First replace them. Measured: go vet ./... and golangci-lint are clean; go test -race -cpu 1 passes for platform, config, prefix, order, vm, target, dispatch, internal/fake and internal/daemon. Conclusion: no timer is made that has run out; one hash places duties on VMs.

--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -119,7 +119,7 @@
 	c := newCore()
 	for ctx.Err() == nil {
 		adoptNewest(ctx, k, c)
-		wait(ctx, pollBaseline/2+k.jitter(pollBaseline))
+		platform.Sleep(ctx, pollBaseline/2+k.jitter(pollBaseline))
 	}
 }
 
--- a/config/collect.go
+++ b/config/collect.go
@@ -21,7 +21,7 @@
 // More than one VM doing so would do no harm.
 func (k *Keeper) sweepAgain(ctx context.Context) {
 	for {
-		wait(ctx, sweepPeriod/2+k.jitter(sweepPeriod))
+		platform.Sleep(ctx, sweepPeriod/2+k.jitter(sweepPeriod))
 		if ctx.Err() != nil {
 			return
 		}
@@ -53,7 +53,7 @@
 		if _, done := k.opts.Store.Delete(ctx, o.Key, o.Version).(platform.Done); done {
 			n++
 		}
-		wait(ctx, deleteWait)
+		platform.Sleep(ctx, deleteWait)
 	}
 	return n, ctx.Err()
 }
--- a/config/commit.go
+++ b/config/commit.go
@@ -172,7 +172,7 @@
 		case err != nil || read.object < w.before.object:
 			// No answer, or an old state of the object API: neither tells.
 		case read.object == w.before.object:
-			wait(ctx, resolveWait)
+			platform.Sleep(ctx, resolveWait)
 			return nil
 		default:
 			return w.outcome(read.Head)
@@ -180,7 +180,7 @@
 		if ctx.Err() != nil {
 			return PatchUnknown{Err: ctx.Err()}
 		}
-		wait(ctx, resolveWait)
+		platform.Sleep(ctx, resolveWait)
 	}
 }
 
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -48,7 +48,7 @@
 	if down {
 		return platform.ErrUnavailable
 	}
-	wait(ctx, slow)
+	platform.Sleep(ctx, slow)
 	return ctx.Err()
 }
 
@@ -111,7 +111,7 @@
 
 func (s *client) Get(ctx context.Context, key string) (platform.Object, error) {
 	if s.hidden() {
-		wait(ctx, 100*time.Millisecond)
+		platform.Sleep(ctx, 100*time.Millisecond)
 		return platform.Object{}, platform.ErrUnavailable
 	}
 	return s.faulty.Get(ctx, key)
--- a/config/task.go
+++ b/config/task.go
@@ -266,17 +266,3 @@
 	}
 	return vm.Member{}, false
 }
-
-// wait waits for d or the end of ctx. It makes no timer that has run out
-// already, which the race detector does not stand in virtual time.
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/config/watch.go
+++ b/config/watch.go
@@ -51,7 +51,7 @@
 		if err == nil {
 			k.follow(ctx, events)
 		}
-		wait(ctx, retryWait+k.jitter(retryWait))
+		platform.Sleep(ctx, retryWait+k.jitter(retryWait))
 	}
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -76,7 +77,7 @@
 // this VM, waits for running answers, and gives back what this VM holds.
 func (v *VM) stop(ctx context.Context, callers, operators *http.Server) {
 	v.enter(v.life.Drain)
-	wait(ctx, v.holdTime())
+	platform.Sleep(ctx, v.holdTime())
 	shutdown, cancel := context.WithTimeout(ctx, shutdownTime)
 	defer cancel()
 	if err := callers.Shutdown(shutdown); err != nil {
@@ -91,16 +92,6 @@
 	_ = operators.Close()
 }
 
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // ignoreCancelled returns nil for the errors that a planned stop ends with.
 func ignoreCancelled(err error) error {
 	if errors.Is(err, context.Canceled) {
--- a/internal/fake/fake.go
+++ b/internal/fake/fake.go
@@ -58,21 +58,6 @@
 	abort()
 }
 
-// sleep waits for d and tells whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -148,7 +149,7 @@
 	if silent {
 		scope{life: life}.holdOpen(r.Context())
 	}
-	if !sleep(life, delay) || lost {
+	if !platform.Sleep(life, delay) || lost {
 		abort()
 	}
 	status := http.StatusCreated
--- a/order/group.go
+++ b/order/group.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabdyke/baobabdyke/invariant"
 	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -118,9 +119,9 @@
 	r := g.send(ctx, i)
 	if _, lost := r.out.(target.OrderLost); lost {
 		// The load may still run.
-		sleep(ctx, k.taken.Add(maxLifetime).Sub(g.opts.Clock.Now()))
+		platform.Sleep(ctx, k.taken.Add(maxLifetime).Sub(g.opts.Clock.Now()))
 	}
-	sleep(ctx, k.taken.Add(loadGap).Sub(g.opts.Clock.Now()))
+	platform.Sleep(ctx, k.taken.Add(loadGap).Sub(g.opts.Clock.Now()))
 	g.slots.give(context.WithoutCancel(ctx), k)
 	return r
 }
@@ -176,16 +177,3 @@
 	}
 	g.sent[name] = s
 }
-
-// sleep waits for d or for the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/prefix/feed.go
+++ b/prefix/feed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -116,7 +117,7 @@
 			t.readEvents(ctx, f, name, s.Sequence)
 			t.say(ctx, feedBroken{f, name})
 		}
-		wait(ctx, feedRetry)
+		platform.Sleep(ctx, feedRetry)
 	}
 }
 
@@ -156,15 +157,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // takeEvent passes an event to this VM's index and to the other homes.
 func (t *Task) takeEvent(m feedEvent, now time.Time) {
 	f, ev := m.feed, m.event
--- a/target/reader.go
+++ b/target/reader.go
@@ -3,22 +3,13 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
 // Reader returns the id of the VM that reads the state and the event feed of a
 // target: the one with the highest rendezvous hash.
 func Reader(live []vm.Member, name string) string {
-	var best uint64
-	var id string
-	for i := range live {
-		if score := xxhash.Sum64String(live[i].ID + "/" + name); id == "" || score > best {
-			best, id = score, live[i].ID
-		}
-	}
-	return id
+	return vm.First("reader/"+name, live)
 }
 
 // Readers remembers the reader of each target until other VMs are live. The
--- a/vm/rank.go
+++ b/vm/rank.go
@@ -18,6 +18,19 @@
 	return ranked
 }
 
+// First returns the id of the member that Rank puts first, or "" for none.
+func First(key string, members []Member) string {
+	var best uint64
+	id := ""
+	for i := range members {
+		s := score(key, members[i].ID)
+		if id == "" || s > best || s == best && members[i].ID < id {
+			best, id = s, members[i].ID
+		}
+	}
+	return id
+}
+
 func score(key, id string) uint64 {
 	return xxhash.Sum64String(key + "\x00" + id)
 }
