--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/entry"
+	"github.com/baobabdyke/baobabdyke/platform"
 )
 
 // Headers of the callers' interface.
@@ -156,7 +157,7 @@
 		if a.status != http.StatusTooManyRequests || err != nil || delayed == maxDelays {
 			return a
 		}
-		pause(ctx, time.Duration(seconds)*time.Second)
+		platform.Sleep(ctx, time.Duration(seconds)*time.Second)
 	}
 }
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -90,7 +90,7 @@
 		case status != http.StatusServiceUnavailable || ctx.Err() != nil:
 			return eris.Errorf("first configuration answered %d: %s", status, body)
 		}
-		pause(ctx, pollInterval)
+		platform.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -138,7 +138,7 @@
 			if ctx.Err() != nil {
 				return eris.Errorf("%s: %s after %s: status %d: %s", n.id, path, limit, status, strings.TrimSpace(body))
 			}
-			pause(ctx, pollInterval)
+			platform.Sleep(ctx, pollInterval)
 		}
 	}
 	return nil
