Move the models of the measures into packages of their own

Cause: The model engine, the requests of the two deployments, the baseline ways and the model of a pool lived in test files of route and queue, so that nothing but these two benchmarks could run on them.

Change: internal/workload makes the requests (Load, Loads, Arrivals). internal/model holds the engine, the schedule in virtual time, the trial with its faults and ways, and the pool with its lines. The seed and the start are arguments now. A trial gives its numbers as Figures. BenchmarkMeasureWays and BenchmarkMeasure call these packages; no behaviour changes.

Conclusion: The models can serve other programs. Neither package imports a test package. The new packages have no tests of their own: only the benchmarks run them. Figures panics for a trial in which a customer has no request after the warm-up, as before.

--- /dev/null
+++ b/internal/model/node.go
@@ -0,0 +1,59 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdyke/baobabdyke/internal/workload"
+	"github.com/baobabdyke/baobabdyke/prefix"
+	"github.com/baobabdyke/baobabdyke/route"
+	"github.com/baobabdyke/baobabdyke/target"
+)
+
+// hashDepth is the most pieces that the way by prefix hash tells apart.
+const hashDepth = 16
+
+// A node is one VM's knowledge.
+type node struct {
+	planner *route.Planner
+	index   *prefix.Index
+	states  []target.State
+	sent    []int
+	turn    int
+}
+
+func newPlanner(way string) *route.Planner {
+	if way == TTFTAlone {
+		return route.NewPlanner(route.PlannerOptions{Waste: -1})
+	}
+	return route.NewPlanner(route.PlannerOptions{})
+}
+
+func (n *node) usable(i int, excluded []string) bool {
+	return n.states[i].Life == target.LifeLive && !slices.Contains(excluded, n.states[i].Target.Name)
+}
+
+func (n *node) least(t *Trial, excluded []string) int {
+	best, least := 0, 1<<30
+	for j := range t.engines {
+		i := (j + n.turn) % len(t.engines)
+		if x := n.states[i].Report.Queued + n.states[i].Report.Running + n.sent[i]; n.usable(i, excluded) && x < least {
+			best, least = i, x
+		}
+	}
+	n.turn++
+	return best
+}
+
+func (n *node) hashed(t *Trial, a workload.Arrival, excluded []string) int {
+	best, most := 0, uint64(0)
+	k := a.Pieces[min(len(a.Pieces), hashDepth)-1]
+	for i, e := range t.engines {
+		if h := xxhash.Sum64String(fmt.Sprintf("%s/%d", e.Target.Name, k)); n.usable(i, excluded) && h > most {
+			best, most = i, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/workload/arrival.go
@@ -0,0 +1,82 @@
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdyke/baobabdyke/prefix"
+)
+
+// An Arrival is one request of a load.
+type Arrival struct {
+	// At is the time since the start of the load.
+	At time.Duration
+	// Customer is the index of the customer that sends the request.
+	Customer int
+	// Prompt holds the prompt's keys and tokens.
+	Prompt prefix.Prompt
+	// Pieces are the prompt's keys as an engine names them.
+	Pieces []uint64
+	// Output is the tokens of the answer.
+	Output int
+	// VM is the index of the VM that the request arrives at.
+	VM int
+}
+
+// Arrivals returns the requests of a load. With moving, the popular prefixes
+// are others every ten seconds.
+func (l Load) Arrivals(rng *rand.Rand, moving bool) []Arrival {
+	var list []Arrival
+	groups := rand.NewZipf(rng, 1.3, 2, uint64(l.Groups-1))
+	leaves := rand.NewZipf(rng, 1.2, 3, uint64(l.Leaves-1))
+	for at := time.Duration(0); at < Duration; at += time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second)) {
+		a := Arrival{At: at, Customer: pick(rng, l.Customers), Output: between(rng, l.Output)}
+		group, leaf := int(groups.Uint64()), int(leaves.Uint64())
+		if moving {
+			group = (group + 7*int(at/(10*time.Second))) % l.Groups
+		}
+		a.fill(l, group, leaf)
+		a.VM = (a.Customer*3 + rng.IntN(Homes)) % VMs
+		list = append(list, a)
+	}
+	return list
+}
+
+// fill sets the prompt of an arrival: the customer's base, a group and a leaf.
+func (a *Arrival) fill(l Load, group, leaf int) {
+	name := fmt.Sprintf("%s/%d", l.Name, a.Customer)
+	a.layer(name, l.Base)
+	name = fmt.Sprintf("%s/%d", name, group)
+	a.layer(name, length(name, l.GroupLen))
+	name = fmt.Sprintf("%s/%d", name, leaf)
+	a.layer(name, length(name, l.LeafLen))
+	a.Prompt.PieceTokens = PieceTokens
+	a.Prompt.Tokens = len(a.Pieces)*PieceTokens + l.Tail
+}
+
+func (a *Arrival) layer(name string, n int) {
+	for i := range n {
+		k := xxhash.Sum64String(fmt.Sprintf("%s#%d", name, i))
+		a.Pieces = append(a.Pieces, k)
+		a.Prompt.Keys = append(a.Prompt.Keys, prefix.Key(k))
+	}
+}
+
+func length(name string, bounds [2]int) int {
+	return bounds[0] + int(xxhash.Sum64String(name)%uint64(bounds[1]-bounds[0]+1))
+}
+
+func between(rng *rand.Rand, bounds [2]int) int { return bounds[0] + rng.IntN(bounds[1]-bounds[0]+1) }
+
+func pick(rng *rand.Rand, shares []float64) int {
+	x := rng.Float64()
+	for i, s := range shares {
+		if x -= s; x < 0 {
+			return i
+		}
+	}
+	return len(shares) - 1
+}
