--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -39,6 +39,7 @@
 	Show    *showCommand    `arg:"subcommand:show" help:"show the state of a VM"`
 	Drain   *drainCommand   `arg:"subcommand:drain" help:"stop a VM without cutting requests"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run VMs, targets and callers in this process"`
+	Load    *loadCommand    `arg:"subcommand:load" help:"send the requests of a modelled deployment to a fleet"`
 	StandIn *standInCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -23,8 +23,8 @@
 // A show is the state of one demo.
 type show struct {
 	fleet   *fleet
-	hakata  workload
-	saldo   workload
+	hakata  traffic
+	saldo   traffic
 	clerk   *caller
 	trader  *caller
 	holds   *caller
@@ -35,8 +35,8 @@
 func newShow(f *fleet) *show {
 	return &show{
 		fleet:   f,
-		hakata:  newWorkload("house rules", 24_000, 6, 4_000),
-		saldo:   newWorkload("catalogue brief", 32_000, 6, 8_000),
+		hakata:  newTraffic("house rules", 24_000, 6, 4_000),
+		saldo:   newTraffic("catalogue brief", 32_000, 6, 8_000),
 		clerk:   newCaller(f.callers(), hakataKey, "seat-verdict"),
 		trader:  newCaller(f.callers(), saldoKey, "condition-verdict"),
 		holds:   newCaller(f.callers(), hakataKey, "seat-hold"),
@@ -119,7 +119,7 @@
 
 // streamWarm sends requests with shared prefixes and reports which part of the
 // prompts the engines took from their caches.
-func (s *show) streamWarm(ctx context.Context, w workload, c *caller) (string, error) {
+func (s *show) streamWarm(ctx context.Context, w traffic, c *caller) (string, error) {
 	before := s.fleet.usage()
 	t := w.sendAll(ctx, c, s.sent, 40, 4)
 	s.sent += 40
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -98,17 +98,17 @@
 	return t.firsts[(len(t.firsts)-1)*p/100].Round(100 * time.Microsecond)
 }
 
-// A workload is a stream of requests that share long layered prefixes.
-type workload struct {
+// A traffic is a stream of requests that share long layered prefixes.
+type traffic struct {
 	brief   string
 	records []string
 	ask     string
 }
 
-// newWorkload returns a workload with one shared brief and several records
+// newTraffic returns a traffic with one shared brief and several records
 // behind it, of the given number of bytes each.
-func newWorkload(name string, briefBytes, records, recordBytes int) workload {
-	w := workload{brief: filler(name+" brief", briefBytes), ask: name}
+func newTraffic(name string, briefBytes, records, recordBytes int) traffic {
+	w := traffic{brief: filler(name+" brief", briefBytes), ask: name}
 	for i := range records {
 		w.records = append(w.records, filler(fmt.Sprintf("%s record %d", name, i), recordBytes))
 	}
@@ -122,12 +122,12 @@
 }
 
 // prompt returns the system part and the question of the i-th request.
-func (w workload) prompt(i int) (system, question string) {
+func (w traffic) prompt(i int) (system, question string) {
 	return w.brief + w.records[i%len(w.records)], fmt.Sprintf("%s question %d", w.ask, i)
 }
 
 // sendAll sends n requests, a few at a time, and counts the answers.
-func (w workload) sendAll(ctx context.Context, c *caller, from, n, atOnce int) *tally {
+func (w traffic) sendAll(ctx context.Context, c *caller, from, n, atOnce int) *tally {
 	t := &tally{}
 	next := make(chan int, n)
 	for i := range n {
@@ -148,7 +148,7 @@
 }
 
 // sendUntil sends requests until stop is closed and counts the answers.
-func (w workload) sendUntil(ctx context.Context, c *caller, stop <-chan struct{}, atOnce int) *tally {
+func (w traffic) sendUntil(ctx context.Context, c *caller, stop <-chan struct{}, atOnce int) *tally {
 	t := &tally{}
 	var wg sync.WaitGroup
 	for n := range atOnce {
