--- a/internal/cmd/processes_test.go
+++ b/internal/cmd/processes_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,6 +17,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fake"
 )
 
 // processVariable makes the test binary run the program instead of the tests.
@@ -26,26 +26,6 @@
 
 const processKey = "sample-key-of-the-process-test"
 
-const processPatch = `
-id: first
-base: 0
-set:
-  models:
-    - {name: kuroko, versions: [v1], piece: 64}
-  routes:
-    - {name: verdict, kind: model, pool: llm, model: kuroko, version: v1, idempotent: true, deadline: 20s, queue: 100}
-    - {name: hold, kind: service, pool: app, once: true, deadline: 20s, queue: 100}
-  customers:
-    - name: bunraku
-      keys: [{id: k1, digest: %s}]
-      rate: {requests: 500, requestburst: 500, tokens: 100000, tokenburst: 100000}
-      routes: [verdict, hold]
-  targets:
-    - {name: engine-1, kind: engine, pool: llm, address: "%s", datacentre: hakata, slots: 8}
-    - {name: engine-2, kind: engine, pool: llm, address: "%s", datacentre: kokura, slots: 8}
-    - {name: app-1, kind: service, pool: app, address: "%s", datacentre: hakata, slots: 8}
-`
-
 func TestMain(m *testing.M) {
 	if os.Getenv(processVariable) != "" {
 		os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
@@ -169,8 +149,7 @@
 // configure gives the fleet its configuration by the patch subcommand.
 func (f *processFleet) configure() {
 	f.t.Helper()
-	sum := sha256.Sum256([]byte(processKey))
-	patch := f.write("patch.yaml", fmt.Sprintf(processPatch, hex.EncodeToString(sum[:]), f.engines[0], f.engines[1], f.service))
+	patch := f.write("patch.yaml", fake.SmallPatch(processKey, [2]string{f.engines[0], f.engines[1]}, f.service))
 	f.await("the first patch", func() bool {
 		var out bytes.Buffer
 		args := []string{"patch", patch, "--operator", f.vms[0].operators(), "--token-file", filepath.Join(f.dir, "token")}
--- a/internal/daemon/machine_test.go
+++ b/internal/daemon/machine_test.go
@@ -314,13 +314,13 @@
 		}
 		return
 	}
-	g := config.Grant{Customer: "bunraku", Key: config.Key{ID: "k2", Digest: digest(secret)}}
+	g := config.Grant{Customer: "bunraku", Key: config.Key{ID: "k2", Digest: fake.Digest(secret)}}
 	// From the attempt on the key may work.
 	m.oracle.mu.Lock()
 	delete(m.oracle.withdrawn, secret)
 	m.oracle.mu.Unlock()
 	m.keys[secret] = true
-	m.submit(i, config.Patch{Grant: []config.Grant{g}, Reinstate: []string{digest(secret)}})
+	m.submit(i, config.Patch{Grant: []config.Grant{g}, Reinstate: []string{fake.Digest(secret)}})
 }
 
 // crash ends a process at once: it reaches nobody any more.
@@ -458,12 +458,12 @@
 // prepare gives the machine its configuration.
 func (m *machine) prepare(t *testing.T) {
 	t.Helper()
-	text := fmt.Sprintf(testPatch, digest(machineKeys[0]), "192.0.2.2:80", "192.0.2.3:80", "192.0.2.1:80")
+	text := fake.SmallPatch(machineKeys[0], [2]string{"192.0.2.2:80", "192.0.2.3:80"}, "192.0.2.1:80")
 	p, err := config.DecodePatch("patch", []byte(text))
 	must.NoError(t, err)
 	rate := config.Rate{Requests: oracleRate, RequestBurst: oracleBurst, Tokens: 1e6, TokenBurst: 1e6}
 	p.Set.Customers[0].Rate = rate
-	p.Set.Customers[0].Keys = append(p.Set.Customers[0].Keys, config.Key{ID: "k2", Digest: digest(machineKeys[1])})
+	p.Set.Customers[0].Keys = append(p.Set.Customers[0].Keys, config.Key{ID: "k2", Digest: fake.Digest(machineKeys[1])})
 	time.Sleep(time.Second)
 	r := m.submit(0, p)
 	_, ok := r.(config.PatchAccepted)
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,25 +26,6 @@
 const (
 	testKey   = "sample-key-of-a-customer"
 	testToken = "sample-operator-token"
-	testPatch = `
-id: first
-base: 0
-set:
-  models:
-    - {name: kuroko, versions: [v1], piece: 64}
-  routes:
-    - {name: verdict, kind: model, pool: llm, model: kuroko, version: v1, idempotent: true, deadline: 20s, queue: 100}
-    - {name: hold, kind: service, pool: app, once: true, deadline: 20s, queue: 100}
-  customers:
-    - name: bunraku
-      keys: [{id: k1, digest: %s}]
-      rate: {requests: 100, requestburst: 100, tokens: 100000, tokenburst: 100000}
-      routes: [verdict, hold]
-  targets:
-    - {name: engine-1, kind: engine, pool: llm, address: "%s", datacentre: hakata, slots: 8}
-    - {name: engine-2, kind: engine, pool: llm, address: "%s", datacentre: kokura, slots: 8}
-    - {name: app-1, kind: service, pool: app, address: "%s", datacentre: hakata, slots: 8}
-`
 )
 
 // A fleet is a number of VMs over the network before stand-ins.
@@ -66,17 +45,17 @@
 	f := &fleet{t: t, objects: platform.NewMemory(), service: fake.NewService("app-1")}
 	api := httptest.NewServer(fake.NewObjects(f.objects))
 	t.Cleanup(api.Close)
-	var addresses []any
+	var engines [2]string
 	for i := range 2 {
 		engine := fake.NewEngine(fake.EngineOptions{Name: fmt.Sprintf("engine-%d", i+1), Model: "kuroko"})
 		f.engines = append(f.engines, engine)
-		addresses = append(addresses, f.listen(engine))
+		engines[i] = f.listen(engine)
 	}
-	addresses = append(addresses, f.listen(f.service))
+	service := f.listen(f.service)
 	for i := range n {
 		f.start(i, strings.TrimPrefix(api.URL, "http://"))
 	}
-	f.patch(0, fmt.Sprintf(testPatch, append([]any{digest(testKey)}, addresses...)...))
+	f.patch(0, fake.SmallPatch(testKey, engines, service))
 	f.awaitReady()
 	f.awaitTokens()
 	return f
@@ -196,11 +175,6 @@
 	}
 }
 
-func digest(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
-}
-
 // chatBody returns a chat completion with a long shared prefix.
 func chatBody(question string, tokens int) string {
 	body, _ := json.Marshal(struct {
