Set the layout of limits in the settings

Cause: the number of shards and slots was a constant, set for nine VMs. Change: limits.shards and limits.slots, both or neither, checked; the first VM of a fleet decides as before.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -102,6 +102,7 @@
 func (v *VM) buildPromises() {
 	v.limits = limit.NewTask(limit.Options{
 		Self:   v.self,
+		Layout: limit.Layout{Shards: v.settings.Limits.Shards, Slots: v.settings.Limits.Slots},
 		Store:  v.budget.At(platform.PriorityNormal),
 		Peers:  v.outside.Peers,
 		Roster: v.members,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,7 @@
 	Platform   Platform  `yaml:"platform"`
 	Targets    Targets   `yaml:"targets"`
 	Entry      Entry     `yaml:"entry"`
+	Limits     Limits    `yaml:"limits,omitempty"`
 }
 
 // Callers are the settings of the callers' port.
@@ -85,6 +86,14 @@
 	Lag time.Duration `yaml:"lag,omitempty"`
 }
 
+// Limits are the settings of rates and bursts. Customers are divided into
+// shards, and the shares of a shard into slots. The first VM of a fleet decides;
+// zero values stand for the defaults of the limit package.
+type Limits struct {
+	Shards int `yaml:"shards,omitempty"`
+	Slots  int `yaml:"slots,omitempty"`
+}
+
 // TLS names the files of a certificate, its key and, where clients must show a
 // certificate, the authority that signs theirs.
 type TLS struct {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -43,6 +43,9 @@
 	t.Run("a name for an address", func(t *testing.T) {
 		mustSay(t, good+"entry: {ttl: -1s}\n", "entry.ttl")
 	})
+	t.Run("half of a layout", func(t *testing.T) {
+		mustSay(t, good+"limits: {shards: 4}\n", "limits", "both or neither")
+	})
 	t.Run("half of a certificate", func(t *testing.T) {
 		mustSay(t, `{callers: {address: "vm.example:80", tls: {key: k.pem}}}`, "callers.tls", `"vm.example:80" is no address`)
 	})
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -46,6 +46,8 @@
 		positive("callers.timeout", int64(s.Callers.Timeout)),
 		positive("entry.ttl", int64(s.Entry.TTL)),
 		positive("entry.lag", int64(s.Entry.Lag)),
+		{s.Limits.Shards >= 0 && s.Limits.Slots >= 0, "limits", "is negative", "numbers above zero, or none for the defaults"},
+		{(s.Limits.Shards == 0) == (s.Limits.Slots == 0), "limits", "has shards without slots, or the other way round", "both or neither"},
 		{s.Platform.Calls >= 0, "platform.calls", "is negative", "calls a second, 0 for the default"},
 	}
 }
