Show whole numbers with all their digits

Change: tables keep numbers as they came. Measured: go test -run TestShowTables ./internal/cmd: the table with an incarnation failed before (…390976) and passes now. Conclusion: an id in a table can be looked up in the logs.

--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -70,7 +70,7 @@
 	case "POST /drain":
 		w.WriteHeader(http.StatusAccepted)
 	case "GET /vms":
-		_, _ = io.WriteString(w, `[{"state":"serving","id":"vm-1","config":7},{"state":"draining","id":"vm-2","config":6}]`)
+		_, _ = io.WriteString(w, `[{"state":"serving","id":"vm-1","config":7,"incarnation":1796359783755390977},{"state":"draining","id":"vm-2","config":6}]`)
 	case "GET /limits":
 		_, _ = io.WriteString(w, `{"customers":[{"customer":"a","tokens":12.5}],"slots":3}`)
 	default:
--- a/internal/cmd/table.go
+++ b/internal/cmd/table.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,7 +20,9 @@
 // and one line for every other value.
 func printTables(w io.Writer, body []byte) error {
 	var doc document
-	if err := json.Unmarshal(body, &doc); err != nil {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.UseNumber()
+	if err := dec.Decode(&doc); err != nil {
 		return err
 	}
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -123,8 +126,8 @@
 		return emptyCell
 	case string:
 		return textCell(v)
-	case float64:
-		return strings.TrimSuffix(fmt.Sprintf("%.3f", v), ".000")
+	case json.Number:
+		return numberCell(v)
 	case []document:
 		return listCell(v)
 	default:
@@ -133,6 +136,19 @@
 	}
 }
 
+// numberCell returns a number in one cell: whole numbers with all digits, others
+// with three decimal places.
+func numberCell(n json.Number) string {
+	if _, err := n.Int64(); err == nil {
+		return n.String()
+	}
+	f, err := n.Float64()
+	if err != nil {
+		return n.String()
+	}
+	return strings.TrimSuffix(fmt.Sprintf("%.3f", f), ".000")
+}
+
 // textCell returns a text in one cell. The zero time counts as empty.
 func textCell(s string) string {
 	if s == "" || strings.HasPrefix(s, "0001-01-01T") {
