Give back what an answer did not use of its reservation

Cause: reading the change through, a request that ran settled with its whole reservation, so that an answer of 10 tokens under a limit of 500 took 500 of its customer's rate, though the page for callers says that the rest is given back. Ruled out: the limit package, which refunds what Settle names. Change: a run reports the number of its events; a complete stream settles with those, a whole answer with the usage that the engine states, all others with the reservation. Conclusion: rates count what was generated; what is not known is charged in full.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -91,7 +91,13 @@
 
 // ran ends a job of which at least a part was passed on.
 func (a *attempt) ran(complete bool, reason string) Outcome {
-	o := Ran{Target: a.choice.Target.Name, Complete: complete, Reason: reason, First: a.run.first}
+	o := Ran{
+		Target:   a.choice.Target.Name,
+		Complete: complete,
+		Reason:   reason,
+		First:    a.run.first,
+		Parts:    a.run.answer.Passed(),
+	}
 	if !complete {
 		a.run.log("ran", reason)
 		o.Cut = !a.run.answer.Fail("ran", reason)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -43,13 +43,15 @@
 // Ran reports that a target's answer was passed on. Complete tells that the
 // caller got all of it. Cut tells that the answer started and could not be
 // ended by an explicit error: the handler must abort the connection with
-// http.ErrAbortHandler.
+// http.ErrAbortHandler. Parts is the number of events that were passed on, the
+// last one included, or 1 for an answer in one piece.
 type Ran struct {
 	Target   string
 	Complete bool
 	Cut      bool
 	Reason   string
 	First    time.Duration
+	Parts    int64
 }
 
 // NotRun reports that no target ran the request. Started tells that the caller
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -11,14 +11,18 @@
 
 // An answerWriter marks an answer as run when its status is written. Event
 // streams may start before a target answers, so they carry no mark: their last
-// event tells how they ended.
+// event tells how they ended. It keeps a copy of a whole completion, for its
+// usage.
 type answerWriter struct {
 	http.ResponseWriter
 	started bool
+	keep    bool
+	copied  bytes.Buffer
 }
 
-func newAnswerWriter(w http.ResponseWriter) *answerWriter {
-	return &answerWriter{ResponseWriter: w}
+// newAnswerWriter returns a writer to w, which keeps a copy if asked to.
+func newAnswerWriter(w http.ResponseWriter, keep bool) *answerWriter {
+	return &answerWriter{ResponseWriter: w, keep: keep}
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -30,6 +34,9 @@
 // Write implements http.ResponseWriter.
 func (w *answerWriter) Write(p []byte) (int, error) {
 	w.begin()
+	if w.keep && w.copied.Len()+len(p) <= maxUsageBody {
+		w.copied.Write(p)
+	}
 	return w.ResponseWriter.Write(p)
 }
 
@@ -37,11 +44,12 @@
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 func (w *answerWriter) begin() {
-	if !w.started {
-		w.started = true
-		if !strings.HasPrefix(w.Header().Get("Content-Type"), "text/event-stream") {
-			w.Header().Set(HeaderOutcome, OutcomeRan)
-		}
+	if w.started {
+		return
+	}
+	w.started = true
+	if !strings.HasPrefix(w.Header().Get("Content-Type"), "text/event-stream") {
+		w.Header().Set(HeaderOutcome, OutcomeRan)
 	}
 }
 
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -205,6 +205,38 @@
 	mustFail(t, w, http.StatusNotFound, CodeNotFound, OutcomeNotRun)
 }
 
+func TestUsedTokens(t *testing.T) {
+	const reserved = 100
+	body := strings.Replace(chatBody, "{", `{"max_tokens":100,`, 1)
+	streamed := strings.Replace(body, "{", `{"stream":true,`, 1)
+	cases := map[string]struct {
+		body   string
+		ran    dispatch.Ran
+		answer string
+		output float64
+	}{
+		"complete stream":   {streamed, dispatch.Ran{Complete: true, Parts: 8}, "", 7},
+		"cut stream":        {streamed, dispatch.Ran{Parts: 8}, "", reserved},
+		"whole answer":      {body, dispatch.Ran{Complete: true, Parts: 1}, `{"usage":{"completion_tokens":9}}`, 9},
+		"answer too long":   {body, dispatch.Ran{Complete: true, Parts: 1}, `{"usage":{"completion_tokens":900}}`, reserved},
+		"no usage":          {body, dispatch.Ran{Complete: true, Parts: 1}, `{}`, reserved},
+		"answer of no JSON": {body, dispatch.Ran{Complete: true, Parts: 1}, `x`, reserved},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newParts()
+			p.run = func(_ context.Context, _ dispatch.Job, w http.ResponseWriter) dispatch.Outcome {
+				fmt.Fprint(w, c.answer)
+				return c.ran
+			}
+			ask(t, p.handler(), http.MethodPost, "/v1/chat/completions", c.body)
+			parsed, err := ParseCompletion([]byte(c.body))
+			must.NoError(t, err)
+			must.Eq(t, []limit.Cost{{Requests: 1, Tokens: float64(parsed.Tokens()) + c.output}}, p.used)
+		})
+	}
+}
+
 func TestDraining(t *testing.T) {
 	h := newParts().handler()
 	h.opts.Draining = func() bool { return true }
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -65,12 +65,12 @@
 
 // runOnce runs a request and maps its outcome.
 func (h *Handler) runOnce(ctx context.Context, w http.ResponseWriter, job *work) runOutcome {
-	out := newAnswerWriter(w)
+	out := newAnswerWriter(w, job.whole())
 	switch o := h.opts.Runner.Run(ctx, h.job(job), out).(type) {
 	case dispatch.Ran:
 		return runOutcome{
 			code:      codeRan,
-			used:      job.cost,
+			used:      job.used(o, out),
 			firstByte: o.First,
 			failed:    !o.Complete,
 			complete:  o.Complete,
