Measure regions that lose each other

Cause: the capacity page had no figure for two regions apart. Change: a benchmark cuts two regions for ten minutes and heals them.

--- a/vm/bench_test.go
+++ b/vm/bench_test.go
@@ -115,6 +115,55 @@
 	b.ReportMetric(f.took(time.Minute, func() bool { return sees(f.nodes, dead, false) }), "crash-s")
 }
 
+// apartTime is how long regions are apart in BenchmarkMeasureRegionsApart.
+const apartTime = 10 * time.Minute
+
+// BenchmarkMeasureRegionsApart reports what two regions that lose each other
+// spend: until each has taken the other down, the bytes a second of one VM
+// meanwhile, and until all VMs see each other again, with the bytes of that.
+func BenchmarkMeasureRegionsApart(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("vms=%d", size), func(b *testing.B) {
+			inVirtualTime(b, func(t *testing.T) {
+				f := newFleet(t, size)
+				defer f.close()
+				f.net.Latency(latency)
+				f.took(time.Minute, func() bool { return complete(f.nodes) })
+				time.Sleep(20 * time.Second)
+				f.eachWay(f.net.Cut)
+				b.ReportMetric(f.took(time.Minute, func() bool { return f.apart() }), "apart-s")
+				b.ReportMetric(f.rate(apartTime), "apart-B/s/VM")
+				f.eachWay(f.net.Heal)
+				b.ReportMetric(f.took(5*time.Minute, func() bool { return complete(f.nodes) }), "together-s")
+				b.ReportMetric(f.rate(20*time.Second), "after-B/s/VM")
+			})
+		})
+	}
+}
+
+// eachWay does something to each pair of VMs of different regions.
+func (f *fleet) eachWay(do func(a, b string)) {
+	for i, a := range f.nodes {
+		for _, o := range f.nodes[i+1:] {
+			if latency(a.self.ID, o.self.ID) > time.Millisecond {
+				do(a.self.ID, o.self.ID)
+			}
+		}
+	}
+}
+
+// apart tells whether every VM has taken all VMs of the other region down.
+func (f *fleet) apart() bool {
+	for _, n := range f.nodes {
+		for _, m := range n.Live() {
+			if latency(n.self.ID, m.ID) > time.Millisecond {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // breakWays silences one pair of VMs in n.
 func (f *fleet) breakWays(n int) {
 	rng := rand.New(rand.NewPCG(seed.Value(), 7))
