Order the role that the configuration wants of an engine

Cause: engines take orders to change their role, and the order protocol had one, but the configuration could not ask for it. Change: a target of kind engine may have a role; reports state the present one; orders bring an engine to the wanted role after its models and adapters. A role of another kind of target is refused by check. A changed role is told to the other VMs with a whole report. Measured: go test -race -cpu 1 ./order ./target ./config passes with new cases: three of four engines with another role get an order; a lost order, a lost answer and a late one lead to one change of role; a role on a service is refused. Conclusion: all four kinds of order are given; the choice of an engine does not use roles yet.

--- a/config/config.go
+++ b/config/config.go
@@ -107,4 +107,7 @@
 	Fencing bool `json:"fencing,omitempty" yaml:"fencing,omitempty"`
 	// Slots is the number of requests that the target runs at once.
 	Slots int `json:"slots,omitempty" yaml:"slots,omitempty"`
+	// Role is the role that an engine shall have, in its own words. An empty one
+	// leaves the engine's role alone.
+	Role string `json:"role,omitempty" yaml:"role,omitempty"`
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -136,6 +136,9 @@
 			c.Add(at+".address", "", "is the address of %s too", first)
 		}
 		addresses[t.Address] = at
+		if t.Role != "" && t.Kind != TargetEngine {
+			c.Add(at+".role", "none, or a target of kind engine", "is set for a %s", t.Kind)
+		}
 		if t.Slots < 0 {
 			c.Add(at+".slots", "0 or more", "is %d", t.Slots)
 		}
--- a/config/validate_test.go
+++ b/config/validate_test.go
@@ -83,6 +83,10 @@
 		{"host name", func(c *Config) { c.Targets[0].Address = "engine.local:80" }, []string{
 			`targets[e-1].address: is "engine.local:80" (permitted: an IP number and a port`,
 		}},
+		{"service with a role", func(c *Config) {
+			c.Targets[len(c.Targets)-1].Kind = TargetService
+			c.Targets[len(c.Targets)-1].Role = "prefill"
+		}, []string{"role: is set for a service (permitted: none, or a target of kind engine"}},
 		{"no port", func(c *Config) { c.Targets[0].Address = "10.0.0.1" }, []string{"address: is"}},
 		{"address used twice", func(c *Config) { c.Targets[1].Address = c.Targets[0].Address }, []string{
 			"is the address of targets[e-1] too",
--- a/internal/fake/events.go
+++ b/internal/fake/events.go
@@ -129,6 +129,7 @@
 		Incarnation: e.incarnation(),
 		Weights:     e.weights,
 		Models:      append([]target.Loaded(nil), e.loaded...),
+		Role:        e.role,
 		Queued:      e.slots.waitingCount(),
 		Running:     e.running,
 		Pending:     e.pending,
--- a/order/bench_test.go
+++ b/order/bench_test.go
@@ -136,6 +136,11 @@
 		b.mu.Lock()
 		b.loading--
 	}
+	if o.Kind == target.OrderRole {
+		e.report.Role = o.Role
+		e.done = append(e.done, o)
+		return target.OrderDone{}
+	}
 	l := target.Loaded{Model: o.Model, Version: o.Version}
 	if o.Adapter != "" {
 		l.Adapters = []string{o.Adapter}
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -55,6 +55,7 @@
 	wants := map[string]func(*bench){
 		"load":    func(b *bench) { b.want(1, "v2") },
 		"adapter": func(b *bench) { b.view.Routes[0].Adapters = []string{"a"} },
+		"role":    func(b *bench) { b.engines[b.order[0]].target.Role = "prefill" },
 	}
 	for name, f := range cases {
 		for kind, want := range wants {
@@ -215,6 +216,16 @@
 			s.Engines = s.Engines[:1]
 			s.Sent = map[string]Sent{"engine-0-0": {Open: true, Ends: now.Add(-1)}}
 		}, 0},
+		{"a role that differs", func(s *Situation) {
+			s.View = config.NewView(&config.Config{})
+			for i := range s.Engines {
+				t := *s.Engines[i].Target
+				t.Role = "prefill"
+				s.Engines[i].Target = &t
+				s.Engines[i].Report.Models = nil
+			}
+			s.Engines[0].Report.Role = "prefill"
+		}, 3},
 		{"none by a new holder", func(s *Situation) { s.Since = now }, 0},
 	}
 	for _, c := range cases {
--- a/order/plan.go
+++ b/order/plan.go
@@ -41,7 +41,7 @@
 		if !s.ready(e) {
 			continue
 		}
-		o, ok := next(s.View, e.Report, wanted[e.Target.Name])
+		o, ok := next(s.View, e, wanted[e.Target.Name])
 		if !ok {
 			continue
 		}
@@ -105,7 +105,8 @@
 }
 
 // next returns the first order that brings an engine nearer to what is wanted.
-func next(v *config.View, r target.Report, wants []Want) (target.Order, bool) {
+func next(v *config.View, e Engine, wants []Want) (target.Order, bool) {
+	r := e.Report
 	for _, w := range wants {
 		if !holds(r, w) {
 			return target.Order{Kind: target.OrderLoad, Model: w.Model, Version: w.Version}, true
@@ -118,6 +119,9 @@
 			}
 		}
 	}
+	if e.Target.Role != "" && e.Target.Role != r.Role {
+		return target.Order{Kind: target.OrderRole, Role: e.Target.Role}, true
+	}
 	for _, l := range r.Models {
 		unwanted := !slices.ContainsFunc(wants, func(w Want) bool { return w.Model == l.Model })
 		// Models that the configuration does not know are not this system's.
--- a/target/share.go
+++ b/target/share.go
@@ -56,6 +56,7 @@
 	number := func(n uint64) { _, _ = d.Write(binary.LittleEndian.AppendUint64(nil, n)) }
 	word(r.Incarnation)
 	word(r.Weights)
+	word(r.Role)
 	for i := range r.Models {
 		word(r.Models[i].Model)
 		word(r.Models[i].Version)
--- a/target/share_test.go
+++ b/target/share_test.go
@@ -20,6 +20,7 @@
 		"same report":       {Report{Incarnation: "i1", Running: 5}, true},
 		"leaves":            {Report{Incarnation: "i1", Running: 5, Leaving: true}, false},
 		"other incarnation": {Report{Incarnation: "i2", Running: 5}, false},
+		"other role":        {Report{Incarnation: "i1", Running: 5, Role: "prefill"}, false},
 		"other weights":     {Report{Incarnation: "i1", Running: 5, Weights: "w2"}, false},
 		"adapter unloaded":  {Report{Incarnation: "i1", Running: 5, Models: []Loaded{{Model: "m"}}}, false},
 	} {
--- a/target/target.go
+++ b/target/target.go
@@ -96,6 +96,7 @@
 	Incarnation string    `json:"incarnation"`
 	Weights     string    `json:"weights"`
 	Models      []Loaded  `json:"models"`
+	Role        string    `json:"role,omitempty"`
 	Queued      int       `json:"queued"`
 	Running     int       `json:"running"`
 	Pending     int       `json:"pending"`
