Keep callers' idle connections open for minutes

The demo names every VM that it tried. Measured: TestWholePath/a connection outlives the answer that named the VM failed with unexpected EOF before and passes after. Conclusion: a wait that a VM asks for no longer ends in a lost answer.

--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -4,18 +4,24 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/operator"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 )
 
+// callerIdleTime is how long a caller's idle connection stays open. A caller
+// that sends on a connection which is being closed does not know whether its
+// request ran, so callers should close idle connections first.
+const callerIdleTime = 5 * time.Minute
+
 // callerServer returns the server of the callers' port. It has no bound on the
 // time to write an answer, since answers are streams; each write has its own.
 func (v *VM) callerServer() *http.Server {
 	return &http.Server{
 		Handler:           v.callers,
 		ReadHeaderTimeout: settings.DefaultHeaderTimeout,
-		IdleTimeout:       v.settings.Entry.TTL,
+		IdleTimeout:       callerIdleTime,
 		MaxHeaderBytes:    v.settings.Callers.Header,
 	}
 }
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -237,6 +238,23 @@
 		}
 		must.False(t, f.service.Contains(testKey))
 	})
+	t.Run("a connection outlives the answer that named the VM", func(t *testing.T) {
+		var d net.Dialer
+		conn, err := d.DialContext(t.Context(), "tcp", f.vms[0].Callers.Address)
+		must.NoError(t, err)
+		defer conn.Close()
+		answers := bufio.NewReader(conn)
+		for range 2 {
+			_, err = io.WriteString(conn, "GET /entry?route=none HTTP/1.1\r\nHost: x\r\n\r\n")
+			must.NoError(t, err)
+			resp, err := http.ReadResponse(answers, nil)
+			must.NoError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			must.NoError(t, err)
+			must.NoError(t, resp.Body.Close())
+			time.Sleep(3 * f.vms[0].Entry.TTL)
+		}
+	})
 	t.Run("a planned stop ends by itself", func(t *testing.T) {
 		f.run[1].Drain()
 		must.NoError(t, <-f.stopped[1])
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -170,13 +170,16 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	var tried []error
 	for _, vm := range list {
 		a = c.chatAt(ctx, vm, system, question, tokens)
 		if a.status != 0 && a.status != http.StatusServiceUnavailable {
 			return a
 		}
+		tried = append(tried, fmt.Errorf("%s", a))
 		c.forget()
 	}
+	a.err = errors.Join(tried...)
 	return a
 }
 
