Build failures and state dumps in one place each

Cause: read through, eight places of the callers' interface built by hand the failure that notRunFailure returns, and two walked over the state dumps. Change: they call notRunFailure, and operator.Dumps.All; refuse takes the pointer that every caller had; writeFailure is not exported, as nobody else calls it. Measured: go test -race -cpu 1 ./internal/caller ./internal/operator passes with no test changed; 32 lines fewer. Conclusion: behaviour is the same.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -24,23 +24,14 @@
 
 // bodyFailure returns the Failure that fits an error of reading a body.
 func bodyFailure(err error) *Failure {
-	f := &Failure{
-		Status:  http.StatusBadRequest,
-		Code:    CodeBadRequest,
-		Message: "the body was cut off",
-		Outcome: OutcomeNotRun,
-	}
 	var tooLarge *http.MaxBytesError
 	var netError net.Error
 	switch {
 	case errors.As(err, &tooLarge):
-		f.Status = http.StatusRequestEntityTooLarge
-		f.Code = CodeTooLarge
-		f.Message = "the body is larger than this VM accepts"
+		return notRunFailure(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body is larger than this VM accepts", 0)
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &netError) && netError.Timeout():
-		f.Status = http.StatusRequestTimeout
-		f.Code = CodeTimeout
-		f.Message = "the body did not arrive in time"
+		return notRunFailure(http.StatusRequestTimeout, CodeTimeout, "the body did not arrive in time", 0)
+	default:
+		return notRunFailure(http.StatusBadRequest, CodeBadRequest, "the body was cut off", 0)
 	}
-	return f
 }
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -21,17 +21,12 @@
 func (h *Handler) chat(w http.ResponseWriter, r *http.Request) {
 	body, failure := h.readBody(w, r)
 	if failure != nil {
-		h.refuse(w, r, *failure)
+		h.refuse(w, r, failure)
 		return
 	}
 	c, err := ParseCompletion(body)
 	if err != nil {
-		h.refuse(w, r, Failure{
-			Status:  http.StatusBadRequest,
-			Code:    CodeBadRequest,
-			Message: err.Error(),
-			Outcome: OutcomeNotRun,
-		})
+		h.refuse(w, r, notRunFailure(http.StatusBadRequest, CodeBadRequest, err.Error(), 0))
 		return
 	}
 	h.serve(w, r, call{name: c.Route, kind: config.RouteModel, path: r.URL.Path, body: body, completion: &c})
--- a/internal/caller/failure.go
+++ b/internal/caller/failure.go
@@ -56,15 +56,15 @@
 }
 
 // refuse writes a Failure and counts it.
-func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, f Failure) {
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, f *Failure) {
 	h.counts.Add(f.Code)
 	id := requestID(r.Context())
 	_ = h.opts.Log.Log("msg", "refused", "request", id, "code", f.Code, "status", f.Status, "outcome", f.Outcome)
-	WriteFailure(w, id, f)
+	writeFailure(w, id, f)
 }
 
-// WriteFailure writes the one error body of the callers' interface.
-func WriteFailure(w http.ResponseWriter, id string, f Failure) {
+// writeFailure writes the one error body of the callers' interface.
+func writeFailure(w http.ResponseWriter, id string, f *Failure) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderOutcome, f.Outcome)
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -148,13 +148,7 @@
 		}
 		if h.opts.Accepting != nil {
 			if err := h.opts.Accepting(); err != nil {
-				h.refuse(w, r, Failure{
-					Status:     http.StatusServiceUnavailable,
-					Code:       CodeUnavailable,
-					Message:    err.Error(),
-					Outcome:    OutcomeNotRun,
-					RetryAfter: time.Second,
-				})
+				h.refuse(w, r, notRunFailure(http.StatusServiceUnavailable, CodeUnavailable, err.Error(), time.Second))
 				return
 			}
 		}
@@ -163,10 +157,6 @@
 }
 
 func (h *Handler) notFound(w http.ResponseWriter, r *http.Request) {
-	h.refuse(w, r, Failure{
-		Status:  http.StatusNotFound,
-		Code:    CodeNotFound,
-		Message: "there is no such path; see /entry, /v1/chat/completions and /s/<route>/",
-		Outcome: OutcomeNotRun,
-	})
+	message := "there is no such path; see /entry, /v1/chat/completions and /s/<route>/"
+	h.refuse(w, r, notRunFailure(http.StatusNotFound, CodeNotFound, message, 0))
 }
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -51,7 +51,7 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, c call) {
 	job, failure := h.prepare(r, c)
 	if failure != nil {
-		h.refuse(w, r, *failure)
+		h.refuse(w, r, failure)
 		return
 	}
 	if family := job.prompt.Family(); family != 0 {
@@ -59,7 +59,7 @@
 	}
 	reservation, failure := h.reserve(r.Context(), job)
 	if failure != nil {
-		h.refuse(w, r, *failure)
+		h.refuse(w, r, failure)
 		return
 	}
 	used := job.cost
@@ -68,7 +68,7 @@
 	leave, failure := h.enter(r.Context(), job)
 	if failure != nil {
 		used = limit.Cost{}
-		h.refuse(w, r, *failure)
+		h.refuse(w, r, failure)
 		return
 	}
 	outcome := h.run(w, r, job)
@@ -81,7 +81,7 @@
 // request ended.
 func (h *Handler) conclude(w http.ResponseWriter, r *http.Request, job *work, o runOutcome) {
 	if o.failure != nil && !o.started {
-		h.refuse(w, r, *o.failure)
+		h.refuse(w, r, o.failure)
 		return
 	}
 	h.counts.Add(o.code)
@@ -175,7 +175,7 @@
 		http.StatusForbidden:    CodeForbidden,
 		http.StatusNotFound:     CodeNotFound,
 	}
-	return &Failure{Status: d.Status, Code: codes[d.Status], Message: d.Reason, Outcome: OutcomeNotRun}
+	return notRunFailure(d.Status, codes[d.Status], d.Reason, 0)
 }
 
 // reserve takes the cost of a request from its customer's rate. Open routes
@@ -219,13 +219,7 @@
 	case queue.Entered:
 		return o.Leave, nil
 	case queue.Rejected:
-		return nil, &Failure{
-			Status:     http.StatusServiceUnavailable,
-			Code:       CodeOverload,
-			Message:    o.Reason,
-			Outcome:    OutcomeNotRun,
-			RetryAfter: max(o.RetryAfter, time.Second),
-		}
+		return nil, notRunFailure(http.StatusServiceUnavailable, CodeOverload, o.Reason, max(o.RetryAfter, time.Second))
 	default:
 		return nil, notRunFailure(http.StatusServiceUnavailable, CodeOverload, "no place", time.Second)
 	}
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -10,7 +10,7 @@
 func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
 	body, failure := h.readBody(w, r)
 	if failure != nil {
-		h.refuse(w, r, *failure)
+		h.refuse(w, r, failure)
 		return
 	}
 	h.serve(w, r, call{
--- a/internal/caller/which.go
+++ b/internal/caller/which.go
@@ -15,18 +15,14 @@
 	query := r.URL.Query()
 	family, err := parseFamily(query.Get("prefix"))
 	if err != nil {
-		h.refuse(w, r, Failure{
-			Status:  http.StatusBadRequest,
-			Code:    CodeBadRequest,
-			Message: "prefix is not a hexadecimal number of at most 16 digits",
-			Outcome: OutcomeNotRun,
-		})
+		message := "prefix is not a hexadecimal number of at most 16 digits"
+		h.refuse(w, r, notRunFailure(http.StatusBadRequest, CodeBadRequest, message, 0))
 		return
 	}
 	view := h.opts.Config.Current()
 	granted, failure := authorize(view, r, query.Get("route"))
 	if failure != nil {
-		h.refuse(w, r, *failure)
+		h.refuse(w, r, failure)
 		return
 	}
 	answer := h.opts.Placer.Answer(entryRequest(view, granted, family, h.opts.DataCentre))
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -24,14 +24,8 @@
 	})
 }
 
-// state returns the dumps of all parts by their names.
-func (v *VM) state() any {
-	all := map[string]any{}
-	for name, dump := range v.dumps() {
-		all[name] = dump()
-	}
-	return all
-}
+// state returns the states of all parts by their names.
+func (v *VM) state() any { return v.dumps().All() }
 
 // logStateBriefly writes the state of the VM to its log, or gives up: the part
 // whose invariant broke may not answer.
--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -44,8 +44,8 @@
 }
 
 // dumps returns the state dumps of all parts by the paths that show them.
-func (v *VM) dumps() map[string]operator.Dump {
-	return map[string]operator.Dump{
+func (v *VM) dumps() operator.Dumps {
+	return operator.Dumps{
 		"vms":      v.members.Dump,
 		"targets":  v.fleet.Dump,
 		"limits":   v.limits.Dump,
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -31,12 +31,24 @@
 // A Dump returns the state of one part as a value for JSON, without secrets.
 type Dump func() any
 
+// Dumps are the dumps of all parts by their names.
+type Dumps map[string]Dump
+
+// All returns the states of all parts by their names.
+func (d Dumps) All() map[string]any {
+	all := make(map[string]any, len(d))
+	for name, dump := range d {
+		all[name] = dump()
+	}
+	return all
+}
+
 // Options are the parts that a Handler shows. Dumps are named after the paths
 // that show them.
 type Options struct {
 	Token  []byte
 	Config Configuration
-	Dumps  map[string]Dump
+	Dumps  Dumps
 	Ready  func() error
 	Drain  func()
 	Log    log.Logger
@@ -126,11 +138,7 @@
 
 // dump writes the states of all parts under their names.
 func (h *Handler) dump(w http.ResponseWriter, _ *http.Request) {
-	all := make(map[string]any, len(h.opts.Dumps))
-	for name, dump := range h.opts.Dumps {
-		all[name] = dump()
-	}
-	writeJSON(w, http.StatusOK, all)
+	writeJSON(w, http.StatusOK, h.opts.Dumps.All())
 }
 
 func showDump(dump Dump) http.Handler {
