Do not let a part of a held-back answer pass for a whole one

Cause: read through, a once-only answer that broke off while it was held back was sent with the length of its part, so that the caller took it for whole before the connection was aborted. Change: only a whole answer gets its length. Measured: TestClaims/a part of an answer does not pass for a whole one: the caller read no error before, unexpected EOF after. go test -race -cpu 1 ./internal/caller passes. Conclusion: an answer that is not whole ends in an error for every caller.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -108,9 +108,10 @@
 	return http.NewResponseController(k.w).Flush()
 }
 
-// end passes on a whole answer that was held back, with its length.
-func (k *keeper) end() {
-	if !k.through && k.started {
+// end passes on what was held back, with its length if that is the whole
+// answer.
+func (k *keeper) end(complete bool) {
+	if complete && !k.through && k.started {
 		k.w.Header().Set("Content-Length", strconv.Itoa(k.body.Len()))
 	}
 	k.flush()
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -310,6 +310,25 @@
 		must.SliceEmpty(t, p.jobs)
 		must.Eq(t, []limit.Cost{{}}, p.used)
 	})
+	t.Run("a part of an answer does not pass for a whole one", func(t *testing.T) {
+		p := newParts()
+		p.run = func(_ context.Context, _ dispatch.Job, w http.ResponseWriter) dispatch.Outcome {
+			fmt.Fprint(w, "begin ")
+			return dispatch.Ran{Cut: true}
+		}
+		server := httptest.NewServer(p.handler())
+		defer server.Close()
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/s/hold/holds", strings.NewReader("{}"))
+		must.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+secret)
+		r.Header.Set(HeaderIdempotencyKey, "a")
+		resp, err := server.Client().Do(r)
+		must.NoError(t, err)
+		defer resp.Body.Close()
+		_, err = io.ReadAll(resp.Body)
+		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		must.SliceEmpty(t, p.finished)
+	})
 	t.Run("a claim that is about to end is waited for", func(t *testing.T) {
 		p := newParts()
 		h := p.handler()
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -103,7 +103,7 @@
 	outcome := h.runOnce(ctx, kept, job)
 	finish, cancelFinish := context.WithTimeout(context.WithoutCancel(r.Context()), claimedRunTime)
 	defer cancelFinish()
-	kept.end()
+	kept.end(outcome.complete)
 	h.endClaim(finish, granted.Ticket, outcome, kept)
 	return outcome
 }
