Run the fleet of the limit tests on the schedule of the models

Cause: the tests of limit had an event queue of their own, the twin of model.Schedule. Change: they embed model.Schedule, which gains Pass; their queue is gone. Conclusion: one piece of code orders events in virtual time.

--- a/internal/model/schedule.go
+++ b/internal/model/schedule.go
@@ -28,12 +28,26 @@
 // Run runs all functions that are due before a time.
 func (s *Schedule) Run(until time.Time) {
 	for len(s.items) > 0 && s.items[0].at.Before(until) {
-		item := heap.Pop(&s.items).(scheduleItem)
-		s.now = item.at
-		item.run()
+		s.next()
 	}
 }
 
+// Pass lets time go by, with all functions that are due until then.
+func (s *Schedule) Pass(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.items) > 0 && !s.items[0].at.After(end) {
+		s.next()
+	}
+	s.now = end
+}
+
+// next runs the next function.
+func (s *Schedule) next() {
+	item := heap.Pop(&s.items).(scheduleItem)
+	s.now = item.at
+	item.run()
+}
+
 type scheduleItem struct {
 	at     time.Time
 	serial int
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/baobabdyke/baobabdyke/config"
+	"github.com/baobabdyke/baobabdyke/internal/model"
 	"github.com/baobabdyke/baobabdyke/lease"
 	"github.com/baobabdyke/baobabdyke/limit"
 	"github.com/baobabdyke/baobabdyke/vm"
@@ -19,15 +19,13 @@
 // A fleet is several pure VMs in virtual time, with the messages between them
 // and the store.
 type fleet struct {
-	now      time.Time
+	*model.Schedule
 	rnd      *rand.Rand
 	layout   limit.Layout
 	view     *config.View
 	nodes    []*node
 	slots    map[string]limit.SlotRecord
 	version  int64
-	queue    timeline
-	seq      int
 	oracles  map[string]*oracle
 	cuts     map[[2]string]bool
 	latency  time.Duration // of one message
@@ -58,29 +56,9 @@
 	replies map[uint64]func(limit.Decision)
 }
 
-type timed struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type timeline []timed
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, j int) bool {
-	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
-}
-func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timeline) Push(x any)   { *t = append(*t, x.(timed)) }
-func (t *timeline) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 func newFleet(size int, layout limit.Layout, cfg *config.Config, seed uint64) *fleet {
 	f := &fleet{
-		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), rnd: rand.New(rand.NewPCG(seed, 1)),
+		Schedule: model.NewSchedule(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)), rnd: rand.New(rand.NewPCG(seed, 1)),
 		layout: layout, view: config.NewView(cfg), slots: map[string]limit.SlotRecord{},
 		oracles: map[string]*oracle{}, cuts: map[[2]string]bool{}, latency: time.Millisecond,
 	}
@@ -143,23 +121,6 @@
 	return live
 }
 
-// after runs something later in virtual time.
-func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, timed{at: f.now.Add(d), seq: f.seq, do: do})
-}
-
-// run lets virtual time pass.
-func (f *fleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		next := heap.Pop(&f.queue).(timed)
-		f.now = next.at
-		next.do()
-	}
-	f.now = end
-}
-
 // node returns the process of a VM that runs now.
 func (f *fleet) node(id string) *node {
 	i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.member.ID == id })
@@ -200,7 +161,7 @@
 	if !n.paused {
 		n.step(limit.Tick{})
 	}
-	n.f.after(250*time.Millisecond, n.tick)
+	n.f.After(250*time.Millisecond, n.tick)
 }
 
 // hurry ticks at the busy pace while requests wait for other VMs.
@@ -222,7 +183,7 @@
 	if f.slow > 0 {
 		d += time.Duration(f.rnd.Int64N(int64(f.slow)))
 	}
-	f.after(d, func() {
+	f.After(d, func() {
 		if n := f.node(to); n != nil {
 			n.deliver(func() { do(n) })
 		}
@@ -231,10 +192,10 @@
 
 // step applies an event to a VM and carries its effects out.
 func (n *node) step(e limit.Event) {
-	effects := n.s.Step(e, n.f.now)
+	effects := n.s.Step(e, n.f.Now())
 	if n.s.Busy() && !n.quick {
 		n.quick = true
-		n.f.after(10*time.Millisecond, n.hurry)
+		n.f.After(10*time.Millisecond, n.hurry)
 	}
 	for _, effect := range effects {
 		switch effect := effect.(type) {
@@ -281,7 +242,7 @@
 			listed.Slots = append(listed.Slots, r)
 		}
 	}
-	f.after(5*time.Millisecond, func() { n.deliver(func() { n.step(listed) }) })
+	f.After(5*time.Millisecond, func() { n.deliver(func() { n.step(listed) }) })
 }
 
 // write makes an update of a slot, whose answer may be lost.
@@ -289,7 +250,7 @@
 	f := n.f
 	f.calls++
 	f.writes++
-	f.after(5*time.Millisecond, func() {
+	f.After(5*time.Millisecond, func() {
 		w := limit.SlotWritten{Shard: shard, Slot: slot, Record: limit.SlotRecord{Slot: slot}}
 		key := fmt.Sprint(shard, "/", slot)
 		if r := f.slots[key]; !f.storeOff {
@@ -302,7 +263,7 @@
 				w.Held = w.Record.Lease.HeldBy(n.holder())
 			}
 		}
-		f.after(5*time.Millisecond, func() { n.deliver(func() { n.step(w) }) })
+		f.After(5*time.Millisecond, func() { n.deliver(func() { n.step(w) }) })
 	})
 }
 
@@ -313,7 +274,7 @@
 	n.replies[id] = func(d limit.Decision) {
 		number := -1
 		if _, ok := d.(limit.Admitted); ok {
-			number = n.f.oracles[customer].admit(n.f.now, c)
+			number = n.f.oracles[customer].admit(n.f.Now(), c)
 		}
 		done(d, number)
 	}
@@ -336,8 +297,8 @@
 		n.view = v
 		n.step(limit.Configured{View: v})
 		n.f.inForce(true)
-		n.f.patched = n.f.now
-		n.f.after(settleTime, func() { n.f.inForce(n.f.now.Sub(n.f.patched) < settleTime) })
+		n.f.patched = n.f.Now()
+		n.f.After(settleTime, func() { n.f.inForce(n.f.Now().Sub(n.f.patched) < settleTime) })
 	})
 }
 
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -20,7 +20,7 @@
 // settledFleet returns a fleet whose slots are held and whose buckets are full.
 func settledFleet(size int, r config.Rate) *fleet {
 	f := newFleet(size, limit.Layout{Shards: 1, Slots: 8}, oneCustomer(r), seed.Value())
-	f.run(20 * time.Second)
+	f.Pass(20 * time.Second)
 	return f
 }
 
@@ -28,7 +28,7 @@
 func decide(f *fleet, n *node, c limit.Cost) limit.Decision {
 	var decision limit.Decision
 	n.reserve("hakata", c, func(d limit.Decision, _ int) { decision = d })
-	f.run(200 * time.Millisecond)
+	f.Pass(200 * time.Millisecond)
 	return decision
 }
 
@@ -64,7 +64,7 @@
 		for _, requests := range []float64{1, 100} {
 			odd := config.Rate{Requests: 1, RequestBurst: requests, Tokens: 3333, TokenBurst: 9999}
 			f := newFleet(3, limit.Layout{Shards: 1, Slots: 7}, oneCustomer(odd), seed.Value())
-			f.run(20 * time.Second)
+			f.Pass(20 * time.Second)
 			mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 9999}))
 			mustHold(t, f)
 		}
@@ -82,7 +82,7 @@
 		f := settledFleet(8, hakata)
 		mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 15900}))
 		after := mustRefuse(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 8000}))
-		f.run(after + 50*time.Millisecond)
+		f.Pass(after + 50*time.Millisecond)
 		mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 8000}))
 		mustHold(t, f)
 	})
@@ -94,7 +94,7 @@
 	return func(n *node, tokens float64) limit.Decision {
 		var decision limit.Decision
 		n.reserve("hakata", limit.Cost{Requests: 1, Tokens: tokens}, func(d limit.Decision, _ int) { decision = d })
-		f.run(d)
+		f.Pass(d)
 		return decision
 	}
 }
@@ -112,7 +112,7 @@
 		f.nodes[1].paused = true
 		within(f, 35*time.Millisecond)(f.nodes[0], 16000)
 		f.nodes[1].resume()
-		f.run(2 * time.Millisecond)
+		f.Pass(2 * time.Millisecond)
 		must.Eq(t, 1, len(f.oracles["hakata"].admissions))
 		mustRefuse(t, within(f, 0)(f.nodes[0], 100))
 	})
@@ -127,24 +127,24 @@
 		n := f.nodes[0]
 		n.reserve("hakata", limit.Cost{Requests: 1, Tokens: 9000}, func(d limit.Decision, _ int) { mustRefuse(t, d) })
 		n.paused = true
-		f.run(time.Second)
+		f.Pass(time.Second)
 		n.resume()
 		mustHold(t, f)
-		must.Eq(t, int64(1), n.s.Dump(f.now).Counts.Late)
-		must.Eq(t, 8000, n.s.Dump(f.now).Accounts[0].Level.Tokens)
+		must.Eq(t, int64(1), n.s.Dump(f.Now()).Counts.Late)
+		must.Eq(t, 8000, n.s.Dump(f.Now()).Accounts[0].Level.Tokens)
 	})
 	t.Run("a piece that grows old in a gather is not spent", func(t *testing.T) {
 		f := newFleet(3, limit.Layout{Shards: 1, Slots: 6}, oneCustomer(hakata), seed.Value())
-		f.run(20 * time.Second)
+		f.Pass(20 * time.Second)
 		n, second := f.nodes[0], f.nodes[1]
 		second.step(limit.Asked{From: "vm99", Ask: limit.Ask{ID: 1, Customer: "hakata", Need: limit.Cost{Tokens: 3000}}})
 		n.reserve("hakata", limit.Cost{Requests: 1, Tokens: 12000}, func(d limit.Decision, _ int) { mustRefuse(t, d) })
-		f.run(3 * time.Millisecond)
-		must.Eq(t, int64(3), n.s.Dump(f.now).Counts.Asks)
+		f.Pass(3 * time.Millisecond)
+		must.Eq(t, int64(3), n.s.Dump(f.Now()).Counts.Asks)
 		n.paused = true
-		f.run(198 * time.Millisecond)
+		f.Pass(198 * time.Millisecond)
 		n.resume()
-		f.run(time.Second)
+		f.Pass(time.Second)
 		mustHold(t, f)
 	})
 	t.Run("what is returned is capped by what was sent, and counts once", func(t *testing.T) {
@@ -158,15 +158,15 @@
 			n.step(limit.Returned{From: "vm02", Return: limit.Return{ID: 7, Customer: "hakata", Amount: limit.Cost{Tokens: 3000}}})
 			n.step(limit.Returned{From: "vm02", Return: limit.Return{ID: 8, Customer: "hakata", Amount: limit.Cost{Tokens: 500}}})
 		}
-		must.Eq(t, 5600, n.s.Dump(f.now).Accounts[0].Level.Tokens)
+		must.Eq(t, 5600, n.s.Dump(f.Now()).Accounts[0].Level.Tokens)
 	})
 	t.Run("what a gathered request did not use goes back to those who gave it", func(t *testing.T) {
 		f := settledFleet(4, hakata)
 		var admitted limit.Decision
 		f.nodes[0].reserve("hakata", limit.Cost{Requests: 1, Tokens: 16000}, func(d limit.Decision, _ int) { admitted = d })
-		f.run(10 * time.Millisecond)
+		f.Pass(10 * time.Millisecond)
 		settle(f, f.nodes[0], mustAdmit(t, admitted), 1000)
-		f.run(10 * time.Millisecond)
+		f.Pass(10 * time.Millisecond)
 		mustAdmit(t, decide(f, f.nodes[1], limit.Cost{Requests: 1, Tokens: 15000}))
 		mustHold(t, f)
 	})
@@ -174,10 +174,10 @@
 		f := settledFleet(2, hakata)
 		n := f.nodes[0]
 		n.paused = true
-		n.s.Step(limit.Reserve{ID: 99, Customer: "hakata", Cost: limit.Cost{Tokens: 9000}}, f.now)
+		n.s.Step(limit.Reserve{ID: 99, Customer: "hakata", Cost: limit.Cost{Tokens: 9000}}, f.Now())
 		first := uint64(1)<<32 + 1
-		n.s.Step(limit.Answered{ID: first, Transfer: limit.Transfer{ID: first, Given: limit.Cost{Tokens: 1e6}, Home: true}}, f.now)
-		must.LessEq(t, 8000, n.s.Dump(f.now).Accounts[0].Level.Tokens)
+		n.s.Step(limit.Answered{ID: first, Transfer: limit.Transfer{ID: first, Given: limit.Cost{Tokens: 1e6}, Home: true}}, f.Now())
+		must.LessEq(t, 8000, n.s.Dump(f.Now()).Accounts[0].Level.Tokens)
 	})
 }
 
@@ -198,12 +198,12 @@
 	first := mustAdmit(t, decide(f, n, all))
 	settle(f, n, first, 1000)
 	second := mustAdmit(t, decide(f, n, limit.Cost{Requests: 1, Tokens: 15000}))
-	f.run(5 * time.Second)
+	f.Pass(5 * time.Second)
 	third := mustAdmit(t, decide(f, n, all))
 	settle(f, n, second, 0)
 	mustRefuse(t, within(f, 0)(n, 5000))
 
-	f.run(time.Second - 200*time.Millisecond)
+	f.Pass(time.Second - 200*time.Millisecond)
 	mustAdmit(t, decide(f, n, limit.Cost{Requests: 1, Tokens: 7900}))
 	settle(f, n, third, 0)
 	mustRefuse(t, within(f, 0)(n, 12000))
@@ -221,12 +221,12 @@
 	patch(2, config.Customer{Name: "hakata", Rate: twice}, config.Customer{Name: "saldo", Rate: twice})
 	mustRefuse(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 25000}))
 	f.nodes[0].reserve("saldo", limit.Cost{Requests: 1, Tokens: 12000}, func(d limit.Decision, _ int) { mustRefuse(t, d) })
-	f.run(2 * time.Second)
+	f.Pass(2 * time.Second)
 	mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 25000}))
 	patch(3, config.Customer{Name: "hakata", Rate: hakata})
 	must.Eq[limit.Decision](t, limit.TooLarge{Burst: limit.Cost{Requests: 160, Tokens: 16000}},
 		decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 25000}))
 	patch(2, config.Customer{Name: "hakata", Rate: twice})
-	must.Eq(t, 8000, f.nodes[0].s.Dump(f.now).Accounts[0].Cap.Tokens)
+	must.Eq(t, 8000, f.nodes[0].s.Dump(f.Now()).Accounts[0].Cap.Tokens)
 	mustHold(t, f)
 }
--- a/limit/machine_test.go
+++ b/limit/machine_test.go
@@ -56,7 +56,7 @@
 	}
 	layout := limit.Layout{Shards: 2, Slots: rapid.SampledFrom([]int{4, 2, 1, 5}).Draw(t, "slots")}
 	f := newFleet(rapid.SampledFrom([]int{3, 2, 4, 1}).Draw(t, "VMs"), layout, cfg, rapid.Uint64().Draw(t, "seed"))
-	f.run(12 * time.Second)
+	f.Pass(12 * time.Second)
 	return &machine{f: f}
 }
 
@@ -140,7 +140,7 @@
 		if n.dead {
 			continue
 		}
-		for _, a := range n.s.Dump(m.f.now).Accounts {
+		for _, a := range n.s.Dump(m.f.Now()).Accounts {
 			sums[a.Customer] = sums[a.Customer].Plus(a.Level).Plus(a.Held).Plus(a.Closed)
 		}
 	}
@@ -153,7 +153,7 @@
 
 func (m *machine) wait(t *rapid.T) {
 	ms := rapid.SampledFrom([]int{20, 1, 190, 215, 260, 1000, 12000, 70000}).Draw(t, "ms")
-	m.f.run(time.Duration(ms) * time.Millisecond)
+	m.f.Pass(time.Duration(ms) * time.Millisecond)
 }
 
 // fault brings about one fault, which lasts until a repair.
--- a/limit/measure_test.go
+++ b/limit/measure_test.go
@@ -25,12 +25,12 @@
 		}})
 	}
 	f := newFleet(model.RateVMs, limit.Layout{Shards: 1, Slots: slots}, cfg, seed.Value())
-	f.run(warmTime)
+	f.Pass(warmTime)
 	f.bytes, f.messages, f.calls, f.writes = 0, 0, 0, 0
 	return &escrow{f: f}
 }
 
-func (e *escrow) Run(d time.Duration) { e.f.run(d) }
+func (e *escrow) Run(d time.Duration) { e.f.Pass(d) }
 
 func (e *escrow) Unlist() {
 	for _, n := range e.f.nodes {
@@ -44,11 +44,11 @@
 	n := e.f.nodes[vm]
 	n.member.State = "draining"
 	n.step(limit.GiveUp{})
-	e.f.after(time.Second, func() {
+	e.f.After(time.Second, func() {
 		n.dead = true
 		e.f.members()
 	})
-	e.f.after(2*time.Second, func() {
+	e.f.After(2*time.Second, func() {
 		e.f.start(n.member.ID)
 		e.f.members()
 	})
--- a/limit/slope_test.go
+++ b/limit/slope_test.go
@@ -63,7 +63,7 @@
 		writes, reads, seconds = 0, 0, 0
 		for active := 0; active < 4*vms; seconds++ {
 			f.calls, f.writes = 0, 0
-			f.run(time.Second)
+			f.Pass(time.Second)
 			writes, reads = max(writes, f.writes), max(reads, f.calls-f.writes)
 			active = 0
 			for _, n := range f.nodes {
@@ -83,11 +83,11 @@
 func slopeReserve(b *testing.B, customers int) {
 	cfg := manyCustomers(customers)
 	f := newFleet(1, limit.Layout{Shards: limit.DefaultShards, Slots: limit.DefaultSlots}, cfg, seed.Value())
-	f.run(20 * time.Second)
-	n := f.nodes[0]
+	f.Pass(20 * time.Second)
+	n, now := f.nodes[0], f.Now()
 	reserve := func(id uint64) {
 		name := cfg.Customers[id%uint64(customers)].Name
-		n.s.Step(limit.Reserve{ID: id, Customer: name, Cost: limit.Cost{Requests: 1, Tokens: 10}}, f.now)
+		n.s.Step(limit.Reserve{ID: id, Customer: name, Cost: limit.Cost{Requests: 1, Tokens: 10}}, now)
 	}
 	bytes := inUse(func() {
 		for i := range customers {
@@ -98,7 +98,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		id++
-		f.now = f.now.Add(10 * time.Millisecond)
+		now = now.Add(10 * time.Millisecond)
 		reserve(id)
 	}
 	b.ReportMetric(bytes/float64(customers), "B/customer")
@@ -109,12 +109,12 @@
 func slopeTick(b *testing.B, accounts int) {
 	cfg := manyCustomers(accounts)
 	f := newFleet(1, limit.Layout{Shards: limit.DefaultShards, Slots: limit.DefaultSlots}, cfg, seed.Value())
-	f.run(20 * time.Second)
+	f.Pass(20 * time.Second)
 	for i, c := range cfg.Customers {
-		f.nodes[0].s.Step(limit.Reserve{ID: uint64(i), Customer: c.Name, Cost: limit.Cost{Tokens: 10}}, f.now)
+		f.nodes[0].s.Step(limit.Reserve{ID: uint64(i), Customer: c.Name, Cost: limit.Cost{Tokens: 10}}, f.Now())
 	}
 	for b.Loop() {
-		f.nodes[0].s.Step(limit.Tick{}, f.now)
+		f.nodes[0].s.Step(limit.Tick{}, f.Now())
 	}
 }
 
@@ -127,7 +127,7 @@
 	i := 0
 	for b.Loop() {
 		i++
-		s.Step(limit.Membership{Live: live[i%2:]}, f.now)
+		s.Step(limit.Membership{Live: live[i%2:]}, f.Now())
 	}
 }
 
@@ -136,11 +136,11 @@
 	var f *fleet
 	bytes := inUse(func() {
 		f = newFleet(vms, limit.Layout{Shards: vms, Slots: 4}, manyCustomers(1), seed.Value())
-		f.run(40 * time.Second)
+		f.Pass(40 * time.Second)
 	})
 	f.calls, f.writes, f.messages = 0, 0, 0
 	for b.Loop() {
-		f.run(time.Minute)
+		f.Pass(time.Minute)
 	}
 	seconds := float64(b.N) * 60 * float64(vms)
 	b.ReportMetric(bytes/float64(vms), "B/VM")
--- a/limit/slot_test.go
+++ b/limit/slot_test.go
@@ -15,7 +15,7 @@
 
 // held returns how many slots a VM holds, and how many of them count.
 func held(f *fleet, n *node) (mine, active int) {
-	for _, s := range n.s.Dump(f.now).Slots {
+	for _, s := range n.s.Dump(f.Now()).Slots {
 		if s.Mine {
 			mine++
 		}
@@ -37,14 +37,14 @@
 func slowFleet(slots int) (*fleet, *node) {
 	slow := config.Rate{Requests: 10, RequestBurst: 160, Tokens: 1, TokenBurst: 16000}
 	f := newFleet(1, limit.Layout{Shards: 1, Slots: slots}, oneCustomer(slow), seed.Value())
-	f.run(20 * time.Second)
+	f.Pass(20 * time.Second)
 	return f, f.nodes[0]
 }
 
 func TestSlots(t *testing.T) {
 	t.Run("a holder waits until the old transfers have lapsed", func(t *testing.T) {
 		f := newFleet(1, limit.Layout{Shards: 1, Slots: 1}, oneCustomer(hakata), seed.Value())
-		f.run(300 * time.Millisecond)
+		f.Pass(300 * time.Millisecond)
 		f.nodes[0].step(limit.Tick{})
 		mine, active := held(f, f.nodes[0])
 		must.Eq(t, 1, mine)
@@ -60,7 +60,7 @@
 		first.end()
 		second := f.start("vm02")
 		f.members()
-		f.run(time.Minute)
+		f.Pass(time.Minute)
 		_, active := held(f, second)
 		must.Eq(t, 1, active)
 		mustRefuse(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 500}))
@@ -69,11 +69,11 @@
 		f, first := slowFleet(1)
 		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
 		first.step(limit.GiveUp{})
-		f.run(time.Second)
+		f.Pass(time.Second)
 		first.end()
 		second := f.start("vm02")
 		f.members()
-		f.run(time.Minute)
+		f.Pass(time.Minute)
 		mustRefuse(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 5000}))
 		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 3500}))
 		mustHold(t, f)
@@ -81,16 +81,16 @@
 	t.Run("what was given back counts for one term", func(t *testing.T) {
 		f, first := slowFleet(1)
 		first.step(limit.GiveUp{})
-		f.run(time.Second)
+		f.Pass(time.Second)
 		first.end()
 		second := f.start("vm02")
 		f.members()
-		f.run(time.Minute)
+		f.Pass(time.Minute)
 		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 15000}))
 		second.end()
 		third := f.start("vm03")
 		f.members()
-		f.run(time.Minute)
+		f.Pass(time.Minute)
 		mustRefuse(t, decide(f, third, limit.Cost{Requests: 1, Tokens: 5000}))
 		mustHold(t, f)
 	})
@@ -99,12 +99,12 @@
 		n := f.nodes[0]
 		alone := limit.Membership{Live: []vm.Member{n.member}, Listed: 3}
 		n.step(alone)
-		f.run(5 * time.Second)
+		f.Pass(5 * time.Second)
 		mine, _ := held(f, n)
 		must.Eq(t, 3, mine)
-		f.run(6 * time.Second)
+		f.Pass(6 * time.Second)
 		n.step(alone)
-		f.run(5 * time.Second)
+		f.Pass(5 * time.Second)
 		mine, _ = held(f, n)
 		must.Eq(t, 8, mine)
 	})
@@ -113,7 +113,7 @@
 		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
 		second := f.start("vm02")
 		f.members()
-		f.run(time.Minute)
+		f.Pass(time.Minute)
 		_, active := held(f, second)
 		must.Eq(t, 1, active)
 		mustAdmit(t, decide(f, second, limit.Cost{Requests: 1, Tokens: 3500}))
@@ -125,15 +125,15 @@
 		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
 		second := f.start("vm02")
 		f.members()
-		f.run(5 * time.Second)
+		f.Pass(5 * time.Second)
 		f.storeOff = true
-		f.run(10 * time.Second)
+		f.Pass(10 * time.Second)
 		mine, _ := held(f, first)
 		must.Eq(t, 1, mine)
 		f.storeOff = false
 		second.end()
 		f.members()
-		f.run(time.Minute)
+		f.Pass(time.Minute)
 		mine, _ = held(f, first)
 		must.Eq(t, 2, mine)
 		mustRefuse(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 4500}))
@@ -148,12 +148,12 @@
 		f := settledFleet(2, hakata)
 		f.nodes[1].dead = true
 		f.members()
-		f.run(time.Hour)
+		f.Pass(time.Hour)
 		mine, _ := held(f, f.nodes[0])
 		must.Eq(t, 4, mine)
 		f.nodes[1].gone = true
 		f.members()
-		f.run(30 * time.Second)
+		f.Pass(30 * time.Second)
 		mine, _ = held(f, f.nodes[0])
 		must.Eq(t, 8, mine)
 	})
@@ -161,7 +161,7 @@
 		f := settledFleet(2, hakata)
 		n := f.start("vm02")
 		f.members()
-		f.run(20 * time.Second)
+		f.Pass(20 * time.Second)
 		_, active := held(f, n)
 		must.Eq(t, 4, active)
 		mustHold(t, f)
@@ -169,7 +169,7 @@
 	t.Run("a paused VM that wakes up still owns what it spends", func(t *testing.T) {
 		f := settledFleet(2, hakata)
 		f.nodes[1].paused = true
-		f.run(time.Minute)
+		f.Pass(time.Minute)
 		must.Eq(t, "vm02", f.slots["0/"+slotOf(f, "vm02")].Lease.Holder)
 		f.nodes[1].resume()
 		mustAdmit(t, within(f, 3*time.Millisecond)(f.nodes[1], 8000))
@@ -181,12 +181,12 @@
 		old := f.nodes[0]
 		f.start("vm01")
 		f.members()
-		f.run(20 * time.Second)
+		f.Pass(20 * time.Second)
 		var slots []limit.SlotRecord
 		for _, r := range f.slots {
 			slots = append(slots, r)
 		}
-		must.SliceEmpty(t, old.s.Step(limit.Listed{Shard: 0, Slots: slots}, f.now))
+		must.SliceEmpty(t, old.s.Step(limit.Listed{Shard: 0, Slots: slots}, f.Now()))
 		mine, _ := held(f, old)
 		must.Zero(t, mine)
 	})
@@ -196,9 +196,9 @@
 		f.nodes[1].member.State = vm.StateDraining
 		mine, _ := held(f, f.nodes[1])
 		must.Zero(t, mine)
-		f.run(time.Second)
+		f.Pass(time.Second)
 		f.members()
-		f.run(60 * time.Second)
+		f.Pass(60 * time.Second)
 		mine, _ = held(f, f.nodes[0])
 		must.Eq(t, 8, mine)
 		mustHold(t, f)
@@ -206,24 +206,24 @@
 	t.Run("a store that is away changes nothing for holders", func(t *testing.T) {
 		f := settledFleet(3, hakata)
 		f.storeOff = true
-		f.run(30 * time.Minute)
+		f.Pass(30 * time.Minute)
 		mustAdmit(t, decide(f, f.nodes[0], limit.Cost{Requests: 1, Tokens: 16000}))
 		mustHold(t, f)
 	})
 	t.Run("a write whose answer was lost is found out and taken", func(t *testing.T) {
 		f := newFleet(2, limit.Layout{Shards: 1, Slots: 4}, oneCustomer(hakata), seed.Value())
 		f.unsure = true
-		f.run(10 * time.Second)
+		f.Pass(10 * time.Second)
 		must.Zero(t, f.nodes[0].s.Held())
 		f.unsure = false
-		f.run(30 * time.Second)
+		f.Pass(30 * time.Second)
 		must.Eq(t, 2, f.nodes[0].s.Held())
 	})
 	t.Run("a new VM gets slots from those that hold more than their part", func(t *testing.T) {
 		f := settledFleet(2, hakata)
 		n := f.start("")
 		f.members()
-		f.run(5 * time.Minute)
+		f.Pass(5 * time.Minute)
 		must.Positive(t, n.s.Held())
 		mustHold(t, f)
 	})
--- a/limit/task_test.go
+++ b/limit/task_test.go
@@ -282,7 +282,7 @@
 		if cbor.Unmarshal(data, &back) == nil {
 			n.step(limit.Returned{From: "vm99", Return: back})
 		}
-		for _, a := range n.s.Dump(n.f.now).Accounts {
+		for _, a := range n.s.Dump(n.f.Now()).Accounts {
 			must.LessEq(t, 16000, a.Level.Tokens)
 		}
 	})
