Take the drain time from the placer

Cause: the daemon added up the time to live and the lag that entry.Placer's DrainTime already returns. Change: the planned stop asks the placer; the twin is gone. Measured: go test -run TestWhole ./internal/daemon passes, the planned stop among its cases. Conclusion: one place says how long a leaving VM accepts.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,8 +131,3 @@
 		v.orders.Run,
 	}
 }
-
-// holdTime returns how long a draining VM goes on accepting requests.
-func (v *VM) holdTime() time.Duration {
-	return v.settings.Entry.TTL + v.settings.Entry.Lag
-}
