--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // seat is the name of the tests' piece of work.
@@ -19,9 +19,9 @@
 }
 
 // start runs a Task of a VM until the test or the returned function ends it.
-func start(t *testing.T, vm string, s platform.Store) (*Task, func()) {
+func start(t *testing.T, vm string, s store.Store) (*Task, func()) {
 	t.Helper()
-	task := NewTask(Options{Self: vm, Store: s, Clock: platform.SystemClock{}, Seed: 1})
+	task := NewTask(Options{Self: vm, Store: s, Clock: store.SystemClock{}, Seed: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -52,10 +52,10 @@
 }
 
 // twoVMs runs a test in virtual time with a memory store and two VMs.
-func twoVMs(t *testing.T, f func(t *testing.T, m *platform.Memory, one, two *Task)) {
+func twoVMs(t *testing.T, f func(t *testing.T, m *store.Memory, one, two *Task)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		one, _ := start(t, "vm-1", m.For("vm-1"))
 		two, _ := start(t, "vm-2", m.For("vm-2"))
 		f(t, m, one, two)
@@ -63,7 +63,7 @@
 }
 
 func TestRepeatOnAnotherVM(t *testing.T) {
-	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *store.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		mustBe[Pending](t, two.Begin(t.Context(), seat("a")))
 		mustBe[Mismatch](t, two.Begin(t.Context(), seat("b")))
@@ -76,7 +76,7 @@
 }
 
 func TestTwoVMsAtOnce(t *testing.T) {
-	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *store.Memory, one, two *Task) {
 		results := make(chan Result, 20)
 		for i := range 20 {
 			go func() { results <- []*Task{one, two}[i%2].Begin(t.Context(), seat("a")) }()
@@ -96,7 +96,7 @@
 }
 
 func TestAbandonFreesTheKey(t *testing.T) {
-	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *store.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		must.NoError(t, one.Abandon(t.Context(), k))
 		other := mustGrant(t, two, seat("b"))
@@ -107,7 +107,7 @@
 }
 
 func TestLargeAnswerIsNotKept(t *testing.T) {
-	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *store.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		large := Answer{Status: 200, ContentType: "text/plain", Body: make([]byte, maxAnswerBytes+1)}
 		must.NoError(t, one.Finish(t.Context(), k, large))
@@ -118,7 +118,7 @@
 
 func TestVMDiesBetweenSendAndAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		one, stop := start(t, "vm-1", m)
 		mustGrant(t, one, seat("a"))
 		stop()
@@ -129,9 +129,9 @@
 }
 
 func TestStoreDownThirtyMinutes(t *testing.T) {
-	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, m *store.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
-		m.SetFault(platform.Down())
+		m.SetFault(store.Down())
 		mustBe[Unavailable](t, two.Begin(t.Context(), seat("a")))
 		mustBe[Unavailable](t, two.Begin(t.Context(), Name{Key: "another"}))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -146,8 +146,8 @@
 }
 
 func TestSlowStore(t *testing.T) {
-	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
-		m.SetFault(platform.Slow(2 * time.Second))
+	twoVMs(t, func(t *testing.T, m *store.Memory, one, two *Task) {
+		m.SetFault(store.Slow(2 * time.Second))
 		k := mustGrant(t, one, seat("a"))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -159,7 +159,7 @@
 }
 
 func TestStoreRefusesOverItsRate(t *testing.T) {
-	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, m *store.Memory, one, two *Task) {
 		m.SetRate(10)
 		granted := map[string]int{}
 		for i := range 200 {
@@ -175,14 +175,14 @@
 }
 
 func TestLostAnswers(t *testing.T) {
-	faults := map[string]platform.Fault{
+	faults := map[string]store.Fault{
 		"answer":  {LoseAnswer: true},
 		"request": {LoseRequest: true},
 		"late":    {Late: 40 * time.Millisecond},
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+			twoVMs(t, func(t *testing.T, m *store.Memory, one, two *Task) {
 				m.SetFault(everyOther(fault))
 				k := mustGrant(t, one, seat("a"))
 				mustBe[Pending](t, two.Begin(t.Context(), seat("a")))
@@ -196,27 +196,27 @@
 }
 
 // everyOther spoils the first write and each second one after it.
-func everyOther(f platform.Fault) func(platform.Call) platform.Fault {
+func everyOther(f store.Fault) func(store.Call) store.Fault {
 	writes := 0
-	return func(c platform.Call) platform.Fault {
-		if c.Kind != platform.KindPut {
-			return platform.Fault{}
+	return func(c store.Call) store.Fault {
+		if c.Kind != store.KindPut {
+			return store.Fault{}
 		}
 		writes++
 		if writes%2 == 1 {
 			return f
 		}
-		return platform.Fault{}
+		return store.Fault{}
 	}
 }
 
 // TestUnknownClaimIsFreed loses every answer of the writes, so that a claim is
 // refused though its write took effect: the task frees it later.
 func TestUnknownClaimIsFreed(t *testing.T) {
-	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
-		m.SetFault(func(c platform.Call) platform.Fault {
+	twoVMs(t, func(t *testing.T, m *store.Memory, one, two *Task) {
+		m.SetFault(func(c store.Call) store.Fault {
 			wrote := m.Total().Writes > 0
-			return platform.Fault{LoseAnswer: c.Kind == platform.KindPut, Refuse: c.Kind == platform.KindGet && wrote}
+			return store.Fault{LoseAnswer: c.Kind == store.KindPut, Refuse: c.Kind == store.KindGet && wrote}
 		})
 		mustBe[Unavailable](t, one.Begin(t.Context(), seat("a")))
 		m.SetFault(nil)
@@ -227,7 +227,7 @@
 }
 
 func TestRetention(t *testing.T) {
-	twoVMs(t, func(t *testing.T, _ *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, _ *store.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		must.NoError(t, one.Finish(t.Context(), k, Answer{Status: 200, Body: []byte("x")}))
 		time.Sleep(answerTime - time.Second)
@@ -284,16 +284,16 @@
 // TestFinishAfterStaleRead finishes a request after its worker has ended, and
 // lets the first read show the shard without the claim.
 func TestFinishAfterStaleRead(t *testing.T) {
-	twoVMs(t, func(t *testing.T, m *platform.Memory, one, two *Task) {
+	twoVMs(t, func(t *testing.T, m *store.Memory, one, two *Task) {
 		k := mustGrant(t, one, seat("a"))
 		time.Sleep(2 * idleTime)
 		must.Eq(t, 0, one.Dump().(Dump).Shards)
 		reads := int64(0)
-		m.SetFault(func(c platform.Call) platform.Fault {
-			if c.Kind == platform.KindGet {
+		m.SetFault(func(c store.Call) store.Fault {
+			if c.Kind == store.KindGet {
 				reads++
 			}
-			return platform.Fault{Stale: max(0, 2-reads)}
+			return store.Fault{Stale: max(0, 2-reads)}
 		})
 		must.NoError(t, one.Finish(t.Context(), k, Answer{Status: 200}))
 		mustBe[Repeated](t, two.Begin(t.Context(), seat("a")))
@@ -301,7 +301,7 @@
 }
 
 func TestWorkerWithJobsStays(t *testing.T) {
-	task := NewTask(Options{Clock: platform.SystemClock{}})
+	task := NewTask(Options{Clock: store.SystemClock{}})
 	w := &worker{shard: 1, jobs: make(chan job, 1)}
 	task.workers[1] = w
 	w.jobs <- job{}
--- a/claim/commit.go
+++ b/claim/commit.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/baobabdyke/baobabdyke/invariant"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -72,24 +72,24 @@
 		return true, nil
 	}
 	value := next.encode()
-	invariant.Hold(len(value) <= platform.MaxValueBytes, "claim-value-fits", "%d bytes", len(value))
+	invariant.Hold(len(value) <= store.MaxValueBytes, "claim-value-fits", "%d bytes", len(value))
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	w.stats.writes.Add(1)
 	switch r := w.store.Put(ctx, objectKey(w.shard), value, w.cached.version).(type) {
-	case platform.Done:
+	case store.Done:
 		next.version = r.Version
 		w.seen = r.Version
 		w.cached = &next
 		w.answer(jobs, outcomes)
 		return true, nil
-	case platform.Conflict:
+	case store.Conflict:
 		w.stats.conflicts.Add(1)
 		w.cached = nil
 		return false, eris.New("claims: shard is contended")
-	case platform.NotSent:
+	case store.NotSent:
 		return false, r.Err
-	case platform.Unknown:
+	case store.Unknown:
 		w.stats.unknown.Add(1)
 		*doubt = true
 		w.cached = nil
@@ -130,7 +130,7 @@
 	defer cancel()
 	w.stats.reads.Add(1)
 	o, err := w.store.Get(ctx, objectKey(w.shard))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return false, err
 	}
 	if o.Version < w.seen {
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -6,13 +6,13 @@
 	"net/http"
 
 	"github.com/baobabdyke/baobabdyke/claim"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 func ExampleTask() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	t := claim.NewTask(claim.Options{Self: "vm-1", Store: platform.NewMemory(), Clock: platform.SystemClock{}})
+	t := claim.NewTask(claim.Options{Self: "vm-1", Store: store.NewMemory(), Clock: store.SystemClock{}})
 	go func() { _ = t.Run(ctx) }()
 
 	name := claim.Name{Customer: "bunraku", Route: "hold", Key: "row-4-seat-7", Digest: "hash of the request"}
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
 	"github.com/baobabdyke/baobabdyke/internal/virtual"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // TestMain runs the tests on one processor: the race detector of Go 1.26 does
@@ -66,7 +66,7 @@
 
 // A machine drives VMs over one store with faults.
 type machine struct {
-	store   *platform.Memory
+	store   *store.Memory
 	vms     []*node
 	tickets []held
 	oracle  oracle
@@ -93,7 +93,7 @@
 
 func newMachine(source uint64) *machine {
 	m := &machine{
-		store:  platform.NewMemory(),
+		store:  store.NewMemory(),
 		oracle: oracle{owner: map[string]string{}, ran: map[string]bool{}, answers: map[string]int{}},
 		rand:   rand.New(rand.NewPCG(source, 0)),
 		dead:   map[string]bool{},
@@ -108,7 +108,7 @@
 func (m *machine) boot() *node {
 	m.started++
 	id := fmt.Sprintf("vm-%d", m.started)
-	task := NewTask(Options{Self: id, Store: m.store.For(id), Clock: platform.SystemClock{}, Seed: 1})
+	task := NewTask(Options{Self: id, Store: m.store.For(id), Clock: store.SystemClock{}, Seed: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -126,12 +126,12 @@
 }
 
 // faultOf draws the fault of a call while the present kind of fault lasts.
-func (m *machine) faultOf(c platform.Call) platform.Fault {
+func (m *machine) faultOf(c store.Call) store.Fault {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f := platform.Fault{Delay: time.Duration(m.rand.IntN(10)) * time.Millisecond}
+	f := store.Fault{Delay: time.Duration(m.rand.IntN(10)) * time.Millisecond}
 	if m.dead[c.From] {
-		return platform.Fault{Refuse: true}
+		return store.Fault{Refuse: true}
 	}
 	switch m.fault {
 	case "down":
@@ -142,7 +142,7 @@
 		f.LoseAnswer = m.rand.IntN(2) == 0
 		f.LoseRequest = m.rand.IntN(4) == 0
 		f.Stale = int64(m.rand.IntN(3))
-		if c.Kind == platform.KindPut && m.rand.IntN(4) == 0 {
+		if c.Kind == store.KindPut && m.rand.IntN(4) == 0 {
 			f.Late = time.Duration(m.rand.IntN(500)) * time.Millisecond
 		}
 	}
--- a/claim/measure_test.go
+++ b/claim/measure_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
 	"github.com/baobabdyke/baobabdyke/internal/virtual"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -28,7 +28,7 @@
 	mu      sync.Mutex
 	waits   []time.Duration
 	refused int
-	calls   platform.Counts
+	calls   store.Counts
 	spent   time.Duration
 }
 
@@ -84,13 +84,13 @@
 
 // grouped measures this package's way.
 func grouped(f *figure, vms, rate, shards int, window time.Duration) {
-	m := platform.NewMemory()
-	m.SetFault(platform.Slow(storeTime))
+	m := store.NewMemory()
+	m.SetFault(store.Slow(storeTime))
 	ctx, cancel := context.WithCancel(context.Background())
 	var running, finishing sync.WaitGroup
 	tasks := make([]*Task, vms)
 	for i := range tasks {
-		tasks[i] = NewTask(Options{Store: m, Clock: platform.SystemClock{}, Window: window, Seed: uint64(i), shards: shards})
+		tasks[i] = NewTask(Options{Store: m, Clock: store.SystemClock{}, Window: window, Seed: uint64(i), shards: shards})
 		running.Go(func() { _ = tasks[i].Run(ctx) })
 	}
 	f.each(rate, vms, func(ctx context.Context, vm int, n Name) bool {
@@ -112,11 +112,11 @@
 
 // single measures one object for each claim.
 func single(f *figure, rate int) {
-	m := platform.NewMemory()
-	m.SetFault(platform.Slow(storeTime))
+	m := store.NewMemory()
+	m.SetFault(store.Slow(storeTime))
 	var finishing sync.WaitGroup
 	f.each(rate, 1, func(ctx context.Context, _ int, n Name) bool {
-		done, ok := m.Put(ctx, Prefix+n.Key, nil, platform.MustNotExist).(platform.Done)
+		done, ok := m.Put(ctx, Prefix+n.Key, nil, store.MustNotExist).(store.Done)
 		if !ok {
 			return false
 		}
--- a/claim/record.go
+++ b/claim/record.go
@@ -12,7 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -109,7 +109,7 @@
 	extra   int
 }
 
-func newRecord() record { return record{version: platform.MustNotExist, entries: map[hash]entry{}} }
+func newRecord() record { return record{version: store.MustNotExist, entries: map[hash]entry{}} }
 
 // set adds or replaces an entry.
 func (r *record) set(e entry) {
--- a/claim/step.go
+++ b/claim/step.go
@@ -6,13 +6,13 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/baobabdyke/baobabdyke/invariant"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
 	// maxRecordBytes bounds a shard; above it answers are dropped, then new
 	// claims are refused.
-	maxRecordBytes = platform.MaxValueBytes * 7 / 8
+	maxRecordBytes = store.MaxValueBytes * 7 / 8
 	// answerTime is the time that an answer is remembered. The claim and the
 	// status stay for the whole retention.
 	answerTime = time.Hour
@@ -199,7 +199,7 @@
 // not abandoned keeps its owner within its retention, an answer never changes,
 // and the value fits.
 func check(r, next record, ops []op, now time.Time, retention time.Duration) {
-	invariant.Hold(next.size <= platform.MaxValueBytes, "claim-fits", "%d bytes", next.size)
+	invariant.Hold(next.size <= store.MaxValueBytes, "claim-fits", "%d bytes", next.size)
 	for key, old := range r.entries {
 		e, ok := next.entries[key]
 		kept := ok && e.ID == old.ID
--- a/claim/task.go
+++ b/claim/task.go
@@ -9,15 +9,15 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // Options are the settings of a Task.
 type Options struct {
 	// Self is the id of this VM.
 	Self  string
-	Store platform.Store
-	Clock platform.Clock
+	Store store.Store
+	Clock store.Clock
 	Log   log.Logger
 	// Window is the least time between two commits of one shard; zero stands
 	// for DefaultWindow.
--- a/claim/worker.go
+++ b/claim/worker.go
@@ -8,7 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -31,8 +31,8 @@
 // A worker owns one shard on this VM: it gathers ops and commits them together.
 type worker struct {
 	shard  int
-	store  platform.Store
-	clock  platform.Clock
+	store  store.Store
+	clock  store.Clock
 	log    log.Logger
 	opts   *Options
 	stats  *stats
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -14,7 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -81,7 +81,7 @@
 // startBaseline starts VMs that know no others and follow the store alone.
 func startBaseline(follow func(context.Context, *Keeper)) func(testing.TB, int) (*cluster, func()) {
 	return func(t testing.TB, n int) (*cluster, func()) {
-		c := &cluster{t: t, net: peer.NewMemory(), store: &faulty{Memory: platform.NewMemory(), slow: 3 * time.Millisecond}}
+		c := &cluster{t: t, net: peer.NewMemory(), store: &faulty{Memory: store.NewMemory(), slow: 3 * time.Millisecond}}
 		ctx, cancel := context.WithCancel(context.Background())
 		work := &sync.WaitGroup{}
 		for i := range n {
@@ -119,7 +119,7 @@
 	c := newCore()
 	for ctx.Err() == nil {
 		adoptNewest(ctx, k, c)
-		platform.Sleep(ctx, pollBaseline/2+k.jitter(pollBaseline))
+		store.Sleep(ctx, pollBaseline/2+k.jitter(pollBaseline))
 	}
 }
 
--- a/config/cluster_test.go
+++ b/config/cluster_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -28,7 +28,7 @@
 // A node is one VM of a cluster.
 type node struct {
 	id     string
-	record platform.VMRecord
+	record store.VMRecord
 	port   *peer.MemoryNode
 	roster *vm.Task
 	keeper *Keeper
@@ -38,12 +38,12 @@
 
 // newCluster lists n VMs in three data centres and starts them.
 func newCluster(t testing.TB, n int) *cluster {
-	c := &cluster{t: t, net: peer.NewMemory(), store: &faulty{Memory: platform.NewMemory()}}
+	c := &cluster{t: t, net: peer.NewMemory(), store: &faulty{Memory: store.NewMemory()}}
 	for i := range n {
 		id := fmt.Sprintf("vm-%03d", i)
 		address := fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200+1)
-		c.nodes = append(c.nodes, &node{id: id, record: platform.VMRecord{
-			ID: id, Address: address, DataCentre: fmt.Sprintf("dc-%d", i%3), State: platform.VMLive,
+		c.nodes = append(c.nodes, &node{id: id, record: store.VMRecord{
+			ID: id, Address: address, DataCentre: fmt.Sprintf("dc-%d", i%3), State: store.VMLive,
 		}})
 	}
 	c.list()
@@ -55,7 +55,7 @@
 
 // list makes the platform list the VMs.
 func (c *cluster) list() {
-	var records []platform.VMRecord
+	var records []store.VMRecord
 	for _, n := range c.nodes {
 		records = append(records, n.record)
 	}
--- a/config/collect.go
+++ b/config/collect.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -21,7 +21,7 @@
 // More than one VM doing so would do no harm.
 func (k *Keeper) sweepAgain(ctx context.Context) {
 	for {
-		platform.Sleep(ctx, sweepPeriod/2+k.jitter(sweepPeriod))
+		store.Sleep(ctx, sweepPeriod/2+k.jitter(sweepPeriod))
 		if ctx.Err() != nil {
 			return
 		}
@@ -50,10 +50,10 @@
 			break
 		}
 		k.writes.Add(1)
-		if _, done := k.opts.Store.Delete(ctx, o.Key, o.Version).(platform.Done); done {
+		if _, done := k.opts.Store.Delete(ctx, o.Key, o.Version).(store.Done); done {
 			n++
 		}
-		platform.Sleep(ctx, deleteWait)
+		store.Sleep(ctx, deleteWait)
 	}
 	return n, ctx.Err()
 }
@@ -61,7 +61,7 @@
 // planSweep lists the chunks, updates the head and returns the unused ones. It
 // returns none when nothing has changed since the last collection, or when the
 // update did not provably take effect.
-func (k *Keeper) planSweep(ctx context.Context) ([]platform.Object, error) {
+func (k *Keeper) planSweep(ctx context.Context) ([]store.Object, error) {
 	read, err := k.readHead(ctx)
 	if err != nil || read.Version == read.Swept {
 		return nil, err
@@ -79,14 +79,14 @@
 		return nil, err
 	}
 	k.writes.Add(1)
-	if _, done := k.opts.Store.Put(ctx, headKey, value, read.object).(platform.Done); !done {
+	if _, done := k.opts.Store.Put(ctx, headKey, value, read.object).(store.Done); !done {
 		return nil, nil
 	}
 	used, err := k.used(ctx, head)
 	if err != nil {
 		return nil, err
 	}
-	return slices.DeleteFunc(list, func(o platform.Object) bool { return used[o.Key] }), nil
+	return slices.DeleteFunc(list, func(o store.Object) bool { return used[o.Key] }), nil
 }
 
 // used returns the keys of the chunks that a head leads to.
--- a/config/commands.go
+++ b/config/commands.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -144,20 +144,20 @@
 // later than any collection that began before. It returns nil when it does.
 func (k *Keeper) putChunk(ctx context.Context, digest string, data []byte) error {
 	const attempts = 4
-	expect := platform.MustNotExist
+	expect := store.MustNotExist
 	for range attempts {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		k.writes.Add(1)
 		result := k.opts.Store.Put(ctx, chunkPrefix+digest, data, expect)
 		cancel()
 		switch r := result.(type) {
-		case platform.Done:
+		case store.Done:
 			return nil
-		case platform.Conflict:
+		case store.Conflict:
 			expect = r.Current
-		case platform.NotSent:
+		case store.NotSent:
 			return r.Err
-		case platform.Unknown:
+		case store.Unknown:
 			return r.Err
 		}
 	}
--- a/config/commit.go
+++ b/config/commit.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // resolveWait is the time between two looks at an unknown outcome.
@@ -137,13 +137,13 @@
 	unknown := false
 	for {
 		switch r := k.putHead(ctx, w).(type) {
-		case platform.Done:
+		case store.Done:
 			return PatchAccepted{Version: w.head.Version}
-		case platform.NotSent:
+		case store.NotSent:
 			if !unknown {
 				return PatchNotSent{Err: r.Err}
 			}
-		case platform.Unknown:
+		case store.Unknown:
 			unknown = true
 			_ = k.opts.Log.Log("msg", "outcome of patch unknown", "id", w.patch.ID, "err", r.Err)
 		}
@@ -156,7 +156,7 @@
 	}
 }
 
-func (k *Keeper) putHead(ctx context.Context, w *write) platform.WriteResult {
+func (k *Keeper) putHead(ctx context.Context, w *write) store.WriteResult {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	k.writes.Add(1)
@@ -172,7 +172,7 @@
 		case err != nil || read.object < w.before.object:
 			// No answer, or an old state of the object API: neither tells.
 		case read.object == w.before.object:
-			platform.Sleep(ctx, resolveWait)
+			store.Sleep(ctx, resolveWait)
 			return nil
 		default:
 			return w.outcome(read.Head)
@@ -180,7 +180,7 @@
 		if ctx.Err() != nil {
 			return PatchUnknown{Err: ctx.Err()}
 		}
-		platform.Sleep(ctx, resolveWait)
+		store.Sleep(ctx, resolveWait)
 	}
 }
 
--- a/config/fetch.go
+++ b/config/fetch.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -43,7 +43,7 @@
 	defer cancel()
 	k.reads.Add(1)
 	o, err := k.opts.Store.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return stored{}, nil
 	}
 	if err != nil {
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -11,7 +11,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -21,10 +21,10 @@
 // Options are the parameters of a Keeper. Self is the id of this VM. Roster is
 // a vm.Carrier, or else versions travel by pushes and polls only.
 type Options struct {
-	Store  platform.Store
+	Store  store.Store
 	Peers  peer.Caller
 	Roster vm.Roster
-	Clock  platform.Clock
+	Clock  store.Clock
 	Log    log.Logger
 	Self   string
 	Seed   uint64
@@ -65,7 +65,7 @@
 // NewKeeper returns a Keeper with version 0 in force.
 func NewKeeper(opts Options) *Keeper {
 	if opts.Clock == nil {
-		opts.Clock = platform.SystemClock{}
+		opts.Clock = store.SystemClock{}
 	}
 	if opts.Log == nil {
 		opts.Log = log.NewNopLogger()
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 func TestPatchReachesAll(t *testing.T) {
@@ -345,7 +345,7 @@
 }
 
 func ExampleKeeper() {
-	k := NewKeeper(Options{Store: platform.NewMemory(), Roster: alone{}, Self: "vm"})
+	k := NewKeeper(Options{Store: store.NewMemory(), Roster: alone{}, Self: "vm"})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- k.Run(ctx) }()
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -9,16 +9,16 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // A hooked is a store that runs a step of something else before every Put.
 type hooked struct {
-	*platform.Memory
+	*store.Memory
 	before func()
 }
 
-func (h *hooked) Put(ctx context.Context, key string, value []byte, expect int64) platform.WriteResult {
+func (h *hooked) Put(ctx context.Context, key string, value []byte, expect int64) store.WriteResult {
 	if h.before != nil {
 		h.before()
 	}
@@ -32,7 +32,7 @@
 	store  *hooked
 	vms    []*member
 	writes []*write
-	sweep  []platform.Object // chunks that a collection has still to delete
+	sweep  []store.Object // chunks that a collection has still to delete
 	roots  map[int64]string  // by committed version
 	ids    map[string]int64  // committed patches
 	next   int
@@ -47,7 +47,7 @@
 
 func newMachine(n int) *machine {
 	m := &machine{
-		store: &hooked{Memory: platform.NewMemory()},
+		store: &hooked{Memory: store.NewMemory()},
 		roots: map[int64]string{0: ""}, ids: map[string]int64{},
 	}
 	for range n {
@@ -115,7 +115,7 @@
 }
 
 func (m *machine) put(t *rapid.T, w *write) {
-	done, ok := m.store.Put(t.Context(), headKey, w.value, w.before.object).(platform.Done)
+	done, ok := m.store.Put(t.Context(), headKey, w.value, w.before.object).(store.Done)
 	if !ok {
 		return
 	}
@@ -253,7 +253,7 @@
 		return w
 	}
 	commit := func(w *write) bool {
-		_, done := k.putHead(t.Context(), w).(platform.Done)
+		_, done := k.putHead(t.Context(), w).(store.Done)
 		return done
 	}
 	must.True(t, commit(prepare(1)))
--- a/config/shard.go
+++ b/config/shard.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // Numbers of chunks that the items of one kind are divided into. All VMs must
@@ -123,8 +123,8 @@
 	if err != nil {
 		return nil, "", eris.Wrap(err, "encode chunk")
 	}
-	if len(data) > platform.MaxValueBytes {
-		return nil, "", eris.Errorf("chunk of %d bytes exceeds %d", len(data), platform.MaxValueBytes)
+	if len(data) > store.MaxValueBytes {
+		return nil, "", eris.Errorf("chunk of %d bytes exceeds %d", len(data), store.MaxValueBytes)
 	}
 	return data, digestOf(data), nil
 }
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // Keys of the object API.
@@ -67,7 +67,7 @@
 	object int64
 }
 
-func decodeHead(o platform.Object) (stored, error) {
+func decodeHead(o store.Object) (stored, error) {
 	s := stored{object: o.Version}
 	if err := json.Unmarshal(o.Value, &s.Head); err != nil {
 		return stored{}, eris.Wrap(err, "decode head of the configuration")
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // A faulty is a store that can be down, slow, or lose answers.
 type faulty struct {
-	*platform.Memory
+	*store.Memory
 	mu     sync.Mutex
 	down   bool
 	slow   time.Duration
@@ -46,45 +46,45 @@
 	down, slow := f.down || time.Now().Before(f.away), f.slow
 	f.mu.Unlock()
 	if down {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
-	platform.Sleep(ctx, slow)
+	store.Sleep(ctx, slow)
 	return ctx.Err()
 }
 
-func (f *faulty) Get(ctx context.Context, key string) (platform.Object, error) {
+func (f *faulty) Get(ctx context.Context, key string) (store.Object, error) {
 	if err := f.delay(ctx, &f.reads); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return f.Memory.Get(ctx, key)
 }
 
-func (f *faulty) Put(ctx context.Context, key string, value []byte, expect int64) platform.WriteResult {
+func (f *faulty) Put(ctx context.Context, key string, value []byte, expect int64) store.WriteResult {
 	if err := f.delay(ctx, &f.writes); err != nil {
-		return platform.NotSent{Err: err}
+		return store.NotSent{Err: err}
 	}
 	var before, after bool
 	if key == headKey {
 		before, after = f.luck()
 	}
 	if before {
-		return platform.Unknown{Err: platform.ErrUnavailable}
+		return store.Unknown{Err: store.ErrUnavailable}
 	}
 	result := f.Memory.Put(ctx, key, value, expect)
 	if after {
-		return platform.Unknown{Err: platform.ErrUnavailable}
+		return store.Unknown{Err: store.ErrUnavailable}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lose != "" && strings.HasPrefix(key, f.lose) {
 		f.lose = ""
 		f.down = f.down || f.downAfterLoss
-		return platform.Unknown{Err: platform.ErrUnavailable}
+		return store.Unknown{Err: store.ErrUnavailable}
 	}
 	return result
 }
 
-func (f *faulty) Watch(ctx context.Context, prefix string, after int64) (<-chan platform.Event, error) {
+func (f *faulty) Watch(ctx context.Context, prefix string, after int64) (<-chan store.Event, error) {
 	if err := f.delay(ctx, &f.reads); err != nil {
 		return nil, err
 	}
@@ -109,20 +109,20 @@
 	return s.silent || s.hide == s.id || s.hideFrom[s.id]
 }
 
-func (s *client) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *client) Get(ctx context.Context, key string) (store.Object, error) {
 	if s.hidden() {
-		platform.Sleep(ctx, 100*time.Millisecond)
-		return platform.Object{}, platform.ErrUnavailable
+		store.Sleep(ctx, 100*time.Millisecond)
+		return store.Object{}, store.ErrUnavailable
 	}
 	return s.faulty.Get(ctx, key)
 }
 
-func (s *client) Watch(ctx context.Context, prefix string, after int64) (<-chan platform.Event, error) {
+func (s *client) Watch(ctx context.Context, prefix string, after int64) (<-chan store.Event, error) {
 	from, err := s.faulty.Watch(ctx, prefix, after)
 	if err != nil {
 		return nil, err
 	}
-	to := make(chan platform.Event)
+	to := make(chan store.Event)
 	go func() {
 		defer close(to)
 		for e := range from {
--- a/config/watch.go
+++ b/config/watch.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -51,13 +51,13 @@
 		if err == nil {
 			k.follow(ctx, events)
 		}
-		platform.Sleep(ctx, retryWait+k.jitter(retryWait))
+		store.Sleep(ctx, retryWait+k.jitter(retryWait))
 	}
 }
 
 // follow reads one watch until it breaks. An event tells of a version, but not
 // that it is the newest, since it may be late.
-func (k *Keeper) follow(ctx context.Context, events <-chan platform.Event) {
+func (k *Keeper) follow(ctx context.Context, events <-chan store.Event) {
 	for e := range events {
 		if e.Deleted || e.Object.Key != headKey {
 			continue
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,7 +11,7 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/customer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/route"
 	"github.com/baobabdyke/baobabdyke/stream"
@@ -90,7 +90,7 @@
 	Chooser  Chooser
 	Reporter Reporter
 	Config   func() *config.View
-	Clock    platform.Clock
+	Clock    store.Clock
 	Log      log.Logger
 	Stream   stream.Options
 }
@@ -108,7 +108,7 @@
 		opts.Log = log.NewNopLogger()
 	}
 	if opts.Clock == nil {
-		opts.Clock = platform.SystemClock{}
+		opts.Clock = store.SystemClock{}
 	}
 	return &Runner{opts: opts, budgets: newBudgets(), transfers: newTransfers()}
 }
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/config"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -32,7 +32,7 @@
 // be nil, gives the relative capacity of a VM.
 type Options struct {
 	Roster vm.Roster
-	Clock  platform.Clock
+	Clock  store.Clock
 	TTL    time.Duration
 	Lag    time.Duration
 	Config func() *config.View
@@ -50,7 +50,7 @@
 // NewPlacer returns a Placer.
 func NewPlacer(opts Options) *Placer {
 	if opts.Clock == nil {
-		opts.Clock = platform.SystemClock{}
+		opts.Clock = store.SystemClock{}
 	}
 	if opts.TTL <= 0 {
 		opts.TTL = DefaultTTL
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -15,8 +15,8 @@
 	"github.com/baobabdyke/baobabdyke/dispatch"
 	"github.com/baobabdyke/baobabdyke/entry"
 	"github.com/baobabdyke/baobabdyke/limit"
-	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/queue"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // Headers of the callers' interface.
@@ -80,7 +80,7 @@
 	Claims     Claimer
 	Runner     Runner
 	Placer     Placer
-	Clock      platform.Clock
+	Clock      store.Clock
 	Log        log.Logger
 	Bounds     Bounds
 	DataCentre string
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -22,8 +22,8 @@
 	"github.com/baobabdyke/baobabdyke/dispatch"
 	"github.com/baobabdyke/baobabdyke/entry"
 	"github.com/baobabdyke/baobabdyke/limit"
-	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/queue"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const secret = "sample-secret"
@@ -110,7 +110,7 @@
 func (p *parts) handler() *Handler {
 	return NewHandler(Options{
 		Config: p, Limiter: p, Queue: p, Claims: p, Runner: p, Placer: p,
-		Clock: platform.SystemClock{}, Log: log.NewNopLogger(),
+		Clock: store.SystemClock{}, Log: log.NewNopLogger(),
 		Bounds: Bounds{Body: 1 << 10, BodyTime: 100 * time.Millisecond, Answer: 64},
 	})
 }
--- a/internal/cmd/standincmd.go
+++ b/internal/cmd/standincmd.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/baobabdyke/baobabdyke/internal/fake"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // standInHeaderTime bounds the header of a request to a stand-in.
@@ -79,15 +79,15 @@
 }
 
 func (c *standInCommand) platform() (http.Handler, error) {
-	memory := platform.NewMemory()
-	var list []platform.VMRecord
+	memory := store.NewMemory()
+	var list []store.VMRecord
 	for _, text := range c.VM {
 		parts := strings.Split(text, ",")
 		if len(parts) != 3 {
 			return nil, eris.Errorf("--vm %q is not id,address,datacentre", text)
 		}
-		list = append(list, platform.VMRecord{
-			ID: parts[0], Address: parts[1], DataCentre: parts[2], State: platform.VMLive,
+		list = append(list, store.VMRecord{
+			ID: parts[0], Address: parts[1], DataCentre: parts[2], State: store.VMLive,
 		})
 	}
 	memory.SetVMs(list)
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -14,10 +14,10 @@
 	"github.com/baobabdyke/baobabdyke/internal/operator"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/limit"
-	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/queue"
 	"github.com/baobabdyke/baobabdyke/route"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
@@ -62,7 +62,7 @@
 // buildBudget holds this VM to its calls of the object API.
 func (v *VM) buildBudget() {
 	calls := v.settings.Platform.Calls
-	v.budget = platform.NewBudget(v.outside.Store, platform.BudgetOptions{
+	v.budget = store.NewBudget(v.outside.Store, store.BudgetOptions{
 		PerSecond: calls,
 		Burst:     calls * budgetBurst.Seconds(),
 		Clock:     v.outside.Clock,
@@ -81,7 +81,7 @@
 		Seed:      v.seed(),
 	})
 	v.keeper = config.NewKeeper(config.Options{
-		Store:  v.budget.At(platform.PriorityNormal),
+		Store:  v.budget.At(store.PriorityNormal),
 		Peers:  v.outside.Peers,
 		Roster: v.members,
 		Clock:  v.outside.Clock,
@@ -103,7 +103,7 @@
 	v.limits = limit.NewTask(limit.Options{
 		Self:   v.self,
 		Layout: limit.Layout{Shards: v.settings.Limits.Shards, Slots: v.settings.Limits.Slots},
-		Store:  v.budget.At(platform.PriorityNormal),
+		Store:  v.budget.At(store.PriorityNormal),
 		Peers:  v.outside.Peers,
 		Roster: v.members,
 		Config: v.keeper.Current,
@@ -114,7 +114,7 @@
 	v.queue = queue.NewTask(queue.Options{Clock: v.outside.Clock, Log: v.log})
 	v.claims = claim.NewTask(claim.Options{
 		Self:  v.self.ID,
-		Store: v.budget.At(platform.PriorityHigh),
+		Store: v.budget.At(store.PriorityHigh),
 		Clock: v.outside.Clock,
 		Log:   v.log,
 		Seed:  v.seed(),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,19 +20,19 @@
 	"github.com/baobabdyke/baobabdyke/limit"
 	"github.com/baobabdyke/baobabdyke/order"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/queue"
 	"github.com/baobabdyke/baobabdyke/route"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
 // An Outside is all that a VM meets outside its process.
 type Outside struct {
-	Store     platform.Store
-	Directory platform.Directory
-	Clock     platform.Clock
+	Store     store.Store
+	Directory store.Directory
+	Clock     store.Clock
 	Targets   target.Client
 	Peers     peer.Caller
 	Calls     peer.Registrar
@@ -56,7 +56,7 @@
 	outside  Outside
 	log      log.Logger
 
-	budget  *platform.Budget
+	budget  *store.Budget
 	life    *vm.Life
 	members *vm.Task
 	keeper  *config.Keeper
--- a/internal/daemon/machine_test.go
+++ b/internal/daemon/machine_test.go
@@ -26,7 +26,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/internal/virtual"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -94,7 +94,7 @@
 // A machine runs whole VMs in one process and virtual time, with no sockets.
 type machine struct {
 	oracle  *oracle
-	store   *platform.Memory
+	store   *store.Memory
 	peers   *peer.Memory
 	network *fake.Network
 	service *fake.Service
@@ -117,7 +117,7 @@
 func newMachine(source uint64) *machine {
 	m := &machine{
 		oracle:  newOracle(),
-		store:   platform.NewMemory(),
+		store:   store.NewMemory(),
 		peers:   peer.NewMemory(),
 		network: fake.NewNetwork(),
 		service: fake.NewService("app-1"),
@@ -134,9 +134,9 @@
 		m.engines = append(m.engines, e)
 		m.network.Add(fmt.Sprintf("192.0.2.%d:80", i+2), e)
 	}
-	var list []platform.VMRecord
+	var list []store.VMRecord
 	for i := range m.vms {
-		list = append(list, platform.VMRecord{ID: vmID(i), Address: vmAddress(i), DataCentre: "hakata", State: platform.VMLive})
+		list = append(list, store.VMRecord{ID: vmID(i), Address: vmAddress(i), DataCentre: "hakata", State: store.VMLive})
 	}
 	m.store.SetVMs(list)
 	m.heal()
@@ -167,7 +167,7 @@
 	p.store = fmt.Sprintf("%s/%d", s.VM, m.boots)
 	view := m.store.For(p.store)
 	p.vm = New(s, Credentials{OperatorToken: []byte(testToken)}, Outside{
-		Store: view, Directory: view, Clock: platform.SystemClock{},
+		Store: view, Directory: view, Clock: store.SystemClock{},
 		Targets: mortalClient{Client: client, p: p}, Peers: node, Calls: node,
 	}, log.NewNopLogger())
 	l := Listeners{Caller: &quietListener{closed: make(chan struct{})}, Operator: &quietListener{closed: make(chan struct{})}}
@@ -187,12 +187,12 @@
 }
 
 // faultOf draws the fault of a call of the store.
-func (m *machine) faultOf(c platform.Call) platform.Fault {
+func (m *machine) faultOf(c store.Call) store.Fault {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f := platform.Fault{Delay: time.Duration(1+m.rand.IntN(5)) * time.Millisecond}
+	f := store.Fault{Delay: time.Duration(1+m.rand.IntN(5)) * time.Millisecond}
 	if m.dead[c.From] {
-		return platform.Fault{Refuse: true}
+		return store.Fault{Refuse: true}
 	}
 	f.Delay = max(f.Delay, time.Until(m.paused[c.From]))
 	switch m.fault {
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -5,7 +5,7 @@
 
 	"github.com/baobabdyke/baobabdyke/lease"
 	"github.com/baobabdyke/baobabdyke/order"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -16,7 +16,7 @@
 func (v *VM) buildOrders() {
 	v.orders = order.NewTask(order.Options{
 		Self:      lease.Holder{ID: v.self.ID, Incarnation: v.self.Incarnation},
-		Store:     v.budget.At(platform.PriorityNormal),
+		Store:     v.budget.At(store.PriorityNormal),
 		Client:    v.outside.Targets,
 		Config:    v.keeper.Current,
 		States:    v.fleet.States,
--- a/internal/daemon/outside.go
+++ b/internal/daemon/outside.go
@@ -8,7 +8,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -33,12 +33,12 @@
 	if err != nil {
 		return nil, err
 	}
-	options := platform.HTTPOptions{Base: "http://" + s.Platform.Address, Token: string(token)}
-	store, err := platform.NewHTTPStore(options)
+	options := store.HTTPOptions{Base: "http://" + s.Platform.Address, Token: string(token)}
+	objects, err := store.NewHTTPStore(options)
 	if err != nil {
 		return nil, err
 	}
-	directory, err := platform.NewHTTPDirectory(options)
+	directory, err := store.NewHTTPDirectory(options)
 	if err != nil {
 		return nil, err
 	}
@@ -47,9 +47,9 @@
 		client: peer.NewClient(peer.ClientOptions{Self: s.VM, Secret: peerSecret, TLS: tls, Log: logger}),
 	}
 	r.Outside = Outside{
-		Store:     store,
+		Store:     objects,
 		Directory: directory,
-		Clock:     platform.SystemClock{},
+		Clock:     store.SystemClock{},
 		Targets:   target.NewHTTPClient(target.HTTPOptions{Credential: string(credential)}),
 		Peers:     r.client,
 		Calls:     r.server,
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -77,7 +77,7 @@
 // this VM, waits for running answers, and gives back what this VM holds.
 func (v *VM) stop(ctx context.Context, callers, operators *http.Server) {
 	v.enter(v.life.Drain)
-	platform.Sleep(ctx, v.placer.DrainTime())
+	store.Sleep(ctx, v.placer.DrainTime())
 	shutdown, cancel := context.WithTimeout(ctx, shutdownTime)
 	defer cancel()
 	if err := callers.Shutdown(shutdown); err != nil {
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -21,7 +21,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/caller"
 	"github.com/baobabdyke/baobabdyke/internal/fake"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -32,7 +32,7 @@
 // A fleet is a number of VMs over the network before stand-ins.
 type fleet struct {
 	t       *testing.T
-	objects *platform.Memory
+	objects *store.Memory
 	engines []*fake.Engine
 	service *fake.Service
 	vms     []settings.Settings
@@ -43,7 +43,7 @@
 // newFleet starts n VMs and gives them a configuration.
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, objects: platform.NewMemory(), service: fake.NewService("app-1")}
+	f := &fleet{t: t, objects: store.NewMemory(), service: fake.NewService("app-1")}
 	api := httptest.NewServer(fake.NewObjects(f.objects))
 	t.Cleanup(api.Close)
 	var engines [2]string
@@ -90,10 +90,10 @@
 	v := New(s, c, outside.Outside, log.NewNopLogger())
 	f.vms = append(f.vms, s)
 	f.run = append(f.run, v)
-	var list []platform.VMRecord
+	var list []store.VMRecord
 	for _, one := range f.vms {
-		list = append(list, platform.VMRecord{
-			ID: one.VM, Address: one.Peers.Address, DataCentre: one.DataCentre, State: platform.VMLive,
+		list = append(list, store.VMRecord{
+			ID: one.VM, Address: one.Peers.Address, DataCentre: one.DataCentre, State: store.VMLive,
 		})
 	}
 	f.objects.SetVMs(list)
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/entry"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // Headers of the callers' interface.
@@ -157,7 +157,7 @@
 		if a.status != http.StatusTooManyRequests || err != nil || delayed == maxDelays {
 			return a
 		}
-		platform.Sleep(ctx, time.Duration(seconds)*time.Second)
+		store.Sleep(ctx, time.Duration(seconds)*time.Second)
 	}
 }
 
--- a/internal/demo/capacity_test.go
+++ b/internal/demo/capacity_test.go
@@ -16,7 +16,7 @@
 	"github.com/baobabdyke/baobabdyke/entry"
 	"github.com/baobabdyke/baobabdyke/limit"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -58,7 +58,7 @@
 func BenchmarkSlopeEntry(b *testing.B) {
 	for _, n := range []int{8, 85, 340} {
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
-			p := entry.NewPlacer(entry.Options{Roster: newRoster(n), Clock: platform.SystemClock{}})
+			p := entry.NewPlacer(entry.Options{Roster: newRoster(n), Clock: store.SystemClock{}})
 			r := entry.Request{Customer: "bunraku", Route: "verdict", DataCentre: "dc-1", Rate: config.Rate{Requests: 4, Tokens: 1400}}
 			b.ReportAllocs()
 			for b.Loop() {
@@ -96,8 +96,8 @@
 			v := config.NewView(newCustomers(n))
 			members := newRoster(1)
 			task := limit.NewTask(limit.Options{
-				Self: members.Self(), Store: platform.NewMemory(), Peers: peer.NewMemory().Node(members[0].ID, members[0].Peer), Roster: members,
-				Config: func() *config.View { return v }, Clock: platform.SystemClock{}, Log: log.NewNopLogger(),
+				Self: members.Self(), Store: store.NewMemory(), Peers: peer.NewMemory().Node(members[0].ID, members[0].Peer), Roster: members,
+				Config: func() *config.View { return v }, Clock: store.SystemClock{}, Log: log.NewNopLogger(),
 			})
 			ctx, cancel := context.WithCancel(b.Context())
 			defer cancel()
--- a/internal/demo/failure_test.go
+++ b/internal/demo/failure_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // watchTime is how long the cost of a failure is counted.
@@ -42,7 +42,7 @@
 		wg.Go(n.kill)
 	}
 	wg.Wait()
-	platform.Sleep(ctx, time.Second)
+	store.Sleep(ctx, time.Second)
 	start := time.Now()
 	for _, n := range nodes {
 		must.NoError(b, f.start(ctx, n))
@@ -57,9 +57,9 @@
 	for _, n := range []int{9, 27, 85} {
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
 			f := benchFleet(b, n)
-			platform.Sleep(b.Context(), settleTime)
+			store.Sleep(b.Context(), settleTime)
 			calm := f.toll()
-			platform.Sleep(b.Context(), watchTime)
+			store.Sleep(b.Context(), watchTime)
 			calm = f.toll().minus(calm)
 			b.Run("one", func(b *testing.B) { f.benchRestart(b, calm, 1) })
 			b.Run("tenth", func(b *testing.B) { f.benchRestart(b, calm, max(n/10, 2)) })
@@ -74,7 +74,7 @@
 		before := f.toll()
 		start := time.Now()
 		took := f.restart(b.Context(), b, f.vms[:count])
-		platform.Sleep(b.Context(), watchTime-time.Since(start))
+		store.Sleep(b.Context(), watchTime-time.Since(start))
 		t := f.toll().minus(before)
 		b.ReportMetric(float64(took.Milliseconds()), "ms-until-ready")
 		b.ReportMetric(float64(t.reads-calm.reads), "extra-reads")
@@ -89,7 +89,7 @@
 func BenchmarkSlopeInForce(b *testing.B) {
 	for _, n := range []int{9, 27, 85} {
 		f := benchFleet(b, n)
-		platform.Sleep(b.Context(), settleTime)
+		store.Sleep(b.Context(), settleTime)
 		version := int64(1)
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
 			var took time.Duration
--- a/internal/demo/failures.go
+++ b/internal/demo/failures.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // breakStreams cuts one stream and silences another on every engine.
@@ -39,9 +39,9 @@
 
 func (s *show) crashEngine(ctx context.Context) (string, error) {
 	clerks, traders, err := s.during(ctx, func() error {
-		platform.Sleep(ctx, 200*time.Millisecond)
+		store.Sleep(ctx, 200*time.Millisecond)
 		s.fleet.engines[0].Crash()
-		platform.Sleep(ctx, 600*time.Millisecond)
+		store.Sleep(ctx, 600*time.Millisecond)
 		return nil
 	})
 	return fmt.Sprintf("clerks: %s", clerks), errors.Join(err, clerks.err(), traders.err())
@@ -55,9 +55,9 @@
 	}
 	var took time.Duration
 	clerks, traders, err := s.during(ctx, func() error {
-		platform.Sleep(ctx, 200*time.Millisecond)
+		store.Sleep(ctx, 200*time.Millisecond)
 		n.kill()
-		platform.Sleep(ctx, 300*time.Millisecond)
+		store.Sleep(ctx, 300*time.Millisecond)
 		start := time.Now()
 		if err := s.fleet.start(ctx, n); err != nil {
 			return err
@@ -99,11 +99,11 @@
 	}
 	var took time.Duration
 	clerks, traders, err := s.during(ctx, func() error {
-		platform.Sleep(ctx, 200*time.Millisecond)
+		store.Sleep(ctx, 200*time.Millisecond)
 		start := time.Now()
 		err := s.fleet.drain(ctx, n)
 		took = time.Since(start).Round(10 * time.Millisecond)
-		platform.Sleep(ctx, 200*time.Millisecond)
+		store.Sleep(ctx, 200*time.Millisecond)
 		return err
 	})
 	return fmt.Sprintf("%s ended by itself after %s; clerks: %s", n.id, took, clerks), errors.Join(err, clerks.allWhole(), traders.allWhole())
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -13,7 +13,7 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/internal/fake"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -34,7 +34,7 @@
 // A fleet is all that the demo runs: the platform, the targets and the VMs.
 type fleet struct {
 	*standIns
-	memory  *platform.Memory
+	memory  *store.Memory
 	objects string
 	vms     []*node
 	client  *http.Client
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{standIns: targets, memory: platform.NewMemory(), client: &http.Client{Transport: &http.Transport{}}, log: logger}
+	f := &fleet{standIns: targets, memory: store.NewMemory(), client: &http.Client{Transport: &http.Transport{}}, log: logger}
 	f.objects, err = fake.Serve(ctx, fake.NewObjects(f.memory))
 	if err != nil {
 		return nil, err
@@ -67,9 +67,9 @@
 
 // list tells the platform which VMs there are.
 func (f *fleet) list() {
-	records := make([]platform.VMRecord, len(f.vms))
+	records := make([]store.VMRecord, len(f.vms))
 	for i, n := range f.vms {
-		records[i] = platform.VMRecord{ID: n.id, Address: n.peers, DataCentre: n.dataCentre, State: platform.VMLive}
+		records[i] = store.VMRecord{ID: n.id, Address: n.peers, DataCentre: n.dataCentre, State: store.VMLive}
 	}
 	f.memory.SetVMs(records)
 }
@@ -90,7 +90,7 @@
 		case status != http.StatusServiceUnavailable || ctx.Err() != nil:
 			return eris.Errorf("first configuration answered %d: %s", status, body)
 		}
-		platform.Sleep(ctx, pollInterval)
+		store.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -138,7 +138,7 @@
 			if ctx.Err() != nil {
 				return eris.Errorf("%s: %s after %s: status %d: %s", n.id, path, limit, status, strings.TrimSpace(body))
 			}
-			platform.Sleep(ctx, pollInterval)
+			store.Sleep(ctx, pollInterval)
 		}
 	}
 	return nil
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -15,7 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/baobabdyke/baobabdyke/internal/workload"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -54,7 +54,7 @@
 	start := time.Now()
 	var running sync.WaitGroup
 	for i, a := range arrivals {
-		if !platform.Sleep(ctx, o.at(a)-time.Since(start)) {
+		if !store.Sleep(ctx, o.at(a)-time.Since(start)) {
 			break
 		}
 		c := callers[a.Customer]
--- a/internal/demo/slope_test.go
+++ b/internal/demo/slope_test.go
@@ -13,7 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -92,7 +92,7 @@
 // sent to an engine and through a VM. The difference is the VM's.
 func BenchmarkSlopeRequests(b *testing.B) {
 	f := benchFleet(b, demoVMs)
-	platform.Sleep(b.Context(), settleTime)
+	store.Sleep(b.Context(), settleTime)
 	for _, e := range f.engines {
 		e.SetTokenInterval(time.Nanosecond)
 		e.SetPrefillRate(1e12)
@@ -123,7 +123,7 @@
 func BenchmarkSlopeStreams(b *testing.B) {
 	const tokens = 1000
 	f := benchFleet(b, demoVMs)
-	platform.Sleep(b.Context(), settleTime)
+	store.Sleep(b.Context(), settleTime)
 	for _, e := range f.engines {
 		e.SetTokenInterval(time.Second)
 		e.SetPrefillRate(1e12)
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -84,7 +84,7 @@
 		if time.Since(start) > forceLimit || ctx.Err() != nil {
 			return "", err
 		}
-		platform.Sleep(ctx, pollInterval)
+		store.Sleep(ctx, pollInterval)
 	}
 }
 
--- a/internal/fake/objects.go
+++ b/internal/fake/objects.go
@@ -11,22 +11,22 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // objectsPing is the time between two signs of life of a watch.
 const objectsPing = time.Second
 
 // Objects is an HTTP stand-in of the platform: its object API and its list of
-// VMs, over a platform.Memory whose fault switches apply.
+// VMs, over a store.Memory whose fault switches apply.
 type Objects struct {
-	memory *platform.Memory
+	memory *store.Memory
 	ping   time.Duration
 	mute   atomic.Bool
 }
 
 // NewObjects returns a stand-in over m.
-func NewObjects(m *platform.Memory) *Objects {
+func NewObjects(m *store.Memory) *Objects {
 	return &Objects{memory: m, ping: objectsPing}
 }
 
@@ -36,7 +36,7 @@
 
 // ServeHTTP implements http.Handler.
 func (o *Objects) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	key, isObject := strings.CutPrefix(r.URL.Path, platform.PathObjects+"/")
+	key, isObject := strings.CutPrefix(r.URL.Path, store.PathObjects+"/")
 	switch {
 	case isObject && r.Method == http.MethodGet:
 		o.get(w, r, key)
@@ -44,11 +44,11 @@
 		o.put(w, r, key)
 	case isObject && r.Method == http.MethodDelete:
 		o.remove(w, r, key)
-	case r.URL.Path == platform.PathObjects && r.Method == http.MethodGet:
+	case r.URL.Path == store.PathObjects && r.Method == http.MethodGet:
 		o.list(w, r)
-	case r.URL.Path == platform.PathWatch && r.Method == http.MethodGet:
+	case r.URL.Path == store.PathWatch && r.Method == http.MethodGet:
 		o.watch(w, r)
-	case r.URL.Path == platform.PathVMs && r.Method == http.MethodGet:
+	case r.URL.Path == store.PathVMs && r.Method == http.MethodGet:
 		o.vms(w, r)
 	default:
 		http.Error(w, "no such call", http.StatusBadRequest)
@@ -66,24 +66,24 @@
 }
 
 func (o *Objects) list(w http.ResponseWriter, r *http.Request) {
-	objects, err := o.memory.List(r.Context(), r.URL.Query().Get(platform.ParamPrefix))
+	objects, err := o.memory.List(r.Context(), r.URL.Query().Get(store.ParamPrefix))
 	if err != nil {
 		objectError(w, err)
 		return
 	}
-	list := make([]platform.WireObject, 0, len(objects))
+	list := make([]store.WireObject, 0, len(objects))
 	for _, object := range objects {
-		list = append(list, platform.WireObject{Key: object.Key, Version: object.Version, Value: object.Value})
+		list = append(list, store.WireObject{Key: object.Key, Version: object.Version, Value: object.Value})
 	}
 	writeLine(w, list)
 }
 
 func (o *Objects) put(w http.ResponseWriter, r *http.Request, key string) {
-	expect, ok := versionParam(w, r, platform.ParamExpect)
+	expect, ok := versionParam(w, r, store.ParamExpect)
 	if !ok {
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValueBytes))
 	if err != nil {
 		http.Error(w, "value cut off or too large", http.StatusBadRequest)
 		return
@@ -94,7 +94,7 @@
 }
 
 func (o *Objects) remove(w http.ResponseWriter, r *http.Request, key string) {
-	expect, ok := versionParam(w, r, platform.ParamExpect)
+	expect, ok := versionParam(w, r, store.ParamExpect)
 	if !ok {
 		return
 	}
@@ -112,18 +112,18 @@
 
 // watch sends one line for each change, and an empty object as a sign of life.
 func (o *Objects) watch(w http.ResponseWriter, r *http.Request) {
-	after, ok := versionParam(w, r, platform.ParamAfter)
+	after, ok := versionParam(w, r, store.ParamAfter)
 	if !ok {
 		return
 	}
-	events, err := o.memory.Watch(r.Context(), r.URL.Query().Get(platform.ParamPrefix), after)
+	events, err := o.memory.Watch(r.Context(), r.URL.Query().Get(store.ParamPrefix), after)
 	if err != nil {
 		objectError(w, err)
 		return
 	}
 	ping := time.NewTicker(o.ping)
 	defer ping.Stop()
-	line := platform.WireObject{}
+	line := store.WireObject{}
 	for {
 		if !o.mute.Load() {
 			writeLine(w, line)
@@ -134,9 +134,9 @@
 			if !open {
 				return
 			}
-			line = platform.WireObject{Key: e.Object.Key, Version: e.Object.Version, Value: e.Object.Value, Deleted: e.Deleted}
+			line = store.WireObject{Key: e.Object.Key, Version: e.Object.Version, Value: e.Object.Value, Deleted: e.Deleted}
 		case <-ping.C:
-			line = platform.WireObject{}
+			line = store.WireObject{}
 		}
 	}
 }
@@ -153,7 +153,7 @@
 
 // objectError answers a read that failed.
 func objectError(w http.ResponseWriter, err error) {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
@@ -162,23 +162,23 @@
 
 // objectWritten answers a write. A write whose outcome is unknown ends the
 // connection without an answer.
-func objectWritten(w http.ResponseWriter, result platform.WriteResult) {
+func objectWritten(w http.ResponseWriter, result store.WriteResult) {
 	switch result := result.(type) {
-	case platform.Done:
+	case store.Done:
 		writeVersion(w, result.Version)
 		w.WriteHeader(http.StatusOK)
-	case platform.Conflict:
+	case store.Conflict:
 		writeVersion(w, result.Current)
 		w.WriteHeader(http.StatusConflict)
-	case platform.NotSent:
+	case store.NotSent:
 		http.Error(w, result.Err.Error(), http.StatusServiceUnavailable)
-	case platform.Unknown:
+	case store.Unknown:
 		panic(http.ErrAbortHandler)
 	}
 }
 
 func writeVersion(w http.ResponseWriter, version int64) {
-	w.Header().Set(platform.HeaderVersion, strconv.FormatInt(version, 10))
+	w.Header().Set(store.HeaderVersion, strconv.FormatInt(version, 10))
 }
 
 func writeLine(w http.ResponseWriter, v any) {
--- a/internal/fake/objects_test.go
+++ b/internal/fake/objects_test.go
@@ -10,28 +10,28 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // objectsClient serves objects and returns a client with a timeout.
-func objectsClient(t *testing.T, h http.Handler) *platform.HTTPStore {
+func objectsClient(t *testing.T, h http.Handler) *store.HTTPStore {
 	t.Helper()
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
-	s, err := platform.NewHTTPStore(platform.HTTPOptions{Base: server.URL})
+	s, err := store.NewHTTPStore(store.HTTPOptions{Base: server.URL})
 	must.NoError(t, err)
 	return s
 }
 
 func TestObjects(t *testing.T) {
-	m := platform.NewMemory()
+	m := store.NewMemory()
 	s := objectsClient(t, NewObjects(m))
 	ctx := t.Context()
 	_, err := s.Get(ctx, "a/b c?%")
-	must.ErrorIs(t, err, platform.ErrNotFound)
-	must.Eq(t, platform.WriteResult(platform.Done{Version: 1}), s.Put(ctx, "a/b c?%", []byte("x"), 0))
-	must.Eq(t, platform.WriteResult(platform.Conflict{Current: 1}), s.Put(ctx, "a/b c?%", []byte("y"), 0))
-	must.Eq(t, platform.WriteResult(platform.Done{Version: 2}), s.Put(ctx, "a/b c?%", nil, 1))
+	must.ErrorIs(t, err, store.ErrNotFound)
+	must.Eq(t, store.WriteResult(store.Done{Version: 1}), s.Put(ctx, "a/b c?%", []byte("x"), 0))
+	must.Eq(t, store.WriteResult(store.Conflict{Current: 1}), s.Put(ctx, "a/b c?%", []byte("y"), 0))
+	must.Eq(t, store.WriteResult(store.Done{Version: 2}), s.Put(ctx, "a/b c?%", nil, 1))
 	o, err := s.Get(ctx, "a/b c?%")
 	must.NoError(t, err)
 	must.Eq(t, 2, o.Version)
@@ -39,17 +39,17 @@
 	must.NoError(t, err)
 	must.Len(t, 1, list)
 	must.Eq(t, "a/b c?%", list[0].Key)
-	must.Eq(t, platform.WriteResult(platform.Done{Version: 3}), s.Delete(ctx, "a/b c?%", 2))
-	large := make([]byte, platform.MaxValueBytes+1)
-	_, notSent := s.Put(ctx, "large", large, 0).(platform.NotSent)
+	must.Eq(t, store.WriteResult(store.Done{Version: 3}), s.Delete(ctx, "a/b c?%", 2))
+	large := make([]byte, store.MaxValueBytes+1)
+	_, notSent := s.Put(ctx, "large", large, 0).(store.NotSent)
 	must.True(t, notSent)
 }
 
 func TestObjectsLostAnswer(t *testing.T) {
-	m := platform.NewMemory()
-	m.SetFault(func(platform.Call) platform.Fault { return platform.Fault{LoseAnswer: true} })
+	m := store.NewMemory()
+	m.SetFault(func(store.Call) store.Fault { return store.Fault{LoseAnswer: true} })
 	s := objectsClient(t, NewObjects(m))
-	_, unknown := s.Put(t.Context(), "k", []byte("x"), 0).(platform.Unknown)
+	_, unknown := s.Put(t.Context(), "k", []byte("x"), 0).(store.Unknown)
 	must.True(t, unknown)
 	m.SetFault(nil)
 	o, err := s.Get(t.Context(), "k")
@@ -58,21 +58,21 @@
 }
 
 func TestObjectsRefused(t *testing.T) {
-	m := platform.NewMemory()
-	m.SetFault(platform.Down())
+	m := store.NewMemory()
+	m.SetFault(store.Down())
 	s := objectsClient(t, NewObjects(m))
-	_, notSent := s.Put(t.Context(), "k", []byte("x"), 0).(platform.NotSent)
+	_, notSent := s.Put(t.Context(), "k", []byte("x"), 0).(store.NotSent)
 	must.True(t, notSent)
 	_, err := s.Get(t.Context(), "k")
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, store.ErrUnavailable)
 }
 
 func TestObjectsUnreachable(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
-	s, err := platform.NewHTTPStore(platform.HTTPOptions{Base: server.URL})
+	s, err := store.NewHTTPStore(store.HTTPOptions{Base: server.URL})
 	must.NoError(t, err)
-	_, notSent := s.Put(t.Context(), "k", []byte("x"), 0).(platform.NotSent)
+	_, notSent := s.Put(t.Context(), "k", []byte("x"), 0).(store.NotSent)
 	must.True(t, notSent)
 }
 
@@ -87,7 +87,7 @@
 		"moved":         {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusFound) }, true},
 		"over the rate": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, false},
 		"cut off": {func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(platform.HeaderVersion, "1")
+			w.Header().Set(store.HeaderVersion, "1")
 			w.Header().Set("Content-Length", "10")
 			_, _ = w.Write([]byte("x"))
 			panic(http.ErrAbortHandler)
@@ -97,14 +97,14 @@
 		t.Run(name, func(t *testing.T) {
 			s := objectsClient(t, a.handler)
 			r := s.Put(t.Context(), "k", []byte("x"), 0)
-			_, unknown := r.(platform.Unknown)
+			_, unknown := r.(store.Unknown)
 			must.Eq(t, a.unknown, unknown, must.Sprintf("result %#v", r))
 		})
 	}
 }
 
 func TestWatch(t *testing.T) {
-	m := platform.NewMemory()
+	m := store.NewMemory()
 	s := objectsClient(t, NewObjects(m))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -122,23 +122,23 @@
 }
 
 func TestSilentWatchBreaks(t *testing.T) {
-	o := NewObjects(platform.NewMemory())
+	o := NewObjects(store.NewMemory())
 	o.Mute(true)
 	server := httptest.NewServer(o)
 	defer server.Close()
-	s, err := platform.NewHTTPStore(platform.HTTPOptions{Base: server.URL, WatchTimeout: time.Millisecond})
+	s, err := store.NewHTTPStore(store.HTTPOptions{Base: server.URL, WatchTimeout: time.Millisecond})
 	must.NoError(t, err)
 	_, err = s.Watch(t.Context(), "", 0)
-	must.True(t, errors.Is(err, platform.ErrUnavailable))
+	must.True(t, errors.Is(err, store.ErrUnavailable))
 }
 
 func TestDirectory(t *testing.T) {
-	m := platform.NewMemory()
-	vms := []platform.VMRecord{{ID: "vm-1", Address: "192.0.2.1", DataCentre: "hakata", State: platform.VMLive}}
+	m := store.NewMemory()
+	vms := []store.VMRecord{{ID: "vm-1", Address: "192.0.2.1", DataCentre: "hakata", State: store.VMLive}}
 	m.SetVMs(vms)
 	server := httptest.NewServer(NewObjects(m))
 	defer server.Close()
-	d, err := platform.NewHTTPDirectory(platform.HTTPOptions{Base: server.URL})
+	d, err := store.NewHTTPDirectory(store.HTTPOptions{Base: server.URL})
 	must.NoError(t, err)
 	got, err := d.VMs(t.Context())
 	must.NoError(t, err)
--- a/internal/fake/orders.go
+++ b/internal/fake/orders.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -41,7 +41,7 @@
 		s.running--
 		s.mu.Unlock()
 	}()
-	return platform.Sleep(ctx, d)
+	return store.Sleep(ctx, d)
 }
 
 // MostAtOnce returns the largest number of loads that ran at once.
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -149,7 +149,7 @@
 	if silent {
 		scope{life: life}.holdOpen(r.Context())
 	}
-	if !platform.Sleep(life, delay) || lost {
+	if !store.Sleep(life, delay) || lost {
 		abort()
 	}
 	status := http.StatusCreated
--- a/internal/fake/work.go
+++ b/internal/fake/work.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -22,7 +22,7 @@
 		return
 	}
 	for i, token := range u.tokens {
-		if i > 0 && !platform.Sleep(u.ctx, e.tokenInterval()) {
+		if i > 0 && !store.Sleep(u.ctx, e.tokenInterval()) {
 			return
 		}
 		e.change(u, func() { u.publish(chunk(u.id, u.model, token)) })
@@ -69,7 +69,7 @@
 		e.usage.Clashes += e.cache.clashes(u.pieces, u.salt)
 		cost = time.Duration(float64(u.missing) / e.opts.PrefillRate * float64(time.Second))
 	})
-	alive := platform.Sleep(u.ctx, cost)
+	alive := store.Sleep(u.ctx, cost)
 	e.change(u, func() {
 		e.pending -= u.missing
 		if alive {
--- /dev/null
+++ b/internal/fleet/quota/quota.go
@@ -0,0 +1,222 @@
+// Package quota holds customers to their rate and burst across all VMs.
+//
+// Every VM keeps an estimate of one bucket for the whole fleet. VMs tell each
+// other how much they have admitted since they started. A VM that is silent
+// counts as admitting its equal share of the rate, and a VM that hears of
+// nobody admits no more than that share, so that the sum stays within the limit
+// whoever is cut off. While the bucket is nearly empty each VM is held to its
+// share, which bounds what is admitted between two tellings.
+//
+// The load it answers: customers that send several times their rate through
+// clients that pick VMs at random.
+package quota
+
+import (
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+)
+
+const (
+	// silentTime is how long after its last telling a VM's admissions are
+	// estimated by its share.
+	silentTime = time.Second
+	// lapseTime is how long after its last telling a VM has no share any more.
+	// Its own clock ends the share earlier, by lapseMargin.
+	lapseTime   = 10 * time.Second
+	lapseMargin = time.Second
+	// scarce is the part of the burst below which VMs are held to their shares.
+	scarce = 0.35
+	// startPart is the part of the burst that a bucket holds when it is first
+	// seen: a VM that has just started does not know what was admitted.
+	startPart = 0.0
+	// drift is the part of the rate that is not given out, for clocks that run at
+	// different speeds.
+	drift = 0.01
+	// maxRetry bounds the time after which a refused caller is told to return.
+	maxRetry = 5 * time.Second
+)
+
+// A Verdict is the outcome of Admit.
+type Verdict struct {
+	Admitted bool
+	// After is when a refused request may come again.
+	After time.Duration
+	// Level is the estimate of the fleet's bucket that decided.
+	Level float64
+}
+
+// A bucket is one customer's limit as this VM estimates it.
+type bucket struct {
+	rate, burst float64
+	level       float64
+	// share is what this VM may admit while the bucket is scarce.
+	share float64
+	last  time.Time
+}
+
+// A peer is another VM's admissions as last told.
+type peer struct {
+	born    int64
+	heard   time.Time
+	told    map[string]float64
+	assumed map[string]float64
+}
+
+// A State is one VM's part in the limits of all customers. It is not safe for
+// concurrent use; now must come from a clock that counts suspended time.
+type State struct {
+	buckets map[string]*bucket
+	peers   map[string]*peer
+	spent   map[string]float64
+	// heard is when any other VM was last heard of.
+	heard time.Time
+}
+
+// NewState returns a State of a VM that starts now.
+func NewState(now time.Time) *State {
+	return &State{buckets: map[string]*bucket{}, peers: map[string]*peer{}, spent: map[string]float64{}, heard: now}
+}
+
+// Spent returns what this VM has admitted since it started, by customer.
+func (s *State) Spent() map[string]float64 {
+	out := make(map[string]float64, len(s.spent))
+	for name, n := range s.spent {
+		out[name] = n
+	}
+	return out
+}
+
+// Admit decides on a request of a customer that costs so many units.
+func (s *State) Admit(c *site.Customer, cost float64, now time.Time) Verdict {
+	if c.Rate <= 0 {
+		s.spent[c.Name] += cost
+		return Verdict{Admitted: true}
+	}
+	b := s.bucket(c, now)
+	// A request above the burst is admitted from a full bucket and leaves a debt.
+	need := min(cost, 0.95*b.burst)
+	if b.level < need || b.level < scarce*b.burst && b.share < 0 {
+		return Verdict{After: s.retryAfter(b, need), Level: b.level}
+	}
+	b.level -= cost
+	b.share -= cost
+	s.spent[c.Name] += cost
+	return Verdict{Admitted: true, Level: b.level}
+}
+
+// Refund gives back what an admitted request did not use, since it did not run.
+func (s *State) Refund(c *site.Customer, cost float64) {
+	s.spent[c.Name] -= cost
+	if b, ok := s.buckets[c.Name]; ok {
+		b.level = min(b.burst, b.level+cost)
+		b.share += cost
+	}
+}
+
+// Prepare starts the buckets of customers that are not known yet, so that they
+// have filled by the time of their first request.
+func (s *State) Prepare(customers []site.Customer, now time.Time) {
+	for i := range customers {
+		if customers[i].Rate > 0 {
+			s.bucket(&customers[i], now)
+		}
+	}
+}
+
+func (s *State) retryAfter(b *bucket, need float64) time.Duration {
+	missing := need - b.level
+	if b.share < 0 {
+		missing = max(missing, -b.share*float64(s.sharers()))
+	}
+	after := time.Duration(missing / b.rate * float64(time.Second))
+	return min(max(after, 50*time.Millisecond), maxRetry)
+}
+
+// bucket returns a customer's bucket as of now.
+func (s *State) bucket(c *site.Customer, now time.Time) *bucket {
+	rate := c.Rate * (1 - drift)
+	b, ok := s.buckets[c.Name]
+	if !ok {
+		b = &bucket{rate: rate, burst: c.Burst, level: startPart * c.Burst, last: now}
+		s.buckets[c.Name] = b
+	}
+	if b.rate != rate || b.burst != c.Burst {
+		b.rate, b.burst = rate, c.Burst
+		b.level = min(b.level, b.burst)
+	}
+	s.refill(c.Name, b, now)
+	return b
+}
+
+// refill adds the rate since the last look, less the shares of silent VMs.
+func (s *State) refill(name string, b *bucket, now time.Time) {
+	dt := now.Sub(b.last).Seconds()
+	if dt <= 0 {
+		return
+	}
+	b.last = now
+	part := b.rate * dt / float64(s.sharers())
+	gain := b.rate * dt
+	for _, p := range s.peers {
+		if p.silent(now) {
+			p.assumed[name] += part
+			gain -= part
+		}
+	}
+	if len(s.peers) > 0 && now.Sub(s.heard) > lapseTime-lapseMargin {
+		gain = 0
+	}
+	b.level = min(b.burst, b.level+gain)
+	b.share = min(b.burst/float64(s.sharers()), b.share+part)
+}
+
+// sharers is the number of VMs among which a limit is divided.
+func (s *State) sharers() int { return len(s.peers) + 1 }
+
+func (p *peer) silent(now time.Time) bool { return now.Sub(p.heard) > silentTime }
+
+// Hear takes in what another VM has admitted since it started.
+func (s *State) Hear(vm string, born int64, spent map[string]float64, now time.Time) {
+	s.heard = now
+	p, ok := s.peers[vm]
+	if !ok {
+		// What it admitted before it was known is in nobody's estimate, and the
+		// buckets of this VM started empty.
+		p = &peer{born: born, told: map[string]float64{}, assumed: map[string]float64{}}
+		s.peers[vm] = p
+		for name, n := range spent {
+			p.told[name] = n
+		}
+	}
+	if p.born != born {
+		p.born, p.told = born, map[string]float64{}
+	}
+	p.heard = now
+	for name, n := range spent {
+		if b, ok := s.buckets[name]; ok {
+			s.refill(name, b, now)
+			b.level = min(b.burst, b.level+p.assumed[name]-(n-p.told[name]))
+		}
+		delete(p.assumed, name)
+		p.told[name] = n
+	}
+}
+
+// Expect makes a VM that is known but silent count as a sharer.
+func (s *State) Expect(vm string, born int64, now time.Time) {
+	if _, ok := s.peers[vm]; !ok {
+		s.peers[vm] = &peer{
+			born: born, heard: now.Add(-silentTime), told: map[string]float64{}, assumed: map[string]float64{},
+		}
+	}
+}
+
+// Forget drops the VMs whose share has lapsed.
+func (s *State) Forget(now time.Time) {
+	for vm, p := range s.peers {
+		if now.Sub(p.heard) > lapseTime {
+			delete(s.peers, vm)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/rollout/task.go
@@ -0,0 +1,340 @@
+package rollout
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
+)
+
+const (
+	// duty is the name of the lease.
+	duty = "orders"
+	// leaseLength is the time to live of the lease; a rollout takes seconds.
+	leaseLength = 2 * time.Second
+	// renewLeft is the right to act below which the lease is renewed.
+	renewLeft = 900 * time.Millisecond
+	// orderLeft is the right to act that an order needs: the time in which the
+	// engine must have received it.
+	orderLeft = 500 * time.Millisecond
+	// tick is the time between two looks at the engines.
+	tick = 100 * time.Millisecond
+	// askPause is the pause between two questions for the lease.
+	askPause = 400 * time.Millisecond
+)
+
+// Engines makes the calls to engines.
+type Engines interface {
+	Report(ctx context.Context, target, address string) (platform.EngineReport, error)
+	Load(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderOutcome, error)
+}
+
+// Options are the parameters of a Task.
+type Options struct {
+	Self    lease.Holder
+	Store   store.Store
+	Clock   store.Clock
+	Engines Engines
+	Log     log.Logger
+	// Quiet is the time between the last order of one VM and the first of another.
+	Quiet   time.Duration
+	View    func() *source.View
+	Members func() []roster.Member
+	// Version and Running tell what this VM knows of an engine.
+	Version func(t *site.Target, model string) int64
+	Running func(t *site.Target) int
+	// Saw takes the versions that engines report.
+	Saw func(t *site.Target, model string, version int64)
+	// Told is called when what Duty returns has changed.
+	Told func()
+	// Leaving tells whether the VM is about to stop.
+	Leaving func() bool
+}
+
+// A Task gives the orders while it holds the lease.
+type Task struct {
+	opts Options
+
+	// mu guards what queries read.
+	mu   sync.Mutex
+	busy []string
+	held bool
+	term int64
+
+	// What follows belongs to Run.
+	watch  lease.Watch
+	asked  time.Time
+	quiet  time.Time
+	orders *book
+}
+
+// NewTask returns a Task that holds nothing.
+func NewTask(o Options) *Task {
+	return &Task{opts: o, watch: lease.Watch{Self: o.Self, Length: leaseLength}, orders: newBook()}
+}
+
+// Duty returns what other VMs are told.
+func (t *Task) Duty() roster.Duty {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return roster.Duty{Held: t.held, Term: t.term, Busy: slices.Clone(t.busy)}
+}
+
+// Run gives orders whenever they are this VM's to give, until ctx ends.
+func (t *Task) Run(ctx context.Context) error {
+	t.recall(ctx)
+	for store.Sleep(ctx, tick) {
+		lagging, all := t.lagging()
+		if len(lagging) == 0 || t.opts.Leaving() {
+			t.rest()
+			continue
+		}
+		if !t.entitled(ctx) {
+			t.rest()
+			continue
+		}
+		for _, s := range t.orders.plan(lagging, all, time.Now()) {
+			t.do(ctx, s)
+		}
+		t.publish(t.orders.busy())
+	}
+	return nil
+}
+
+// recall finds out whether an earlier start of this VM held the duty, which it
+// may then go on with at once.
+func (t *Task) recall(ctx context.Context) {
+	r, err := lease.Read(ctx, t.opts.Store, lease.Key(duty), duty)
+	if err != nil {
+		_ = t.opts.Log.Log("msg", "lease not read", "err", err)
+		return
+	}
+	t.watch.Observe(r, t.opts.Clock.Now())
+	if r.Lease.Holder == t.opts.Self.ID {
+		t.setDuty(true, r.Lease.Term)
+	}
+}
+
+// rest ends the orders of a VM that has none to give.
+func (t *Task) rest() {
+	if len(t.orders.orders) > 0 {
+		t.orders = newBook()
+	}
+	t.publish(nil)
+}
+
+// lagging returns the engines whose weights have been overtaken, and the number
+// of engines that take orders.
+func (t *Task) lagging() (lagging []engine, all int) {
+	v := t.opts.View()
+	if v.Config == nil {
+		return nil, 0
+	}
+	for _, target := range v.Targets {
+		s := v.Config.Services[target.Service]
+		if s == nil || s.Engine == nil || target.Leaving {
+			continue
+		}
+		all++
+		for _, model := range s.Engine.Models {
+			has, wants := t.opts.Version(target, model), v.Wanted[model]
+			if has < wants {
+				lagging = append(lagging, engine{target: target, model: model, has: has, wants: wants, running: t.opts.Running(target)})
+			}
+		}
+	}
+	return lagging, all
+}
+
+// entitled makes sure of the lease if orders are this VM's to give.
+func (t *Task) entitled(ctx context.Context) bool {
+	if !t.mine() {
+		return false
+	}
+	now := t.opts.Clock.Now()
+	if t.watch.Left(now) < renewLeft && now.Sub(t.asked) >= askPause {
+		t.asked = now
+		t.claim(ctx, now)
+	}
+	now = t.opts.Clock.Now()
+	return t.watch.Left(now) > orderLeft && !now.Before(t.quiet)
+}
+
+// mine tells whether this VM should give the orders: it has the duty, or nobody
+// alive has and this VM comes first.
+func (t *Task) mine() bool {
+	now := time.Now()
+	first := t.opts.Self.ID
+	held, term := t.holding()
+	for _, m := range t.opts.Members() {
+		if !m.Alive(now) || m.Entry.State != roster.Ready {
+			continue
+		}
+		if m.Entry.Duty.Held && (!held || m.Entry.Duty.Term > term) {
+			return false
+		}
+		first = min(first, m.Entry.VM)
+	}
+	return held || first == t.opts.Self.ID
+}
+
+func (t *Task) holding() (bool, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held, t.term
+}
+
+// claim takes or renews the lease.
+func (t *Task) claim(ctx context.Context, now time.Time) {
+	before := t.watch.Record.Lease
+	var r lease.Result
+	if t.watch.Left(now) > 0 {
+		r = lease.Renew(ctx, t.opts.Store, "", t.watch.Record, nil)
+	} else {
+		r = lease.Acquire(ctx, t.opts.Store, lease.Request{
+			Duty: duty, Self: t.opts.Self, Length: leaseLength,
+			Gone: func(rec lease.Record) bool { return t.watch.Lapsed(rec, t.opts.Clock.Now()) },
+		})
+	}
+	switch r := r.(type) {
+	case lease.Held:
+		t.won(r.Record, before, now)
+	case lease.Taken:
+		t.lost(r.Record)
+	case lease.Free:
+		t.lost(r.Record)
+	case lease.NotSent:
+		_ = t.opts.Log.Log("msg", "lease not asked for", "err", r.Err)
+	case lease.Unsure:
+		t.watch.Lost()
+		_ = t.opts.Log.Log("msg", "lease unsure", "err", r.Err)
+	}
+}
+
+// won notes that this VM holds the lease by a write that was begun at asked.
+func (t *Task) won(r lease.Record, before lease.Lease, asked time.Time) {
+	held, term := t.holding()
+	if !held || term != r.Lease.Term {
+		if r.Lease.Term > 1 && before.Holder != t.opts.Self.ID {
+			// An order of the holder before may have been sent as its right ended.
+			t.quiet = t.opts.Clock.Now().Add(t.opts.Quiet)
+		}
+		_ = t.opts.Log.Log("msg", "duty of orders taken", "term", r.Lease.Term, "before", before.Holder)
+	}
+	t.watch.Won(r, asked)
+	t.setDuty(true, r.Lease.Term)
+}
+
+func (t *Task) lost(r lease.Record) {
+	if held, _ := t.holding(); held {
+		_ = t.opts.Log.Log("msg", "duty of orders lost", "term", r.Lease.Term, "holder", r.Lease.Holder)
+	}
+	t.watch.Lost()
+	t.watch.Observe(r, t.opts.Clock.Now())
+	t.setDuty(false, r.Lease.Term)
+}
+
+func (t *Task) setDuty(held bool, term int64) {
+	t.mu.Lock()
+	changed := t.held != held || t.term != term
+	t.held, t.term = held, term
+	t.mu.Unlock()
+	if changed {
+		t.opts.Told()
+	}
+}
+
+// publish replaces the set of engines that are about to carry out an order.
+func (t *Task) publish(busy []string) {
+	t.mu.Lock()
+	changed := !slices.Equal(t.busy, busy)
+	t.busy = busy
+	t.mu.Unlock()
+	if changed {
+		t.opts.Told()
+	}
+}
+
+// do carries out one step.
+func (t *Task) do(ctx context.Context, s step) {
+	switch s := s.(type) {
+	case announce:
+		t.publish(t.orders.busy())
+	case instruct:
+		t.instruct(ctx, s.engine)
+	case ask:
+		t.ask(ctx, s.engine)
+	}
+}
+
+// instruct reads the number of orders that the engine has accepted and gives
+// the order under the condition that there was no other since.
+func (t *Task) instruct(ctx context.Context, e engine) {
+	id := e.target.ID
+	report, ok := t.report(ctx, e)
+	if !ok || report.Weights[e.model] >= e.wants {
+		return
+	}
+	if report.Busy {
+		t.orders.accepted(id, time.Now())
+		return
+	}
+	now := t.opts.Clock.Now()
+	if t.watch.Left(now) <= orderLeft || now.Before(t.quiet) {
+		return
+	}
+	outcome, err := t.opts.Engines.Load(ctx, e.target.Address, platform.LoadOrder{
+		Target: id, Model: e.model, Version: e.wants,
+		Holder: t.opts.Self.ID, Term: t.watch.Record.Lease.Term, After: report.Orders,
+	})
+	_ = t.opts.Log.Log("msg", "order", "target", id, "model", e.model, "version", e.wants, "has", e.has,
+		"term", t.watch.Record.Lease.Term, "after", report.Orders, "outcome", outcome, "err", err)
+	switch outcome {
+	case platform.OrderAccepted, platform.OrderUnknown:
+		t.orders.accepted(id, time.Now())
+	case platform.OrderHolds:
+		t.opts.Saw(e.target, e.model, e.wants)
+	case platform.OrderRefused:
+		t.orders.failed(id, time.Now())
+	case platform.OrderFenced:
+		t.orders.failed(id, time.Now())
+		t.watch.Lost()
+	}
+}
+
+// ask reads how far an engine is.
+func (t *Task) ask(ctx context.Context, e engine) {
+	report, ok := t.report(ctx, e)
+	switch {
+	case !ok || report.Weights[e.model] >= e.wants:
+	case report.Busy:
+		t.orders.pending(e.target.ID, time.Now())
+	case time.Since(t.orders.orders[e.target.ID].since) < 2*reportFirst:
+		// The report may be older than the order.
+		t.orders.pending(e.target.ID, time.Now())
+	default:
+		t.orders.finished(e.target.ID)
+	}
+}
+
+func (t *Task) report(ctx context.Context, e engine) (platform.EngineReport, bool) {
+	r, err := t.opts.Engines.Report(ctx, e.target.ID, e.target.Address)
+	if err != nil {
+		_ = t.opts.Log.Log("msg", "engine not asked", "target", e.target.ID, "err", err)
+		t.orders.failed(e.target.ID, time.Now())
+		return r, false
+	}
+	for model, version := range r.Weights {
+		t.opts.Saw(e.target, model, version)
+	}
+	return r, true
+}
--- /dev/null
+++ b/internal/gateway/conn/conn.go
@@ -0,0 +1,150 @@
+// Package conn holds the HTTP/1.1 connections to targets. It decides which
+// connection a request may use and tells what is known of a send that failed.
+package conn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds a new connection to a target in the same region.
+	dialTimeout = 250 * time.Millisecond
+	// userTimeout ends a connection whose packets are not acknowledged.
+	userTimeout = 1500 * time.Millisecond
+	// readBuffer is the size of a connection's read buffer in bytes.
+	readBuffer = 2 << 10
+	// maxStrays is the number of answers to other requests that are skipped.
+	maxStrays = 2
+)
+
+var (
+	errStray = errors.New("answer belongs to another request")
+)
+
+// A Send is one request as it goes to a target.
+type Send struct {
+	Method string
+	// Path is the path and query as the caller sent them.
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Mine tells whether an answer belongs to this request.
+	Mine func(status int, h http.Header) bool
+}
+
+// A Conn is one connection to a target. It carries one request at a time.
+type Conn struct {
+	net  net.Conn
+	raw  syscall.RawConn
+	read *bufio.Reader
+	// since is when the connection became idle, life how long it may stay so.
+	since time.Time
+	life  time.Duration
+	used  int
+}
+
+// dial opens a connection.
+func dial(ctx context.Context, address string) (*Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn := &Conn{net: c, read: bufio.NewReaderSize(c, readBuffer)}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		conn.raw, err = tcp.SyscallConn()
+		if err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+	}
+	return conn, nil
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// quiet tells whether the connection is open and has nothing to read, so that
+// the next bytes belong to the next request.
+func (c *Conn) quiet() bool {
+	if c.read.Buffered() > 0 || c.raw == nil {
+		return false
+	}
+	silent := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && silent
+}
+
+// Close closes the connection.
+func (c *Conn) Close() { _ = c.net.Close() }
+
+// start writes the request while the answer is awaited, since a target may
+// answer before it has read a long body. The result channel gets the outcome of
+// the write.
+func (c *Conn) start(s Send) <-chan error {
+	done := make(chan error, 1)
+	head := s.encode()
+	if len(s.Body) <= inlineBody {
+		_, err := c.net.Write(append(head, s.Body...))
+		done <- err
+		return done
+	}
+	go func() {
+		buffers := net.Buffers{head, s.Body}
+		_, err := buffers.WriteTo(c.net)
+		done <- err
+	}()
+	return done
+}
+
+// inlineBody is the largest body in bytes that is written before the answer is
+// read; it fits the socket's buffer.
+const inlineBody = 8 << 10
+
+// answer reads the answer's head. Answers to other requests that were late are
+// skipped.
+func (c *Conn) answer(s Send) (*http.Response, error) {
+	req := &http.Request{Method: s.Method}
+	for range maxStrays + 1 {
+		resp, err := http.ReadResponse(c.read, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < 200 {
+			continue
+		}
+		if s.Mine(resp.StatusCode, resp.Header) {
+			return resp, nil
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
+			return nil, errors.Join(errStray, err)
+		}
+		if resp.Close {
+			return nil, errStray
+		}
+	}
+	return nil, errStray
+}
+
+// maxStrayBytes bounds an answer that is skipped.
+const maxStrayBytes = 64 << 10
--- /dev/null
+++ b/internal/gateway/conn/pool.go
@@ -0,0 +1,250 @@
+package conn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// defaultLife is how long a connection may be idle if the target does not
+	// announce it.
+	defaultLife = 4 * time.Second
+	// lifeMargin is the part of an announced time that is not used, so that a
+	// request does not cross the target's close.
+	lifeMargin = 0.5
+	// maxIdlePerTarget bounds the idle connections to one target.
+	maxIdlePerTarget = 16
+)
+
+// A Pool keeps idle connections to targets by address.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[string][]*Conn
+
+	dials, reuses, failures atomic.Int64
+}
+
+// NewPool returns a Pool without connections.
+func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+
+// A Result is the outcome of a send: Unsent, Lost or Answered.
+type Result interface{ result() }
+
+// Unsent reports that no byte of the request has left this VM.
+type Unsent struct{ Err error }
+
+// Lost reports that the request was sent and that its answer is not known.
+type Lost struct{ Err error }
+
+// Answered reports the head of the target's answer. Its Exchange has to be
+// finished.
+type Answered struct {
+	Response *http.Response
+	Exchange *Exchange
+}
+
+func (Unsent) result()   {}
+func (Lost) result()     {}
+func (Answered) result() {}
+
+// Do sends a request to an address and waits for the head of the answer. A
+// fresh send uses a new connection, so that a refused or silent target is known
+// before the request leaves. Ending ctx closes the connection.
+func (p *Pool) Do(ctx context.Context, address string, s Send, fresh bool) Result {
+	c, err := p.take(ctx, address, fresh)
+	if err != nil {
+		p.failures.Add(1)
+		return Unsent{Err: err}
+	}
+	e := &Exchange{pool: p, conn: c, address: address}
+	e.stop = context.AfterFunc(ctx, c.Close)
+	e.written = c.start(s)
+	resp, err := c.answer(s)
+	if err != nil {
+		p.failures.Add(1)
+		e.Abort()
+		return Lost{Err: errors.Join(err, context.Cause(ctx))}
+	}
+	e.resp = resp
+	return Answered{Response: resp, Exchange: e}
+}
+
+func (p *Pool) take(ctx context.Context, address string, fresh bool) (*Conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if !fresh {
+		if c := p.reuse(address, time.Now()); c != nil {
+			p.reuses.Add(1)
+			return c, nil
+		}
+	}
+	p.dials.Add(1)
+	return dial(ctx, address)
+}
+
+func (p *Pool) reuse(address string, now time.Time) *Conn {
+	for {
+		p.mu.Lock()
+		list := p.idle[address]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := list[len(list)-1]
+		p.idle[address] = list[:len(list)-1]
+		p.mu.Unlock()
+		if now.Sub(c.since) < c.life && c.quiet() {
+			return c
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) put(address string, c *Conn) {
+	c.since = time.Now()
+	p.mu.Lock()
+	list := p.idle[address]
+	if len(list) < maxIdlePerTarget {
+		p.idle[address] = append(list, c)
+		c = nil
+	}
+	p.mu.Unlock()
+	if c != nil {
+		c.Close()
+	}
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	var old []*Conn
+	for address, list := range p.idle {
+		n := 0
+		for n < len(list) && now.Sub(list[n].since) >= list[n].life {
+			n++
+		}
+		old = append(old, list[:n]...)
+		if n == len(list) {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = list[n:]
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = map[string][]*Conn{}
+	p.mu.Unlock()
+	for _, list := range all {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
+// Reachable opens and keeps a connection, to find out whether a target that
+// failed accepts connections again.
+func (p *Pool) Reachable(ctx context.Context, address string) error {
+	p.dials.Add(1)
+	c, err := dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.life = defaultLife
+	p.put(address, c)
+	return nil
+}
+
+// Counts returns how many connections were opened and used again, and how many
+// sends got no answer.
+func (p *Pool) Counts() (dials, reuses, failures int64) {
+	return p.dials.Load(), p.reuses.Load(), p.failures.Load()
+}
+
+// An Exchange is a request whose answer is being read.
+type Exchange struct {
+	pool    *Pool
+	conn    *Conn
+	address string
+	resp    *http.Response
+	written <-chan error
+	stop    func() bool
+}
+
+// SetReadDeadline bounds the reading of the answer's body.
+func (e *Exchange) SetReadDeadline(t time.Time) error { return e.conn.net.SetReadDeadline(t) }
+
+// Abort closes the connection, which makes the target stop its work.
+func (e *Exchange) Abort() {
+	e.stop()
+	e.conn.Close()
+}
+
+// Finish ends an exchange whose answer was read whole. The connection is kept
+// if both sides allow it and nothing of the request is still to be written.
+func (e *Exchange) Finish() {
+	alive := e.stop()
+	unwritten := true
+	select {
+	case err := <-e.written:
+		unwritten = err != nil
+	default:
+	}
+	if !alive || unwritten || e.resp.Close || e.resp.ContentLength < 0 && !chunked(e.resp) {
+		e.conn.Close()
+		return
+	}
+	if e.conn.read.Buffered() > 0 {
+		// Further bytes belong to no request of ours.
+		e.conn.Close()
+		return
+	}
+	e.conn.life = defaultLife
+	if d := keepAlive(e.resp.Header); d > 0 {
+		e.conn.life = min(defaultLife, time.Duration(float64(d)*lifeMargin))
+	} else if e.resp.Header.Get("Keep-Alive") != "" {
+		e.conn.life = 0
+	}
+	e.conn.used++
+	_ = e.conn.net.SetReadDeadline(time.Time{})
+	e.pool.put(e.address, e.conn)
+}
+
+// ReadBody reads a whole body of at most limit bytes. A body that is cut short
+// is an error.
+func (e *Exchange) ReadBody(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(e.resp.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errTooLong
+	}
+	return body, nil
+}
+
+var errTooLong = errors.New("answer is longer than permitted")
+
+func chunked(resp *http.Response) bool {
+	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+}
+
+// TimedOut tells whether an error is the end of a read deadline.
+func TimedOut(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/gateway/node/node.go
@@ -0,0 +1,226 @@
+// Package node builds one gateway VM from its parts: the ports for callers, the
+// platform and other VMs, and the tasks behind them.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/rollout"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/relay"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
+	"github.com/baobabdyke/baobabdyke/internal/settings"
+	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
+	"github.com/baobabdyke/baobabdyke/vm"
+)
+
+// An Objects is the platform's object store.
+type Objects interface {
+	store.Store
+	store.Feed
+}
+
+// A Node is one gateway VM.
+type Node struct {
+	settings settings.Settings
+	log      log.Logger
+	clock    store.Clock
+
+	life    *vm.Life
+	leaving atomic.Bool
+	ready   atomic.Bool
+	flying  atomic.Int64
+	latest  atomic.Int64 // time of the latest request in Unix nanoseconds
+
+	source *source.Source
+	roster *roster.Task
+	quota  *quota.Ledger
+	placer *placing.Placer
+	pool   *conn.Pool
+	orders *rollout.Task
+	relay  *relay.Handler
+	meters *relay.Meters
+	probes *prober
+	server *peer.Server
+	client *peer.Client
+	mark   marks
+}
+
+// New returns a Node that speaks to the outside that its settings name.
+func New(s settings.Settings, logger log.Logger) *Node {
+	if s.Gateway.Memory > 0 {
+		debug.SetMemoryLimit(s.Gateway.Memory << 20 / memoryPart)
+	}
+	n := &Node{
+		settings: s,
+		log:      log.With(logger, "vm", s.VM),
+		clock:    store.BootClock{},
+		life:     vm.NewLife(nil),
+		placer:   placing.New(s.DataCentre, s.Gateway.Bounds.Weights),
+		pool:     conn.NewPool(),
+		meters:   relay.NewMeters(),
+	}
+	n.quota = quota.NewLedger(n.clock)
+	n.server = peer.NewServer(peer.ServerOptions{Self: s.VM, Log: n.log})
+	n.client = peer.NewClient(peer.ClientOptions{Self: s.VM, Log: n.log})
+	n.probes = newProber(n)
+	objects := platform.NewObjects(s.Platform.Address)
+	n.buildFleet(objects)
+	n.buildRelay()
+	return n
+}
+
+const (
+	// memoryPart is the divisor of the permitted memory at which the collector
+	// works harder; the rest is for stacks, buffers and the C library.
+	memoryPart = 2
+	// headerBytes bounds the head of a request where no configuration is known.
+	headerBytes = 64 << 10
+	// headerTimeout bounds the time of a caller to send the head of a request.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long callers' idle connections are kept. It exceeds the
+	// time that operators announce, so that callers close first.
+	idleTimeout = 3 * time.Minute
+	// sweepPeriod is the time between two looks at idle connections.
+	sweepPeriod = time.Second
+)
+
+// buildFleet builds what knows the site and the other VMs.
+func (n *Node) buildFleet(objects Objects) {
+	s := n.settings
+	n.source = source.New(source.Options{
+		Feed: objects,
+		Log:  n.log,
+		Decoder: source.Decoder{
+			Kinds:   [...]string{source.Config: platform.KindConfig, source.Targets: platform.KindTargets, source.Weights: platform.KindWeights},
+			Config:  platform.DecodeConfig,
+			Target:  platform.DecodeTarget,
+			Weights: platform.DecodeWeights,
+		},
+		Changed: n.siteChanged,
+	})
+	born := time.Now().UnixNano()
+	n.roster = roster.NewTask(roster.Options{
+		Self: roster.Entry{
+			VM: s.VM, Born: born, Region: s.Region, DataCentre: s.DataCentre,
+			Callers: s.Callers.Address, Peers: s.Peers.Address,
+		},
+		Seeds:    s.Gateway.Seeds,
+		Peers:    n.client,
+		Store:    objects,
+		Log:      n.log,
+		Describe: n.describe,
+		Heard:    n.heard,
+	})
+	n.orders = rollout.NewTask(rollout.Options{
+		Self:    lease.Holder{ID: s.VM, Incarnation: uint64(born)},
+		Store:   objects,
+		Clock:   n.clock,
+		Engines: platform.NewEngines(),
+		Log:     n.log,
+		Quiet:   s.Gateway.Bounds.Quiet + quietMargin,
+		View:    n.source.View,
+		Members: n.roster.Members,
+		Version: n.placer.Version,
+		Running: func(t *site.Target) int { return n.placer.Running(t, time.Now()) },
+		Saw: func(t *site.Target, model string, version int64) {
+			if n.placer.Saw(t, model, version, time.Now()) {
+				n.roster.Kick()
+			}
+		},
+		Told:    n.dutyChanged,
+		Leaving: n.leaving.Load,
+	})
+	n.roster.Register(n.server)
+	n.source.Register(n.server)
+}
+
+// quietMargin is added to the time between the orders of two VMs for calls that
+// are on their way.
+const quietMargin = 500 * time.Millisecond
+
+// buildRelay builds what serves callers.
+func (n *Node) buildRelay() {
+	b := n.settings.Gateway.Bounds.Retries
+	n.relay = relay.NewHandler(relay.Options{
+		View:   n.source.View,
+		Quota:  n.quota,
+		Placer: n.placer,
+		Pool:   n.pool,
+		Budget: retry.NewBudget(retry.Limits{Ratio: b.Ratio, Slack: b.Slack, Window: b.Window}),
+		Log:    n.log,
+		VMs:    func() int { return len(n.roster.Members()) + 1 },
+		Fresh:  n.fresh,
+
+		Leaving: n.leaving.Load,
+		Suspect: n.probes.suspect,
+		Meters:  n.meters,
+	})
+}
+
+// Run serves until ctx ends and then stops as planned.
+func (n *Node) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	listeners, err := n.listen(ctx)
+	if err != nil {
+		return err
+	}
+	_ = n.log.Log("msg", "start", "callers", n.settings.Callers.Address, "peers", n.settings.Peers.Address)
+	g, work := errgroup.WithContext(work)
+	callers := n.callerServer()
+	for _, run := range []func(context.Context) error{
+		n.source.Run, n.roster.Run, n.orders.Run, n.probes.run, n.sweep,
+	} {
+		g.Go(func() error { return run(work) })
+	}
+	g.Go(func() error { return n.server.Serve(work, listeners.peers) })
+	g.Go(func() error { return serve(callers, listeners.callers) })
+	for _, l := range n.sideServers(listeners) {
+		g.Go(func() error { return serve(l.server, l.listener) })
+	}
+	g.Go(func() error {
+		defer cancel()
+		n.follow(ctx, work)
+		n.stop(work, callers)
+		listeners.close()
+		return nil
+	})
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// sweep closes idle connections to targets.
+func (n *Node) sweep(ctx context.Context) error {
+	for store.Sleep(ctx, sweepPeriod) {
+		n.pool.Sweep(time.Now())
+	}
+	n.pool.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/node/ports.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/justinas/alice"
+	"github.com/rotisserie/eris"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+const (
+	// entryTTL is how long callers are told to keep an answer on which VM to use.
+	entryTTL = 2 * time.Second
+	// leastNear is the number of VMs in the caller's data centre that suffice for
+	// an answer without others.
+	leastNear = 2
+	// mostAddresses bounds an answer.
+	mostAddresses = 64
+)
+
+// listeners are the open ports of a node.
+type listeners struct {
+	callers, ready, directory, operators, peers net.Listener
+}
+
+func (l listeners) close() {
+	for _, open := range []net.Listener{l.callers, l.ready, l.directory, l.operators, l.peers} {
+		if open != nil {
+			_ = open.Close()
+		}
+	}
+}
+
+// listen opens the ports that the settings name.
+func (n *Node) listen(ctx context.Context) (listeners, error) {
+	var l listeners
+	var lc net.ListenConfig
+	for _, p := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{n.settings.Callers.Address, &l.callers},
+		{n.settings.Gateway.Ready, &l.ready},
+		{n.settings.Gateway.Directory, &l.directory},
+		{n.settings.Operators.Address, &l.operators},
+		{n.settings.Peers.Address, &l.peers},
+	} {
+		open, err := lc.Listen(ctx, "tcp", p.address)
+		if err != nil {
+			l.close()
+			return listeners{}, eris.Wrapf(err, "listen on %s", p.address)
+		}
+		*p.into = open
+	}
+	return l, nil
+}
+
+// callerServer returns the server of the callers' port.
+func (n *Node) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           alice.New(n.count).Then(n.relay),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          quietLog(n.log),
+	}
+}
+
+// count keeps account of running requests, for a planned stop.
+func (n *Node) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.flying.Add(1)
+		n.latest.Store(time.Now().UnixNano())
+		defer n.flying.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// A sideServer is a server beside that of the callers.
+type sideServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// sideServers returns the servers of the readiness, directory and operators'
+// ports.
+func (n *Node) sideServers(l listeners) []sideServer {
+	side := func(path string, h http.HandlerFunc, on net.Listener) sideServer {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET "+path, h)
+		return sideServer{&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: quietLog(n.log)}, on}
+	}
+	operators := http.NewServeMux()
+	operators.Handle("GET /metrics", expvar.Handler())
+	operators.HandleFunc("GET /dump", n.serveDump)
+	return []sideServer{
+		side(platform.PathReady, n.serveReady, l.ready),
+		side(platform.PathWhich, n.serveWhich, l.directory),
+		{&http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout, ErrorLog: quietLog(n.log)}, l.operators},
+	}
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready.Load() || n.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serveWhich answers which VMs to use.
+func (n *Node) serveWhich(w http.ResponseWriter, r *http.Request) {
+	addresses := n.addresses(platform.ReadQuestion(r.URL.Query()), time.Now())
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if err := platform.WriteAddresses(w, addresses, min(entryTTL, n.settings.Gateway.Bounds.TTL)); err != nil {
+		_ = n.log.Log("msg", "directory answer cut", "err", err)
+	}
+}
+
+// addresses returns the callers' addresses of the VMs that serve: those of the
+// caller's data centre if they suffice, else all.
+func (n *Node) addresses(q platform.Question, now time.Time) []string {
+	var near, all []string
+	add := func(address, dataCentre string) {
+		all = append(all, address)
+		if dataCentre == q.DataCentre {
+			near = append(near, address)
+		}
+	}
+	if n.ready.Load() && !n.leaving.Load() {
+		add(n.settings.Callers.Address, n.settings.DataCentre)
+	}
+	for _, m := range n.roster.Members() {
+		if m.Entry.State == roster.Ready && m.Alive(now) {
+			add(m.Entry.Callers, m.Entry.DataCentre)
+		}
+	}
+	if len(near) >= leastNear {
+		all = near
+	}
+	return all[:min(len(all), mostAddresses)]
+}
+
+// serveDump writes the state of the process without secrets.
+func (n *Node) serveDump(w http.ResponseWriter, _ *http.Request) {
+	v := n.source.View()
+	dump := struct {
+		State   string
+		Members []roster.Member
+		Marks   any
+		Targets any
+		Wanted  map[string]int64
+		Spent   map[string]float64
+		Duty    roster.Duty
+	}{n.life.State(), n.roster.Members(), n.source.Marks(), v.Targets, v.Wanted, n.quota.Spent(), n.orders.Duty()}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(dump); err != nil {
+		_ = n.log.Log("msg", "dump cut", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/placing/placing.go
@@ -0,0 +1,326 @@
+// Package placing chooses the target of each send: by the expected time to the
+// first token, by what it would read again, and by how sends there have ended.
+//
+// The load it answers: many prompts over few shared parts, whose callers reach
+// every VM at random. All VMs rank the engines of a family of prompts alike, so
+// that each shared part has one home; others fetch it from there.
+package placing
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+)
+
+// Weights of the parts of a score, in milliseconds of expected time.
+const (
+	// prefillRate is the tokens that an engine reads in a millisecond until it
+	// has been measured.
+	prefillRate = 50.0
+	// stepPerRun is how much one running request slows the others' next token.
+	stepPerRun = 0.6
+	// awayCost is the price of a second copy of a shared part.
+	awayCost = 45.0
+	// crossingCost is the price of another data centre.
+	crossingCost = 4.0
+	// failCost is the price of a send that fails surely.
+	failCost = 3000.0
+	// oldCost is the price of weights that have been overtaken, beyond oldGrace.
+	oldCost = 120.0
+	// silentCost sends requests elsewhere while a target does not answer.
+	silentCost = 20000.0
+	// busyCost keeps requests from a target that is about to carry out an order.
+	busyCost = 8000.0
+	// slotCost is the expected work per request that waits at a plain service.
+	slotCost = 20.0
+)
+
+const (
+	// oldGrace is how long after new weights are named work on the old ones is
+	// worth as much.
+	oldGrace = 1200 * time.Millisecond
+	// learnMargin is how late a VM may learn of new weights and a request reach its
+	// target.
+	learnMargin = 2500 * time.Millisecond
+	// failWeight is the weight of the newest outcome in a target's failure rate.
+	failWeight = 0.2
+	// failHalf is the time after which a failure counts half.
+	failHalf = 4 * time.Second
+	// silentFirst and silentMost bound how long a target is avoided after it did
+	// not answer.
+	silentFirst = 400 * time.Millisecond
+	silentMost  = 3 * time.Second
+	// freshTime is how long after an engine's start or load its home parts may
+	// still be elsewhere.
+	freshTime = 8 * time.Second
+	// tellTime is how long another VM's telling of its loads counts.
+	tellTime = 2 * time.Second
+)
+
+// A Request is what the choice needs to know of one send.
+type Request struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Family identifies the shared parts of the prompt; 0 if there are none.
+	Family uint64
+	// Tokens are the prompt's tokens, Shared those of the shared parts.
+	Tokens int
+	Shared int
+	// Tried are the targets that have failed this request.
+	Tried []string
+}
+
+// A Choice is the target of one send.
+type Choice struct {
+	Target *site.Target
+	// Weights is the version to expect at the target; 0 if none is known.
+	Weights int64
+	// Source is the engine to fetch shared parts from, or nil.
+	Source *site.Target
+	// Home tells whether the target is the home of the family.
+	Home bool
+	// Expected is the estimate that decided, Missing the tokens to be read.
+	Expected time.Duration
+	Missing  int
+}
+
+// Silent tells whether the chosen target is one that did not answer lately.
+func (c Choice) Silent() bool { return c.Expected >= silentCost*time.Millisecond }
+
+// A Placer chooses targets. Its methods may be called from any goroutine.
+type Placer struct {
+	dataCentre string
+	// oldest is how long after new weights are named work may begin on old ones.
+	oldest time.Duration
+
+	mu      sync.Mutex
+	records map[string]*record
+	others  map[string]telling
+	busy    map[string]bool
+}
+
+// A record is what this VM knows of one target by its own sends.
+type record struct {
+	born    int64
+	running int
+	prefill int
+	failing float64
+	noted   time.Time
+	silent  time.Duration
+	until   time.Time
+	// weights are the versions seen in answers, since the target's own entry
+	// lags.
+	weights map[string]int64
+	changed time.Time
+	seen    time.Time
+}
+
+// A telling is what another VM has in flight.
+type telling struct {
+	loads map[string]roster.Load
+	heard time.Time
+}
+
+// New returns a Placer of a VM in a data centre. Weights that have been overtaken
+// for longer than oldest, less a margin for what this VM learnt late, are not
+// used.
+func New(dataCentre string, oldest time.Duration) *Placer {
+	return &Placer{dataCentre: dataCentre, oldest: oldest - learnMargin, records: map[string]*record{}, others: map[string]telling{}, busy: map[string]bool{}}
+}
+
+// Choose returns the best target for a request, and false if the service has
+// none. The send has to be begun and ended with the returned choice.
+func (p *Placer) Choose(v *source.View, r Request, now time.Time) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	candidates := p.candidates(v, r, now)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	home, second := homes(candidates)
+	average := averageFailing(candidates)
+	best := math.Inf(1)
+	var chosen *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		c.home = home != nil && c.target.ID == home.target.ID
+		c.score(p, r, average, now)
+		if c.cost < best {
+			best, chosen = c.cost, c
+		}
+	}
+	choice := Choice{
+		Target:   chosen.target,
+		Weights:  chosen.version,
+		Home:     chosen.home,
+		Missing:  chosen.missing,
+		Expected: time.Duration(chosen.cost * float64(time.Millisecond)),
+	}
+	if r.Family != 0 {
+		choice.Source = sourceFor(chosen, home, second, now)
+	}
+	return choice, true
+}
+
+// A candidate is one target of a choice.
+type candidate struct {
+	target  *site.Target
+	record  *record
+	version int64
+	wanted  int64
+	named   time.Time
+	rank    uint64
+	home    bool
+	running int
+	prefill int
+	failing float64
+	missing int
+	cost    float64
+}
+
+// current tells whether the candidate has the newest weights.
+func (c *candidate) current() bool { return c.version >= c.wanted }
+
+// candidates returns the targets of the service that may be used.
+func (p *Placer) candidates(v *source.View, r Request, now time.Time) []candidate {
+	out := make([]candidate, 0, 16)
+	for _, t := range v.Targets {
+		if t.Service != r.Service || t.Leaving || contains(r.Tried, t.ID) {
+			continue
+		}
+		rec := p.record(t, now)
+		c := candidate{target: t, record: rec, running: rec.running, prefill: rec.prefill, failing: rec.rate(now)}
+		if r.Model != "" {
+			c.version = rec.version(t, r.Model)
+			c.wanted, c.named = v.Wanted[r.Model], v.Named[r.Model]
+		}
+		if !c.current() && now.Sub(c.named) > p.oldest {
+			continue
+		}
+		p.addOthers(&c, now)
+		if r.Family != 0 {
+			c.rank = rank(r.Family, t)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+func contains(ids []string, id string) bool {
+	for _, have := range ids {
+		if have == id {
+			return true
+		}
+	}
+	return false
+}
+
+// addOthers adds what other VMs have in flight.
+func (p *Placer) addOthers(c *candidate, now time.Time) {
+	n, sum := 0, 0.0
+	for _, o := range p.others {
+		l, ok := o.loads[c.target.ID]
+		if !ok || now.Sub(o.heard) > tellTime {
+			continue
+		}
+		c.running += l.Running
+		c.prefill += l.Prefill
+		if l.Failing > 0 {
+			n++
+			sum += float64(l.Failing) / 100
+		}
+	}
+	if n > 0 {
+		c.failing = max(c.failing, sum/float64(n))
+	}
+}
+
+// rank orders the engines of a family, alike on every VM.
+func rank(family uint64, t *site.Target) uint64 {
+	h := xxhash.Sum64String(t.ID) ^ family
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// homes returns the first two engines of a family: those with the newest
+// weights go first.
+func homes(candidates []candidate) (home, second *candidate) {
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case c.rank == 0:
+		case home == nil || c.before(home):
+			home, second = c, home
+		case second == nil || c.before(second):
+			second = c
+		}
+	}
+	return home, second
+}
+
+func (c *candidate) before(o *candidate) bool {
+	if c.version != o.version {
+		return c.version > o.version
+	}
+	return c.rank > o.rank
+}
+
+// sourceFor returns the engine to fetch a family's parts from.
+func sourceFor(chosen, home, second *candidate, now time.Time) *site.Target {
+	from := home
+	if chosen.home {
+		if now.Sub(chosen.record.changed) > freshTime {
+			return nil
+		}
+		from = second
+	}
+	if from == nil || from.target == chosen.target || from.version != chosen.version || now.Before(from.record.until) {
+		return nil
+	}
+	return from.target
+}
+
+func averageFailing(candidates []candidate) float64 {
+	sum := 0.0
+	for i := range candidates {
+		sum += candidates[i].failing
+	}
+	return sum / float64(len(candidates))
+}
+
+// score fills in the candidate's cost.
+func (c *candidate) score(p *Placer, r Request, average float64, now time.Time) {
+	if r.Model == "" {
+		c.cost = slotCost * float64(max(0, c.running+1-c.target.Slots)) / float64(max(c.target.Slots, 1))
+		c.cost += float64(c.running) / float64(max(c.target.Slots, 1))
+	} else {
+		c.missing = r.Tokens - r.Shared
+		c.cost = (float64(c.prefill)+float64(c.missing))/prefillRate + stepPerRun*float64(c.running)
+		if r.Family != 0 && !c.home {
+			c.cost += awayCost * min(1, float64(r.Shared)/2000)
+		}
+		if !c.current() && now.Sub(c.named) > oldGrace {
+			c.cost += oldCost
+		}
+	}
+	if c.target.DataCentre != p.dataCentre {
+		c.cost += crossingCost
+	}
+	c.cost += failCost * max(0, c.failing-average)
+	if now.Before(c.record.until) {
+		c.cost += silentCost
+	}
+	if p.busy[c.target.ID] {
+		c.cost += busyCost
+	}
+}
--- /dev/null
+++ b/internal/gateway/placing/record.go
@@ -0,0 +1,215 @@
+package placing
+
+import (
+	"math"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+)
+
+// record returns the record of a target, a new one after its restart.
+func (p *Placer) record(t *site.Target, now time.Time) *record {
+	r, ok := p.records[t.ID]
+	if !ok || r.born != t.Born {
+		r = &record{born: t.Born, weights: map[string]int64{}, noted: now, changed: now}
+		p.records[t.ID] = r
+	}
+	r.seen = now
+	return r
+}
+
+// version returns the weights that a target is known to have.
+func (r *record) version(t *site.Target, model string) int64 {
+	return max(r.weights[model], t.Weights[model])
+}
+
+// rate returns the failure rate as of now.
+func (r *record) rate(now time.Time) float64 {
+	return r.failing * math.Exp2(-now.Sub(r.noted).Seconds()/failHalf.Seconds())
+}
+
+func (r *record) note(failed bool, now time.Time) {
+	rate := r.rate(now) * (1 - failWeight)
+	if failed {
+		rate += failWeight
+	}
+	r.failing, r.noted = rate, now
+}
+
+// Begin notes that a request is sent to a choice's target.
+func (p *Placer) Begin(c Choice, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.record(c.Target, now)
+	r.running++
+	r.prefill += c.Missing
+}
+
+// FirstToken notes that a request's prompt has been read.
+func (p *Placer) FirstToken(c Choice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := p.records[c.Target.ID]; ok && r.born == c.Target.Born {
+		r.prefill = max(0, r.prefill-c.Missing)
+	}
+}
+
+// An End is how a send ended, as evidence on its target.
+type End uint8
+
+// Ends of sends.
+const (
+	// Served is an answer that was passed on.
+	Served End = iota
+	// Failed is an answer that was broken or reports a fault.
+	Failed
+	// Unreached is a target that takes no connection.
+	Unreached
+	// Silenced is a target that took the request and gave no answer in time.
+	Silenced
+	// Dropped is a send that says nothing of its target.
+	Dropped
+)
+
+// End notes how a send ended. First tells whether FirstToken was called.
+func (p *Placer) End(c Choice, end End, first bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.records[c.Target.ID]
+	if !ok || r.born != c.Target.Born {
+		return
+	}
+	r.running = max(0, r.running-1)
+	if !first {
+		r.prefill = max(0, r.prefill-c.Missing)
+	}
+	switch end {
+	case Served:
+		r.note(false, now)
+		r.silent, r.until = 0, time.Time{}
+	case Failed:
+		r.note(true, now)
+	case Unreached, Silenced:
+		r.note(true, now)
+		r.silent = min(max(2*r.silent, silentFirst), silentMost)
+		r.until = now.Add(r.silent)
+	case Dropped:
+	}
+}
+
+// Reached notes that a target takes connections again.
+func (p *Placer) Reached(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := p.records[id]; ok {
+		r.silent, r.until = 0, time.Time{}
+	}
+}
+
+// Saw notes the weights that a target was seen with. It reports whether that is
+// news.
+func (p *Placer) Saw(t *site.Target, model string, version int64, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version <= 0 || model == "" {
+		return false
+	}
+	r := p.record(t, now)
+	if version <= r.version(t, model) && r.weights[model] != 0 {
+		return false
+	}
+	news := version > r.version(t, model)
+	r.weights[model] = max(version, r.weights[model])
+	if news {
+		r.changed = now
+	}
+	return news
+}
+
+// Refused notes that a target does not have the weights that were expected.
+func (p *Placer) Refused(c Choice, model string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.record(c.Target, now)
+	// The target is ahead of its entry, or was restarted.
+	if r.weights[model] == c.Weights {
+		delete(r.weights, model)
+	}
+	r.until = now.Add(silentFirst)
+}
+
+// Hear takes in what another VM has in flight and has seen.
+func (p *Placer) Hear(e roster.Entry, v *source.View, now time.Time) {
+	loads := make(map[string]roster.Load, len(e.Loads))
+	for _, l := range e.Loads {
+		loads[l.Target] = l
+	}
+	p.mu.Lock()
+	p.others[e.VM] = telling{loads: loads, heard: now}
+	p.mu.Unlock()
+	for _, l := range e.Loaded {
+		if t, ok := v.Targets[l.Target]; ok && t.Born == l.Born {
+			p.Saw(t, l.Model, l.Version, now)
+		}
+	}
+}
+
+// SetBusy replaces the set of targets that are about to carry out an order.
+func (p *Placer) SetBusy(ids map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy = ids
+}
+
+// Loads returns what this VM has in flight and which weights it has seen, for
+// other VMs, and forgets targets that are gone.
+func (p *Placer) Loads(now time.Time) ([]roster.Load, []roster.Loaded) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var loads []roster.Load
+	var loaded []roster.Loaded
+	for id, r := range p.records {
+		if now.Sub(r.seen) > forgetTime {
+			delete(p.records, id)
+			continue
+		}
+		failing := int(100 * r.rate(now))
+		if r.running > 0 || failing > 0 {
+			loads = append(loads, roster.Load{Target: id, Running: r.running, Prefill: r.prefill, Failing: failing})
+		}
+		for model, version := range r.weights {
+			if now.Sub(r.changed) < freshTime {
+				loaded = append(loaded, roster.Loaded{Target: id, Born: r.born, Model: model, Version: version})
+			}
+		}
+	}
+	return loads, loaded
+}
+
+// forgetTime is how long the record of a target that is not listed is kept.
+const forgetTime = 30 * time.Second
+
+// Version returns the weights that a target is known to have.
+func (p *Placer) Version(t *site.Target, model string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.records[t.ID]
+	if !ok || r.born != t.Born {
+		return t.Weights[model]
+	}
+	return r.version(t, model)
+}
+
+// Running returns how many requests all VMs have in flight at a target.
+func (p *Placer) Running(t *site.Target, now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := candidate{target: t}
+	if r, ok := p.records[t.ID]; ok {
+		c.running = r.running
+	}
+	p.addOthers(&c, now)
+	return c.running
+}
--- /dev/null
+++ b/internal/gateway/relay/exchange.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// maxAnswerBytes bounds a plain answer, which is held back until it is whole.
+const maxAnswerBytes = 4 << 20
+
+// An exchange is one send and its answer.
+type exchange struct {
+	handler *Handler
+	answer  *answer
+	choice  placing.Choice
+	sent    time.Time
+	cancel  context.CancelFunc
+	// first tells that the first event or the whole answer has come.
+	first bool
+	// silent tells that the send was ended because nothing came.
+	silent atomic.Bool
+	// silence is how long the send may go on without a sign of the target.
+	silence time.Duration
+	timer   *time.Timer
+	stop    func()
+}
+
+// do sends the request. The returned function ends the watch for silence.
+func (h *Handler) do(ctx context.Context, x *exchange) (conn.Result, func()) {
+	j := x.answer.job
+	x.watch(j.patience())
+	stop := func() {
+		if x.timer != nil {
+			x.timer.Stop()
+		}
+	}
+	s := conn.Send{
+		Method: j.request.Method,
+		Path:   j.request.RequestURI,
+		Host:   j.request.Host,
+		Header: platform.ForwardHeader(j.request.Header, j.instruction(x.choice, x.answer.resumeAfter(j))),
+		Body:   j.body,
+		Mine: func(status int, header http.Header) bool {
+			id := platform.ReadReceipt(status, header).ID
+			return id == j.declared.ID || id == "" && status >= http.StatusBadRequest
+		},
+	}
+	return h.opts.Pool.Do(ctx, x.choice.Target.Address, s, !j.route.Repeatable()), stop
+}
+
+// patience returns how long a send may be silent while another target may be
+// tried, or 0 for as long as the request lasts.
+func (j *job) patience() time.Duration {
+	if !j.route.Repeatable() || j.ran+1 >= j.route.Attempts {
+		return 0
+	}
+	if j.engine {
+		return max(streamSilence, aimSilences*j.route.Aim)
+	}
+	return time.Duration(firstPart * float64(time.Until(j.until)))
+}
+
+// watch ends the send after a silence.
+func (x *exchange) watch(silence time.Duration) {
+	if silence <= 0 {
+		return
+	}
+	x.silence = silence
+	x.timer = time.AfterFunc(silence, func() {
+		x.silent.Store(true)
+		x.cancel()
+	})
+}
+
+// heard puts the end of the silence off.
+func (x *exchange) heard() {
+	if x.timer != nil {
+		x.timer.Reset(x.silence)
+	}
+}
+
+// pass takes the answer of a target to the caller.
+func (x *exchange) pass(ctx context.Context, r conn.Answered) (outcome, placing.End) {
+	j := x.answer.job
+	receipt := platform.ReadReceipt(r.Response.StatusCode, r.Response.Header)
+	if x.handler.opts.Placer.Saw(x.choice.Target, j.declared.Model, receipt.Weights, time.Now()) {
+		j.weights = receipt.Weights
+	}
+	if receipt.NotRun {
+		return x.rejected(r, receipt)
+	}
+	j.ran++
+	success := r.Response.StatusCode < http.StatusMultipleChoices
+	if receipt.Encoded || success && !receipt.Sealed {
+		r.Exchange.Abort()
+		return lost{why: "the answer is not the target's"}, placing.Failed
+	}
+	if success && isStream(r.Response) {
+		return x.passStream(ctx, r)
+	}
+	return x.passPlain(r)
+}
+
+// rejected handles a target's word that it has not run the request.
+func (x *exchange) rejected(r conn.Answered, receipt platform.Receipt) (outcome, placing.End) {
+	if _, err := r.Exchange.ReadBody(maxAnswerBytes); err != nil {
+		r.Exchange.Abort()
+	} else {
+		r.Exchange.Finish()
+	}
+	if r.Response.StatusCode == http.StatusMisdirectedRequest {
+		x.handler.opts.Placer.Refused(x.choice, x.answer.job.declared.Model, time.Now())
+		return again{why: "misdirected at " + receipt.Target, arrived: true}, placing.Dropped
+	}
+	return again{why: "rejected with " + r.Response.Status, arrived: true}, placing.Failed
+}
+
+// passPlain holds an answer back until it is whole.
+func (x *exchange) passPlain(r conn.Answered) (outcome, placing.End) {
+	j := x.answer.job
+	body, err := r.Exchange.ReadBody(maxAnswerBytes)
+	if err != nil {
+		r.Exchange.Abort()
+		return lost{why: "the answer broke off: " + err.Error()}, placing.Failed
+	}
+	r.Exchange.Finish()
+	x.mark()
+	end := placing.Served
+	if r.Response.StatusCode >= http.StatusInternalServerError {
+		end = placing.Failed
+		if j.route.Repeatable() && j.ran < j.route.Attempts && !x.answer.begun && x.handler.worthRepeating(j) {
+			return lost{why: "failed with " + r.Response.Status}, end
+		}
+	}
+	if x.answer.begun {
+		return lost{why: "no stream but " + r.Response.Status}, end
+	}
+	x.answer.whole(r.Response, body)
+	x.handler.finish(j, r.Response.StatusCode, "answered")
+	return delivered{}, end
+}
+
+// worthRepeating tells whether there is time for another run.
+func (h *Handler) worthRepeating(j *job) bool {
+	return time.Until(j.until) > max(2*leastLeft, time.Since(j.start)/2)
+}
+
+// mark notes the time of the first event or whole answer.
+func (x *exchange) mark() {
+	if x.first {
+		return
+	}
+	x.first = true
+	j := x.answer.job
+	if j.first == 0 {
+		j.first = time.Since(j.start)
+	}
+	x.handler.opts.Placer.FirstToken(x.choice)
+}
+
+// passStream passes events on as they come.
+func (x *exchange) passStream(ctx context.Context, r conn.Answered) (outcome, placing.End) {
+	j := x.answer.job
+	events := newEvents(r.Response.Body)
+	for {
+		event, err := events.next()
+		if err == io.EOF {
+			r.Exchange.Finish()
+			x.answer.close(r.Response)
+			x.mark()
+			x.handler.finish(j, r.Response.StatusCode, "streamed")
+			return delivered{}, placing.Served
+		}
+		if err != nil {
+			r.Exchange.Abort()
+			if x.silent.Load() {
+				return lost{why: "the stream fell silent"}, placing.Silenced
+			}
+			return lost{why: "the stream broke off: " + err.Error()}, placing.Failed
+		}
+		x.heard()
+		x.mark()
+		if event.weights > 0 {
+			x.handler.opts.Placer.Saw(x.choice.Target, j.declared.Model, event.weights, time.Now())
+		}
+		if err := x.answer.event(r.Response, event); err != nil {
+			r.Exchange.Abort()
+			x.cancel()
+			return stopped{err: err}, placing.Dropped
+		}
+		if ctx.Err() != nil {
+			r.Exchange.Abort()
+			return stopped{err: context.Cause(ctx)}, placing.Dropped
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/relay/failure.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// A failure is why a request gets no answer of a target: rejection, refusal,
+// broken or gone.
+type failure interface {
+	status() int
+	reason() string
+}
+
+// A rejection is a request that is not permitted.
+type rejection struct {
+	code int
+	why  string
+}
+
+// A refusal is a request that has not run and never will, which may come again.
+type refusal struct {
+	code  int
+	why   string
+	after time.Duration
+}
+
+// A broken is a request that may have run and whose answer is not known.
+type broken struct {
+	code int
+	why  string
+}
+
+// A gone is a request whose caller has left.
+type gone struct{ err error }
+
+func (f rejection) status() int { return f.code }
+func (f refusal) status() int   { return f.code }
+func (f broken) status() int    { return f.code }
+func (f gone) status() int      { return 0 }
+
+func (f rejection) reason() string { return f.why }
+func (f refusal) reason() string   { return f.why }
+func (f broken) reason() string    { return f.why }
+func (f gone) reason() string      { return "the caller has left: " + f.err.Error() }
+
+// fail answers a request that no target has answered.
+func (h *Handler) fail(w http.ResponseWriter, j *job, f failure) {
+	switch f := f.(type) {
+	case gone:
+		h.finish(j, 0, f.reason())
+		panic(http.ErrAbortHandler)
+	case refusal:
+		h.refund(j)
+		platform.FailureHeader(w.Header(), j.declared.ID, f.after)
+	case rejection, broken:
+		platform.FailureHeader(w.Header(), j.declared.ID, 0)
+	}
+	text := f.reason() + "\n"
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(f.status())
+	_, _ = w.Write([]byte(text))
+	h.finish(j, f.status(), f.reason())
+}
+
+// refund gives back the charge of a request that did not run.
+func (h *Handler) refund(j *job) {
+	if j.customer != nil && j.cost > 0 {
+		h.opts.Quota.Refund(j.customer, j.cost)
+		j.cost = 0
+	}
+}
+
+// finish logs and counts a request.
+func (h *Handler) finish(j *job, status int, outcome string) {
+	now := time.Now()
+	route, customer := "", ""
+	if j.route != nil {
+		route = j.route.Name
+	}
+	if j.customer != nil {
+		customer = j.customer.Name
+	}
+	version := int64(0)
+	if j.view.Config != nil {
+		version = j.view.Config.Version
+	}
+	h.opts.Meters.note(status, j.first, now.Sub(j.start))
+	_ = h.opts.Log.Log("msg", "request", "id", j.declared.ID, "route", route, "customer", customer,
+		"config", version, "status", status, "outcome", outcome, "detail", j.detail, "target", j.target, "sends", j.sends,
+		"ran", j.ran, "firstms", j.first.Milliseconds(), "ms", now.Sub(j.start).Milliseconds(),
+		"leftms", j.until.Sub(now).Milliseconds(), "expectedms", j.estimate.Milliseconds(), "home", j.home, "source", j.source,
+		"weights", j.weights, "tokens", j.tokens, "shared", j.shared, "level", int(j.level))
+}
+
+func appendInt(b []byte, n int64) []byte { return strconv.AppendInt(b, n, 10) }
--- /dev/null
+++ b/internal/gateway/relay/handler.go
@@ -0,0 +1,272 @@
+// Package relay serves callers' requests: it authorises them, holds them to
+// limits, sends them to targets and passes complete answers back.
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+const (
+	// defaultTimeout bounds a request that declares no deadline on a route
+	// without a timeout.
+	defaultTimeout = 30 * time.Second
+	// defaultBodyBytes bounds a body where the configuration does not.
+	defaultBodyBytes = 8 << 20
+	// busyRetry is when callers return that no target can serve now.
+	busyRetry = 400 * time.Millisecond
+	// startRetry is when callers return to a VM that knows no configuration.
+	startRetry = 500 * time.Millisecond
+)
+
+// Options are the parameters of a Handler.
+type Options struct {
+	View   func() *source.View
+	Quota  *quota.Ledger
+	Placer *placing.Placer
+	Pool   *conn.Pool
+	Budget *retry.Budget
+	Log    log.Logger
+	// VMs returns the number of VMs that share the budget of retries.
+	VMs func() int
+	// Fresh tells whether keyed requests may still be served: a VM that has
+	// heard neither from the store nor from others may have missed a withdrawal.
+	Fresh func() bool
+	// Leaving tells whether the VM is about to stop.
+	Leaving func() bool
+	// Suspect is called with targets that took no connection.
+	Suspect func(t *site.Target)
+	Meters  *Meters
+}
+
+// A Handler serves callers' requests. It implements http.Handler.
+type Handler struct{ opts Options }
+
+// NewHandler returns a Handler.
+func NewHandler(o Options) *Handler { return &Handler{opts: o} }
+
+// A job is one request of a caller on its way.
+type job struct {
+	declared platform.Declared
+	request  *http.Request
+	body     []byte
+	view     *source.View
+	route    *site.Route
+	customer *site.Customer
+	service  string
+	engine   bool
+	start    time.Time
+	until    time.Time
+	cost     float64
+	family   uint64
+	shared   int
+	tokens   int
+
+	// What happened so far.
+	tried    []string
+	sends    int
+	ran      int
+	arrived  int
+	first    time.Duration
+	target   string
+	level    float64
+	source   string
+	home     bool
+	estimate time.Duration
+	weights  int64
+	detail   string
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := &job{declared: platform.ReadDeclared(r.Header), request: r, view: h.opts.View(), start: time.Now(), level: -1}
+	if h.opts.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if a := h.admit(w, j); a != nil {
+		h.fail(w, j, a)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.until)
+	defer cancel()
+	h.run(ctx, w, j)
+}
+
+// admit reads the request and decides whether it may run. It returns nil if so.
+func (h *Handler) admit(w http.ResponseWriter, j *job) failure {
+	cfg := j.view.Config
+	if cfg == nil {
+		return refusal{http.StatusServiceUnavailable, "no configuration yet", startRetry}
+	}
+	limit := cfg.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if f := j.readBody(w, limit); f != nil {
+		return f
+	}
+	if j.declared.ID == "" {
+		return rejection{http.StatusBadRequest, "the request has no id"}
+	}
+	if f := h.authorise(j, cfg); f != nil {
+		return f
+	}
+	j.bound()
+	j.describe()
+	return h.charge(j)
+}
+
+func (j *job) readBody(w http.ResponseWriter, limit int64) failure {
+	if j.request.Body == nil || j.request.ContentLength == 0 {
+		return nil
+	}
+	if j.request.ContentLength > limit {
+		return rejection{http.StatusRequestEntityTooLarge, "the body is too long"}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, j.request.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return rejection{http.StatusRequestEntityTooLarge, "the body is too long"}
+	case err != nil:
+		return gone{err}
+	}
+	j.body = body
+	return nil
+}
+
+// authorise finds the route, the customer and the service of the request.
+func (h *Handler) authorise(j *job, cfg *site.Config) failure {
+	j.route = cfg.Match(j.request.Host, j.path())
+	if j.route == nil {
+		return rejection{http.StatusNotFound, "no route matches the host and path"}
+	}
+	if len(cfg.Customers) > 0 {
+		j.customer = cfg.Holder(j.declared.Key)
+		if j.customer == nil && !j.route.Public {
+			return rejection{http.StatusUnauthorized, "the key is not known"}
+		}
+		if !j.route.Public && !h.opts.Fresh() {
+			return refusal{http.StatusServiceUnavailable, "this VM may have missed the withdrawal of a key", busyRetry}
+		}
+	}
+	j.service = pickShare(j.route.Shares, j.declared.ID)
+	s := cfg.Services[j.service]
+	j.engine = s != nil && s.Engine != nil
+	return nil
+}
+
+// path returns the path without its query.
+func (j *job) path() string {
+	path, _, _ := strings.Cut(j.request.RequestURI, "?")
+	return path
+}
+
+// pickShare divides requests among the services of a route by their ids.
+func pickShare(shares []site.Share, id string) string {
+	total := 0.0
+	for _, s := range shares {
+		total += max(s.Weight, 0)
+	}
+	at := float64(xxhash.Sum64String(id)>>11) / (1 << 53) * total
+	for _, s := range shares {
+		if at -= max(s.Weight, 0); at < 0 {
+			return s.Service
+		}
+	}
+	if len(shares) == 0 {
+		return ""
+	}
+	return shares[len(shares)-1].Service
+}
+
+// bound sets the end of the request.
+func (j *job) bound() {
+	left := j.declared.Deadline
+	if left <= 0 || j.route.Timeout > 0 && j.route.Timeout < left {
+		left = j.route.Timeout
+	}
+	if left <= 0 {
+		left = defaultTimeout
+	}
+	j.until = j.start.Add(left)
+}
+
+// describe fills in what the choice of a target needs.
+func (j *job) describe() {
+	d := &j.declared
+	hash := xxhash.New()
+	_, _ = hash.WriteString(d.Model)
+	for i, part := range d.Parts {
+		j.tokens += part.Tokens
+		if i < len(d.Parts)-1 {
+			j.shared += part.Tokens
+			_, _ = hash.WriteString("/" + part.ID)
+		}
+	}
+	j.tokens = max(j.tokens, d.PromptTokens)
+	if j.shared > 0 {
+		if j.customer != nil && j.customer.Isolated {
+			_, _ = hash.WriteString("@" + j.customer.Name)
+		}
+		j.family = hash.Sum64()
+	}
+}
+
+// charge holds the customer to its limit.
+func (h *Handler) charge(j *job) failure {
+	c := j.customer
+	if c == nil {
+		return nil
+	}
+	j.cost = 1
+	if c.ByTokens {
+		j.cost = c.DefaultTokens
+		if d := j.declared; d.PromptTokens >= 0 {
+			j.cost = float64(d.PromptTokens + d.AnswerTokens)
+		}
+	}
+	v := h.opts.Quota.Admit(c, j.cost)
+	j.level = v.Level
+	if !v.Admitted {
+		j.cost = 0
+		return refusal{http.StatusTooManyRequests, "the customer is over its limit", v.After}
+	}
+	return nil
+}
+
+// salt names the KV cache that the request may use.
+func (j *job) salt(weights int64) string {
+	b := append([]byte(j.declared.Model), '.', 'v')
+	b = appendInt(b, weights)
+	if j.customer != nil && j.customer.Isolated {
+		b = append(append(b, '@'), j.customer.Name...)
+	}
+	return string(b)
+}
+
+// rank returns the priority that engines are told.
+func (j *job) rank() int {
+	switch {
+	case !j.engine:
+		return -1
+	case j.customer != nil && j.customer.Ranked:
+		return j.customer.Priority
+	}
+	return j.route.Priority
+}
--- /dev/null
+++ b/internal/gateway/relay/run.go
@@ -0,0 +1,214 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+const (
+	// maxSends bounds the sends of one request, rejected ones included.
+	maxSends = 4
+	// leastLeft is the least time that a send is worth.
+	leastLeft = 15 * time.Millisecond
+	// firstPart is the part of the time left that a send of a repeatable plain
+	// request waits for its answer while another may follow.
+	firstPart = 0.4
+	// streamSilence is how long a resumable stream may be silent before it is
+	// resumed elsewhere; aimSilences is the same in aims of the route.
+	streamSilence = 1200 * time.Millisecond
+	aimSilences   = 3
+)
+
+// An outcome is how one send ended: delivered, again, lost or stopped.
+type outcome interface{ outcome() }
+
+// delivered tells that the caller has its answer, or the part of it that there
+// will be.
+type delivered struct{}
+
+// again tells that the target did not run the request. Arrived tells whether
+// the target has seen it.
+type again struct {
+	why     string
+	arrived bool
+}
+
+// lost tells that the request may have run and that nothing of its answer has
+// been passed on.
+type lost struct{ why string }
+
+// stopped tells that the caller has left or the time has run out.
+type stopped struct{ err error }
+
+func (delivered) outcome() {}
+func (again) outcome()     {}
+func (lost) outcome()      {}
+func (stopped) outcome()   {}
+
+// run sends the request until it is answered or no further send is permitted.
+func (h *Handler) run(ctx context.Context, w http.ResponseWriter, j *job) {
+	a := &answer{w: w, job: j}
+	var last outcome = again{why: "no target"}
+	for j.sends < maxSends {
+		if time.Until(j.until) < leastLeft && j.sends > 0 {
+			break
+		}
+		choice, ok := h.opts.Placer.Choose(h.opts.View(), j.wish(), time.Now())
+		if !ok || !h.maySend(j) {
+			break
+		}
+		last = h.send(ctx, a, choice)
+		switch o := last.(type) {
+		case delivered:
+			return
+		case stopped:
+			j.detail += "stopped: " + o.err.Error()
+			h.end(ctx, a, o)
+			return
+		case lost:
+			j.detail += o.why + "; "
+			if !j.route.Repeatable() || j.ran >= j.route.Attempts {
+				h.end(ctx, a, o)
+				return
+			}
+		case again:
+			j.detail += o.why + "; "
+		}
+		j.tried = append(j.tried, choice.Target.ID)
+	}
+	h.end(ctx, a, last)
+}
+
+// wish returns what the choice of a target needs to know.
+func (j *job) wish() placing.Request {
+	r := placing.Request{Service: j.service, Tried: j.tried}
+	if j.engine {
+		r.Model, r.Family, r.Tokens, r.Shared = j.declared.Model, j.family, j.tokens, j.shared
+	}
+	return r
+}
+
+// maySend holds sends after the first that arrived to the budget of retries.
+func (h *Handler) maySend(j *job) bool {
+	now := time.Now()
+	if j.sends == 0 {
+		h.opts.Budget.Earn(j.service, now)
+		return true
+	}
+	if j.arrived == 0 {
+		return true
+	}
+	return h.opts.Budget.Spend(j.service, h.opts.VMs(), now)
+}
+
+// end answers a request after its last send.
+func (h *Handler) end(ctx context.Context, a *answer, last outcome) {
+	j := a.job
+	if a.begun {
+		// Part of a stream is with the caller; it must not look complete.
+		h.finish(j, http.StatusOK, "stream broken")
+		panic(http.ErrAbortHandler)
+	}
+	h.fail(a.w, j, j.failure(ctx, last))
+}
+
+// failure returns what the caller of an unanswered request is told.
+func (j *job) failure(ctx context.Context, last outcome) failure {
+	if err := j.request.Context().Err(); err != nil {
+		return gone{err}
+	}
+	if j.ran > 0 && !j.route.Repeatable() {
+		if ctx.Err() != nil {
+			return broken{http.StatusGatewayTimeout, "the time for the request is over and it may have run"}
+		}
+		return broken{http.StatusBadGateway, "the target's answer was lost"}
+	}
+	if ctx.Err() != nil || time.Until(j.until) < leastLeft {
+		return broken{http.StatusGatewayTimeout, "the time for the request is over"}
+	}
+	if j.ran > 0 {
+		return broken{http.StatusBadGateway, "no target gave a whole answer"}
+	}
+	if o, ok := last.(again); ok {
+		return refusal{http.StatusServiceUnavailable, "no target can run the request now: " + o.why, busyRetry}
+	}
+	return refusal{http.StatusServiceUnavailable, "no target can run the request now", busyRetry}
+}
+
+// send makes one send to a chosen target and passes its answer on.
+func (h *Handler) send(ctx context.Context, a *answer, choice placing.Choice) outcome {
+	j := a.job
+	j.sends++
+	j.note(choice)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x := &exchange{handler: h, answer: a, choice: choice, sent: time.Now(), cancel: cancel}
+	h.opts.Placer.Begin(choice, x.sent)
+	end := placing.Dropped
+	defer func() { h.opts.Placer.End(choice, end, x.first, time.Now()) }()
+
+	var got conn.Result
+	got, x.stop = h.do(ctx, x)
+	var o outcome
+	switch r := got.(type) {
+	case conn.Unsent:
+		o, end = again{why: "unsent: " + r.Err.Error()}, placing.Unreached
+		h.opts.Suspect(choice.Target)
+	case conn.Lost:
+		j.arrived++
+		j.ran++
+		o, end = lost{why: "lost: " + r.Err.Error()}, placing.Failed
+		if x.silent.Load() {
+			end = placing.Silenced
+		}
+	case conn.Answered:
+		j.arrived++
+		o, end = x.pass(ctx, r)
+	}
+	x.stop()
+	return h.settle(ctx, o, &end)
+}
+
+// settle tells an end by the caller or by time from one by the target.
+func (h *Handler) settle(ctx context.Context, o outcome, end *placing.End) outcome {
+	if _, ok := o.(delivered); ok || ctx.Err() == nil {
+		return o
+	}
+	*end = placing.Dropped
+	return stopped{err: context.Cause(ctx)}
+}
+
+// note keeps what the log tells of the latest choice.
+func (j *job) note(c placing.Choice) {
+	j.target, j.home, j.estimate, j.weights = c.Target.ID, c.Home, c.Expected, c.Weights
+	j.source = ""
+	if c.Source != nil {
+		j.source = c.Source.ID
+	}
+}
+
+// instruction returns what the target is told about the send.
+func (j *job) instruction(c placing.Choice, after string) platform.Instruction {
+	in := platform.Instruction{
+		Left:   time.Until(j.until),
+		Target: c.Target.ID,
+		Rank:   j.rank(),
+		After:  after,
+	}
+	if j.customer != nil {
+		in.Customer = j.customer.Name
+	}
+	if j.engine {
+		in.Salt = j.salt(c.Weights)
+		in.Weights = c.Weights
+		if c.Source != nil {
+			in.Source = c.Source.Address
+		}
+	}
+	return in
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,14 @@
 	DefaultBodyTimeout   = 20 * time.Second
 	DefaultTTL           = 10 * time.Second
 	DefaultLag           = 5 * time.Second
+	// Defaults of a gateway's bounds.
+	DefaultGrace       = 8 * time.Second
+	DefaultEntryTTL    = 5 * time.Second
+	DefaultQuiet       = 3 * time.Second
+	DefaultWeights     = 10 * time.Second
+	DefaultRevoke      = 5 * time.Second
+	DefaultRetryWindow = 10 * time.Second
+	DefaultRetryRatio  = 0.1
 	// DefaultCalls is the number of calls of the object API a second.
 	DefaultCalls = 50
 )
@@ -37,6 +45,9 @@
 	Targets    Targets   `yaml:"targets"`
 	Entry      Entry     `yaml:"entry"`
 	Limits     Limits    `yaml:"limits,omitempty"`
+	// Gateway is nil unless the VM serves opaque requests for an operator whose
+	// platform keeps the configuration and the list of targets.
+	Gateway *Gateway `yaml:"gateway,omitempty"`
 }
 
 // Callers are the settings of the callers' port.
@@ -94,6 +105,47 @@
 	Slots  int `yaml:"slots,omitempty"`
 }
 
+// A Gateway is the settings of a VM on a platform that keeps the configuration
+// and the list of targets itself. Such a VM has no files of credentials.
+type Gateway struct {
+	// Ready is the address of the readiness port, Directory that of the port that
+	// answers which VM to use.
+	Ready     string `yaml:"ready"`
+	Directory string `yaml:"directory"`
+	// Seeds are addresses of other VMs' ports for VMs; they may be stale.
+	Seeds []string `yaml:"seeds,omitempty"`
+	// Memory is the most that the process may use, in MB.
+	Memory int64  `yaml:"memory,omitempty"`
+	Bounds Bounds `yaml:"bounds,omitempty"`
+}
+
+// Bounds are what the operator holds the fleet to. Bounds that are left out have
+// defaults.
+type Bounds struct {
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration `yaml:"grace,omitempty"`
+	// TTL is the longest time that callers keep an answer on which VM to use.
+	TTL time.Duration `yaml:"ttl,omitempty"`
+	// Quiet is the time between the last order of one VM and the first of another.
+	Quiet time.Duration `yaml:"quiet,omitempty"`
+	// Weights is the time after which no request may begin on overtaken weights.
+	Weights time.Duration `yaml:"weights,omitempty"`
+	// Revoke is the time after which a withdrawn key must not work; it binds VMs
+	// that hear of nothing only if Strict is set.
+	Revoke time.Duration `yaml:"revoke,omitempty"`
+	Strict bool          `yaml:"strict,omitempty"`
+	// Retries are the bounds of sends beyond the first of each request.
+	Retries Retries `yaml:"retries,omitempty"`
+}
+
+// Retries bound the sends beyond the first of each request, for the fleet and
+// each service: Ratio for each request and Slack more, within Window.
+type Retries struct {
+	Ratio  float64       `yaml:"ratio,omitempty"`
+	Slack  float64       `yaml:"slack,omitempty"`
+	Window time.Duration `yaml:"window,omitempty"`
+}
+
 // TLS names the files of a certificate, its key and, where clients must show a
 // certificate, the authority that signs theirs.
 type TLS struct {
@@ -142,9 +194,33 @@
 	if s.Entry.Lag == 0 {
 		s.Entry.Lag = DefaultLag
 	}
+	if s.Gateway != nil {
+		g := *s.Gateway
+		g.Bounds = g.Bounds.withDefaults()
+		s.Gateway = &g
+	}
 	return s
 }
 
+func (b Bounds) withDefaults() Bounds {
+	orDefault(&b.Grace, DefaultGrace)
+	orDefault(&b.TTL, DefaultEntryTTL)
+	orDefault(&b.Quiet, DefaultQuiet)
+	orDefault(&b.Weights, DefaultWeights)
+	orDefault(&b.Revoke, DefaultRevoke)
+	orDefault(&b.Retries.Window, DefaultRetryWindow)
+	if b.Retries.Ratio == 0 && b.Retries.Slack == 0 {
+		b.Retries.Ratio = DefaultRetryRatio
+	}
+	return b
+}
+
+func orDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
 // ReadSecret returns the content of a credential file without surrounding
 // white space. An empty name gives no secret.
 func ReadSecret(file string) ([]byte, error) {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -26,6 +26,35 @@
 }
 
 func (s Settings) checks() []check {
+	return append(s.common(), s.own()...)
+}
+
+// own returns the checks of the settings that gateways have instead of files of
+// credentials, or the other way round.
+func (s Settings) own() []check {
+	g := s.Gateway
+	if g == nil {
+		return []check{
+			required("operators.token", s.Operators.Token),
+			required("peers.secret", s.Peers.Secret),
+		}
+	}
+	return []check{
+		address("gateway.ready", g.Ready),
+		address("gateway.directory", g.Directory),
+		distinct("gateway.ready", g.Ready, s.Callers.Address),
+		{g.Memory >= 0, "gateway.memory", "is negative", "MB, 0 for no bound"},
+		positive("gateway.bounds.grace", int64(g.Bounds.Grace)),
+		positive("gateway.bounds.ttl", int64(g.Bounds.TTL)),
+		positive("gateway.bounds.quiet", int64(g.Bounds.Quiet)),
+		positive("gateway.bounds.weights", int64(g.Bounds.Weights)),
+		positive("gateway.bounds.revoke", int64(g.Bounds.Revoke)),
+		positive("gateway.bounds.retries.window", int64(g.Bounds.Retries.Window)),
+		{g.Bounds.Retries.Ratio >= 0 && g.Bounds.Retries.Slack >= 0, "gateway.bounds.retries", "is negative", "numbers above zero"},
+	}
+}
+
+func (s Settings) common() []check {
 	return []check{
 		required("vm", s.VM),
 		required("region", s.Region),
@@ -34,8 +63,6 @@
 		address("operators.address", s.Operators.Address),
 		address("peers.address", s.Peers.Address),
 		address("platform.address", s.Platform.Address),
-		required("operators.token", s.Operators.Token),
-		required("peers.secret", s.Peers.Secret),
 		distinct("operators.address", s.Operators.Address, s.Callers.Address),
 		distinct("peers.address", s.Peers.Address, s.Callers.Address),
 		pair("callers.tls", s.Callers.TLS),
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // maxTries bounds the writes of one call: the first one and those that follow a
@@ -42,7 +42,7 @@
 // Acquire takes the lease if it is free, held by an earlier incarnation of the
 // same process, or held by a process that is gone. It returns Held, Taken,
 // NotSent or Unsure.
-func Acquire(ctx context.Context, s platform.Store, r Request) Result {
+func Acquire(ctx context.Context, s store.Store, r Request) Result {
 	r0, err := Read(ctx, s, r.key(), r.Duty)
 	if err != nil {
 		return NotSent{Err: err}
@@ -57,7 +57,7 @@
 // Renew writes a held lease anew, with data if it is not nil. An empty key
 // stands for Key(duty). It returns Held,
 // Taken, Free, NotSent or Unsure; after Taken and Free the term is over.
-func Renew(ctx context.Context, s platform.Store, key string, held Record, data []byte) Result {
+func Renew(ctx context.Context, s store.Store, key string, held Record, data []byte) Result {
 	self := Holder{ID: held.Lease.Holder, Incarnation: held.Lease.Incarnation}
 	event := func(_ Record, nonce string) Event {
 		return Extend{Self: self, Term: held.Lease.Term, Nonce: nonce, Data: data}
@@ -67,7 +67,7 @@
 
 // Release hands a held lease back, with data if it is not nil. It returns Free,
 // Taken, NotSent or Unsure.
-func Release(ctx context.Context, s platform.Store, key string, held Record, data []byte) Result {
+func Release(ctx context.Context, s store.Store, key string, held Record, data []byte) Result {
 	self := Holder{ID: held.Lease.Holder, Incarnation: held.Lease.Incarnation}
 	event := func(_ Record, nonce string) Event {
 		return Give{Self: self, Term: held.Lease.Term, Nonce: nonce, Data: data}
@@ -79,7 +79,7 @@
 // and steps again; after an unknown outcome it reads back and looks for the
 // nonce. A write that did not show is repeated with the same nonce under the
 // same version, so that at most one of the repetitions takes effect.
-func update(ctx context.Context, s platform.Store, key string, current Record, event func(Record, string) Event) Result {
+func update(ctx context.Context, s store.Store, key string, current Record, event func(Record, string) Event) Result {
 	u := doubt{nonce: rand.Text()}
 	for range maxTries {
 		if current.Lease.Nonce == u.nonce {
@@ -90,14 +90,14 @@
 			return u.refused(current)
 		}
 		switch w := s.Put(ctx, key, Encode(write.Lease), current.Version).(type) {
-		case platform.Done:
+		case store.Done:
 			return holding(Record{Lease: write.Lease, Version: w.Version})
-		case platform.NotSent:
+		case store.NotSent:
 			return u.unread(w.Err)
-		case platform.Unknown:
+		case store.Unknown:
 			u.err = w.Err
 			u.version = current.Version
-		case platform.Conflict:
+		case store.Conflict:
 		}
 		next, err := Read(ctx, s, key, current.Lease.Duty)
 		if err != nil {
@@ -154,9 +154,9 @@
 }
 
 // Read returns the record of a lease, a new one if it was never written.
-func Read(ctx context.Context, s platform.Store, key, duty string) (Record, error) {
+func Read(ctx context.Context, s store.Store, key, duty string) (Record, error) {
 	o, err := s.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return NewRecord(duty), nil
 	}
 	if err != nil {
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/lease"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 func ExampleAcquire() {
 	ctx := context.Background()
-	store := platform.NewMemory()
+	store := store.NewMemory()
 	for _, vm := range []string{"vm-1", "vm-2"} {
 		r := lease.Request{Duty: "orders", Self: lease.Holder{ID: vm, Incarnation: 1}, Length: 15 * time.Second}
 		switch r := lease.Acquire(ctx, store, r).(type) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -9,7 +9,7 @@
 import (
 	"time"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // Prefix is the start of the object keys of duties.
@@ -44,7 +44,7 @@
 }
 
 // A Record is a lease with the version of its object. The version of a lease
-// that was never written is platform.MustNotExist.
+// that was never written is store.MustNotExist.
 type Record struct {
 	Lease   Lease
 	Version int64
@@ -81,5 +81,5 @@
 
 // NewRecord returns the record of a duty that was never held.
 func NewRecord(duty string) Record {
-	return Record{Lease: Lease{Duty: duty}, Version: platform.MustNotExist}
+	return Record{Lease: Lease{Duty: duty}, Version: store.MustNotExist}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 var (
@@ -45,7 +45,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := platform.NewMemory()
+			s := store.NewMemory()
 			mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
 			got := Acquire(t.Context(), s, c.ask)
 			if c.term == 0 {
@@ -58,7 +58,7 @@
 }
 
 func TestTermGrowsOverRelease(t *testing.T) {
-	s := platform.NewMemory()
+	s := store.NewMemory()
 	held := mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
 	held = mustHold(t, Renew(t.Context(), s, Key("d"), held, []byte("x")), first, 1)
 	must.Eq(t, "", Release(t.Context(), s, Key("d"), held, nil).(Free).Record.Lease.Holder)
@@ -69,11 +69,11 @@
 }
 
 // firstWrite spoils the next write and lets all other calls go well.
-func firstWrite(f platform.Fault) func(platform.Call) platform.Fault {
+func firstWrite(f store.Fault) func(store.Call) store.Fault {
 	spoiled := false
-	return func(c platform.Call) platform.Fault {
-		if c.Kind != platform.KindPut || spoiled {
-			return platform.Fault{}
+	return func(c store.Call) store.Fault {
+		if c.Kind != store.KindPut || spoiled {
+			return store.Fault{}
 		}
 		spoiled = true
 		return f
@@ -81,7 +81,7 @@
 }
 
 func TestLostAnswers(t *testing.T) {
-	faults := map[string]platform.Fault{
+	faults := map[string]store.Fault{
 		"answer":  {LoseAnswer: true},
 		"request": {LoseRequest: true},
 		"late":    {Late: time.Second},
@@ -89,7 +89,7 @@
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := platform.NewMemory()
+				s := store.NewMemory()
 				s.SetFault(firstWrite(fault))
 				held := mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
 				s.SetFault(firstWrite(fault))
@@ -105,7 +105,7 @@
 	}
 }
 
-func read(t *testing.T, s platform.Store) Record {
+func read(t *testing.T, s store.Store) Record {
 	t.Helper()
 	r, err := Read(context.Background(), s, Key("d"), "d")
 	must.NoError(t, err)
@@ -113,9 +113,9 @@
 }
 
 func TestUnsureIsFoundOutLater(t *testing.T) {
-	s := platform.NewMemory()
-	s.SetFault(func(c platform.Call) platform.Fault {
-		return platform.Fault{LoseAnswer: c.Kind == platform.KindPut, Refuse: c.Kind == platform.KindGet && s.Total().Writes > 0}
+	s := store.NewMemory()
+	s.SetFault(func(c store.Call) store.Fault {
+		return store.Fault{LoseAnswer: c.Kind == store.KindPut, Refuse: c.Kind == store.KindGet && s.Total().Writes > 0}
 	})
 	_, unsure := Acquire(t.Context(), s, ask(first, nil)).(Unsure)
 	must.True(t, unsure)
@@ -128,16 +128,16 @@
 // TestStaleReadKeepsTheHolder loses the answer of a renewal for good, so that
 // the next one conflicts and reads the record as it was before its own term.
 func TestStaleReadKeepsTheHolder(t *testing.T) {
-	s := platform.NewMemory()
+	s := store.NewMemory()
 	mustHold(t, Acquire(t.Context(), s, ask(second, nil)), second, 1)
 	held := mustHold(t, Acquire(t.Context(), s, ask(first, always)), first, 2)
 	mustHold(t, Renew(t.Context(), s, "", held, nil), first, 2)
 	reads := 0
-	s.SetFault(func(c platform.Call) platform.Fault {
-		if c.Kind == platform.KindGet {
+	s.SetFault(func(c store.Call) store.Fault {
+		if c.Kind == store.KindGet {
 			reads++
 		}
-		return platform.Fault{Stale: int64(max(0, 3-reads))}
+		return store.Fault{Stale: int64(max(0, 3-reads))}
 	})
 	mustHold(t, Renew(t.Context(), s, "", held, nil), first, 2)
 }
@@ -158,9 +158,9 @@
 }
 
 func TestStoreDown(t *testing.T) {
-	s := platform.NewMemory()
+	s := store.NewMemory()
 	held := mustHold(t, Acquire(t.Context(), s, ask(first, nil)), first, 1)
-	s.SetFault(platform.Down())
+	s.SetFault(store.Down())
 	for _, r := range []Result{
 		Acquire(t.Context(), s, ask(second, always)),
 		Renew(t.Context(), s, Key("d"), held, nil),
@@ -191,9 +191,9 @@
 // it: whether the process holds the lease stays unknown until then.
 func TestOpenDoubt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := platform.NewMemory()
+		s := store.NewMemory()
 		mustHold(t, Acquire(t.Context(), s, ask(second, nil)), second, 1)
-		s.SetFault(firstWrite(platform.Fault{Late: time.Second}))
+		s.SetFault(firstWrite(store.Fault{Late: time.Second}))
 		calls := 0
 		_, unsure := Acquire(t.Context(), s, ask(first, func(Record) bool { calls++; return calls == 1 })).(Unsure)
 		must.True(t, unsure)
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -14,7 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // TestMain runs the tests on one processor: the race detector of Go 1.26 does
@@ -44,7 +44,7 @@
 // that is not drawn for a while is a paused VM.
 type machine struct {
 	clock      *manualClock
-	store      *platform.Memory
+	store      *store.Memory
 	candidates []*candidate
 	// answers are the results that candidates got and have not noted yet.
 	answers map[*candidate]answer
@@ -56,7 +56,7 @@
 func newMachine() *machine {
 	m := &machine{
 		clock:   &manualClock{now: time.Unix(1e9, 0)},
-		store:   platform.NewMemory(),
+		store:   store.NewMemory(),
 		answers: map[*candidate]answer{},
 		holders: map[int64]Holder{},
 	}
@@ -77,23 +77,23 @@
 	kind := rapid.SampledFrom([]string{"none", "none", "answer", "request", "refuse", "stale"}).Draw(t, "fault")
 	delay := time.Duration(rapid.IntRange(0, 1500).Draw(t, "delay")) * time.Millisecond
 	calls := 0
-	m.store.SetFault(func(platform.Call) platform.Fault {
+	m.store.SetFault(func(store.Call) store.Fault {
 		m.clock.now = m.clock.now.Add(delay)
 		calls++
 		if calls > rapid.IntRange(1, 4).Draw(t, "calls") {
-			return platform.Fault{}
+			return store.Fault{}
 		}
 		switch kind {
 		case "answer":
-			return platform.Fault{LoseAnswer: true}
+			return store.Fault{LoseAnswer: true}
 		case "request":
-			return platform.Fault{LoseRequest: true}
+			return store.Fault{LoseRequest: true}
 		case "refuse":
-			return platform.Fault{Refuse: true}
+			return store.Fault{Refuse: true}
 		case "stale":
-			return platform.Fault{Stale: int64(rapid.IntRange(1, 3).Draw(t, "stale"))}
+			return store.Fault{Stale: int64(rapid.IntRange(1, 3).Draw(t, "stale"))}
 		}
-		return platform.Fault{}
+		return store.Fault{}
 	})
 }
 
--- a/lease/measure_test.go
+++ b/lease/measure_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/virtual"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -23,7 +23,7 @@
 
 // startAll runs the candidates of a number of duties and returns what ends the
 // candidate with an index.
-func startAll(m *platform.Memory, duties int) ([]*Task, []context.CancelFunc, *sync.WaitGroup) {
+func startAll(m *store.Memory, duties int) ([]*Task, []context.CancelFunc, *sync.WaitGroup) {
 	var running sync.WaitGroup
 	var tasks []*Task
 	var stops []context.CancelFunc
@@ -31,7 +31,7 @@
 		for c := range candidatesOfDuty {
 			id := fmt.Sprintf("vm-%d-%d", d, c)
 			task := NewTask(Options{
-				Self: Holder{ID: id, Incarnation: 1}, Store: m.For(id), Clock: platform.SystemClock{}, Seed: uint64(d*candidatesOfDuty + c),
+				Self: Holder{ID: id, Incarnation: 1}, Store: m.For(id), Clock: store.SystemClock{}, Seed: uint64(d*candidatesOfDuty + c),
 			})
 			task.Want(fmt.Sprint(d))
 			ctx, cancel := context.WithCancel(context.Background())
@@ -55,7 +55,7 @@
 
 // gaps cuts the holder of each duty off or stops it, and returns the times
 // until another may act.
-func gaps(m *platform.Memory, tasks []*Task, stops []context.CancelFunc, duties int, planned bool) []time.Duration {
+func gaps(m *store.Memory, tasks []*Task, stops []context.CancelFunc, duties int, planned bool) []time.Duration {
 	lost := map[string]bool{}
 	holders := make([]int, duties)
 	for d := range duties {
@@ -66,8 +66,8 @@
 		}
 		lost[tasks[holders[d]].opts.Self.ID] = true
 	}
-	m.SetFault(func(c platform.Call) platform.Fault {
-		return platform.Fault{Delay: storeTime, Refuse: lost[c.From]}
+	m.SetFault(func(c store.Call) store.Fault {
+		return store.Fault{Delay: storeTime, Refuse: lost[c.From]}
 	})
 	begun := time.Now()
 	found := make([]time.Duration, duties)
@@ -88,11 +88,11 @@
 	for _, duties := range []int{4, 60} {
 		for _, planned := range []bool{false, true} {
 			b.Run(fmt.Sprintf("duties=%d/planned=%v", duties, planned), func(b *testing.B) {
-				var calls platform.Counts
+				var calls store.Counts
 				var found []time.Duration
 				virtual.Run(b, func() {
-					m := platform.NewMemory()
-					m.SetFault(platform.Slow(storeTime))
+					m := store.NewMemory()
+					m.SetFault(store.Slow(storeTime))
 					tasks, stops, running := startAll(m, duties)
 					time.Sleep(measured)
 					calls = m.Total()
--- a/lease/task.go
+++ b/lease/task.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // DefaultLength is the time to live of duties.
@@ -19,8 +19,8 @@
 // Options are the settings of a Task.
 type Options struct {
 	Self  Holder
-	Store platform.Store
-	Clock platform.Clock
+	Store store.Store
+	Clock store.Clock
 	Log   log.Logger
 	// Length is the time to live of the duties; zero stands for DefaultLength.
 	Length time.Duration
--- a/lease/task_test.go
+++ b/lease/task_test.go
@@ -8,13 +8,13 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // run starts a Task that wants the duty "d" and returns how to stop it.
-func run(t *testing.T, s platform.Store, h Holder) (*Task, func()) {
+func run(t *testing.T, s store.Store, h Holder) (*Task, func()) {
 	t.Helper()
-	task := NewTask(Options{Self: h, Store: s, Clock: platform.SystemClock{}, Seed: 1})
+	task := NewTask(Options{Self: h, Store: s, Clock: store.SystemClock{}, Seed: 1})
 	task.Want("d")
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -39,7 +39,7 @@
 
 func TestHandOverAtPlannedStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		one, stop := run(t, m, first)
 		two, _ := run(t, m, second)
 		must.Eq(t, 1, term(one))
@@ -53,15 +53,15 @@
 
 func TestPausedHolderWakesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		one, _ := run(t, m.For("vm-1"), first)
 		two, _ := run(t, m.For("vm-2"), second)
 		wake := time.Now().Add(time.Minute)
-		m.SetFault(func(c platform.Call) platform.Fault {
+		m.SetFault(func(c store.Call) store.Fault {
 			if c.From == "vm-1" {
-				return platform.Fault{Delay: time.Until(wake)}
+				return store.Fault{Delay: time.Until(wake)}
 			}
-			return platform.Fault{}
+			return store.Fault{}
 		})
 		time.Sleep(time.Until(wake) - time.Millisecond)
 		must.Eq(t, 0, term(one))
@@ -74,10 +74,10 @@
 
 func TestStoreDownThirtyMinutes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		one, _ := run(t, m.For("vm-1"), first)
 		two, _ := run(t, m.For("vm-2"), second)
-		m.SetFault(platform.Down())
+		m.SetFault(store.Down())
 		time.Sleep(DefaultLength)
 		must.Eq(t, 0, term(one)+term(two))
 		time.Sleep(30 * time.Minute)
@@ -89,8 +89,8 @@
 
 func TestSlowStoreKeepsTheHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
-		m.SetFault(platform.Slow(2 * time.Second))
+		m := store.NewMemory()
+		m.SetFault(store.Slow(2 * time.Second))
 		one, _ := run(t, m.For("vm-1"), first)
 		time.Sleep(10 * time.Second)
 		for range 60 {
@@ -102,7 +102,7 @@
 
 func TestDropHandsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		one, _ := run(t, m, first)
 		one.Drop("d")
 		must.Eq(t, "", read(t, m).Lease.Holder)
--- a/limit/store.go
+++ b/limit/store.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/baobabdyke/baobabdyke/lease"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // agree reads the layout of the fleet, or writes this VM's as the first, and
@@ -45,8 +45,8 @@
 		return Layout{}, eris.Wrap(err, "encode layout")
 	}
 	o, err := t.o.Store.Get(call, layoutKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		t.o.Store.Put(call, layoutKey, value, platform.MustNotExist)
+	if errors.Is(err, store.ErrNotFound) {
+		t.o.Store.Put(call, layoutKey, value, store.MustNotExist)
 		o, err = t.o.Store.Get(call, layoutKey)
 	}
 	if err != nil {
--- a/limit/task.go
+++ b/limit/task.go
@@ -10,7 +10,7 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -36,11 +36,11 @@
 type Options struct {
 	Self   vm.Member
 	Layout Layout
-	Store  platform.Store
+	Store  store.Store
 	Peers  peer.Caller
 	Roster vm.Roster
 	Config func() *config.View
-	Clock  platform.Clock
+	Clock  store.Clock
 	Log    log.Logger
 	Seed   uint64
 }
@@ -76,7 +76,7 @@
 		o.Log = log.NewNopLogger()
 	}
 	if o.Clock == nil {
-		o.Clock = platform.SystemClock{}
+		o.Clock = store.SystemClock{}
 	}
 	if o.Layout == (Layout{}) {
 		o.Layout = Layout{Shards: DefaultShards, Slots: DefaultSlots}
--- a/limit/task_test.go
+++ b/limit/task_test.go
@@ -17,7 +17,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/seed"
 	"github.com/baobabdyke/baobabdyke/limit"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -25,7 +25,7 @@
 // roster as well.
 type cluster struct {
 	t       *testing.T
-	store   *platform.Memory
+	store   *store.Memory
 	network *peer.Memory
 	view    *config.View
 	stops   map[string]func()
@@ -66,7 +66,7 @@
 func runCluster(t *testing.T, vms int, f func(t *testing.T, c *cluster, tasks []*limit.Task)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
-			t: t, store: platform.NewMemory(), network: peer.NewMemory(), stops: map[string]func(){},
+			t: t, store: store.NewMemory(), network: peer.NewMemory(), stops: map[string]func(){},
 			view: config.NewView(oneCustomer(hakata)), layout: limit.Layout{Shards: 2, Slots: 4},
 		}
 		var tasks []*limit.Task
@@ -167,9 +167,9 @@
 	t.Run("lost answers of writes leave every slot held", func(t *testing.T) {
 		runCluster(t, 0, func(t *testing.T, c *cluster, _ []*limit.Task) {
 			var writes atomic.Int64
-			c.store.SetFault(func(call platform.Call) platform.Fault {
-				lose := call.Kind == platform.KindPut && writes.Add(1)%2 == 1
-				return platform.Fault{LoseAnswer: lose}
+			c.store.SetFault(func(call store.Call) store.Fault {
+				lose := call.Kind == store.KindPut && writes.Add(1)%2 == 1
+				return store.Fault{LoseAnswer: lose}
 			})
 			first, second := c.start("vm0", 1), c.start("vm1", 1)
 			time.Sleep(2 * time.Minute)
@@ -179,7 +179,7 @@
 	})
 	t.Run("all VMs restart while the store is down", func(t *testing.T) {
 		runCluster(t, 2, func(t *testing.T, c *cluster, _ []*limit.Task) {
-			c.store.SetFault(platform.Down())
+			c.store.SetFault(store.Down())
 			first, second := c.start("vm0", 2), c.start("vm1", 2)
 			time.Sleep(4 * time.Second)
 			must.False(t, first.Warm())
@@ -194,14 +194,14 @@
 	})
 	t.Run("a store that is down for 30 minutes changes nothing", func(t *testing.T) {
 		runCluster(t, 3, func(t *testing.T, c *cluster, tasks []*limit.Task) {
-			c.store.SetFault(platform.Down())
+			c.store.SetFault(store.Down())
 			time.Sleep(30 * time.Minute)
 			must.Eq(t, 1, admit(t, tasks[0], 16000, 3))
 		})
 	})
 	t.Run("a slow store delays slots only", func(t *testing.T) {
 		runCluster(t, 0, func(t *testing.T, c *cluster, _ []*limit.Task) {
-			c.store.SetFault(platform.Slow(1900 * time.Millisecond))
+			c.store.SetFault(store.Slow(1900 * time.Millisecond))
 			task := c.start("vm0", 1)
 			time.Sleep(5 * time.Minute)
 			must.Eq(t, 8, mine(task))
@@ -240,7 +240,7 @@
 }
 
 func ExampleTask() {
-	store, network := platform.NewMemory(), peer.NewMemory()
+	store, network := store.NewMemory(), peer.NewMemory()
 	self := vm.Member{ID: "vm0", Incarnation: 1, Peer: "10.0.0.1:9000", State: vm.StateServing}
 	c := &cluster{members: []vm.Member{self}}
 	task := limit.NewTask(limit.Options{
--- a/order/bench_test.go
+++ b/order/bench_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/lease"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -182,11 +182,11 @@
 }
 
 // start runs a Task of a VM and returns how to stop it.
-func (b *bench) start(t *testing.T, vm string, s platform.Store, change func(*Options)) func() {
+func (b *bench) start(t *testing.T, vm string, s store.Store, change func(*Options)) func() {
 	t.Helper()
 	o := Options{
 		Self: lease.Holder{ID: vm, Incarnation: 1}, Store: s, Client: b,
-		Config: b.config, States: b.states, Clock: platform.SystemClock{}, Seed: 1,
+		Config: b.config, States: b.states, Clock: store.SystemClock{}, Seed: 1,
 	}
 	if change != nil {
 		change(&o)
--- a/order/group.go
+++ b/order/group.go
@@ -11,7 +11,7 @@
 
 	"github.com/baobabdyke/baobabdyke/invariant"
 	"github.com/baobabdyke/baobabdyke/lease"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -119,9 +119,9 @@
 	r := g.send(ctx, i)
 	if _, lost := r.out.(target.OrderLost); lost {
 		// The load may still run.
-		platform.Sleep(ctx, k.taken.Add(maxLifetime).Sub(g.opts.Clock.Now()))
+		store.Sleep(ctx, k.taken.Add(maxLifetime).Sub(g.opts.Clock.Now()))
 	}
-	platform.Sleep(ctx, k.taken.Add(loadGap).Sub(g.opts.Clock.Now()))
+	store.Sleep(ctx, k.taken.Add(loadGap).Sub(g.opts.Clock.Now()))
 	g.slots.give(context.WithoutCancel(ctx), k)
 	return r
 }
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -10,14 +10,14 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/config"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
 func TestRollOutKeepsCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(1, 10, true)
-		b.start(t, "vm-1", platform.NewMemory(), nil)
+		b.start(t, "vm-1", store.NewMemory(), nil)
 		time.Sleep(20 * time.Second)
 		must.Eq(t, 0, b.orders())
 		b.want(1, "v2")
@@ -71,7 +71,7 @@
 						return fault{}
 					}
 					want(b)
-					b.start(t, "vm-1", platform.NewMemory(), nil)
+					b.start(t, "vm-1", store.NewMemory(), nil)
 					time.Sleep(time.Minute)
 					must.Eq(t, 1, b.orders())
 				})
@@ -82,7 +82,7 @@
 
 func TestMoreLoadsThanSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		b := newBench(4, 4, true)
 		for i, vm := range []string{"vm-1", "vm-2"} {
 			b.start(t, vm, m, func(o *Options) {
@@ -99,19 +99,19 @@
 
 // pause makes a VM's calls of the store stand until a time, as when the VM is
 // paused.
-func pause(m *platform.Memory, vm string, until time.Time) {
-	m.SetFault(func(c platform.Call) platform.Fault {
+func pause(m *store.Memory, vm string, until time.Time) {
+	m.SetFault(func(c store.Call) store.Fault {
 		if c.From == vm {
-			return platform.Fault{Delay: time.Until(until)}
+			return store.Fault{Delay: time.Until(until)}
 		}
-		return platform.Fault{}
+		return store.Fault{}
 	})
 }
 
 // TestPausedBeforeTheCheck pauses a holder between its plan and its order.
 func TestPausedBeforeTheCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		b := newBench(1, 1, false)
 		var wake atomic.Pointer[time.Time]
 		wake.Store(new(time.Time))
@@ -141,7 +141,7 @@
 	for _, fencing := range []bool{false, true} {
 		t.Run(fmt.Sprintf("fencing %v", fencing), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m := platform.NewMemory()
+				m := store.NewMemory()
 				b := newBench(1, 1, fencing)
 				wake := time.Now().Add(2 * time.Minute)
 				b.fault = func(_ string, o target.Order) fault {
@@ -168,7 +168,7 @@
 
 func TestSuccessorWaitsOutOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		b := newBench(1, 2, false)
 		b.engines["engine-0-1"].target.Fencing = true
 		b.want(1, "v2")
--- a/order/slots.go
+++ b/order/slots.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/lease"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // slotLength is the time after which the load slot of a VM that has gone may be
@@ -18,8 +18,8 @@
 // only under one of them.
 type slots struct {
 	self  lease.Holder
-	store platform.Store
-	clock platform.Clock
+	store store.Store
+	clock store.Clock
 
 	mu      sync.Mutex
 	watches [loadSlots]lease.Watch
@@ -33,7 +33,7 @@
 	taken  time.Time
 }
 
-func newSlots(self lease.Holder, store platform.Store, clock platform.Clock) *slots {
+func newSlots(self lease.Holder, store store.Store, clock store.Clock) *slots {
 	return &slots{self: self, store: store, clock: clock}
 }
 
--- a/order/task.go
+++ b/order/task.go
@@ -9,7 +9,7 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/lease"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -19,7 +19,7 @@
 // Options are the settings of a Task.
 type Options struct {
 	Self   lease.Holder
-	Store  platform.Store
+	Store  store.Store
 	Client target.Client
 	Config func() *config.View
 	// States returns what is known of the targets of a pool.
@@ -27,7 +27,7 @@
 	// Candidate tells whether this VM should try to hold the lease of a pool;
 	// nil stands for always. A few VMs for each pool are enough.
 	Candidate func(pool string) bool
-	Clock     platform.Clock
+	Clock     store.Clock
 	Log       log.Logger
 	// Seed fixes the jitter of the leases.
 	Seed uint64
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -32,8 +32,12 @@
 	CallTargets = "/target/States"
 )
 
+// AnyVM as the VM of a Destination addresses whichever VM has the address, for
+// addresses that come without an id.
+const AnyVM = ""
+
 // A Destination is the VM that a call is for. The receiver refuses a call whose
-// VM is not its own id, since addresses are reused.
+// VM is neither AnyVM nor its own id, since addresses are reused.
 type Destination struct {
 	VM      string
 	Address string
--- a/peer/server.go
+++ b/peer/server.go
@@ -112,7 +112,7 @@
 	if subtle.ConstantTimeCompare(got[:], s.secret[:]) != 1 {
 		return drpcerr.WithCode(ErrForbidden, codeForbidden)
 	}
-	if meta[metaTo] != s.opts.Self {
+	if to := meta[metaTo]; to != AnyVM && to != s.opts.Self {
 		return drpcerr.WithCode(ErrWrongVM, codeWrongVM)
 	}
 	return nil
--- a/prefix/feed.go
+++ b/prefix/feed.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/config"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -117,7 +117,7 @@
 			t.readEvents(ctx, f, name, s.Sequence)
 			t.say(ctx, feedBroken{f, name})
 		}
-		platform.Sleep(ctx, feedRetry)
+		store.Sleep(ctx, feedRetry)
 	}
 }
 
--- a/prefix/task.go
+++ b/prefix/task.go
@@ -10,7 +10,7 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
@@ -30,7 +30,7 @@
 	Roster    vm.Roster
 	Peers     peer.Caller
 	Self      string
-	Clock     platform.Clock
+	Clock     store.Clock
 	Log       log.Logger
 	MaxPieces int
 }
@@ -76,7 +76,7 @@
 		opts.Log = log.NewNopLogger()
 	}
 	if opts.Clock == nil {
-		opts.Clock = platform.SystemClock{}
+		opts.Clock = store.SystemClock{}
 	}
 	t := &Task{
 		opts:      opts,
--- a/queue/task.go
+++ b/queue/task.go
@@ -8,7 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -20,13 +20,13 @@
 
 // Options are what a Task needs. A nil Log is silent.
 type Options struct {
-	Clock platform.Clock
+	Clock store.Clock
 	Log   log.Logger
 }
 
 // A Task owns a queue: its Run is the only goroutine that touches the state.
 type Task struct {
-	clock   platform.Clock
+	clock   store.Clock
 	log     log.Logger
 	mailbox chan any
 	stopped chan struct{}
@@ -52,7 +52,7 @@
 		o.Log = log.NewNopLogger()
 	}
 	if o.Clock == nil {
-		o.Clock = platform.SystemClock{}
+		o.Clock = store.SystemClock{}
 	}
 	return &Task{
 		clock: o.Clock, log: log.With(o.Log, "part", "queue"),
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/config"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/target"
 )
@@ -35,7 +35,7 @@
 type Options struct {
 	Fleet      Fleet
 	Index      Index
-	Clock      platform.Clock
+	Clock      store.Clock
 	DataCentre string
 }
 
@@ -67,7 +67,7 @@
 // NewChooser returns a Chooser, which works while Run runs.
 func NewChooser(opts Options) *Chooser {
 	if opts.Clock == nil {
-		opts.Clock = platform.SystemClock{}
+		opts.Clock = store.SystemClock{}
 	}
 	return &Chooser{
 		opts:    opts,
--- a/route/slope_test.go
+++ b/route/slope_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/internal/seed"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/route"
 	"github.com/baobabdyke/baobabdyke/target"
@@ -90,7 +90,7 @@
 			}
 		}
 	}
-	index := prefix.NewTask(prefix.Options{Client: client, Config: func() *config.View { return config.NewView(cfg) }, Clock: platform.SystemClock{}, MaxPieces: 4 << 20})
+	index := prefix.NewTask(prefix.Options{Client: client, Config: func() *config.View { return config.NewView(cfg) }, Clock: store.SystemClock{}, MaxPieces: 4 << 20})
 	chooser := route.NewChooser(route.Options{Fleet: fleet, Index: index})
 	go func() { _ = index.Run(ctx) }()
 	go func() { _ = chooser.Run(ctx) }()
--- a/platform/clock.go
+++ b/store/clock.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/platform/store.go
+++ b/store/store.go
@@ -1,7 +1,7 @@
-// Package platform is the boundary to the operators' own platform: its
+// Package store is the boundary to the operators' own platform: its
 // versioned object API, its list of VMs and its clock. No other package knows
 // a path or a field name of the platform's protocols.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/store/wire.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // Paths, parameters and headers of the object API over HTTP.
 const (
--- a/target/fleet.go
+++ b/target/fleet.go
@@ -9,7 +9,7 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/vm"
 )
 
@@ -36,7 +36,7 @@
 	Roster vm.Roster
 	Peers  peer.Caller
 	Self   string
-	Clock  platform.Clock
+	Clock  store.Clock
 	Log    log.Logger
 }
 
@@ -158,7 +158,7 @@
 		opts.Log = log.NewNopLogger()
 	}
 	if opts.Clock == nil {
-		opts.Clock = platform.SystemClock{}
+		opts.Clock = store.SystemClock{}
 	}
 	f := &Fleet{
 		opts:    opts,
--- a/vm/members.go
+++ b/vm/members.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/invariant"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -49,7 +49,7 @@
 type members struct {
 	self     Member
 	others   map[string]*known
-	listed   map[string]platform.VMRecord
+	listed   map[string]store.VMRecord
 	gone     map[string]struct{} // listed once and not any more
 	rumours  []rumour
 	near     cycle
@@ -64,7 +64,7 @@
 	return &members{
 		self:   self,
 		others: map[string]*known{},
-		listed: map[string]platform.VMRecord{},
+		listed: map[string]store.VMRecord{},
 		gone:   map[string]struct{}{},
 		rng:    rand.New(rand.NewPCG(seed, hash(self.ID))),
 	}
@@ -72,8 +72,8 @@
 
 // list takes a new list of the platform. A VM that was listed and is not any
 // more has ended, and its id does not come back.
-func (m *members) list(records []platform.VMRecord) {
-	listed := make(map[string]platform.VMRecord, len(records))
+func (m *members) list(records []store.VMRecord) {
+	listed := make(map[string]store.VMRecord, len(records))
 	for _, r := range records {
 		listed[r.ID] = r
 	}
--- a/vm/queries.go
+++ b/vm/queries.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sort"
 
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // A view is an immutable copy of the membership for readers.
@@ -13,7 +13,7 @@
 	self     Member
 	live     []Member
 	others   map[string]Update
-	listed   map[string]platform.VMRecord
+	listed   map[string]store.VMRecord
 	gone     map[string]struct{}
 	outcomes []outcome
 	up       int // others that are not Down and listed
@@ -70,7 +70,7 @@
 // Leaving tells whether the VM drains, or the platform lists it as leaving.
 func (t *Task) Leaving(id string) bool {
 	v := t.view.Load()
-	if v.listed[id].State == platform.VMLeaving {
+	if v.listed[id].State == store.VMLeaving {
 		return true
 	}
 	state := v.others[id].Member.State
--- a/vm/runner.go
+++ b/vm/runner.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // A message is an input of the task's goroutine: received, replied, failed,
@@ -42,7 +42,7 @@
 }
 
 // listRead is a new list of the platform.
-type listRead struct{ records []platform.VMRecord }
+type listRead struct{ records []store.VMRecord }
 
 func (received) message() {}
 func (replied) message()  {}
--- a/vm/step_test.go
+++ b/vm/step_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 var start = time.Unix(1000, 0)
@@ -195,9 +195,9 @@
 func TestRemoved(t *testing.T) {
 	m := knowing("b", "c")
 	list := func(ids ...string) {
-		var records []platform.VMRecord
+		var records []store.VMRecord
 		for _, id := range ids {
-			records = append(records, platform.VMRecord{ID: id, Address: "10.0.0.1"})
+			records = append(records, store.VMRecord{ID: id, Address: "10.0.0.1"})
 		}
 		m.list(records)
 	}
--- a/vm/task.go
+++ b/vm/task.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
@@ -27,9 +27,9 @@
 // the addresses of this VM.
 type Options struct {
 	Self      Member
-	Directory platform.Directory
+	Directory store.Directory
 	Peers     peer.Caller
-	Clock     platform.Clock
+	Clock     store.Clock
 	Log       log.Logger
 	Seed      uint64
 }
@@ -62,7 +62,7 @@
 // NewTask returns a Task that knows of this VM only until it runs.
 func NewTask(opts Options) *Task {
 	if opts.Clock == nil {
-		opts.Clock = platform.SystemClock{}
+		opts.Clock = store.SystemClock{}
 	}
 	if opts.Log == nil {
 		opts.Log = log.NewNopLogger()
--- a/vm/task_test.go
+++ b/vm/task_test.go
@@ -12,16 +12,16 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/seed"
 	"github.com/baobabdyke/baobabdyke/peer"
-	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // A fleet is a number of VMs in virtual time.
 type fleet struct {
 	t    testing.TB
 	net  *peer.Memory
-	list *platform.Memory
+	list *store.Memory
 	// directory is the list as VMs that start read it.
-	directory platform.Directory
+	directory store.Directory
 
 	nodes []*node
 }
@@ -29,7 +29,7 @@
 // A node is one VM of a fleet.
 type node struct {
 	*Task
-	record platform.VMRecord
+	record store.VMRecord
 	self   Member
 	port   *peer.MemoryNode
 	stop   context.CancelFunc
@@ -38,7 +38,7 @@
 
 // newFleet lists n VMs in four data centres of two regions and starts them.
 func newFleet(t testing.TB, n int) *fleet {
-	f := &fleet{t: t, net: peer.NewMemory(), list: platform.NewMemory()}
+	f := &fleet{t: t, net: peer.NewMemory(), list: store.NewMemory()}
 	f.directory = f.list
 	for i := range n {
 		f.add(fmt.Sprintf("vm-%03d", i), i)
@@ -55,7 +55,7 @@
 	address := fmt.Sprintf("10.0.%d.%d", i/200, i%200+1)
 	dc := fmt.Sprintf("dc-%d", i%4)
 	n := &node{
-		record: platform.VMRecord{ID: id, Address: address, DataCentre: dc, State: platform.VMLive},
+		record: store.VMRecord{ID: id, Address: address, DataCentre: dc, State: store.VMLive},
 		self: Member{
 			ID: id, Region: fmt.Sprintf("r-%d", i%2), DataCentre: dc, State: StateServing,
 			Caller: address + ":80", Peer: address + ":7000",
@@ -67,7 +67,7 @@
 
 // publish makes the platform list the VMs.
 func (f *fleet) publish() {
-	var records []platform.VMRecord
+	var records []store.VMRecord
 	for _, n := range f.nodes {
 		records = append(records, n.record)
 	}
@@ -341,13 +341,13 @@
 
 // A lateList is a list that cannot be read at first.
 type lateList struct {
-	platform.Directory
+	store.Directory
 	from time.Time
 }
 
-func (l lateList) VMs(ctx context.Context) ([]platform.VMRecord, error) {
+func (l lateList) VMs(ctx context.Context) ([]store.VMRecord, error) {
 	if time.Now().Before(l.from) {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	return l.Directory.VMs(ctx)
 }
