Empty engines before their order and fetch shared parts from holders

A third of the shared parts was read again because only a family's home was known as a source.

Change: engines are emptied while others load, longest overtaken first; a holder that the store does not answer yields its term. VMs tell each other which engines were sent which shared parts; a send fetches from a holder or from the store of KV cache.

--- a/internal/fleet/rollout/plan.go
+++ b/internal/fleet/rollout/plan.go
@@ -18,9 +18,9 @@
 	// the weight store slows down beyond a fifth of them.
 	leastAtOnce = 2
 	atOncePart  = 5
-	// settleTime is the time between telling other VMs that an engine is about to
-	// be ordered and the order.
-	settleTime = 40 * time.Millisecond
+	// emptyTime is the longest time that an engine is kept from new work before
+	// it is ordered.
+	emptyTime = 1500 * time.Millisecond
 	// reportFirst is when an ordered engine is first asked whether it is done,
 	// reportNext the pause between further questions.
 	reportFirst = 500 * time.Millisecond
@@ -38,6 +38,8 @@
 	has     int64
 	wants   int64
 	running int
+	// since is when the engine's weights were first overtaken.
+	since time.Time
 }
 
 // A phase is where the order to one engine stands.
@@ -55,7 +57,6 @@
 // A progress is the order to one engine.
 type progress struct {
 	incarnation site.Incarnation
-	model       string
 	version     int64
 	phase       phase
 	since       time.Time
@@ -84,51 +85,91 @@
 func newBook() *book { return &book{orders: map[string]*progress{}} }
 
 // plan returns what is to be done now, given the engines that lag behind and the
-// number of all engines.
+// number of all engines. Engines are emptied before they are ordered, so that
+// loads follow each other without a pause; those whose weights were overtaken
+// first go first.
 func (b *book) plan(lagging []engine, all int, now time.Time) []step {
 	b.prune(lagging)
 	slices.SortFunc(lagging, func(x, y engine) int {
-		return cmp.Or(cmp.Compare(x.running, y.running), cmp.Compare(x.target.ID, y.target.ID))
+		return cmp.Or(x.since.Compare(y.since), cmp.Compare(x.running, y.running), cmp.Compare(x.target.ID, y.target.ID))
 	})
-	room := max(leastAtOnce, all/atOncePart)
+	atOnce := max(leastAtOnce, all/atOncePart)
+	load, empty := atOnce, atOnce
+	for _, p := range b.orders {
+		switch p.phase {
+		case ordered:
+			load--
+		case chosen:
+			empty--
+		case resting:
+		}
+	}
 	var steps []step
 	for _, e := range lagging {
-		if p := b.orders[e.target.ID]; p != nil && p.phase != resting {
-			room--
+		if p := b.orders[e.target.ID]; p != nil && p.phase == ordered && now.After(p.next) {
+			steps = append(steps, b.follow(e, p, now))
+		}
+	}
+	for _, e := range b.emptied(lagging, now) {
+		if load > 0 {
+			load--
+			empty++
+			steps = append(steps, instruct{e})
 		}
 	}
 	for _, e := range lagging {
 		p := b.orders[e.target.ID]
-		switch {
-		case p == nil && room > 0, p != nil && p.phase == resting && room > 0 && now.After(p.next):
-			room--
-			b.orders[e.target.ID] = &progress{
-				incarnation: e.target.Incarnation(), model: e.model, version: e.wants, phase: chosen, since: now, next: now.Add(settleTime),
-			}
-			steps = append(steps, announce{e})
-		case p == nil || now.Before(p.next):
-		case p.phase == chosen:
-			steps = append(steps, instruct{e})
-		case p.phase == ordered && now.Sub(p.since) > orderTimeout:
-			p.phase = chosen
-			steps = append(steps, instruct{e})
-		case p.phase == ordered:
-			steps = append(steps, ask{e})
+		if empty <= 0 || p != nil && (p.phase != resting || now.Before(p.next)) {
+			continue
 		}
+		empty--
+		b.orders[e.target.ID] = &progress{
+			incarnation: e.target.Incarnation(), version: e.wants, phase: chosen, since: now,
+		}
+		steps = append(steps, announce{e})
 	}
 	return steps
 }
 
+// follow returns what is to be done with an engine that has been ordered.
+func (b *book) follow(e engine, p *progress, now time.Time) step {
+	if now.Sub(p.since) > orderTimeout {
+		p.phase = chosen
+		return instruct{e}
+	}
+	return ask{e}
+}
+
+// emptied returns the chosen engines that may be ordered, idle ones first.
+func (b *book) emptied(lagging []engine, now time.Time) []engine {
+	var idle, late []engine
+	for _, e := range lagging {
+		p := b.orders[e.target.ID]
+		switch {
+		case p == nil || p.phase != chosen || !p.since.Before(now):
+		case e.running == 0:
+			idle = append(idle, e)
+		case now.Sub(p.since) > emptyTime:
+			late = append(late, e)
+		}
+	}
+	return append(idle, late...)
+}
+
 // prune drops the orders to engines that no longer lag, and those to earlier
 // starts of an engine.
 func (b *book) prune(lagging []engine) {
-	still := map[string]site.Incarnation{}
+	still := map[string]engine{}
 	for _, e := range lagging {
-		still[e.target.ID] = e.target.Incarnation()
+		still[e.target.ID] = e
 	}
 	for id, p := range b.orders {
-		if still[id] != p.incarnation {
+		e, ok := still[id]
+		switch {
+		case !ok || e.target.Incarnation() != p.incarnation:
 			delete(b.orders, id)
+		case p.version != e.wants && p.phase == chosen:
+			p.version = e.wants
 		}
 	}
 }
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -69,24 +69,27 @@
 	busy []string
 	held bool
 	term int64
+	// yielded is the last term under which this VM will give no more orders.
+	yielded int64
 
 	// What follows belongs to Run.
 	watch  lease.Watch
 	asked  time.Time
 	quiet  time.Time
 	orders *book
+	since  map[string]overtaking
 }
 
 // NewTask returns a Task that holds nothing.
 func NewTask(o Options) *Task {
-	return &Task{opts: o, watch: lease.Watch{Self: o.Self, Length: leaseLength}, orders: newBook()}
+	return &Task{opts: o, watch: lease.Watch{Self: o.Self, Length: leaseLength}, orders: newBook(), since: map[string]overtaking{}}
 }
 
 // Duty returns what other VMs are told.
 func (t *Task) Duty() roster.Duty {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return roster.Duty{Held: t.held, Term: t.term, Busy: slices.Clone(t.busy)}
+	return roster.Duty{Held: t.held, Term: t.term, Yielded: t.yielded, Busy: slices.Clone(t.busy)}
 }
 
 // Run gives orders whenever they are this VM's to give, until ctx ends.
@@ -148,13 +151,35 @@
 		for _, model := range s.Engine.Models {
 			has, wants := t.opts.Version(target, model), v.Wanted[model]
 			if has < wants {
-				lagging = append(lagging, engine{target: target, model: model, has: has, wants: wants, running: t.opts.Running(target)})
+				lagging = append(lagging, engine{
+					target: target, model: model, has: has, wants: wants,
+					running: t.opts.Running(target), since: t.overtaken(target, has, v.Named[model]),
+				})
+			} else {
+				delete(t.since, target.ID)
 			}
 		}
 	}
 	return lagging, all
 }
 
+// overtaken returns when the weights of an engine were first seen to be old.
+func (t *Task) overtaken(target *site.Target, has int64, named time.Time) time.Time {
+	o, ok := t.since[target.ID]
+	if !ok || o.has != has || o.incarnation != target.Incarnation() {
+		o = overtaking{incarnation: target.Incarnation(), has: has, at: named}
+		t.since[target.ID] = o
+	}
+	return o.at
+}
+
+// An overtaking is when an engine's weights became old.
+type overtaking struct {
+	incarnation site.Incarnation
+	has         int64
+	at          time.Time
+}
+
 // entitled makes sure of the lease if orders are this VM's to give.
 func (t *Task) entitled(ctx context.Context) bool {
 	if !t.mine() {
@@ -182,9 +207,11 @@
 		if m.Entry.Duty.Held && (!held || m.Entry.Duty.Term > term) {
 			return false
 		}
-		first = min(first, m.Entry.VM)
+		if m.Entry.Duty.Yielded == 0 || m.Entry.Duty.Yielded < term {
+			first = min(first, m.Entry.VM)
+		}
 	}
-	return held || first == t.opts.Self.ID
+	return held || first >= t.opts.Self.ID
 }
 
 func (t *Task) holding() (bool, int64) {
@@ -202,7 +229,7 @@
 	} else {
 		r = lease.Acquire(ctx, t.opts.Store, lease.Request{
 			Duty: duty, Self: t.opts.Self, Length: leaseLength,
-			Gone: func(rec lease.Record) bool { return t.watch.Lapsed(rec, t.opts.Clock.Now()) },
+			Gone: func(rec lease.Record) bool { return t.watch.Lapsed(rec, t.opts.Clock.Now()) || t.gaveUp(rec) },
 		})
 	}
 	switch r := r.(type) {
@@ -214,18 +241,47 @@
 		t.lost(r.Record)
 	case lease.NotSent:
 		_ = t.opts.Log.Log("msg", "lease not asked for", "err", r.Err)
+		t.yield()
 	case lease.Unsure:
 		t.watch.Lost()
 		_ = t.opts.Log.Log("msg", "lease unsure", "err", r.Err)
+		t.yield()
+	}
+}
+
+// yield tells other VMs that this one gives no more orders under its term, once
+// its right to act is over and the store does not answer it.
+func (t *Task) yield() {
+	held, term := t.holding()
+	if !held || t.watch.Left(t.opts.Clock.Now()) > 0 {
+		return
+	}
+	t.watch.Lost()
+	t.mu.Lock()
+	t.held, t.yielded = false, term
+	t.mu.Unlock()
+	_ = t.opts.Log.Log("msg", "duty of orders yielded", "term", term)
+	t.opts.Told()
+}
+
+// gaveUp tells whether the holder of a record has told that it gives no more
+// orders under it.
+func (t *Task) gaveUp(r lease.Record) bool {
+	for _, m := range t.opts.Members() {
+		if m.Entry.VM == r.Lease.Holder && uint64(m.Entry.Born) == r.Lease.Incarnation {
+			return m.Entry.Duty.Yielded >= r.Lease.Term
+		}
 	}
+	return false
 }
 
 // won notes that this VM holds the lease by a write that was begun at asked.
 func (t *Task) won(r lease.Record, before lease.Lease, asked time.Time) {
 	held, term := t.holding()
 	if !held || term != r.Lease.Term {
-		if r.Lease.Term > 1 && before.Holder != t.opts.Self.ID {
-			// An order of the holder before may have been sent as its right ended.
+		if r.Lease.Term > 1 && (before.Holder != t.opts.Self.ID || r.Lease.Term == t.yielded) {
+			// An order of the holder before may have been sent as its right ended, and
+			// another VM may take over a term that was given up.
 			t.quiet = t.opts.Clock.Now().Add(t.opts.Quiet)
 		}
 		_ = t.opts.Log.Log("msg", "duty of orders taken", "term", r.Lease.Term, "before", before.Holder)
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -31,6 +31,18 @@
 	Failing int `cbor:"4,keyasint"`
 }
 
+// A Read tells that an engine was sent shared parts of a prompt and so holds
+// them now.
+type Read struct {
+	// Family identifies the parts, with the weights that they were read for.
+	Family uint64 `cbor:"1,keyasint"`
+	Target string `cbor:"2,keyasint"`
+	// Kept tells that the parts go to the store of KV cache too.
+	Kept bool `cbor:"3,keyasint"`
+	// AgeMS is how long ago the send was.
+	AgeMS int64 `cbor:"4,keyasint"`
+}
+
 // A Loaded tells that a target was seen with a version of a model's weights.
 type Loaded struct {
 	Target  string `cbor:"1,keyasint"`
@@ -43,6 +55,8 @@
 type Duty struct {
 	Held bool  `cbor:"1,keyasint"`
 	Term int64 `cbor:"2,keyasint"`
+	// Yielded is the last term under which the VM will give no more orders.
+	Yielded int64 `cbor:"4,keyasint"`
 	// Busy are the targets that are about to carry out an order.
 	Busy []string `cbor:"3,keyasint"`
 }
@@ -63,6 +77,7 @@
 	Spent      map[string]float64 `cbor:"11,keyasint"`
 	Loaded     []Loaded           `cbor:"12,keyasint"`
 	Duty       Duty               `cbor:"13,keyasint"`
+	Reads      []Read             `cbor:"14,keyasint"`
 }
 
 // later tells whether e is a later telling of the same VM than o.
--- a/internal/gateway/node/life.go
+++ b/internal/gateway/node/life.go
@@ -103,6 +103,7 @@
 	e.Marks = n.source.Marks()
 	e.Spent = n.quota.Spent()
 	e.Loads, e.Loaded = n.placer.Loads(time.Now())
+	e.Reads = n.placer.Reads(time.Now())
 	e.Duty = n.orders.Duty()
 }
 
@@ -272,4 +273,3 @@
 	defer p.mu.Unlock()
 	delete(p.targets, t.ID)
 }
-
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -27,6 +27,8 @@
 	stepPerRun = 0.6
 	// awayCost is the price of a second copy of a shared part.
 	awayCost = 45.0
+	// fetchCost is the time to fetch shared parts from another engine.
+	fetchCost = 6.0
 	// crossingCost is the price of another data centre.
 	crossingCost = 4.0
 	// failCost is the price of a send that fails surely.
@@ -56,9 +58,9 @@
 	// not answer.
 	silentFirst = 400 * time.Millisecond
 	silentMost  = 3 * time.Second
-	// freshTime is how long after an engine's start or load its home parts may
-	// still be elsewhere.
-	freshTime = 8 * time.Second
+	// loadedTime is how long the weights that an engine was seen with are told to
+	// other VMs, whose own reading of the engine's entry lags.
+	loadedTime = 5 * time.Second
 	// tellTime is how long another VM's telling of its loads counts.
 	tellTime = 2 * time.Second
 )
@@ -68,22 +70,39 @@
 	Service string
 	// Model is empty for plain services.
 	Model string
-	// Family identifies the shared parts of the prompt; 0 if there are none.
-	Family uint64
-	// Tokens are the prompt's tokens, Shared those of the shared parts.
+	// Chain are the shared parts of the prompt, from the first one on.
+	Chain []Link
+	// Tokens are the prompt's tokens.
 	Tokens int
-	Shared int
+	// Cache is the address of the store of KV cache, or empty.
+	Cache string
 	// Tried are the targets that have failed this request.
 	Tried []string
 }
 
+// A Link is the start of a prompt up to the end of one shared part.
+type Link struct {
+	Family uint64
+	Tokens int
+}
+
+// family returns the link with all shared parts, or none.
+func (r *Request) family() Link {
+	if len(r.Chain) == 0 {
+		return Link{}
+	}
+	return r.Chain[len(r.Chain)-1]
+}
+
 // A Choice is the target of one send.
 type Choice struct {
 	Target *site.Target
 	// Weights is the version to expect at the target; 0 if none is known.
 	Weights int64
-	// Source is the engine to fetch shared parts from, or nil.
-	Source *site.Target
+	// Source is the address to fetch shared parts from, or empty; Keep tells to
+	// send the parts to the store of KV cache.
+	Source string
+	Keep   bool
 	// Home tells whether the target is the home of the family.
 	Home bool
 	// Expected is the estimate that decided, Missing the tokens to be read.
@@ -104,6 +123,7 @@
 	records map[string]*record
 	others  map[string]telling
 	busy    map[string]bool
+	holders holders
 }
 
 // A record is what this VM knows of one target by its own sends.
@@ -132,7 +152,7 @@
 // for longer than oldest, less a margin for what this VM learnt late, are not
 // used.
 func New(dataCentre string, oldest time.Duration) *Placer {
-	return &Placer{dataCentre: dataCentre, oldest: oldest - learnMargin, records: map[string]*record{}, others: map[string]telling{}, busy: map[string]bool{}}
+	return &Placer{dataCentre: dataCentre, oldest: oldest - learnMargin, records: map[string]*record{}, others: map[string]telling{}, busy: map[string]bool{}, holders: newHolders()}
 }
 
 // Choose returns the best target for a request, and false if the service has
@@ -144,29 +164,28 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	home, second := homes(candidates)
+	home := homeOf(candidates)
 	average := averageFailing(candidates)
 	best := math.Inf(1)
 	var chosen *candidate
 	for i := range candidates {
 		c := &candidates[i]
 		c.home = home != nil && c.target.ID == home.target.ID
+		p.cover(c, r, candidates, now)
 		c.score(p, r, average, now)
 		if c.cost < best {
 			best, chosen = c.cost, c
 		}
 	}
-	choice := Choice{
+	return Choice{
 		Target:   chosen.target,
 		Weights:  chosen.version,
 		Home:     chosen.home,
 		Missing:  chosen.missing,
 		Expected: time.Duration(chosen.cost * float64(time.Millisecond)),
-	}
-	if r.Family != 0 {
-		choice.Source = sourceFor(chosen, home, second, now)
-	}
-	return choice, true
+		Source:   chosen.source,
+		Keep:     r.Cache != "" && len(r.Chain) > 0 && !p.holders.kept(r.family(), chosen.version, now),
+	}, true
 }
 
 // A candidate is one target of a choice.
@@ -182,7 +201,11 @@
 	prefill int
 	failing float64
 	missing int
-	cost    float64
+	// held are the shared tokens that the candidate holds, source the address to
+	// fetch more from.
+	held   int
+	source string
+	cost   float64
 }
 
 // current tells whether the candidate has the newest weights.
@@ -205,8 +228,8 @@
 			continue
 		}
 		p.addOthers(&c, now)
-		if r.Family != 0 {
-			c.rank = rank(r.Family, t)
+		if f := r.family(); f.Tokens > 0 {
+			c.rank = rank(f.Family, t)
 		}
 		out = append(out, c)
 	}
@@ -252,20 +275,17 @@
 	return h ^ h>>33
 }
 
-// homes returns the first two engines of a family: those with the newest
-// weights go first.
-func homes(candidates []candidate) (home, second *candidate) {
+// homeOf returns the first engine of a family among those with the newest
+// weights.
+func homeOf(candidates []candidate) *candidate {
+	var home *candidate
 	for i := range candidates {
 		c := &candidates[i]
-		switch {
-		case c.rank == 0:
-		case home == nil || c.before(home):
-			home, second = c, home
-		case second == nil || c.before(second):
-			second = c
+		if c.rank != 0 && (home == nil || c.before(home)) {
+			home = c
 		}
 	}
-	return home, second
+	return home
 }
 
 func (c *candidate) before(o *candidate) bool {
@@ -275,21 +295,6 @@
 	return c.rank > o.rank
 }
 
-// sourceFor returns the engine to fetch a family's parts from.
-func sourceFor(chosen, home, second *candidate, now time.Time) *site.Target {
-	from := home
-	if chosen.home {
-		if now.Sub(chosen.record.changed) > freshTime {
-			return nil
-		}
-		from = second
-	}
-	if from == nil || from.target == chosen.target || from.version != chosen.version || now.Before(from.record.until) {
-		return nil
-	}
-	return from.target
-}
-
 func averageFailing(candidates []candidate) float64 {
 	sum := 0.0
 	for i := range candidates {
@@ -304,10 +309,13 @@
 		c.cost = slotCost * float64(max(0, c.running+1-c.target.Slots)) / float64(max(c.target.Slots, 1))
 		c.cost += float64(c.running) / float64(max(c.target.Slots, 1))
 	} else {
-		c.missing = r.Tokens - r.Shared
 		c.cost = (float64(c.prefill)+float64(c.missing))/prefillRate + stepPerRun*float64(c.running)
-		if r.Family != 0 && !c.home {
-			c.cost += awayCost * min(1, float64(r.Shared)/2000)
+		shared := r.family().Tokens
+		if c.source != "" {
+			c.cost += fetchCost
+		}
+		if !c.home && c.held < shared {
+			c.cost += awayCost * min(1, float64(shared-c.held)/2000)
 		}
 		if !c.current() && now.Sub(c.named) > oldGrace {
 			c.cost += oldCost
--- a/internal/gateway/placing/record.go
+++ b/internal/gateway/placing/record.go
@@ -38,10 +38,12 @@
 	r.failing, r.noted = rate, now
 }
 
-// Begin notes that a request is sent to a choice's target.
-func (p *Placer) Begin(c Choice, now time.Time) {
+// Begin notes that a request with the shared parts of chain is sent to a choice's
+// target.
+func (p *Placer) Begin(c Choice, chain []Link, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.holders.sent(c, chain, now)
 	r := p.record(c.Target, now)
 	r.running++
 	r.prefill += c.Missing
@@ -148,6 +150,7 @@
 	}
 	p.mu.Lock()
 	p.others[e.VM] = telling{loads: loads, heard: now}
+	p.holders.hear(e.Reads, now)
 	p.mu.Unlock()
 	for _, l := range e.Loaded {
 		if t, ok := v.Targets[l.Target]; ok && t.Born == l.Born {
@@ -180,7 +183,7 @@
 			loads = append(loads, roster.Load{Target: id, Running: r.running, Prefill: r.prefill, Failing: failing})
 		}
 		for model, version := range r.weights {
-			if now.Sub(r.changed) < freshTime {
+			if now.Sub(r.changed) < loadedTime {
 				loaded = append(loaded, roster.Loaded{Target: id, Born: r.born, Model: model, Version: version})
 			}
 		}
@@ -188,6 +191,15 @@
 	return loads, loaded
 }
 
+// Reads returns which engines this VM has sent shared parts to lately, for other
+// VMs.
+func (p *Placer) Reads(now time.Time) []roster.Read {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holders.prune(now)
+	return p.holders.tell(now)
+}
+
 // forgetTime is how long the record of a target that is not listed is kept.
 const forgetTime = 30 * time.Second
 
--- a/internal/gateway/relay/failure.go
+++ b/internal/gateway/relay/failure.go
@@ -93,7 +93,7 @@
 	_ = h.opts.Log.Log("msg", "request", "id", j.declared.ID, "route", route, "customer", customer,
 		"config", version, "status", status, "outcome", outcome, "detail", j.detail, "target", j.target, "sends", j.sends,
 		"ran", j.ran, "firstms", j.first.Milliseconds(), "ms", now.Sub(j.start).Milliseconds(),
-		"leftms", j.until.Sub(now).Milliseconds(), "expectedms", j.estimate.Milliseconds(), "home", j.home, "source", j.source,
+		"leftms", j.until.Sub(now).Milliseconds(), "expectedms", j.estimate.Milliseconds(), "home", j.home, "source", j.source, "keep", j.keep,
 		"weights", j.weights, "tokens", j.tokens, "shared", j.shared, "level", int(j.level))
 }
 
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -73,7 +73,8 @@
 	start    time.Time
 	until    time.Time
 	cost     float64
-	family   uint64
+	chain    []placing.Link
+	cache    string
 	shared   int
 	tokens   int
 
@@ -87,6 +88,7 @@
 	level    float64
 	source   string
 	home     bool
+	keep     bool
 	estimate time.Duration
 	weights  int64
 	detail   string
@@ -212,19 +214,20 @@
 	d := &j.declared
 	hash := xxhash.New()
 	_, _ = hash.WriteString(d.Model)
+	if j.customer != nil && j.customer.Isolated {
+		_, _ = hash.WriteString("@" + j.customer.Name)
+	}
 	for i, part := range d.Parts {
 		j.tokens += part.Tokens
 		if i < len(d.Parts)-1 {
 			j.shared += part.Tokens
 			_, _ = hash.WriteString("/" + part.ID)
+			j.chain = append(j.chain, placing.Link{Family: hash.Sum64(), Tokens: j.shared})
 		}
 	}
 	j.tokens = max(j.tokens, d.PromptTokens)
-	if j.shared > 0 {
-		if j.customer != nil && j.customer.Isolated {
-			_, _ = hash.WriteString("@" + j.customer.Name)
-		}
-		j.family = hash.Sum64()
+	if cache := j.view.Config.CacheStore(); cache != nil {
+		j.cache = cache.Address
 	}
 }
 
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -88,7 +88,7 @@
 func (j *job) wish() placing.Request {
 	r := placing.Request{Service: j.service, Tried: j.tried}
 	if j.engine {
-		r.Model, r.Family, r.Tokens, r.Shared = j.declared.Model, j.family, j.tokens, j.shared
+		r.Model, r.Chain, r.Tokens, r.Cache = j.declared.Model, j.chain, j.tokens, j.cache
 	}
 	return r
 }
@@ -148,7 +148,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x := &exchange{handler: h, answer: a, choice: choice, sent: time.Now(), cancel: cancel}
-	h.opts.Placer.Begin(choice, x.sent)
+	h.opts.Placer.Begin(choice, j.chain, x.sent)
 	end := placing.Dropped
 	defer func() { h.opts.Placer.End(choice, end, x.first, time.Now()) }()
 
@@ -186,10 +186,7 @@
 // note keeps what the log tells of the latest choice.
 func (j *job) note(c placing.Choice) {
 	j.target, j.home, j.estimate, j.weights = c.Target.ID, c.Home, c.Expected, c.Weights
-	j.source = ""
-	if c.Source != nil {
-		j.source = c.Source.ID
-	}
+	j.source, j.keep = c.Source, c.Keep
 }
 
 // instruction returns what the target is told about the send.
@@ -206,8 +203,9 @@
 	if j.engine {
 		in.Salt = j.salt(c.Weights)
 		in.Weights = c.Weights
-		if c.Source != nil {
-			in.Source = c.Source.Address
+		in.Source = c.Source
+		if c.Keep {
+			in.Keep = j.cache
 		}
 	}
 	return in
