Take SIGHUP, keep the duty of orders through a planned stop

Cause: SIGHUP ended the process (exit 129, LOST); a VM that held the duty of orders gave none while it stopped, and its successor had to wait out its term.

Change: settings are reloaded on SIGHUP and on silent changes; the holder gives orders until it ends and again after its restart; engines are asked close to the time that loads are learnt to take.

--- a/internal/fleet/rollout/plan.go
+++ b/internal/fleet/rollout/plan.go
@@ -20,11 +20,15 @@
 	atOncePart  = 5
 	// emptyTime is the longest time that an engine is kept from new work before
 	// it is ordered.
-	emptyTime = 1500 * time.Millisecond
-	// reportFirst is when an ordered engine is first asked whether it is done,
-	// reportNext the pause between further questions.
-	reportFirst = 500 * time.Millisecond
-	reportNext  = 250 * time.Millisecond
+	emptyTime = 500 * time.Millisecond
+	// firstLoad is the time that a load takes until one has been seen.
+	firstLoad = 700 * time.Millisecond
+	// loadWeight is the weight of the newest load in the learnt time.
+	loadWeight = 0.3
+	// reportNext is the pause between two questions whether an engine is done.
+	reportNext = 120 * time.Millisecond
+	// reportLag is how much older than its answer a report may be.
+	reportLag = time.Second
 	// orderTimeout is how long an order may take before it is given anew.
 	orderTimeout = 6 * time.Second
 	// failPause is the pause after an engine could not be asked.
@@ -80,9 +84,13 @@
 func (ask) step()      {}
 
 // A book is the state of all orders. It is not safe for concurrent use.
-type book struct{ orders map[string]*progress }
+type book struct {
+	orders map[string]*progress
+	// load is how long an order takes, as learnt.
+	load time.Duration
+}
 
-func newBook() *book { return &book{orders: map[string]*progress{}} }
+func newBook() *book { return &book{orders: map[string]*progress{}, load: firstLoad} }
 
 // plan returns what is to be done now, given the engines that lag behind and the
 // number of all engines. Engines are emptied before they are ordered, so that
@@ -94,7 +102,8 @@
 		return cmp.Or(x.since.Compare(y.since), cmp.Compare(x.running, y.running), cmp.Compare(x.target.ID, y.target.ID))
 	})
 	atOnce := max(leastAtOnce, all/atOncePart)
-	load, empty := atOnce, atOnce
+	// One engine more than load at once may still be ending its runs.
+	load, empty := atOnce+1, atOnce
 	for _, p := range b.orders {
 		switch p.phase {
 		case ordered:
@@ -177,7 +186,15 @@
 // accepted notes that an order is, or may be, carried out.
 func (b *book) accepted(id string, now time.Time) {
 	if p := b.orders[id]; p != nil {
-		p.phase, p.since, p.next = ordered, now, now.Add(reportFirst)
+		p.phase, p.since, p.next = ordered, now, now.Add(b.load-reportNext)
+	}
+}
+
+// done learns from an engine that has carried out its order.
+func (b *book) done(id string, now time.Time) {
+	if p := b.orders[id]; p != nil && p.phase == ordered {
+		took := now.Sub(p.since)
+		b.load += time.Duration(loadWeight * float64(took-b.load))
 	}
 }
 
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -27,7 +27,7 @@
 	// engine must have received it.
 	orderLeft = 500 * time.Millisecond
 	// tick is the time between two looks at the engines.
-	tick = 100 * time.Millisecond
+	tick = 50 * time.Millisecond
 	// askPause is the pause between two questions for the lease.
 	askPause = 400 * time.Millisecond
 )
@@ -46,7 +46,7 @@
 	Engines Engines
 	Log     log.Logger
 	// Quiet is the time between the last order of one VM and the first of another.
-	Quiet   time.Duration
+	Quiet   func() time.Duration
 	View    func() *source.View
 	Members func() []roster.Member
 	// Version and Running tell what this VM knows of an engine.
@@ -56,8 +56,6 @@
 	Saw func(t *site.Target, model string, version int64)
 	// Told is called when what Duty returns has changed.
 	Told func()
-	// Leaving tells whether the VM is about to stop.
-	Leaving func() bool
 }
 
 // A Task gives the orders while it holds the lease.
@@ -97,11 +95,7 @@
 	t.recall(ctx)
 	for store.Sleep(ctx, tick) {
 		lagging, all := t.lagging()
-		if len(lagging) == 0 || t.opts.Leaving() {
-			t.rest()
-			continue
-		}
-		if !t.entitled(ctx) {
+		if len(lagging) == 0 || !t.entitled(ctx) {
 			t.rest()
 			continue
 		}
@@ -129,9 +123,7 @@
 
 // rest ends the orders of a VM that has none to give.
 func (t *Task) rest() {
-	if len(t.orders.orders) > 0 {
-		t.orders = newBook()
-	}
+	clear(t.orders.orders)
 	t.publish(nil)
 }
 
@@ -191,7 +183,7 @@
 		t.claim(ctx, now)
 	}
 	now = t.opts.Clock.Now()
-	return t.watch.Left(now) > orderLeft && !now.Before(t.quiet)
+	return t.watch.Left(now) > orderLeft && t.quiet.Sub(now) < emptyTime
 }
 
 // mine tells whether this VM should give the orders: it has the duty, or nobody
@@ -201,12 +193,17 @@
 	first := t.opts.Self.ID
 	held, term := t.holding()
 	for _, m := range t.opts.Members() {
-		if !m.Alive(now) || m.Entry.State != roster.Ready {
+		if !m.Alive(now) {
 			continue
 		}
+		// A VM that is about to stop goes on giving orders, and again after its
+		// restart, since nobody else has to wait for its last order then.
 		if m.Entry.Duty.Held && (!held || m.Entry.Duty.Term > term) {
 			return false
 		}
+		if m.Entry.State != roster.Ready {
+			continue
+		}
 		if m.Entry.Duty.Yielded == 0 || m.Entry.Duty.Yielded < term {
 			first = min(first, m.Entry.VM)
 		}
@@ -282,7 +279,7 @@
 		if r.Lease.Term > 1 && (before.Holder != t.opts.Self.ID || r.Lease.Term == t.yielded) {
 			// An order of the holder before may have been sent as its right ended, and
 			// another VM may take over a term that was given up.
-			t.quiet = t.opts.Clock.Now().Add(t.opts.Quiet)
+			t.quiet = t.opts.Clock.Now().Add(t.opts.Quiet())
 		}
 		_ = t.opts.Log.Log("msg", "duty of orders taken", "term", r.Lease.Term, "before", before.Holder)
 	}
@@ -371,10 +368,12 @@
 func (t *Task) ask(ctx context.Context, e engine) {
 	report, ok := t.report(ctx, e)
 	switch {
-	case !ok || report.Weights[e.model] >= e.wants:
+	case !ok:
+	case report.Weights[e.model] >= e.wants:
+		t.orders.done(e.target.ID, time.Now())
 	case report.Busy:
 		t.orders.pending(e.target.ID, time.Now())
-	case time.Since(t.orders.orders[e.target.ID].since) < 2*reportFirst:
+	case time.Since(t.orders.orders[e.target.ID].since) < reportLag:
 		// The report may be older than the order.
 		t.orders.pending(e.target.ID, time.Now())
 	default:
--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -45,8 +45,9 @@
 
 // Options are the parameters of a Task.
 type Options struct {
-	Self  Entry
-	Seeds []string
+	Self Entry
+	// Seeds are addresses of VMs to ask while no other is known.
+	Seeds func() []string
 	Peers peer.Caller
 	Store store.Store
 	Log   log.Logger
@@ -155,7 +156,7 @@
 		out = append(out, silent[rand.IntN(len(silent))])
 	}
 	if len(alive) == 0 {
-		for _, seed := range t.opts.Seeds {
+		for _, seed := range t.opts.Seeds() {
 			if seed != t.opts.Self.Peers {
 				out = append(out, peer.Destination{VM: peer.AnyVM, Address: seed})
 			}
--- a/internal/gateway/node/life.go
+++ b/internal/gateway/node/life.go
@@ -71,7 +71,7 @@
 	n.leaving.Store(true)
 	n.enter(n.life.Drain)
 	n.roster.Kick()
-	grace := n.settings.Gateway.Bounds.Grace
+	grace := n.bounds().Grace
 	accept := begun.Add(grace - lateStop - killMargin)
 	for time.Now().Before(accept) && !n.deserted(begun) {
 		store.Sleep(work, stopPoll)
@@ -203,7 +203,7 @@
 // fresh tells whether keyed requests may be served: under a strict bound, a VM
 // that has heard from nobody may have missed the withdrawal of a key.
 func (n *Node) fresh() bool {
-	b := n.settings.Gateway.Bounds
+	b := n.bounds()
 	if !b.Strict {
 		return true
 	}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -40,8 +40,10 @@
 // A Node is one gateway VM.
 type Node struct {
 	settings settings.Settings
-	log      log.Logger
-	clock    store.Clock
+	// gateway is the part of the settings that a reload may change.
+	gateway atomic.Pointer[settings.Gateway]
+	log     log.Logger
+	clock   store.Clock
 
 	life    *vm.Life
 	leaving atomic.Bool
@@ -57,6 +59,7 @@
 	orders *rollout.Task
 	relay  *relay.Handler
 	meters *relay.Meters
+	budget *retry.Budget
 	probes *prober
 	server *peer.Server
 	client *peer.Client
@@ -65,9 +68,6 @@
 
 // New returns a Node that speaks to the outside that its settings name.
 func New(s settings.Settings, logger log.Logger) *Node {
-	if s.Gateway.Memory > 0 {
-		debug.SetMemoryLimit(s.Gateway.Memory << 20 / memoryPart)
-	}
 	n := &Node{
 		settings: s,
 		log:      log.With(logger, "vm", s.VM),
@@ -77,6 +77,8 @@
 		pool:     conn.NewPool(),
 		meters:   relay.NewMeters(),
 	}
+	n.gateway.Store(s.Gateway)
+	n.limitMemory()
 	n.quota = quota.NewLedger(n.clock)
 	n.server = peer.NewServer(peer.ServerOptions{Self: s.VM, Log: n.log})
 	n.client = peer.NewClient(peer.ClientOptions{Self: s.VM, Log: n.log})
@@ -122,7 +124,7 @@
 			VM: s.VM, Born: born, Region: s.Region, DataCentre: s.DataCentre,
 			Callers: s.Callers.Address, Peers: s.Peers.Address,
 		},
-		Seeds:    s.Gateway.Seeds,
+		Seeds:    func() []string { return n.gateway.Load().Seeds },
 		Peers:    n.client,
 		Store:    objects,
 		Log:      n.log,
@@ -135,7 +137,7 @@
 		Clock:   n.clock,
 		Engines: platform.NewEngines(),
 		Log:     n.log,
-		Quiet:   s.Gateway.Bounds.Quiet + quietMargin,
+		Quiet:   func() time.Duration { return n.bounds().Quiet + quietMargin },
 		View:    n.source.View,
 		Members: n.roster.Members,
 		Version: n.placer.Version,
@@ -145,26 +147,49 @@
 				n.roster.Kick()
 			}
 		},
-		Told:    n.dutyChanged,
-		Leaving: n.leaving.Load,
+		Told: n.dutyChanged,
 	})
 	n.roster.Register(n.server)
 	n.source.Register(n.server)
 }
 
+// bounds returns the bounds in force.
+func (n *Node) bounds() settings.Bounds { return n.gateway.Load().Bounds }
+
+// limitMemory makes the collector keep the process within its memory.
+func (n *Node) limitMemory() {
+	if memory := n.gateway.Load().Memory; memory > 0 {
+		debug.SetMemoryLimit(memory << 20 / memoryPart)
+	}
+}
+
+// Reload puts changed settings into force: seeds, memory and bounds. Ports and
+// the place of the VM stay as they were at the start.
+func (n *Node) Reload(s settings.Settings) {
+	n.gateway.Store(s.Gateway)
+	n.limitMemory()
+	n.placer.SetOldest(s.Gateway.Bounds.Weights)
+	n.budget.SetLimits(limitsOf(s.Gateway.Bounds.Retries))
+	_ = n.log.Log("msg", "settings reloaded", "seeds", len(s.Gateway.Seeds))
+}
+
+func limitsOf(r settings.Retries) retry.Limits {
+	return retry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window}
+}
+
 // quietMargin is added to the time between the orders of two VMs for calls that
 // are on their way.
 const quietMargin = 500 * time.Millisecond
 
 // buildRelay builds what serves callers.
 func (n *Node) buildRelay() {
-	b := n.settings.Gateway.Bounds.Retries
+	n.budget = retry.NewBudget(limitsOf(n.bounds().Retries))
 	n.relay = relay.NewHandler(relay.Options{
 		View:   n.source.View,
 		Quota:  n.quota,
 		Placer: n.placer,
 		Pool:   n.pool,
-		Budget: retry.NewBudget(retry.Limits{Ratio: b.Ratio, Slack: b.Slack, Window: b.Window}),
+		Budget: n.budget,
 		Log:    n.log,
 		VMs:    func() int { return len(n.roster.Members()) + 1 },
 		Fresh:  n.fresh,
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -120,7 +120,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if err := platform.WriteAddresses(w, addresses, min(entryTTL, n.settings.Gateway.Bounds.TTL)); err != nil {
+	if err := platform.WriteAddresses(w, addresses, min(entryTTL, n.bounds().TTL)); err != nil {
 		_ = n.log.Log("msg", "directory answer cut", "err", err)
 	}
 }
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -155,6 +155,13 @@
 	return &Placer{dataCentre: dataCentre, oldest: oldest - learnMargin, records: map[string]*record{}, others: map[string]telling{}, busy: map[string]bool{}, holders: newHolders()}
 }
 
+// SetOldest replaces the time after which overtaken weights are not used.
+func (p *Placer) SetOldest(oldest time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.oldest = oldest - learnMargin
+}
+
 // Choose returns the best target for a request, and false if the service has
 // none. The send has to be begun and ended with the returned choice.
 func (p *Placer) Choose(v *source.View, r Request, now time.Time) (Choice, bool) {
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -47,6 +47,13 @@
 	return &Budget{limits: l, accounts: map[string]*account{}}
 }
 
+// SetLimits replaces the bounds.
+func (b *Budget) SetLimits(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = l
+}
+
 // Earn notes the first send of a request to a service.
 func (b *Budget) Earn(service string, now time.Time) {
 	b.mu.Lock()
