--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -52,6 +52,9 @@
 	// Version and Running tell what this VM knows of an engine.
 	Version func(t *site.Target, model string) int64
 	Running func(t *site.Target) int
+	// Dark tells that an engine takes no connections, so that there is no use in
+	// ordering it now.
+	Dark func(t *site.Target) bool
 	// Saw takes the versions that engines report.
 	Saw func(t *site.Target, model string, version int64)
 	// Told is called when what Duty returns has changed.
@@ -99,9 +102,7 @@
 			t.rest()
 			continue
 		}
-		for _, s := range t.orders.plan(lagging, all, time.Now()) {
-			t.do(ctx, s)
-		}
+		t.carryOut(ctx, t.orders.plan(lagging, all, time.Now()))
 		t.publish(t.orders.busy())
 	}
 	return nil
@@ -142,7 +143,7 @@
 		all++
 		for _, model := range s.Engine.Models {
 			has, wants := t.opts.Version(target, model), v.Wanted[model]
-			if has < wants {
+			if has < wants && !t.opts.Dark(target) {
 				lagging = append(lagging, engine{
 					target: target, model: model, has: has, wants: wants,
 					running: t.opts.Running(target), since: t.overtaken(target, has, v.Named[model]),
@@ -317,40 +318,59 @@
 	}
 }
 
-// do carries out one step.
-func (t *Task) do(ctx context.Context, s step) {
-	switch s := s.(type) {
-	case announce:
-		t.publish(t.orders.busy())
-	case instruct:
-		t.instruct(ctx, s.engine)
-	case ask:
-		t.ask(ctx, s.engine)
+// carryOut makes the calls of all steps at the same time and then takes in what
+// came of them.
+func (t *Task) carryOut(ctx context.Context, steps []step) {
+	t.publish(t.orders.busy())
+	notes := make([]func(), len(steps))
+	var wg sync.WaitGroup
+	for i, s := range steps {
+		switch s := s.(type) {
+		case announce:
+		case instruct:
+			wg.Go(func() { notes[i] = t.instruct(ctx, s.engine) })
+		case ask:
+			wg.Go(func() { notes[i] = t.ask(ctx, s.engine) })
+		}
+	}
+	wg.Wait()
+	for _, note := range notes {
+		if note != nil {
+			note()
+		}
 	}
 }
 
 // instruct reads the number of orders that the engine has accepted and gives
-// the order under the condition that there was no other since.
-func (t *Task) instruct(ctx context.Context, e engine) {
+// the order under the condition that there was no other since. It returns what
+// is to be noted.
+func (t *Task) instruct(ctx context.Context, e engine) func() {
 	id := e.target.ID
-	report, ok := t.report(ctx, e)
-	if !ok || report.Weights[e.model] >= e.wants {
-		return
-	}
-	if report.Busy {
-		t.orders.accepted(id, time.Now())
-		return
+	report, err := t.report(ctx, e)
+	switch {
+	case err != nil:
+		return func() { t.orders.failed(id, time.Now()) }
+	case report.Weights[e.model] >= e.wants:
+		return nil
+	case report.Busy:
+		return func() { t.orders.accepted(id, time.Now()) }
 	}
 	now := t.opts.Clock.Now()
 	if t.watch.Left(now) <= orderLeft || now.Before(t.quiet) {
-		return
+		return nil
 	}
+	term := t.watch.Record.Lease.Term
 	outcome, err := t.opts.Engines.Load(ctx, e.target.Address, platform.LoadOrder{
-		Target: id, Model: e.model, Version: e.wants,
-		Holder: t.opts.Self.ID, Term: t.watch.Record.Lease.Term, After: report.Orders,
+		Target: id, Model: e.model, Version: e.wants, Holder: t.opts.Self.ID, Term: term, After: report.Orders,
 	})
 	_ = t.opts.Log.Log("msg", "order", "target", id, "model", e.model, "version", e.wants, "has", e.has,
-		"term", t.watch.Record.Lease.Term, "after", report.Orders, "outcome", outcome, "err", err)
+		"term", term, "after", report.Orders, "outcome", outcome, "err", err)
+	return func() { t.instructed(e, outcome) }
+}
+
+// instructed notes the outcome of an order.
+func (t *Task) instructed(e engine, outcome platform.OrderOutcome) {
+	id := e.target.ID
 	switch outcome {
 	case platform.OrderAccepted, platform.OrderUnknown:
 		t.orders.accepted(id, time.Now())
@@ -364,32 +384,30 @@
 	}
 }
 
-// ask reads how far an engine is.
-func (t *Task) ask(ctx context.Context, e engine) {
-	report, ok := t.report(ctx, e)
+// ask reads how far an engine is. It returns what is to be noted.
+func (t *Task) ask(ctx context.Context, e engine) func() {
+	id := e.target.ID
+	report, err := t.report(ctx, e)
 	switch {
-	case !ok:
+	case err != nil:
+		return func() { t.orders.failed(id, time.Now()) }
 	case report.Weights[e.model] >= e.wants:
-		t.orders.done(e.target.ID, time.Now())
-	case report.Busy:
-		t.orders.pending(e.target.ID, time.Now())
-	case time.Since(t.orders.orders[e.target.ID].since) < reportLag:
-		// The report may be older than the order.
-		t.orders.pending(e.target.ID, time.Now())
-	default:
-		t.orders.finished(e.target.ID)
+		return func() { t.orders.done(id, time.Now()) }
+	case report.Busy || time.Since(t.orders.orders[id].since) < reportLag:
+		// A report that says idle may be older than the order.
+		return func() { t.orders.pending(id, time.Now()) }
 	}
+	return func() { t.orders.finished(id) }
 }
 
-func (t *Task) report(ctx context.Context, e engine) (platform.EngineReport, bool) {
+func (t *Task) report(ctx context.Context, e engine) (platform.EngineReport, error) {
 	r, err := t.opts.Engines.Report(ctx, e.target.ID, e.target.Address)
 	if err != nil {
 		_ = t.opts.Log.Log("msg", "engine not asked", "target", e.target.ID, "err", err)
-		t.orders.failed(e.target.ID, time.Now())
-		return r, false
+		return r, err
 	}
 	for model, version := range r.Weights {
 		t.opts.Saw(e.target, model, version)
 	}
-	return r, true
+	return r, nil
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -29,6 +29,11 @@
 	Prefill int `cbor:"3,keyasint"`
 	// Failing is the share of late requests that failed there, in percent.
 	Failing int `cbor:"4,keyasint"`
+	// Dark tells that the target takes no connections from the VM.
+	Dark bool `cbor:"5,keyasint"`
+	// Answered is how many milliseconds ago, plus one, the target last sent
+	// something to the VM; 0 if that was long ago.
+	Answered int `cbor:"6,keyasint"`
 }
 
 // A Read tells that an engine was sent shared parts of a prompt and so holds
@@ -78,6 +83,7 @@
 	Loaded     []Loaded           `cbor:"12,keyasint"`
 	Duty       Duty               `cbor:"13,keyasint"`
 	Reads      []Read             `cbor:"14,keyasint"`
+	Names      []source.Name      `cbor:"15,keyasint"`
 }
 
 // later tells whether e is a later telling of the same VM than o.
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
@@ -259,8 +260,73 @@
 			continue
 		}
 		if version > v.Wanted[model] {
-			v.Wanted[model], v.Named[model] = version, time.Now()
+			named := time.Now()
+			if _, known := old.Wanted[model]; !known {
+				named = named.Add(-startAge)
+			}
+			v.Wanted[model], v.Named[model] = version, named
 			s.log("msg", "weights named", "model", model, "version", version)
 		}
 	}
 }
+
+// startAge is how long ago weights count as named that a VM finds at its start,
+// until another VM tells better.
+const startAge = 4 * time.Second
+
+// Names returns which weights are wanted and how long ago this VM took them to
+// be named.
+func (s *Source) Names(now time.Time) []Name {
+	v := s.view.Load()
+	names := make([]Name, 0, len(v.Wanted))
+	for model, version := range v.Wanted {
+		names = append(names, Name{Model: model, Version: version, AgeMS: now.Sub(v.Named[model]).Milliseconds()})
+	}
+	return names
+}
+
+// HearNames takes in which weights another VM takes to be named since when.
+func (s *Source) HearNames(names []Name, now time.Time) {
+	if !s.newer(names, now) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.view.Load()
+	v := *old
+	v.Wanted, v.Named = maps.Clone(old.Wanted), maps.Clone(old.Named)
+	for _, n := range names {
+		at := now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
+		switch {
+		case n.Version > v.Wanted[n.Model]:
+			v.Wanted[n.Model], v.Named[n.Model] = n.Version, at
+			s.log("msg", "weights named", "model", n.Model, "version", n.Version, "told", true)
+		case n.Version == v.Wanted[n.Model] && at.Before(v.Named[n.Model]):
+			v.Named[n.Model] = at
+		}
+	}
+	s.view.Store(&v)
+}
+
+// newer tells whether names hold something to learn.
+func (s *Source) newer(names []Name, now time.Time) bool {
+	v := s.view.Load()
+	for _, n := range names {
+		at := now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
+		if n.Version > v.Wanted[n.Model] || n.Version == v.Wanted[n.Model] && at.Add(nameSlack).Before(v.Named[n.Model]) {
+			return true
+		}
+	}
+	return false
+}
+
+// nameSlack is a difference between two VMs' times that is not worth learning.
+const nameSlack = 100 * time.Millisecond
+
+// A Name tells which version of a model's weights is wanted.
+type Name struct {
+	Model   string `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint"`
+	// AgeMS is how long ago the version was named, in milliseconds.
+	AgeMS int64 `cbor:"3,keyasint"`
+}
--- a/internal/gateway/node/life.go
+++ b/internal/gateway/node/life.go
@@ -68,6 +68,7 @@
 // callers that still come, and ends when they have left or the grace is over.
 func (n *Node) stop(work context.Context, callers *http.Server) {
 	begun := time.Now()
+	n.begun.Store(&begun)
 	n.leaving.Store(true)
 	n.enter(n.life.Drain)
 	n.roster.Kick()
@@ -85,9 +86,19 @@
 	_ = n.log.Log("msg", "stop", "after", time.Since(begun))
 }
 
+// stopBy returns when running requests are ended; zero unless the VM is about to
+// stop.
+func (n *Node) stopBy() time.Time {
+	begun := n.begun.Load()
+	if begun == nil {
+		return time.Time{}
+	}
+	return begun.Add(n.bounds().Grace - killMargin)
+}
+
 // deserted tells whether no request runs and none has come for a while.
 func (n *Node) deserted(begun time.Time) bool {
-	quiet := min(time.Since(begun), time.Since(time.Unix(0, n.latest.Load())))
+	quiet := min(time.Since(begun), time.Since(n.start)-time.Duration(n.latest.Load()))
 	return n.flying.Load() == 0 && quiet > idleStop
 }
 
@@ -103,6 +114,7 @@
 	e.Marks = n.source.Marks()
 	e.Spent = n.quota.Spent()
 	e.Loads, e.Loaded = n.placer.Loads(time.Now())
+	e.Names = n.source.Names(time.Now())
 	e.Reads = n.placer.Reads(time.Now())
 	e.Duty = n.orders.Duty()
 }
@@ -122,6 +134,9 @@
 // heard takes in new entries of other VMs.
 func (n *Node) heard(from string, fresh []roster.Entry) {
 	now := time.Now()
+	for _, e := range fresh {
+		n.source.HearNames(e.Names, now)
+	}
 	v := n.source.View()
 	for _, e := range fresh {
 		n.quota.Hear(e.VM, e.Born, e.Spent)
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -47,9 +47,13 @@
 
 	life    *vm.Life
 	leaving atomic.Bool
-	ready   atomic.Bool
-	flying  atomic.Int64
-	latest  atomic.Int64 // time of the latest request in Unix nanoseconds
+	// begun is the start of a planned stop, nil before.
+	begun  atomic.Pointer[time.Time]
+	ready  atomic.Bool
+	flying atomic.Int64
+	// latest is when the latest request came, as the time since start.
+	latest atomic.Int64
+	start  time.Time
 
 	source *source.Source
 	roster *roster.Task
@@ -72,6 +76,7 @@
 		settings: s,
 		log:      log.With(logger, "vm", s.VM),
 		clock:    store.BootClock{},
+		start:    time.Now(),
 		life:     vm.NewLife(nil),
 		placer:   placing.New(s.DataCentre, s.Gateway.Bounds.Weights),
 		pool:     conn.NewPool(),
@@ -142,6 +147,7 @@
 		Members: n.roster.Members,
 		Version: n.placer.Version,
 		Running: func(t *site.Target) int { return n.placer.Running(t, time.Now()) },
+		Dark:    n.placer.Dark,
 		Saw: func(t *site.Target, model string, version int64) {
 			if n.placer.Saw(t, model, version, time.Now()) {
 				n.roster.Kick()
@@ -194,7 +200,7 @@
 		VMs:    func() int { return len(n.roster.Members()) + 1 },
 		Fresh:  n.fresh,
 
-		Leaving: n.leaving.Load,
+		StopBy:  n.stopBy,
 		Suspect: n.probes.suspect,
 		Meters:  n.meters,
 	})
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -77,7 +77,7 @@
 func (n *Node) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.flying.Add(1)
-		n.latest.Store(time.Now().UnixNano())
+		n.latest.Store(int64(time.Since(n.start)))
 		defer n.flying.Add(-1)
 		next.ServeHTTP(w, r)
 	})
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -37,6 +37,8 @@
 	oldCost = 120.0
 	// silentCost sends requests elsewhere while a target does not answer.
 	silentCost = 20000.0
+	// darkCost keeps requests from a target that another VM cannot reach.
+	darkCost = 400.0
 	// busyCost keeps requests from a target that is about to carry out an order.
 	busyCost = 8000.0
 	// slotCost is the expected work per request that waits at a plain service.
@@ -61,6 +63,11 @@
 	// loadedTime is how long the weights that an engine was seen with are told to
 	// other VMs, whose own reading of the engine's entry lags.
 	loadedTime = 5 * time.Second
+	// darkTime is how long a target that takes no connections is avoided unless a
+	// probe reaches it before.
+	darkTime = 20 * time.Second
+	// darkDoubt is how recent an answer to this VM outweighs the word of others.
+	darkDoubt = 700 * time.Millisecond
 	// tellTime is how long another VM's telling of its loads counts.
 	tellTime = 2 * time.Second
 )
@@ -135,6 +142,10 @@
 	noted   time.Time
 	silent  time.Duration
 	until   time.Time
+	// dark tells that the target takes no connections.
+	dark bool
+	// answered is when the target last gave an answer.
+	answered time.Time
 	// weights are the versions seen in answers, since the target's own entry
 	// lags.
 	weights map[string]int64
@@ -207,6 +218,8 @@
 	running int
 	prefill int
 	failing float64
+	// dark counts the other VMs that the target takes no connections from.
+	dark    int
 	missing int
 	// held are the shared tokens that the candidate holds, source the address to
 	// fetch more from.
@@ -262,6 +275,9 @@
 		}
 		c.running += l.Running
 		c.prefill += l.Prefill
+		if l.Dark && now.Sub(c.record.answered) > darkDoubt {
+			c.dark++
+		}
 		if l.Failing > 0 {
 			n++
 			sum += float64(l.Failing) / 100
@@ -335,6 +351,7 @@
 	if now.Before(c.record.until) {
 		c.cost += silentCost
 	}
+	c.cost += darkCost * float64(c.dark)
 	if p.busy[c.target.ID] {
 		c.cost += busyCost
 	}
--- a/internal/gateway/placing/record.go
+++ b/internal/gateway/placing/record.go
@@ -50,10 +50,11 @@
 }
 
 // FirstToken notes that a request's prompt has been read.
-func (p *Placer) FirstToken(c Choice) {
+func (p *Placer) FirstToken(c Choice, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r, ok := p.records[c.Target.ID]; ok && r.born == c.Target.Born {
+		r.answered = now
 		r.prefill = max(0, r.prefill-c.Missing)
 	}
 }
@@ -90,10 +91,16 @@
 	switch end {
 	case Served:
 		r.note(false, now)
-		r.silent, r.until = 0, time.Time{}
+		r.answered = now
+		r.silent, r.until, r.dark = 0, time.Time{}, false
 	case Failed:
 		r.note(true, now)
-	case Unreached, Silenced:
+	case Unreached:
+		// Until a probe reaches it again.
+		r.note(true, now)
+		r.dark = true
+		r.until = now.Add(darkTime)
+	case Silenced:
 		r.note(true, now)
 		r.silent = min(max(2*r.silent, silentFirst), silentMost)
 		r.until = now.Add(r.silent)
@@ -106,7 +113,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r, ok := p.records[id]; ok {
-		r.silent, r.until = 0, time.Time{}
+		r.silent, r.until, r.dark = 0, time.Time{}, false
 	}
 }
 
@@ -179,8 +186,12 @@
 			continue
 		}
 		failing := int(100 * r.rate(now))
-		if r.running > 0 || failing > 0 {
-			loads = append(loads, roster.Load{Target: id, Running: r.running, Prefill: r.prefill, Failing: failing})
+		if r.running > 0 || failing > 0 || r.dark {
+			l := roster.Load{Target: id, Running: r.running, Prefill: r.prefill, Failing: failing, Dark: r.dark}
+			if age := now.Sub(r.answered); age < tellTime {
+				l.Answered = 1 + int(age.Milliseconds())
+			}
+			loads = append(loads, l)
 		}
 		for model, version := range r.weights {
 			if now.Sub(r.changed) < loadedTime {
@@ -214,14 +225,45 @@
 	return r.version(t, model)
 }
 
+// Dark tells whether a target takes no connections from this VM.
+func (p *Placer) Dark(t *site.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.records[t.ID]
+	return ok && r.born == t.Born && r.dark
+}
+
+// Heard notes that a target is sending an answer.
+func (p *Placer) Heard(c Choice, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := p.records[c.Target.ID]; ok && r.born == c.Target.Born {
+		r.answered = now
+	}
+}
+
+// Answers tells whether a target has answered any VM within a time.
+func (p *Placer) Answers(c Choice, within time.Duration, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := p.records[c.Target.ID]; ok && now.Sub(r.answered) < within {
+		return true
+	}
+	for _, o := range p.others {
+		l, ok := o.loads[c.Target.ID]
+		if ok && l.Answered > 0 && now.Sub(o.heard)+time.Duration(l.Answered)*time.Millisecond < within {
+			return true
+		}
+	}
+	return false
+}
+
 // Running returns how many requests all VMs have in flight at a target.
 func (p *Placer) Running(t *site.Target, now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := candidate{target: t}
-	if r, ok := p.records[t.ID]; ok {
-		c.running = r.running
-	}
+	c := candidate{target: t, record: p.record(t, now)}
+	c.running = c.record.running
 	p.addOthers(&c, now)
 	return c.running
 }
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -73,12 +73,23 @@
 		return
 	}
 	x.silence = silence
-	x.timer = time.AfterFunc(silence, func() {
-		x.silent.Store(true)
-		x.cancel()
-	})
+	x.timer = time.AfterFunc(silence, x.expire)
 }
 
+// expire ends the send, unless its target is busy with the requests of others.
+func (x *exchange) expire() {
+	if x.handler.opts.Placer.Answers(x.choice, aliveTime, time.Now()) {
+		x.timer.Reset(aliveTime)
+		return
+	}
+	x.silent.Store(true)
+	x.cancel()
+}
+
+// aliveTime is how recently a silent target must have answered any request to
+// be waited for.
+const aliveTime = 700 * time.Millisecond
+
 // heard puts the end of the silence off.
 func (x *exchange) heard() {
 	if x.timer != nil {
@@ -162,7 +173,7 @@
 	if j.first == 0 {
 		j.first = time.Since(j.start)
 	}
-	x.handler.opts.Placer.FirstToken(x.choice)
+	x.handler.opts.Placer.FirstToken(x.choice, time.Now())
 }
 
 // passStream passes events on as they come.
@@ -186,6 +197,7 @@
 			return lost{why: "the stream broke off: " + err.Error()}, placing.Failed
 		}
 		x.heard()
+		x.handler.opts.Placer.Heard(x.choice, time.Now())
 		x.mark()
 		if event.weights > 0 {
 			x.handler.opts.Placer.Saw(x.choice.Target, j.declared.Model, event.weights, time.Now())
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -30,6 +30,11 @@
 	defaultBodyBytes = 8 << 20
 	// busyRetry is when callers return that no target can serve now.
 	busyRetry = 400 * time.Millisecond
+	// longRun is the time before the end of a stopping VM from which on it takes
+	// only requests whose own limit is earlier.
+	longRun = 4900 * time.Millisecond
+	// stopRetry is when callers of a stopping VM turn to another one.
+	stopRetry = 20 * time.Millisecond
 	// startRetry is when callers return to a VM that knows no configuration.
 	startRetry = 500 * time.Millisecond
 )
@@ -47,8 +52,8 @@
 	// Fresh tells whether keyed requests may still be served: a VM that has
 	// heard neither from the store nor from others may have missed a withdrawal.
 	Fresh func() bool
-	// Leaving tells whether the VM is about to stop.
-	Leaving func() bool
+	// StopBy is when the VM ends running requests; zero unless it is about to stop.
+	StopBy func() time.Time
 	// Suspect is called with targets that took no connection.
 	Suspect func(t *site.Target)
 	Meters  *Meters
@@ -72,6 +77,7 @@
 	engine   bool
 	start    time.Time
 	until    time.Time
+	stopBy   time.Time
 	cost     float64
 	chain    []placing.Link
 	cache    string
@@ -97,7 +103,8 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{declared: platform.ReadDeclared(r.Header), request: r, view: h.opts.View(), start: time.Now(), level: -1}
-	if h.opts.Leaving() {
+	j.stopBy = h.opts.StopBy()
+	if !j.stopBy.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	if a := h.admit(w, j); a != nil {
@@ -129,10 +136,18 @@
 		return f
 	}
 	j.bound()
+	if j.tooLate() {
+		return refusal{http.StatusServiceUnavailable, "this VM is about to stop", stopRetry}
+	}
 	j.describe()
 	return h.charge(j)
 }
 
+// tooLate tells whether the VM may stop before the request has ended.
+func (j *job) tooLate() bool {
+	return !j.stopBy.IsZero() && j.until.After(j.stopBy) && j.start.Add(longRun).After(j.stopBy)
+}
+
 func (j *job) readBody(w http.ResponseWriter, limit int64) failure {
 	if j.request.Body == nil || j.request.ContentLength == 0 {
 		return nil
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -141,11 +141,11 @@
 }
 
 // send makes one send to a chosen target and passes its answer on.
-func (h *Handler) send(ctx context.Context, a *answer, choice placing.Choice) outcome {
+func (h *Handler) send(whole context.Context, a *answer, choice placing.Choice) outcome {
 	j := a.job
 	j.sends++
 	j.note(choice)
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(whole)
 	defer cancel()
 	x := &exchange{handler: h, answer: a, choice: choice, sent: time.Now(), cancel: cancel}
 	h.opts.Placer.Begin(choice, j.chain, x.sent)
@@ -171,7 +171,7 @@
 		o, end = x.pass(ctx, r)
 	}
 	x.stop()
-	return h.settle(ctx, o, &end)
+	return h.settle(whole, o, &end)
 }
 
 // settle tells an end by the caller or by time from one by the target.
