Follow the cache events of engines and stores

Change: internal/gateway/caches reads the events; placing takes what an engine holds from them, and from sends of the last 1.2 s.

--- /dev/null
+++ b/internal/gateway/caches/index.go
@@ -0,0 +1,108 @@
+// Package caches knows which engines hold which parts of prompts, from the
+// events that engines and stores of KV cache publish.
+//
+// The load it answers: shared prompts that return about as often as engines
+// evict them, so that a guess by age is wrong every other time.
+package caches
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Key identifies one part of a prompt under one salt.
+type Key uint64
+
+// KeyOf returns the key of a part.
+func KeyOf(salt, part string) Key {
+	h := xxhash.New()
+	_, _ = h.WriteString(salt)
+	_, _ = h.WriteString("/")
+	_, _ = h.WriteString(part)
+	return Key(h.Sum64())
+}
+
+// freshTime is how long after its last answer a feed is trusted.
+const freshTime = 2500 * time.Millisecond
+
+// A Change is one event of a feed.
+type Change struct {
+	Stored bool
+	Key    Key
+}
+
+// A Batch is what one read of a feed returned.
+type Batch struct {
+	// Epoch changes when the engine has restarted.
+	Epoch int64
+	// Gap tells that events before these are missing.
+	Gap     bool
+	Changes []Change
+}
+
+// A cache is what one engine holds.
+type cache struct {
+	epoch int64
+	parts map[Key]struct{}
+	heard time.Time
+}
+
+// An Index is the content of all caches. Its methods may be called from any
+// goroutine.
+type Index struct {
+	mu     sync.Mutex
+	caches map[string]*cache
+}
+
+// NewIndex returns an Index that knows no cache.
+func NewIndex() *Index { return &Index{caches: map[string]*cache{}} }
+
+// Apply takes in a batch of an engine's events.
+func (x *Index) Apply(id string, b Batch, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c, ok := x.caches[id]
+	if !ok || c.epoch != b.Epoch || b.Gap {
+		c = &cache{epoch: b.Epoch, parts: map[Key]struct{}{}}
+		x.caches[id] = c
+	}
+	c.heard = now
+	for _, change := range b.Changes {
+		if change.Stored {
+			c.parts[change.Key] = struct{}{}
+		} else {
+			delete(c.parts, change.Key)
+		}
+	}
+}
+
+// Drop forgets an engine.
+func (x *Index) Drop(id string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.caches, id)
+}
+
+// Holds tells whether an engine holds a part, and whether that is known.
+func (x *Index) Holds(id string, k Key, now time.Time) (held, known bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c, ok := x.caches[id]
+	if !ok || now.Sub(c.heard) > freshTime {
+		return false, false
+	}
+	_, held = c.parts[k]
+	return held, true
+}
+
+// Size returns how many parts an engine is known to hold.
+func (x *Index) Size(id string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c, ok := x.caches[id]; ok {
+		return len(c.parts)
+	}
+	return 0
+}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/relay"
@@ -64,6 +65,8 @@
 	relay  *relay.Handler
 	meters *relay.Meters
 	budget *retry.Budget
+	index  *caches.Index
+	feeds  *caches.Reader
 	probes *prober
 	server *peer.Server
 	client *peer.Client
@@ -72,13 +75,15 @@
 
 // New returns a Node that speaks to the outside that its settings name.
 func New(s settings.Settings, logger log.Logger) *Node {
+	index := caches.NewIndex()
 	n := &Node{
 		settings: s,
 		log:      log.With(logger, "vm", s.VM),
 		clock:    store.BootClock{},
 		start:    time.Now(),
 		life:     vm.NewLife(nil),
-		placer:   placing.New(s.DataCentre, s.Gateway.Bounds.Weights),
+		placer:   placing.New(s.DataCentre, s.Gateway.Bounds.Weights, index),
+		index:    index,
 		pool:     conn.NewPool(),
 		meters:   relay.NewMeters(),
 	}
@@ -123,6 +128,8 @@
 		},
 		Changed: n.siteChanged,
 	})
+	engines := platform.NewEngines()
+	n.feeds = caches.NewReader(engines, n.index, n.source.View, n.log)
 	born := time.Now().UnixNano()
 	n.roster = roster.NewTask(roster.Options{
 		Self: roster.Entry{
@@ -140,7 +147,7 @@
 		Self:    lease.Holder{ID: s.VM, Incarnation: uint64(born)},
 		Store:   objects,
 		Clock:   n.clock,
-		Engines: platform.NewEngines(),
+		Engines: engines,
 		Log:     n.log,
 		Quiet:   func() time.Duration { return n.bounds().Quiet + quietMargin },
 		View:    n.source.View,
@@ -218,7 +225,7 @@
 	g, work := errgroup.WithContext(work)
 	callers := n.callerServer()
 	for _, run := range []func(context.Context) error{
-		n.source.Run, n.roster.Run, n.orders.Run, n.probes.run, n.sweep,
+		n.source.Run, n.roster.Run, n.orders.Run, n.probes.run, n.feeds.Run, n.sweep,
 	} {
 		g.Go(func() error { return run(work) })
 	}
--- a/internal/gateway/placing/holders.go
+++ b/internal/gateway/placing/holders.go
@@ -4,13 +4,16 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
-	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 )
 
 const (
 	// holdTime is how long after its last use an engine is taken to hold a shared
 	// part: engines evict what has been unused for seconds.
 	holdTime = 6 * time.Second
+	// sentTime is how long after a send its parts may be missing in an engine's
+	// feed: the prompt has to be read and the event told.
+	sentTime = 1200 * time.Millisecond
 	// keptTime is how long after a part was last sent to the store of KV cache it
 	// is taken to be there.
 	keptTime = 12 * time.Second
@@ -86,12 +89,6 @@
 	p.holders[oldest] = holder{target: target, at: at}
 }
 
-// kept tells whether the store of KV cache is taken to have a part.
-func (h *holders) kept(l Link, version int64, now time.Time) bool {
-	p, ok := h.parts[versioned(l.Family, version)]
-	return ok && now.Sub(p.kept) < keptTime
-}
-
 // sent notes a send of this VM.
 func (h *holders) sent(c Choice, chain []Link, now time.Time) {
 	for i, l := range chain {
@@ -140,64 +137,98 @@
 	}
 }
 
-// cover fills in how much of the shared parts a candidate holds or can fetch.
-func (p *Placer) cover(c *candidate, r Request, all []candidate, now time.Time) {
-	c.held, c.source = 0, ""
-	fetched := 0
-	for i := len(r.Chain) - 1; i >= 0; i-- {
-		l := r.Chain[i]
-		known := p.holders.parts[versioned(l.Family, c.version)]
-		if known == nil {
-			continue
-		}
-		if c.held == 0 && known.heldBy(c.target.ID, now) {
-			c.held = l.Tokens
-		}
-		if fetched == 0 {
-			if s := p.sourceOf(known, c, r, all, now); s != "" {
-				c.source, fetched = s, l.Tokens
-			}
+// keys are the names of a prompt's shared parts in engines' caches, by version of
+// the weights.
+type keys struct {
+	request   *Request
+	byVersion map[int64][]caches.Key
+}
+
+func newKeys(r *Request) *keys { return &keys{request: r, byVersion: map[int64][]caches.Key{}} }
+
+func (k *keys) of(version int64) []caches.Key {
+	if list, ok := k.byVersion[version]; ok {
+		return list
+	}
+	salt := k.request.Salt(version)
+	list := make([]caches.Key, 0, len(k.request.Chain))
+	for _, l := range k.request.Chain {
+		list = append(list, caches.KeyOf(salt, l.Part))
+	}
+	k.byVersion[version] = list
+	return list
+}
+
+// holds fills in how many of the shared parts a candidate holds: those that its
+// feed tells of, and those that it was sent since. Without a feed, those that it
+// was sent lately.
+func (p *Placer) holds(c *candidate, r *Request, k *keys, now time.Time) {
+	c.depth, c.held = 0, 0
+	if len(r.Chain) == 0 {
+		return
+	}
+	list := k.of(c.version)
+	for i, l := range r.Chain {
+		held, known := p.index.Holds(c.target.ID, list[i], now)
+		within := sentTime
+		if !known {
+			within = holdTime
 		}
-		if c.held > 0 {
-			break
+		sent := p.holders.parts[versioned(l.Family, c.version)]
+		if !held && (sent == nil || !sent.heldBy(c.target.ID, within, now)) {
+			return
 		}
+		c.depth, c.held = i+1, l.Tokens
 	}
-	if c.held >= fetched && r.Cache == "" {
-		c.source = ""
-	}
-	c.missing = r.Tokens - max(c.held, fetched)
 }
 
-func (p *part) heldBy(target string, now time.Time) bool {
-	for _, h := range p.holders {
-		if h.target == target {
-			return now.Sub(h.at) < holdTime
+// stored returns how many of the shared parts the store of KV cache holds.
+func (p *Placer) stored(r *Request, k *keys, version int64, now time.Time) int {
+	list := k.of(version)
+	for i, l := range r.Chain {
+		held, known := p.index.Holds(r.Cache, list[i], now)
+		within := sentTime
+		if !known {
+			within = keptTime
+		}
+		sent := p.holders.parts[versioned(l.Family, version)]
+		if !held && (sent == nil || now.Sub(sent.kept) > within) {
+			return i
 		}
 	}
-	return false
+	return len(r.Chain)
 }
 
-// sourceOf returns where a candidate can fetch a part: another engine that holds
-// it, else the store of KV cache.
-func (p *Placer) sourceOf(known *part, c *candidate, r Request, all []candidate, now time.Time) string {
-	var best *site.Target
-	var at time.Time
-	for _, h := range known.holders {
-		if h.target == c.target.ID || now.Sub(h.at) > holdTime || !h.at.After(at) {
-			continue
+// cover fills in how much of the prompt a candidate has to read, and where it
+// fetches what it does not hold.
+func (p *Placer) cover(c *candidate, r *Request, k *keys, all []candidate, now time.Time) {
+	c.source, c.missing = "", r.Tokens-c.held
+	if c.depth == len(r.Chain) {
+		return
+	}
+	from, depth := "", c.depth
+	for i := range all {
+		o := &all[i]
+		if o != c && o.version == c.version && o.depth > depth && !now.Before(o.record.until) && !p.busy[o.target.ID] {
+			from, depth = o.target.Address, o.depth
 		}
-		for i := range all {
-			o := &all[i]
-			if o.target.ID == h.target && o.version == c.version && !now.Before(o.record.until) {
-				best, at = o.target, h.at
-			}
+	}
+	if r.Cache != "" {
+		if n := p.stored(r, k, c.version, now); n > depth {
+			from, depth = r.Cache, n
 		}
 	}
-	if best != nil {
-		return best.Address
+	if from != "" {
+		c.source = from
+		c.missing = r.Tokens - r.Chain[depth-1].Tokens
 	}
-	if r.Cache != "" && now.Sub(known.kept) < keptTime {
-		return r.Cache
+}
+
+func (p *part) heldBy(target string, within time.Duration, now time.Time) bool {
+	for _, h := range p.holders {
+		if h.target == target {
+			return now.Sub(h.at) < within
+		}
 	}
-	return ""
+	return false
 }
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -16,6 +16,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 )
 
 // Weights of the parts of a score, in milliseconds of expected time.
@@ -83,13 +84,17 @@
 	Tokens int
 	// Cache is the address of the store of KV cache, or empty.
 	Cache string
+	// Salt returns the salt of KV cache made with a version of the weights.
+	Salt func(version int64) string
 	// Tried are the targets that have failed this request.
 	Tried []string
 }
 
-// A Link is the start of a prompt up to the end of one shared part.
+// A Link is the start of a prompt up to the end of one shared part. Part is the
+// name of that part.
 type Link struct {
 	Family uint64
+	Part   string
 	Tokens int
 }
 
@@ -131,6 +136,7 @@
 	others  map[string]telling
 	busy    map[string]bool
 	holders holders
+	index   *caches.Index
 }
 
 // A record is what this VM knows of one target by its own sends.
@@ -162,8 +168,8 @@
 // New returns a Placer of a VM in a data centre. Weights that have been overtaken
 // for longer than oldest, less a margin for what this VM learnt late, are not
 // used.
-func New(dataCentre string, oldest time.Duration) *Placer {
-	return &Placer{dataCentre: dataCentre, oldest: oldest - learnMargin, records: map[string]*record{}, others: map[string]telling{}, busy: map[string]bool{}, holders: newHolders()}
+func New(dataCentre string, oldest time.Duration, index *caches.Index) *Placer {
+	return &Placer{dataCentre: dataCentre, index: index, oldest: oldest - learnMargin, records: map[string]*record{}, others: map[string]telling{}, busy: map[string]bool{}, holders: newHolders()}
 }
 
 // SetOldest replaces the time after which overtaken weights are not used.
@@ -186,10 +192,14 @@
 	average := averageFailing(candidates)
 	best := math.Inf(1)
 	var chosen *candidate
+	keys := newKeys(&r)
+	for i := range candidates {
+		p.holds(&candidates[i], &r, keys, now)
+	}
 	for i := range candidates {
 		c := &candidates[i]
 		c.home = home != nil && c.target.ID == home.target.ID
-		p.cover(c, r, candidates, now)
+		p.cover(c, &r, keys, candidates, now)
 		c.score(p, r, average, now)
 		if c.cost < best {
 			best, chosen = c.cost, c
@@ -202,7 +212,7 @@
 		Missing:  chosen.missing,
 		Expected: time.Duration(chosen.cost * float64(time.Millisecond)),
 		Source:   chosen.source,
-		Keep:     r.Cache != "" && len(r.Chain) > 0 && !p.holders.kept(r.family(), chosen.version, now),
+		Keep:     r.Cache != "" && len(r.Chain) > 0 && p.stored(&r, keys, chosen.version, now) < len(r.Chain),
 	}, true
 }
 
@@ -221,8 +231,9 @@
 	// dark counts the other VMs that the target takes no connections from.
 	dark    int
 	missing int
-	// held are the shared tokens that the candidate holds, source the address to
-	// fetch more from.
+	// depth is the number of shared parts that the candidate holds from the first
+	// one on, held their tokens, source the address to fetch more from.
+	depth  int
 	held   int
 	source string
 	cost   float64
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -237,7 +237,7 @@
 		if i < len(d.Parts)-1 {
 			j.shared += part.Tokens
 			_, _ = hash.WriteString("/" + part.ID)
-			j.chain = append(j.chain, placing.Link{Family: hash.Sum64(), Tokens: j.shared})
+			j.chain = append(j.chain, placing.Link{Family: hash.Sum64(), Part: part.ID, Tokens: j.shared})
 		}
 	}
 	j.tokens = max(j.tokens, d.PromptTokens)
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -88,7 +88,7 @@
 func (j *job) wish() placing.Request {
 	r := placing.Request{Service: j.service, Tried: j.tried}
 	if j.engine {
-		r.Model, r.Chain, r.Tokens, r.Cache = j.declared.Model, j.chain, j.tokens, j.cache
+		r.Model, r.Chain, r.Tokens, r.Cache, r.Salt = j.declared.Model, j.chain, j.tokens, j.cache, j.salt
 	}
 	return r
 }
