--- a/internal/fleet/rollout/plan.go
+++ b/internal/fleet/rollout/plan.go
@@ -20,7 +20,10 @@
 	atOncePart  = 5
 	// emptyTime is the longest time that an engine is kept from new work before
 	// it is ordered.
-	emptyTime = 500 * time.Millisecond
+	emptyTime = 1200 * time.Millisecond
+	// loadedRuns is the number of requests per engine above which a pool counts as
+	// loaded.
+	loadedRuns = 3
 	// firstLoad is the time that a load takes until one has been seen.
 	firstLoad = 700 * time.Millisecond
 	// loadWeight is the weight of the newest load in the learnt time.
@@ -31,6 +34,8 @@
 	reportLag = time.Second
 	// orderTimeout is how long an order may take before it is given anew.
 	orderTimeout = 6 * time.Second
+	// doubtPause is the time in which an engine shows an order that it has accepted.
+	doubtPause = 250 * time.Millisecond
 	// failPause is the pause after an engine could not be asked.
 	failPause = 700 * time.Millisecond
 )
@@ -46,6 +51,25 @@
 	since time.Time
 }
 
+// A pool is all engines that take orders, and what runs on them.
+type pool struct {
+	engines int
+	running int
+	// dark counts the engines that take no connections.
+	dark int
+}
+
+// room returns how many engines may load, and how many may be emptied for it, at
+// the same time. A pool that is loaded spares fewer.
+func (p pool) room() (load, empty int) {
+	load = max(leastAtOnce, p.engines/atOncePart)
+	empty = load
+	if p.running > loadedRuns*p.engines {
+		empty = max(1, load/2)
+	}
+	return load, empty
+}
+
 // A phase is where the order to one engine stands.
 type phase uint8
 
@@ -92,18 +116,19 @@
 
 func newBook() *book { return &book{orders: map[string]*progress{}, load: firstLoad} }
 
-// plan returns what is to be done now, given the engines that lag behind and the
-// number of all engines. Engines are emptied before they are ordered, so that
+// plan returns what is to be done now, given the engines that lag behind and their
+// pool. Engines are emptied before they are ordered, so that
 // loads follow each other without a pause; those whose weights were overtaken
 // first go first.
-func (b *book) plan(lagging []engine, all int, now time.Time) []step {
+func (b *book) plan(lagging []engine, p pool, now time.Time) []step {
 	b.prune(lagging)
 	slices.SortFunc(lagging, func(x, y engine) int {
 		return cmp.Or(x.since.Compare(y.since), cmp.Compare(x.running, y.running), cmp.Compare(x.target.ID, y.target.ID))
 	})
-	atOnce := max(leastAtOnce, all/atOncePart)
-	// One engine more than load at once may still be ending its runs.
-	load, empty := atOnce+1, atOnce
+	load, empty := p.room()
+	if p.dark+len(b.orders) >= p.engines/2 {
+		empty = 0
+	}
 	for _, p := range b.orders {
 		switch p.phase {
 		case ordered:
@@ -155,7 +180,7 @@
 	for _, e := range lagging {
 		p := b.orders[e.target.ID]
 		switch {
-		case p == nil || p.phase != chosen || !p.since.Before(now):
+		case p == nil || p.phase != chosen || !p.since.Before(now) || now.Before(p.next):
 		case e.running == 0:
 			idle = append(idle, e)
 		case now.Sub(p.since) > emptyTime:
@@ -190,6 +215,14 @@
 	}
 }
 
+// doubted notes that an order may have been lost, so that it is soon given again
+// unless the engine shows it.
+func (b *book) doubted(id string, now time.Time) {
+	if p := b.orders[id]; p != nil {
+		p.phase, p.next = chosen, now.Add(doubtPause)
+	}
+}
+
 // done learns from an engine that has carried out its order.
 func (b *book) done(id string, now time.Time) {
 	if p := b.orders[id]; p != nil && p.phase == ordered {
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -78,12 +78,11 @@
 	asked  time.Time
 	quiet  time.Time
 	orders *book
-	since  map[string]overtaking
 }
 
 // NewTask returns a Task that holds nothing.
 func NewTask(o Options) *Task {
-	return &Task{opts: o, watch: lease.Watch{Self: o.Self, Length: leaseLength}, orders: newBook(), since: map[string]overtaking{}}
+	return &Task{opts: o, watch: lease.Watch{Self: o.Self, Length: leaseLength}, orders: newBook()}
 }
 
 // Duty returns what other VMs are told.
@@ -97,12 +96,12 @@
 func (t *Task) Run(ctx context.Context) error {
 	t.recall(ctx)
 	for store.Sleep(ctx, tick) {
-		lagging, all := t.lagging()
+		lagging, pool := t.lagging()
 		if len(lagging) == 0 || !t.entitled(ctx) {
 			t.rest()
 			continue
 		}
-		t.carryOut(ctx, t.orders.plan(lagging, all, time.Now()))
+		t.carryOut(ctx, t.orders.plan(lagging, pool, time.Now()))
 		t.publish(t.orders.busy())
 	}
 	return nil
@@ -128,49 +127,35 @@
 	t.publish(nil)
 }
 
-// lagging returns the engines whose weights have been overtaken, and the number
-// of engines that take orders.
-func (t *Task) lagging() (lagging []engine, all int) {
+// lagging returns the engines whose weights have been overtaken, and the pool that
+// they belong to.
+func (t *Task) lagging() (lagging []engine, p pool) {
 	v := t.opts.View()
 	if v.Config == nil {
-		return nil, 0
+		return nil, pool{}
 	}
 	for _, target := range v.Targets {
 		s := v.Config.Services[target.Service]
 		if s == nil || s.Engine == nil || target.Leaving {
 			continue
 		}
-		all++
+		p.engines++
+		p.running += t.opts.Running(target)
+		if t.opts.Dark(target) {
+			p.dark++
+			continue
+		}
 		for _, model := range s.Engine.Models {
-			has, wants := t.opts.Version(target, model), v.Wanted[model]
-			if has < wants && !t.opts.Dark(target) {
+			has, wants := t.opts.Version(target, model), v.Weights.Wanted(model)
+			if has < wants {
+				since, _ := v.Weights.Overtaken(model, has)
 				lagging = append(lagging, engine{
-					target: target, model: model, has: has, wants: wants,
-					running: t.opts.Running(target), since: t.overtaken(target, has, v.Named[model]),
+					target: target, model: model, has: has, wants: wants, running: t.opts.Running(target), since: since,
 				})
-			} else {
-				delete(t.since, target.ID)
 			}
 		}
 	}
-	return lagging, all
-}
-
-// overtaken returns when the weights of an engine were first seen to be old.
-func (t *Task) overtaken(target *site.Target, has int64, named time.Time) time.Time {
-	o, ok := t.since[target.ID]
-	if !ok || o.has != has || o.incarnation != target.Incarnation() {
-		o = overtaking{incarnation: target.Incarnation(), has: has, at: named}
-		t.since[target.ID] = o
-	}
-	return o.at
-}
-
-// An overtaking is when an engine's weights became old.
-type overtaking struct {
-	incarnation site.Incarnation
-	has         int64
-	at          time.Time
+	return lagging, p
 }
 
 // entitled makes sure of the lease if orders are this VM's to give.
@@ -372,8 +357,10 @@
 func (t *Task) instructed(e engine, outcome platform.OrderOutcome) {
 	id := e.target.ID
 	switch outcome {
-	case platform.OrderAccepted, platform.OrderUnknown:
+	case platform.OrderAccepted:
 		t.orders.accepted(id, time.Now())
+	case platform.OrderUnknown:
+		t.orders.doubted(id, time.Now())
 	case platform.OrderHolds:
 		t.opts.Saw(e.target, e.model, e.wants)
 	case platform.OrderRefused:
--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -96,6 +96,8 @@
 	Address        string
 	DataCentre     string
 	CapacityTokens int
+	// LinkMbps is the bandwidth of the store's link.
+	LinkMbps float64
 }
 
 // A Customer is the holder of keys and of a fleet-wide limit.
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -21,7 +21,7 @@
 const (
 	Config = iota
 	Targets
-	Weights
+	Versions
 	kinds
 )
 
@@ -58,10 +58,7 @@
 	// Config is nil until one is known.
 	Config  *site.Config
 	Targets map[string]*site.Target
-	// Wanted is the newest announced version of each model's weights, and Named
-	// when this VM learnt of it.
-	Wanted map[string]int64
-	Named  map[string]time.Time
+	Weights Weights
 }
 
 // A Source follows the site. Its queries may be called from any goroutine.
@@ -85,7 +82,7 @@
 	for i := range s.tables {
 		s.tables[i] = newTable()
 	}
-	s.view.Store(&View{Targets: map[string]*site.Target{}, Wanted: map[string]int64{}, Named: map[string]time.Time{}})
+	s.view.Store(&View{Targets: map[string]*site.Target{}})
 	return s
 }
 
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"strings"
 	"time"
 
@@ -221,15 +220,14 @@
 	v := &View{
 		Config:  s.newestConfig(old.Config),
 		Targets: make(map[string]*site.Target, len(s.tables[Targets].objects)),
-		Wanted:  map[string]int64{},
-		Named:   map[string]time.Time{},
+		Weights: old.Weights,
 	}
 	for _, e := range s.tables[Targets].objects {
 		if e.target != nil {
 			v.Targets[e.target.ID] = e.target
 		}
 	}
-	s.wanted(v, old)
+	s.nameWeights(v)
 	s.view.Store(v)
 	if v.Config != nil && s.tables[Targets].at > 0 {
 		s.opened.Do(func() { close(s.ready) })
@@ -247,86 +245,3 @@
 	}
 	return now
 }
-
-// wanted fills in the announced weights.
-func (s *Source) wanted(v, old *View) {
-	for model, version := range old.Wanted {
-		v.Wanted[model], v.Named[model] = version, old.Named[model]
-	}
-	for _, e := range s.tables[Weights].objects {
-		model, version, err := s.opts.Decoder.Weights(e.object.Value)
-		if err != nil {
-			s.log("msg", "weights ignored", "err", err, "version", e.object.Version)
-			continue
-		}
-		if version > v.Wanted[model] {
-			named := time.Now()
-			if _, known := old.Wanted[model]; !known {
-				named = named.Add(-startAge)
-			}
-			v.Wanted[model], v.Named[model] = version, named
-			s.log("msg", "weights named", "model", model, "version", version)
-		}
-	}
-}
-
-// startAge is how long ago weights count as named that a VM finds at its start,
-// until another VM tells better.
-const startAge = 4 * time.Second
-
-// Names returns which weights are wanted and how long ago this VM took them to
-// be named.
-func (s *Source) Names(now time.Time) []Name {
-	v := s.view.Load()
-	names := make([]Name, 0, len(v.Wanted))
-	for model, version := range v.Wanted {
-		names = append(names, Name{Model: model, Version: version, AgeMS: now.Sub(v.Named[model]).Milliseconds()})
-	}
-	return names
-}
-
-// HearNames takes in which weights another VM takes to be named since when.
-func (s *Source) HearNames(names []Name, now time.Time) {
-	if !s.newer(names, now) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := s.view.Load()
-	v := *old
-	v.Wanted, v.Named = maps.Clone(old.Wanted), maps.Clone(old.Named)
-	for _, n := range names {
-		at := now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
-		switch {
-		case n.Version > v.Wanted[n.Model]:
-			v.Wanted[n.Model], v.Named[n.Model] = n.Version, at
-			s.log("msg", "weights named", "model", n.Model, "version", n.Version, "told", true)
-		case n.Version == v.Wanted[n.Model] && at.Before(v.Named[n.Model]):
-			v.Named[n.Model] = at
-		}
-	}
-	s.view.Store(&v)
-}
-
-// newer tells whether names hold something to learn.
-func (s *Source) newer(names []Name, now time.Time) bool {
-	v := s.view.Load()
-	for _, n := range names {
-		at := now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
-		if n.Version > v.Wanted[n.Model] || n.Version == v.Wanted[n.Model] && at.Add(nameSlack).Before(v.Named[n.Model]) {
-			return true
-		}
-	}
-	return false
-}
-
-// nameSlack is a difference between two VMs' times that is not worth learning.
-const nameSlack = 100 * time.Millisecond
-
-// A Name tells which version of a model's weights is wanted.
-type Name struct {
-	Model   string `cbor:"1,keyasint"`
-	Version int64  `cbor:"2,keyasint"`
-	// AgeMS is how long ago the version was named, in milliseconds.
-	AgeMS int64 `cbor:"3,keyasint"`
-}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -121,7 +121,7 @@
 		Feed: objects,
 		Log:  n.log,
 		Decoder: source.Decoder{
-			Kinds:   [...]string{source.Config: platform.KindConfig, source.Targets: platform.KindTargets, source.Weights: platform.KindWeights},
+			Kinds:   [...]string{source.Config: platform.KindConfig, source.Targets: platform.KindTargets, source.Versions: platform.KindWeights},
 			Config:  platform.DecodeConfig,
 			Target:  platform.DecodeTarget,
 			Weights: platform.DecodeWeights,
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
 
@@ -157,10 +158,10 @@
 		Members []roster.Member
 		Marks   any
 		Targets any
-		Wanted  map[string]int64
+		Names   []source.Name
 		Spent   map[string]float64
 		Duty    roster.Duty
-	}{n.life.State(), n.roster.Members(), n.source.Marks(), v.Targets, v.Wanted, n.quota.Spent(), n.orders.Duty()}
+	}{n.life.State(), n.roster.Members(), n.source.Marks(), v.Targets, n.source.Names(time.Now()), n.quota.Spent(), n.orders.Duty()}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(dump); err != nil {
 		_ = n.log.Log("msg", "dump cut", "err", err)
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -40,8 +40,9 @@
 	silentCost = 20000.0
 	// darkCost keeps requests from a target that another VM cannot reach.
 	darkCost = 400.0
-	// busyCost keeps requests from a target that is about to carry out an order.
-	busyCost = 8000.0
+	// busyCost keeps requests from a target that is about to carry out an order,
+	// which rejects them at once.
+	busyCost = 1500.0
 	// slotCost is the expected work per request that waits at a plain service.
 	slotCost = 20.0
 )
@@ -52,7 +53,9 @@
 	oldGrace = 1200 * time.Millisecond
 	// learnMargin is how late a VM may learn of new weights and a request reach its
 	// target.
-	learnMargin = 2500 * time.Millisecond
+	learnMargin = 1200 * time.Millisecond
+	// waitDoubt is how much longer than expected a request may wait at an engine.
+	waitDoubt = 2.0
 	// failWeight is the weight of the newest outcome in a target's failure rate.
 	failWeight = 0.2
 	// failHalf is the time after which a failure counts half.
@@ -212,7 +215,7 @@
 		Missing:  chosen.missing,
 		Expected: time.Duration(chosen.cost * float64(time.Millisecond)),
 		Source:   chosen.source,
-		Keep:     r.Cache != "" && len(r.Chain) > 0 && p.stored(&r, keys, chosen.version, now) < len(r.Chain),
+		Keep:     p.worthKeeping(&r, keys, chosen.version, now),
 	}, true
 }
 
@@ -221,13 +224,14 @@
 	target  *site.Target
 	record  *record
 	version int64
-	wanted  int64
-	named   time.Time
-	rank    uint64
-	home    bool
-	running int
-	prefill int
-	failing float64
+	// old tells that newer weights were named, overtaken when.
+	old       bool
+	overtaken time.Time
+	rank      uint64
+	home      bool
+	running   int
+	prefill   int
+	failing   float64
 	// dark counts the other VMs that the target takes no connections from.
 	dark    int
 	missing int
@@ -239,9 +243,6 @@
 	cost   float64
 }
 
-// current tells whether the candidate has the newest weights.
-func (c *candidate) current() bool { return c.version >= c.wanted }
-
 // candidates returns the targets of the service that may be used.
 func (p *Placer) candidates(v *source.View, r Request, now time.Time) []candidate {
 	out := make([]candidate, 0, 16)
@@ -253,12 +254,13 @@
 		c := candidate{target: t, record: rec, running: rec.running, prefill: rec.prefill, failing: rec.rate(now)}
 		if r.Model != "" {
 			c.version = rec.version(t, r.Model)
-			c.wanted, c.named = v.Wanted[r.Model], v.Named[r.Model]
+			c.overtaken, c.old = v.Weights.Overtaken(r.Model, c.version)
 		}
-		if !c.current() && now.Sub(c.named) > p.oldest {
+		p.addOthers(&c, now)
+		wait := time.Duration(waitDoubt * float64(c.prefill) / prefillRate * float64(time.Millisecond))
+		if c.old && now.Sub(c.overtaken)+wait > p.oldest {
 			continue
 		}
-		p.addOthers(&c, now)
 		if f := r.family(); f.Tokens > 0 {
 			c.rank = rank(f.Family, t)
 		}
@@ -351,7 +353,7 @@
 		if !c.home && c.held < shared {
 			c.cost += awayCost * min(1, float64(shared-c.held)/2000)
 		}
-		if !c.current() && now.Sub(c.named) > oldGrace {
+		if c.old && now.Sub(c.overtaken) > oldGrace {
 			c.cost += oldCost
 		}
 	}
