Test gateways against stand-ins of the users' store and targets

Change: internal/fake has a store and targets that speak the users' protocol over sockets, with their faults; whole VMs, connections, decoding, limits and the budget of retries are tested against them. Ports are opened before the VM is built, and a planned stop ends its tasks before it closes the ports: the order of the two was a fault that the new tests found.

Measured: go test -race -count 3 ./internal/gateway/node passes.

--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -49,12 +49,16 @@
 	lines := logline.NewWriter(os.Stdout)
 	defer lines.Close()
 	logger := log.With(log.NewLogfmtLogger(lines), "at", log.DefaultTimestampUTC)
+	listeners, s, err := node.Listen(ctx, s)
+	if err != nil {
+		return fail(stderr, ExitFailure, err)
+	}
 	n := node.New(s, logger)
 	// A VM that stops as planned still takes signals.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go c.reload(work, n, hangups, logger)
-	if err := n.Run(ctx); err != nil {
+	if err := n.Run(ctx, listeners); err != nil {
 		_ = logger.Log("msg", "end", "err", err)
 		return fail(stderr, ExitFailure, err)
 	}
--- /dev/null
+++ b/internal/fake/sitestore.go
@@ -0,0 +1,272 @@
+package fake
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// A SiteStore is an HTTP stand-in of the object store on the users' machines.
+// Its switches may be changed while it serves.
+type SiteStore struct {
+	mu      sync.Mutex
+	objects map[string]*siteObject
+	history []siteChange
+	at      int64
+	floor   int64
+	changed chan struct{}
+	faults  SiteStoreFaults
+	calls   int
+}
+
+// SiteStoreFaults are the switches of a SiteStore.
+type SiteStoreFaults struct {
+	// Refuse is a status that answers every call, 0 for none.
+	Refuse int
+	// Silent leaves every call without an answer.
+	Silent bool
+	// LoseWrites carries writes out and leaves them without an answer.
+	LoseWrites bool
+}
+
+type siteMeta struct {
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
+}
+
+type siteObject struct {
+	Meta siteMeta        `json:"metadata"`
+	Spec json.RawMessage `json:"spec"`
+	kind string
+}
+
+type siteChange struct {
+	object  siteObject
+	deleted bool
+	at      int64
+}
+
+// NewSiteStore returns an empty store.
+func NewSiteStore() *SiteStore {
+	return &SiteStore{objects: map[string]*siteObject{}, at: 1, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the switches. Waiting watches are cut off.
+func (s *SiteStore) SetFaults(f SiteStoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// DropHistory forgets all changes, so that watches have to start anew.
+func (s *SiteStore) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.floor = nil, s.at
+	s.wake()
+}
+
+// Put writes an object as the operator or a target does.
+func (s *SiteStore) Put(kind, name string, spec any) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.PutRaw(kind, name, data)
+}
+
+// PutRaw is Put with a value that need not make sense.
+func (s *SiteStore) PutRaw(kind, name string, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, spec)
+}
+
+// Remove removes an object.
+func (s *SiteStore) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+// Calls returns how many calls were made.
+func (s *SiteStore) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *SiteStore) put(kind, name string, spec []byte) *siteObject {
+	s.at++
+	o := &siteObject{Meta: siteMeta{Name: name, Revision: s.at}, Spec: spec, kind: kind}
+	s.objects[kind+"/"+name] = o
+	s.history = append(s.history, siteChange{object: *o, at: s.at})
+	s.wake()
+	return o
+}
+
+func (s *SiteStore) remove(kind, name string) {
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return
+	}
+	s.at++
+	delete(s.objects, kind+"/"+name)
+	s.history = append(s.history, siteChange{object: *o, deleted: true, at: s.at})
+	s.wake()
+}
+
+// wake ends the waits of all watches. The caller holds mu.
+func (s *SiteStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *SiteStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	faults := s.faults
+	s.calls++
+	s.mu.Unlock()
+	switch {
+	case faults.Silent:
+		<-r.Context().Done()
+		return
+	case faults.Refuse != 0:
+		w.WriteHeader(faults.Refuse)
+		return
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	switch {
+	case r.Method != http.MethodGet:
+		s.write(w, r, kind, name, faults.LoseWrites)
+	case name != "":
+		s.get(w, kind, name)
+	case r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	default:
+		s.list(w, kind)
+	}
+}
+
+func (s *SiteStore) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	o, ok := s.objects[kind+"/"+name]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, o)
+}
+
+func (s *SiteStore) list(w http.ResponseWriter, kind string) {
+	s.mu.Lock()
+	items := []*siteObject{}
+	for _, o := range s.objects {
+		if o.kind == kind {
+			items = append(items, o)
+		}
+	}
+	at := s.at
+	s.mu.Unlock()
+	slices.SortFunc(items, func(a, b *siteObject) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
+	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "at": at})
+}
+
+func (s *SiteStore) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		events, at, lost, faults, changed := s.since(kind, after), s.at, after < s.floor, s.faults, s.changed
+		s.mu.Unlock()
+		if faults != (SiteStoreFaults{}) && !faults.LoseWrites {
+			panic(http.ErrAbortHandler)
+		}
+		if lost {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-timer.C:
+			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *SiteStore) since(kind string, after int64) []map[string]any {
+	events := []map[string]any{}
+	for _, c := range s.history {
+		if c.object.kind == kind && c.at > after {
+			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+		}
+	}
+	return events
+}
+
+func (s *SiteStore) write(w http.ResponseWriter, r *http.Request, kind, name string, lose bool) {
+	var in siteObject
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	expect := in.Meta.Revision
+	if name == "" {
+		name = in.Meta.Name
+	}
+	if q := r.URL.Query().Get("revision"); q != "" {
+		expect, _ = strconv.ParseInt(q, 10, 64)
+	}
+	s.mu.Lock()
+	status, o := s.apply(r.Method, kind, name, expect, in.Spec)
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, status, o)
+}
+
+// apply carries out a write. The caller holds mu.
+func (s *SiteStore) apply(method, kind, name string, expect int64, spec []byte) (int, *siteObject) {
+	now, ok := s.objects[kind+"/"+name]
+	switch {
+	case method == http.MethodPost && ok:
+		return http.StatusConflict, now
+	case method == http.MethodPost:
+		return http.StatusCreated, s.put(kind, name, spec)
+	case !ok:
+		return http.StatusNotFound, nil
+	case expect != 0 && now.Meta.Revision != expect:
+		return http.StatusConflict, now
+	case method == http.MethodDelete:
+		s.remove(kind, name)
+		return http.StatusOK, now
+	}
+	return http.StatusOK, s.put(kind, name, spec)
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
--- /dev/null
+++ b/internal/gateway/conn/conn_test.go
@@ -0,0 +1,147 @@
+package conn
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+)
+
+// start runs a stand-in of a target and returns its address.
+func start(t *testing.T, target *fake.SiteTarget) string {
+	t.Helper()
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go target.Serve(l)
+	return l.Addr().String()
+}
+
+func request(id string, body []byte) Send {
+	return Send{
+		Method: "POST", Path: "/plain/x", Host: "h", Body: body,
+		Header: http.Header{"Baobabdyke-Request-Id": {id}},
+		Mine: func(status int, h http.Header) bool {
+			got := h.Get("Baobabdyke-Request-Id")
+			return got == id || got == "" && status >= 400
+		},
+	}
+}
+
+// answered makes a send and returns its whole answer.
+func answered(t *testing.T, p *Pool, address, id string) string {
+	t.Helper()
+	r, ok := p.Do(t.Context(), address, request(id, []byte("body")), false).(Answered)
+	must.True(t, ok)
+	body, err := r.Exchange.ReadBody(1 << 10)
+	must.NoError(t, err)
+	r.Exchange.Finish()
+	return string(body)
+}
+
+func TestReuse(t *testing.T) {
+	target := fake.NewSiteTarget("i-1", 3)
+	address := start(t, target)
+	p := NewPool()
+	t.Cleanup(p.Close)
+	for range 5 {
+		must.Eq(t, "answer of i-1 to a", answered(t, p, address, "a"))
+	}
+	must.Eq(t, 1, target.Connections())
+
+	t.Run("a fresh send opens a connection", func(t *testing.T) {
+		r, ok := p.Do(t.Context(), address, request("b", nil), true).(Answered)
+		must.True(t, ok)
+		r.Exchange.Abort()
+		must.Eq(t, 2, target.Connections())
+	})
+	t.Run("idle connections are closed", func(t *testing.T) {
+		answered(t, p, address, "a")
+		p.Sweep(time.Now().Add(time.Hour))
+		answered(t, p, address, "a")
+		must.Eq(t, 3, target.Connections())
+	})
+}
+
+func TestBadAnswers(t *testing.T) {
+	t.Run("a late answer of another request is skipped", func(t *testing.T) {
+		target := fake.NewSiteTarget("i-1", 3)
+		target.Queue(fake.SiteStray)
+		address, p := start(t, target), NewPool()
+		must.Eq(t, "answer of i-1 to a", answered(t, p, address, "a"))
+	})
+	t.Run("a second answer ends the connection", func(t *testing.T) {
+		target := fake.NewSiteTarget("i-1", 3)
+		target.Queue(fake.SiteExtra)
+		address, p := start(t, target), NewPool()
+		answered(t, p, address, "a")
+		// The surplus may still be on its way; the id keeps it apart in any case.
+		must.Eq(t, "answer of i-1 to b", answered(t, p, address, "b"))
+	})
+	t.Run("an answer without length ends with its connection", func(t *testing.T) {
+		target := fake.NewSiteTarget("i-1", 3)
+		target.Queue(fake.SiteUnframed)
+		address, p := start(t, target), NewPool()
+		must.Eq(t, "answer of i-1 to a", answered(t, p, address, "a"))
+		answered(t, p, address, "b")
+		must.Eq(t, 2, target.Connections())
+	})
+	t.Run("an early answer spoils the connection only", func(t *testing.T) {
+		target := fake.NewSiteTarget("i-1", 3)
+		target.Queue(fake.SiteEarly)
+		address, p := start(t, target), NewPool()
+		r, ok := p.Do(t.Context(), address, request("a", bytes.Repeat([]byte("x"), 4<<20)), false).(Answered)
+		must.True(t, ok)
+		must.Eq(t, http.StatusServiceUnavailable, r.Response.StatusCode)
+		r.Exchange.Finish()
+		must.Eq(t, "answer of i-1 to b", answered(t, p, address, "b"))
+		must.Len(t, 1, target.Runs())
+	})
+	for name, mode := range map[string]fake.SiteMode{"reset": fake.SiteReset, "junk": fake.SiteJunk} {
+		t.Run(name+" is lost", func(t *testing.T) {
+			target := fake.NewSiteTarget("i-1", 3)
+			target.SetMode(mode)
+			_, ok := NewPool().Do(t.Context(), start(t, target), request("a", nil), false).(Lost)
+			must.True(t, ok)
+		})
+	}
+	t.Run("a cut body is an error", func(t *testing.T) {
+		target := fake.NewSiteTarget("i-1", 3)
+		target.SetMode(fake.SiteCut)
+		r, ok := NewPool().Do(t.Context(), start(t, target), request("a", nil), false).(Answered)
+		must.True(t, ok)
+		_, err := r.Exchange.ReadBody(1 << 10)
+		must.Error(t, err)
+		r.Exchange.Abort()
+	})
+}
+
+func TestUnsent(t *testing.T) {
+	t.Run("a refused connection", func(t *testing.T) {
+		_, ok := NewPool().Do(t.Context(), "127.0.0.1:1", request("a", nil), true).(Unsent)
+		must.True(t, ok)
+	})
+	t.Run("a caller that has left", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, ok := NewPool().Do(ctx, "127.0.0.1:1", request("a", nil), true).(Unsent)
+		must.True(t, ok)
+	})
+}
+
+func TestCancel(t *testing.T) {
+	target := fake.NewSiteTarget("i-1", 3)
+	target.SetMode(fake.SiteSilent)
+	address := start(t, target)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, ok := NewPool().Do(ctx, address, request("a", nil), false).(Lost)
+	must.True(t, ok)
+}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -213,14 +213,10 @@
 	})
 }
 
-// Run serves until ctx ends and then stops as planned.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves on open ports until ctx ends and then stops as planned.
+func (n *Node) Run(ctx context.Context, listeners Listeners) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	listeners, err := n.listen(ctx)
-	if err != nil {
-		return err
-	}
 	_ = n.log.Log("msg", "start", "callers", n.settings.Callers.Address, "peers", n.settings.Peers.Address)
 	g, work := errgroup.WithContext(work)
 	callers := n.callerServer()
@@ -235,10 +231,10 @@
 		g.Go(func() error { return serve(l.server, l.listener) })
 	}
 	g.Go(func() error {
-		defer cancel()
 		n.follow(ctx, work)
 		n.stop(work, callers)
-		listeners.close()
+		cancel()
+		listeners.Close()
 		return nil
 	})
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
--- /dev/null
+++ b/internal/gateway/node/node_test.go
@@ -0,0 +1,475 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/internal/settings"
+)
+
+const configuration = `{"version":%d,
+ "routes":[
+  {"name":"lookup","host":"h","prefix":"/lookup/","kind":"idempotent","timeoutMs":3000,"goalMs":100,"maxAttempts":2,"service":"app"},
+  {"name":"commit","host":"h","prefix":"/commit/","kind":"non_idempotent","timeoutMs":3000,"goalMs":100,"maxAttempts":1,"service":"app"},
+  {"name":"chat","host":"h","prefix":"/stream/a/","kind":"streaming","timeoutMs":8000,"goalMs":300,"maxAttempts":2,"resumable":true,"service":"llm"},
+  {"name":"verdict","host":"h","prefix":"/stream/b/","kind":"streaming","timeoutMs":3000,"goalMs":300,"maxAttempts":1,"service":"llm"},
+  {"name":"open","host":"h","prefix":"/open/","kind":"idempotent","public":true,"timeoutMs":3000,"maxAttempts":2,"service":"app"}],
+ "services":[{"name":"app"},{"name":"llm","engine":{"slots":8,"kvCapacity":100000,"kvTokenBytes":10,"models":[{"name":"m"}]}}],
+ "tenants":[{"name":"c","apiKeys":["key"],"unit":"tokens","uncachedTokens":10,"ratePerS":%d,"burst":%d}]}`
+
+// A bench is a store, two targets for each service and VMs.
+type bench struct {
+	t       *testing.T
+	store   *fake.SiteStore
+	address string
+	apps    [2]*fake.SiteTarget
+	engines [2]*fake.SiteTarget
+	version int
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, store: fake.NewSiteStore()}
+	server := httptest.NewServer(b.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	b.address = server.Listener.Addr().String()
+	for i := range 2 {
+		b.apps[i] = b.target("app", fmt.Sprintf("app-%d", i))
+		b.engines[i] = b.target("llm", fmt.Sprintf("llm-%d", i))
+	}
+	b.configure(1_000_000)
+	return b
+}
+
+func (b *bench) configure(rate int) {
+	b.version++
+	b.store.PutRaw("config", "main", []byte(fmt.Sprintf(configuration, b.version, rate, rate)))
+}
+
+// target starts a target and lists it.
+func (b *bench) target(service, id string) *fake.SiteTarget {
+	b.t.Helper()
+	target := fake.NewSiteTarget(id, 6)
+	var lc net.ListenConfig
+	l, err := lc.Listen(b.t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = l.Close() })
+	go target.Serve(l)
+	b.list(service, id, l.Addr().String(), "ready")
+	return target
+}
+
+func (b *bench) list(service, id, address, state string) {
+	b.store.Put("servers", id, map[string]any{
+		"service": service, "address": address, "zone": "z", "slots": 4, "state": state, "sequence": 1, "born": 5,
+		"models": []map[string]any{{"name": "m", "version": 1}},
+	})
+}
+
+// A running is a VM that serves.
+type running struct {
+	*Node
+	t    *testing.T
+	stop context.CancelFunc
+	done chan error
+	log  *lockedBuffer
+}
+
+// A lockedBuffer keeps what is written to it.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// start runs a VM that knows others by seeds.
+func (b *bench) start(name string, seeds ...string) *running {
+	b.t.Helper()
+	s := settings.Settings{VM: name, Region: "r", DataCentre: "z", Gateway: &settings.Gateway{
+		Ready: "127.0.0.1:0", Directory: "127.0.0.1:0", Seeds: seeds,
+		Bounds: settings.Bounds{
+			Grace: 3 * time.Second, TTL: time.Second, Quiet: time.Second, Weights: 10 * time.Second, Revoke: time.Second,
+			Retries: settings.Retries{Ratio: 1, Slack: 1000, Window: time.Second},
+		},
+	}}
+	s.Callers.Address, s.Operators.Address, s.Peers.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Platform.Address = b.address
+	ctx, cancel := context.WithCancel(context.Background())
+	l, s, err := Listen(ctx, s)
+	must.NoError(b.t, err)
+	buffer := &lockedBuffer{}
+	v := &running{Node: New(s, log.NewLogfmtLogger(buffer)), t: b.t, stop: cancel, done: make(chan error, 1), log: buffer}
+	go func() { v.done <- v.Run(ctx, l) }()
+	b.t.Cleanup(func() {
+		cancel()
+		must.NoError(b.t, <-v.done)
+		v.done <- nil
+	})
+	return v
+}
+
+// ready waits until the VM says that it is ready.
+func (v *running) ready() {
+	v.t.Helper()
+	eventually(v.t, func() bool {
+		status, _ := v.get("http://" + v.settings.Gateway.Ready + "/ready")
+		return status == http.StatusOK
+	})
+}
+
+func (v *running) get(address string) (int, string) {
+	req, err := http.NewRequestWithContext(v.t.Context(), http.MethodGet, address, nil)
+	must.NoError(v.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+// eventually waits for a condition, for as long as the test may run.
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for !ok() {
+		if t.Context().Err() != nil {
+			t.Fatal("the condition did not come true")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// A caught is an answer to a caller.
+type caught struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request as a caller.
+func (v *running) ask(path, id string, headers ...string) caught {
+	v.t.Helper()
+	method := http.MethodPost
+	if strings.HasPrefix(path, "/lookup/") || strings.HasPrefix(path, "/open/") {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(v.t.Context(), method, "http://"+v.settings.Callers.Address+path, strings.NewReader("the body"))
+	must.NoError(v.t, err)
+	req.Host = "h"
+	req.Header.Set("Baobabdyke-Request-Id", id)
+	req.Header.Set("Baobabdyke-Credential", "key")
+	req.Header.Set("Baobabdyke-Deadline-Ms", "2500")
+	if strings.HasPrefix(path, "/stream/") {
+		req.Header.Set("Baobabdyke-Model", "m")
+		req.Header.Set("Baobabdyke-Token-Usage", "100,10")
+		req.Header.Set("Baobabdyke-Prefix-Hash", "aa:50,bb:50")
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return caught{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return caught{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// runs returns how often requests ran at targets.
+func runs(targets [2]*fake.SiteTarget) int { return len(targets[0].Runs()) + len(targets[1].Runs()) }
+
+func setModes(targets [2]*fake.SiteTarget, m fake.SiteMode) {
+	for _, target := range targets {
+		target.SetMode(m)
+	}
+}
+
+func wholeStream() string {
+	var s strings.Builder
+	for i := 1; i <= 6; i++ {
+		fmt.Fprintf(&s, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return s.String()
+}
+
+func TestServe(t *testing.T) {
+	b := newBench(t)
+	v := b.start("vm-1")
+	v.ready()
+
+	t.Run("a request and its answer are unchanged", func(t *testing.T) {
+		got := v.ask("/commit/a?q=1", "r-1", "Baobabdyke-Tenant", "forged", "X-Mine", "1")
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusOK, got.status)
+		must.StrContains(t, got.body, "to r-1")
+		must.StrHasPrefix(t, "seal-app-", got.header.Get("Baobabdyke-Response-Seal"))
+		all := append(b.apps[0].Runs(), b.apps[1].Runs()...)
+		must.Len(t, 1, all)
+		must.Eq(t, "/commit/a?q=1", all[0].Path)
+		must.Eq(t, "the body", string(all[0].Body))
+		must.Eq(t, "c", all[0].Header.Get("Baobabdyke-Tenant"))
+		must.Eq(t, "1", all[0].Header.Get("X-Mine"))
+		must.Eq(t, "", all[0].Header.Get("Baobabdyke-Credential"))
+		left, err := strconv.Atoi(all[0].Header.Get("Baobabdyke-Deadline-Ms"))
+		must.NoError(t, err)
+		must.Between(t, 1, left, 2500)
+	})
+	t.Run("streams are whole and in order", func(t *testing.T) {
+		for _, path := range []string{"/stream/a/x", "/stream/b/x"} {
+			got := v.ask(path, "r-2")
+			must.NoError(t, got.err)
+			must.Eq(t, wholeStream(), got.body)
+		}
+	})
+	t.Run("what is not permitted", func(t *testing.T) {
+		must.Eq(t, http.StatusNotFound, v.ask("/nowhere/", "r").status)
+		must.Eq(t, http.StatusUnauthorized, v.ask("/commit/", "r", "Baobabdyke-Credential", "other").status)
+		must.Eq(t, http.StatusOK, v.ask("/open/", "r", "Baobabdyke-Credential", "other").status)
+	})
+	t.Run("the directory names the VM", func(t *testing.T) {
+		status, body := v.get("http://" + v.settings.Gateway.Directory + "/resolve?name=h&region=r&zone=z")
+		must.Eq(t, http.StatusOK, status)
+		var answer struct {
+			Addresses []string
+			TTLS      float64
+		}
+		must.NoError(t, json.Unmarshal([]byte(body), &answer))
+		must.Eq(t, []string{v.settings.Callers.Address}, answer.Addresses)
+		must.Positive(t, answer.TTLS)
+	})
+	t.Run("the operators' port shows no key", func(t *testing.T) {
+		for _, path := range []string{"/dump", "/metrics"} {
+			status, body := v.get("http://" + v.settings.Operators.Address + path)
+			must.Eq(t, http.StatusOK, status)
+			must.StrNotContains(t, body, `"key"`)
+		}
+		must.StrNotContains(t, v.log.String(), "key=")
+	})
+}
+
+func TestOnceOnly(t *testing.T) {
+	b := newBench(t)
+	v := b.start("vm-1")
+	v.ready()
+	for name, c := range map[string]struct {
+		mode   fake.SiteMode
+		path   string
+		status int
+		runs   int
+	}{
+		"a reset":             {fake.SiteReset, "/commit/", http.StatusBadGateway, 1},
+		"a cut answer":        {fake.SiteCut, "/commit/", http.StatusBadGateway, 1},
+		"no seal":             {fake.SiteUnsealed, "/commit/", http.StatusBadGateway, 1},
+		"an encoded answer":   {fake.SiteEncoded, "/commit/", http.StatusBadGateway, 1},
+		"junk":                {fake.SiteJunk, "/commit/", http.StatusBadGateway, 1},
+		"an error is passed":  {fake.SiteError, "/commit/", http.StatusInternalServerError, 1},
+		"rejected everywhere": {fake.SiteReject, "/commit/", http.StatusServiceUnavailable, 0},
+		"a reset stream":      {fake.SiteReset, "/stream/b/", http.StatusBadGateway, 1},
+		"a silent target":     {fake.SiteSilent, "/commit/", http.StatusGatewayTimeout, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			setModes(b.apps, c.mode)
+			setModes(b.engines, c.mode)
+			before := runs(b.apps) + runs(b.engines)
+			got := v.ask(c.path, "r", "Baobabdyke-Deadline-Ms", "400")
+			must.Eq(t, c.status, got.status)
+			must.Eq(t, c.runs, runs(b.apps)+runs(b.engines)-before)
+			if c.status == http.StatusServiceUnavailable {
+				must.NotEq(t, "", got.header.Get("Retry-After"))
+			}
+		})
+	}
+	t.Run("a stream that breaks does not look whole", func(t *testing.T) {
+		setModes(b.engines, fake.SiteCut)
+		got := v.ask("/stream/b/", "r")
+		must.Error(t, got.err)
+	})
+}
+
+func TestRepeat(t *testing.T) {
+	b := newBench(t)
+	v := b.start("vm-1")
+	v.ready()
+	for name, mode := range map[string]fake.SiteMode{
+		"reset": fake.SiteReset, "cut": fake.SiteCut, "error": fake.SiteError, "reject": fake.SiteReject, "junk": fake.SiteJunk,
+	} {
+		t.Run("an idempotent request goes elsewhere after "+name, func(t *testing.T) {
+			for _, target := range b.apps {
+				target.Queue(mode)
+			}
+			// The first target fails; the second has the same in its queue, unless the
+			// first send used it up.
+			b.apps[1].SetMode(fake.SiteGood)
+			got := v.ask("/lookup/", "r-"+name)
+			if got.status != http.StatusOK {
+				got = v.ask("/lookup/", "r-"+name+"-again")
+			}
+			must.Eq(t, http.StatusOK, got.status)
+			setModes(b.apps, fake.SiteGood)
+		})
+	}
+	t.Run("a resumable stream goes on at another target", func(t *testing.T) {
+		for _, target := range b.engines {
+			target.SetMode(fake.SiteGood)
+		}
+		b.engines[0].Queue(fake.SiteCut)
+		b.engines[1].Queue(fake.SiteCut)
+		got := v.ask("/stream/a/", "r-resume")
+		if got.err != nil {
+			got = v.ask("/stream/a/", "r-resume-2")
+		}
+		must.NoError(t, got.err)
+		must.Eq(t, wholeStream(), got.body)
+	})
+}
+
+func TestCallerLeaves(t *testing.T) {
+	b := newBench(t)
+	v := b.start("vm-1")
+	v.ready()
+	for _, e := range b.engines {
+		e.SetPause(20 * time.Second)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.settings.Callers.Address+"/stream/a/", nil)
+	must.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set("Baobabdyke-Request-Id", "r")
+	req.Header.Set("Baobabdyke-Credential", "key")
+	req.Header.Set("Baobabdyke-Model", "m")
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	cancel()
+	_ = resp.Body.Close()
+	eventually(t, func() bool { return strings.Contains(v.log.String(), "the caller has left") || strings.Contains(v.log.String(), "stream broken") })
+	must.Eq(t, 1, runs(b.engines))
+}
+
+func TestConfiguration(t *testing.T) {
+	b := newBench(t)
+	v := b.start("vm-1")
+	v.ready()
+	t.Run("a new version is in force", func(t *testing.T) {
+		b.configure(1)
+		eventually(t, func() bool { return v.ask("/commit/", "r").status == http.StatusTooManyRequests })
+		b.configure(1_000_000)
+		eventually(t, func() bool { return v.ask("/commit/", "r").status == http.StatusOK })
+	})
+	t.Run("a bad or older version is not", func(t *testing.T) {
+		b.store.PutRaw("config", "main", []byte(`{"version":"x"}`))
+		b.store.PutRaw("config", "main", []byte(`{"version":1,"routes":[]}`))
+		eventually(t, func() bool { return strings.Contains(v.log.String(), "configuration ignored") })
+		must.Eq(t, http.StatusOK, v.ask("/commit/", "r").status)
+	})
+	t.Run("entries that name no target are ignored", func(t *testing.T) {
+		b.store.PutRaw("servers", "i-odd", []byte(`{"service":7}`))
+		b.store.PutRaw("servers", "i-text", []byte(`"text"`))
+		eventually(t, func() bool { return strings.Count(v.log.String(), "target entry ignored") >= 2 })
+		must.Eq(t, http.StatusOK, v.ask("/lookup/", "r").status)
+	})
+	t.Run("a dropped history is read anew", func(t *testing.T) {
+		b.store.DropHistory()
+		b.configure(1)
+		eventually(t, func() bool { return v.ask("/commit/", "r").status == http.StatusTooManyRequests })
+	})
+}
+
+func TestLeavingTarget(t *testing.T) {
+	b := newBench(t)
+	v := b.start("vm-1")
+	v.ready()
+	b.list("app", "app-0", "127.0.0.1:1", "draining")
+	eventually(t, func() bool { return strings.Contains(v.log.String(), "target leaves") })
+	before := len(b.apps[0].Runs())
+	for i := range 10 {
+		must.Eq(t, http.StatusOK, v.ask("/commit/", "r"+strconv.Itoa(i)).status)
+	}
+	must.Len(t, before, b.apps[0].Runs())
+}
+
+func TestRollout(t *testing.T) {
+	b := newBench(t)
+	v := b.start("vm-1")
+	v.ready()
+	b.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	eventually(t, func() bool { return b.engines[0].Version() == 2 && b.engines[1].Version() == 2 })
+	eventually(t, func() bool { return v.ask("/stream/b/", "r").status == http.StatusOK })
+}
+
+func TestFleet(t *testing.T) {
+	b := newBench(t)
+	v1 := b.start("vm-1")
+	v2 := b.start("vm-2", v1.settings.Peers.Address)
+	v1.ready()
+	v2.ready()
+	knows := func(v *running, address string) func() bool {
+		return func() bool {
+			_, body := v.get("http://" + v.settings.Gateway.Directory + "/resolve?name=h&zone=z")
+			return strings.Contains(body, address)
+		}
+	}
+	eventually(t, knows(v1, v2.settings.Callers.Address))
+	eventually(t, knows(v2, v1.settings.Callers.Address))
+
+	t.Run("a VM starts from others while the store is down", func(t *testing.T) {
+		b.store.SetFaults(fake.SiteStoreFaults{Refuse: http.StatusServiceUnavailable})
+		v3 := b.start("vm-3", v1.settings.Peers.Address)
+		v3.ready()
+		must.Eq(t, http.StatusOK, v3.ask("/commit/", "r").status)
+		b.store.SetFaults(fake.SiteStoreFaults{})
+	})
+	t.Run("a planned stop leaves the directory and cuts nothing", func(t *testing.T) {
+		for _, e := range b.engines {
+			e.SetPause(50 * time.Millisecond)
+		}
+		answers := make(chan caught, 1)
+		go func() { answers <- v2.ask("/stream/a/", "r") }()
+		eventually(t, func() bool { return runs(b.engines) > 0 })
+		v2.stop()
+		got := <-answers
+		must.NoError(t, got.err)
+		must.Eq(t, wholeStream(), got.body)
+		eventually(t, func() bool { return !knows(v1, v2.settings.Callers.Address)() })
+		must.NoError(t, <-v2.done)
+		v2.done <- nil
+	})
+	t.Run("peers that speak nonsense do no harm", func(t *testing.T) {
+		var d net.Dialer
+		c, err := d.DialContext(t.Context(), "tcp", v1.settings.Peers.Address)
+		must.NoError(t, err)
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\n\r\n\x00\xff\xff\xff")
+		_ = c.Close()
+		must.Eq(t, http.StatusOK, v1.ask("/commit/", "r").status)
+	})
+}
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
 
@@ -26,12 +27,13 @@
 	mostAddresses = 64
 )
 
-// listeners are the open ports of a node.
-type listeners struct {
+// Listeners are the open ports of a node.
+type Listeners struct {
 	callers, ready, directory, operators, peers net.Listener
 }
 
-func (l listeners) close() {
+// Close closes the ports that are open.
+func (l Listeners) Close() {
 	for _, open := range []net.Listener{l.callers, l.ready, l.directory, l.operators, l.peers} {
 		if open != nil {
 			_ = open.Close()
@@ -39,28 +41,32 @@
 	}
 }
 
-// listen opens the ports that the settings name.
-func (n *Node) listen(ctx context.Context) (listeners, error) {
-	var l listeners
+// Listen opens the ports that the settings name. It returns the settings with
+// the ports that the system chose where they name port 0.
+func Listen(ctx context.Context, s settings.Settings) (Listeners, settings.Settings, error) {
+	var l Listeners
 	var lc net.ListenConfig
+	gateway := *s.Gateway
+	s.Gateway = &gateway
 	for _, p := range []struct {
-		address string
+		address *string
 		into    *net.Listener
 	}{
-		{n.settings.Callers.Address, &l.callers},
-		{n.settings.Gateway.Ready, &l.ready},
-		{n.settings.Gateway.Directory, &l.directory},
-		{n.settings.Operators.Address, &l.operators},
-		{n.settings.Peers.Address, &l.peers},
+		{&s.Callers.Address, &l.callers},
+		{&gateway.Ready, &l.ready},
+		{&gateway.Directory, &l.directory},
+		{&s.Operators.Address, &l.operators},
+		{&s.Peers.Address, &l.peers},
 	} {
-		open, err := lc.Listen(ctx, "tcp", p.address)
+		open, err := lc.Listen(ctx, "tcp", *p.address)
 		if err != nil {
-			l.close()
-			return listeners{}, eris.Wrapf(err, "listen on %s", p.address)
+			l.Close()
+			return Listeners{}, s, eris.Wrapf(err, "listen on %s", *p.address)
 		}
 		*p.into = open
+		*p.address = open.Addr().String()
 	}
-	return l, nil
+	return l, s, nil
 }
 
 // callerServer returns the server of the callers' port.
@@ -92,7 +98,7 @@
 
 // sideServers returns the servers of the readiness, directory and operators'
 // ports.
-func (n *Node) sideServers(l listeners) []sideServer {
+func (n *Node) sideServers(l Listeners) []sideServer {
 	side := func(path string, h http.HandlerFunc, on net.Listener) sideServer {
 		mux := http.NewServeMux()
 		mux.HandleFunc("GET "+path, h)
