--- a/internal/fleet/rollout/plan.go
+++ b/internal/fleet/rollout/plan.go
@@ -126,7 +126,7 @@
 		return cmp.Or(x.since.Compare(y.since), cmp.Compare(x.running, y.running), cmp.Compare(x.target.ID, y.target.ID))
 	})
 	load, empty := p.room()
-	if p.dark+len(b.orders) >= p.engines/2 {
+	if p.dark+len(b.orders) >= max(1, p.engines/2) {
 		empty = 0
 	}
 	for _, p := range b.orders {
--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,92 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func entry(vm string, born int64, seq uint64) Entry {
+	return Entry{VM: vm, Born: born, Seq: seq, Peers: vm + ":1"}
+}
+
+func TestMerge(t *testing.T) {
+	t.Run("a later telling replaces an earlier one", func(t *testing.T) {
+		table := NewTable(entry("self", 1, 0))
+		must.Len(t, 1, table.Merge("a", []Entry{entry("a", 1, 5)}, epoch))
+		must.Len(t, 0, table.Merge("b", []Entry{entry("a", 1, 4), entry("self", 9, 9)}, epoch))
+		must.Len(t, 1, table.Merge("b", []Entry{entry("a", 2, 1)}, epoch))
+		must.Eq(t, 2, table.Members()[0].Entry.Born)
+	})
+	t.Run("a VM that is silent may have started by an earlier time of day", func(t *testing.T) {
+		table := NewTable(entry("self", 1, 0))
+		table.Merge("a", []Entry{entry("a", 100, 5)}, epoch)
+		must.Len(t, 0, table.Merge("a", []Entry{entry("a", 50, 1)}, epoch.Add(time.Second)))
+		must.Len(t, 1, table.Merge("a", []Entry{entry("a", 50, 2)}, epoch.Add(2*time.Second)))
+	})
+	t.Run("a registered VM counts as silent until it is heard of", func(t *testing.T) {
+		table := NewTable(entry("self", 1, 0))
+		table.Learn(entry("a", 1, 0), epoch)
+		must.False(t, table.members["a"].Alive(epoch))
+		must.Len(t, 0, table.For("b", epoch)[1:])
+		table.Merge("a", []Entry{entry("a", 1, 1)}, epoch)
+		must.True(t, table.members["a"].Alive(epoch))
+	})
+	t.Run("a VM whose address another one has is forgotten", func(t *testing.T) {
+		table := NewTable(entry("self", 1, 0))
+		table.Merge("a", []Entry{entry("a", 1, 1)}, epoch)
+		next := entry("b", 1, 1)
+		next.Peers = "a:1"
+		now := epoch.Add(3 * time.Second)
+		table.Merge("b", []Entry{next}, now)
+		must.Eq(t, []string{"a"}, table.Forget(now))
+	})
+}
+
+// TestSpread plays rounds in which each VM talks to two others at random, and
+// checks in how many a telling has reached everybody, and that nothing is sent
+// twice.
+func TestSpread(t *testing.T) {
+	for _, n := range []int{8, 72} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, uint64(n)))
+			tables := make([]*Table, n)
+			name := func(i int) string { return fmt.Sprintf("vm-%02d", i) }
+			for i := range tables {
+				tables[i] = NewTable(entry(name(i), 1, 0))
+			}
+			now, sent := epoch, 0
+			for round := range 12 {
+				now = now.Add(period)
+				for i, a := range tables {
+					if i == 0 || round == 0 {
+						a.Tell(func(*Entry) {})
+					}
+					for range fanout {
+						j := random.IntN(n)
+						if j == i {
+							continue
+						}
+						out := a.For(name(j), now)
+						tables[j].Merge(name(i), out, now)
+						a.Delivered(name(j), out)
+						back := tables[j].For(name(i), now)
+						a.Merge(name(j), back, now)
+						tables[j].Delivered(name(i), back)
+						sent += len(out) + len(back)
+					}
+				}
+			}
+			for i := 1; i < n; i++ {
+				must.Greater(t, 7, int(tables[i].members[name(0)].Entry.Seq))
+			}
+			// Each telling goes to each VM once, and a few twice at the same time.
+			must.LessEq(t, 3*n*(n+12), sent)
+		})
+	}
+}
--- a/internal/fleet/source/weights.go
+++ b/internal/fleet/source/weights.go
@@ -131,3 +131,12 @@
 	}
 	s.view.Store(&v)
 }
+
+// NewWeights returns the weights of one model with the times of its namings.
+func NewWeights(model string, named map[int64]time.Time) Weights {
+	var w Weights
+	for version, at := range named {
+		w = w.with(model, version, at)
+	}
+	return w
+}
--- /dev/null
+++ b/internal/gateway/placing/placing_test.go
@@ -0,0 +1,187 @@
+package placing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func engines(n int) *source.View {
+	v := &source.View{Targets: map[string]*site.Target{}}
+	for i := range n {
+		id := fmt.Sprintf("i-%d", i)
+		v.Targets[id] = &site.Target{ID: id, Service: "llm", Address: "10.0.0." + fmt.Sprint(i) + ":80", DataCentre: "z", Slots: 64, Weights: map[string]int64{"m": 1}}
+	}
+	return v
+}
+
+func verdict(subject int) Request {
+	family := uint64(subject+1) * 0x9e3779b97f4a7c15
+	return Request{
+		Service: "llm", Model: "m", Tokens: 9190,
+		Chain: []Link{{Family: 7, Part: "rules", Tokens: 2520}, {Family: family, Part: fmt.Sprint(subject), Tokens: 6300}},
+		Salt:  func(version int64) string { return fmt.Sprint("m.v", version) },
+	}
+}
+
+func newPlacer() *Placer { return New("z", 10*time.Second, caches.NewIndex()) }
+
+func mustChoose(t *testing.T, p *Placer, v *source.View, r Request, now time.Time) Choice {
+	t.Helper()
+	c, ok := p.Choose(v, r, now)
+	must.True(t, ok)
+	return c
+}
+
+// TestHomes plays callers that reach eight VMs at random, and counts how often
+// shared parts are read anew where no VM tells another anything.
+func TestHomes(t *testing.T) {
+	const subjects, vms = 156, 8
+	v := engines(9)
+	placers := make([]*Placer, vms)
+	for i := range placers {
+		placers[i] = newPlacer()
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	held := map[string]bool{}
+	again := map[string]bool{}
+	now, reads := epoch, 0
+	for range 3000 {
+		now = now.Add(40 * time.Millisecond)
+		subject := random.IntN(subjects)
+		c := mustChoose(t, placers[random.IntN(vms)], v, verdict(subject), now)
+		place := fmt.Sprint(subject, c.Target.ID)
+		if !held[place] {
+			reads++
+			again[fmt.Sprint(subject)] = true
+		}
+		held[place] = true
+	}
+	must.LessEq(t, subjects, reads, must.Sprint("a subject is read at one home only"))
+}
+
+func TestChoose(t *testing.T) {
+	t.Run("a loaded home is passed by, and fetched from", func(t *testing.T) {
+		p, v := newPlacer(), engines(9)
+		home := mustChoose(t, p, v, verdict(1), epoch)
+		must.True(t, home.Home)
+		must.Eq(t, "", home.Source)
+		p.Begin(home, verdict(1).Chain, epoch)
+		p.FirstToken(home, epoch)
+		for i := range 6 {
+			p.Begin(Choice{Target: home.Target, Missing: 9000}, nil, epoch.Add(time.Duration(i)))
+		}
+		away := mustChoose(t, p, v, verdict(1), epoch.Add(time.Second))
+		must.NotEq(t, home.Target.ID, away.Target.ID)
+		must.Eq(t, home.Target.Address, away.Source)
+		must.Eq(t, 9190-6300, away.Missing)
+	})
+	t.Run("what others have in flight counts", func(t *testing.T) {
+		p, v := newPlacer(), engines(9)
+		home := mustChoose(t, p, v, verdict(1), epoch)
+		p.Hear(roster.Entry{VM: "b", Loads: []roster.Load{{Target: home.Target.ID, Running: 6, Prefill: 60000}}}, v, epoch)
+		must.NotEq(t, home.Target.ID, mustChoose(t, p, v, verdict(1), epoch).Target.ID)
+	})
+	t.Run("a target that takes no connection is avoided until it is reached", func(t *testing.T) {
+		p, v := newPlacer(), engines(3)
+		c := mustChoose(t, p, v, verdict(1), epoch)
+		p.Begin(c, nil, epoch)
+		p.End(c, Unreached, false, epoch)
+		must.True(t, p.Dark(c.Target))
+		must.NotEq(t, c.Target.ID, mustChoose(t, p, v, verdict(1), epoch.Add(5*time.Second)).Target.ID)
+		p.Reached(c.Target.ID)
+		must.False(t, p.Dark(c.Target))
+	})
+	t.Run("a target that fails more than others is avoided", func(t *testing.T) {
+		p, v := newPlacer(), engines(3)
+		bad := mustChoose(t, p, v, verdict(1), epoch)
+		for range 3 {
+			p.Begin(bad, nil, epoch)
+			p.End(bad, Failed, false, epoch)
+		}
+		must.NotEq(t, bad.Target.ID, mustChoose(t, p, v, verdict(1), epoch).Target.ID)
+		later := epoch.Add(time.Minute)
+		must.Eq(t, bad.Target.ID, mustChoose(t, p, v, verdict(1), later).Target.ID)
+	})
+	t.Run("leaving and tried targets are not chosen", func(t *testing.T) {
+		p, v := newPlacer(), engines(2)
+		v.Targets["i-0"].Leaving = true
+		r := verdict(1)
+		must.Eq(t, "i-1", mustChoose(t, p, v, r, epoch).Target.ID)
+		r.Tried = []string{"i-1"}
+		_, ok := p.Choose(v, r, epoch)
+		must.False(t, ok)
+	})
+	t.Run("an engine about to be ordered is avoided", func(t *testing.T) {
+		p, v := newPlacer(), engines(3)
+		c := mustChoose(t, p, v, verdict(1), epoch)
+		p.SetBusy(map[string]bool{c.Target.ID: true})
+		must.NotEq(t, c.Target.ID, mustChoose(t, p, v, verdict(1), epoch).Target.ID)
+	})
+}
+
+func TestWeights(t *testing.T) {
+	p, v := newPlacer(), engines(2)
+	v.Weights = source.NewWeights("m", map[int64]time.Time{2: epoch, 3: epoch.Add(6 * time.Second)})
+	t.Run("overtaken weights are used at first", func(t *testing.T) {
+		mustChoose(t, p, v, verdict(1), epoch.Add(time.Second))
+	})
+	t.Run("the newer ones go first", func(t *testing.T) {
+		must.True(t, p.Saw(v.Targets["i-1"], "m", 2, epoch))
+		must.Eq(t, "i-1", mustChoose(t, p, v, verdict(1), epoch.Add(3*time.Second)).Target.ID)
+	})
+	t.Run("the first newer version counts", func(t *testing.T) {
+		// i-0 was overtaken at epoch, i-1 six seconds later.
+		c := mustChoose(t, p, v, verdict(1), epoch.Add(9500*time.Millisecond))
+		must.Eq(t, "i-1", c.Target.ID)
+		_, ok := p.Choose(v, verdict(1), epoch.Add(15900*time.Millisecond))
+		must.False(t, ok)
+	})
+}
+
+func TestFeeds(t *testing.T) {
+	p, v := newPlacer(), engines(4)
+	r := verdict(1)
+	r.Cache = "10.9.9.9:1"
+	home := mustChoose(t, p, v, r, epoch)
+	must.True(t, home.Keep)
+	p.Begin(home, r.Chain, epoch)
+	p.FirstToken(home, epoch)
+	keys := []caches.Key{caches.KeyOf("m.v1", "rules"), caches.KeyOf("m.v1", "1")}
+	now := epoch.Add(5 * time.Second)
+
+	t.Run("what the feed does not show has been evicted", func(t *testing.T) {
+		p.index.Apply(home.Target.ID, caches.Batch{Epoch: 1}, now)
+		p.index.Apply(r.Cache, caches.Batch{Epoch: 1}, now)
+		c := mustChoose(t, p, v, r, now)
+		must.Eq(t, home.Target.ID, c.Target.ID)
+		must.Eq(t, r.Tokens, c.Missing)
+	})
+	t.Run("the store is read where no engine holds a part", func(t *testing.T) {
+		p.index.Apply(r.Cache, caches.Batch{Epoch: 1, Changes: []caches.Change{{Stored: true, Key: keys[0]}, {Stored: true, Key: keys[1]}}}, now)
+		c := mustChoose(t, p, v, r, now)
+		must.Eq(t, r.Cache, c.Source)
+		must.False(t, c.Keep)
+		must.Eq(t, r.Tokens-6300, c.Missing)
+	})
+	t.Run("a later part without the first is of no use", func(t *testing.T) {
+		p.index.Apply(r.Cache, caches.Batch{Epoch: 1, Changes: []caches.Change{{Key: keys[0]}}}, now)
+		must.Eq(t, r.Tokens, mustChoose(t, p, v, r, now).Missing)
+	})
+	t.Run("other weights are other parts", func(t *testing.T) {
+		p.index.Apply(home.Target.ID, caches.Batch{Epoch: 1, Changes: []caches.Change{{Stored: true, Key: keys[0]}, {Stored: true, Key: keys[1]}}}, now)
+		must.Eq(t, r.Tokens-6300, mustChoose(t, p, v, r, now).Missing)
+		p.Saw(v.Targets[home.Target.ID], "m", 2, now)
+		must.Eq(t, r.Tokens, mustChoose(t, p, v, r, now).Missing)
+	})
+}
