Describe gateways, and follow a request through the logs

Cause: nothing told how a VM runs on the users' machines, nor how to get from a request's id to the cause of its failure.

--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -32,9 +32,9 @@
 	store  *hooked
 	vms    []*member
 	writes []*write
-	sweep  []store.Object // chunks that a collection has still to delete
-	roots  map[int64]string  // by committed version
-	ids    map[string]int64  // committed patches
+	sweep  []store.Object   // chunks that a collection has still to delete
+	roots  map[int64]string // by committed version
+	ids    map[string]int64 // committed patches
 	next   int
 }
 
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -41,6 +41,7 @@
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run VMs, targets and callers in this process"`
 	Load    *loadCommand    `arg:"subcommand:load" help:"send the requests of a modelled deployment to a fleet"`
 	StandIn *standInCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"follow a request through the logs of VMs"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
--- a/internal/fleet/rollout/plan_test.go
+++ b/internal/fleet/rollout/plan_test.go
@@ -17,8 +17,8 @@
 	return engine{target: &site.Target{ID: id}, model: "m", has: 1, wants: 2, running: running, since: since}
 }
 
-// count returns how many steps announce, instruct and ask.
-func count(steps []step) (announced, instructed, asked []string) {
+// count returns the engines that are announced and instructed.
+func count(steps []step) (announced, instructed []string) {
 	for _, s := range steps {
 		switch s := s.(type) {
 		case announce:
@@ -26,47 +26,46 @@
 		case instruct:
 			instructed = append(instructed, s.engine.target.ID)
 		case ask:
-			asked = append(asked, s.engine.target.ID)
 		}
 	}
-	return announced, instructed, asked
+	return announced, instructed
 }
 
 func TestPlan(t *testing.T) {
 	t.Run("engines are emptied before they are ordered", func(t *testing.T) {
 		b := newBook()
 		lagging := []engine{lag("a", 3, epoch)}
-		announced, instructed, _ := count(b.plan(lagging, pool{engines: 9}, epoch))
+		announced, instructed := count(b.plan(lagging, pool{engines: 9}, epoch))
 		must.Eq(t, []string{"a"}, announced)
 		must.Len(t, 0, instructed)
-		_, instructed, _ = count(b.plan(lagging, pool{engines: 9}, epoch.Add(emptyTime/2)))
+		_, instructed = count(b.plan(lagging, pool{engines: 9}, epoch.Add(emptyTime/2)))
 		must.Len(t, 0, instructed)
 		lagging[0].running = 0
-		_, instructed, _ = count(b.plan(lagging, pool{engines: 9}, epoch.Add(emptyTime/2)))
+		_, instructed = count(b.plan(lagging, pool{engines: 9}, epoch.Add(emptyTime/2)))
 		must.Eq(t, []string{"a"}, instructed)
 	})
 	t.Run("a busy engine is ordered all the same after a while", func(t *testing.T) {
 		b := newBook()
 		lagging := []engine{lag("a", 3, epoch)}
 		b.plan(lagging, pool{engines: 9}, epoch)
-		_, instructed, _ := count(b.plan(lagging, pool{engines: 9}, epoch.Add(emptyTime+time.Millisecond)))
+		_, instructed := count(b.plan(lagging, pool{engines: 9}, epoch.Add(emptyTime+time.Millisecond)))
 		must.Eq(t, []string{"a"}, instructed)
 	})
 	t.Run("those overtaken first go first", func(t *testing.T) {
 		b := newBook()
 		lagging := []engine{lag("a", 0, epoch.Add(time.Second)), lag("b", 5, epoch), lag("c", 0, epoch.Add(time.Second)), lag("d", 9, epoch)}
-		announced, _, _ := count(b.plan(lagging, pool{engines: 9}, epoch))
+		announced, _ := count(b.plan(lagging, pool{engines: 9}, epoch))
 		must.Eq(t, []string{"b", "d"}, announced)
 	})
 	t.Run("a loaded pool spares fewer", func(t *testing.T) {
 		b := newBook()
 		lagging := []engine{lag("a", 9, epoch), lag("b", 9, epoch), lag("c", 9, epoch)}
-		announced, _, _ := count(b.plan(lagging, pool{engines: 9, running: 90}, epoch))
+		announced, _ := count(b.plan(lagging, pool{engines: 9, running: 90}, epoch))
 		must.Len(t, 1, announced)
 	})
 	t.Run("half of the engines keep serving", func(t *testing.T) {
 		b := newBook()
-		announced, _, _ := count(b.plan([]engine{lag("a", 0, epoch)}, pool{engines: 9, dark: 4}, epoch))
+		announced, _ := count(b.plan([]engine{lag("a", 0, epoch)}, pool{engines: 9, dark: 4}, epoch))
 		must.Len(t, 0, announced)
 	})
 	t.Run("a lost order is given again", func(t *testing.T) {
@@ -75,9 +74,9 @@
 		b.plan(lagging, pool{engines: 9}, epoch)
 		b.plan(lagging, pool{engines: 9}, epoch.Add(time.Millisecond))
 		b.doubted("a", epoch)
-		_, instructed, _ := count(b.plan(lagging, pool{engines: 9}, epoch.Add(doubtPause/2)))
+		_, instructed := count(b.plan(lagging, pool{engines: 9}, epoch.Add(doubtPause/2)))
 		must.Len(t, 0, instructed)
-		_, instructed, _ = count(b.plan(lagging, pool{engines: 9}, epoch.Add(doubtPause)))
+		_, instructed = count(b.plan(lagging, pool{engines: 9}, epoch.Add(doubtPause)))
 		must.Eq(t, []string{"a"}, instructed)
 	})
 	t.Run("an order to an earlier start is forgotten", func(t *testing.T) {
@@ -86,7 +85,7 @@
 		b.accepted("a", epoch)
 		restarted := lag("a", 0, epoch)
 		restarted.target.Born = 9
-		announced, _, _ := count(b.plan([]engine{restarted}, pool{engines: 9}, epoch.Add(time.Second)))
+		announced, _ := count(b.plan([]engine{restarted}, pool{engines: 9}, epoch.Add(time.Second)))
 		must.Eq(t, []string{"a"}, announced)
 	})
 }
--- a/internal/gateway/conn/conn.go
+++ b/internal/gateway/conn/conn.go
@@ -26,9 +26,7 @@
 	maxStrays = 2
 )
 
-var (
-	errStray = errors.New("answer belongs to another request")
-)
+var errStray = errors.New("answer belongs to another request")
 
 // A Send is one request as it goes to a target.
 type Send struct {
--- a/internal/gateway/conn/pool.go
+++ b/internal/gateway/conn/pool.go
@@ -65,7 +65,7 @@
 	e := &Exchange{pool: p, conn: c, address: address}
 	e.stop = context.AfterFunc(ctx, c.Close)
 	e.written = c.start(s)
-	resp, err := c.answer(s)
+	resp, err := c.answer(s) //nolint:bodyclose // the caller reads the body and ends the exchange
 	if err != nil {
 		p.failures.Add(1)
 		e.Abort()
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -96,9 +97,21 @@
 	objects := platform.NewObjects(s.Platform.Address)
 	n.buildFleet(objects)
 	n.buildRelay()
+	metrics.Set(s.VM, n.meters.Vars())
+	metrics.Set(s.VM+".connections", expvar.Func(n.connections))
+	metrics.Set(s.VM+".peers", expvar.Func(n.client.Dump))
 	return n
 }
 
+// metrics holds the counters of each VM of this process, by its id.
+var metrics = expvar.NewMap("gateway")
+
+// connections returns the counters of connections to targets.
+func (n *Node) connections() any {
+	dials, reuses, failures := n.pool.Counts()
+	return map[string]int64{"dials": dials, "reuses": reuses, "failures": failures}
+}
+
 const (
 	// memoryPart is the divisor of the permitted memory at which the collector
 	// works harder; the rest is for stacks, buffers and the C library.
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -372,7 +372,9 @@
 	must.NoError(t, err)
 	cancel()
 	_ = resp.Body.Close()
-	eventually(t, func() bool { return strings.Contains(v.log.String(), "the caller has left") || strings.Contains(v.log.String(), "stream broken") })
+	eventually(t, func() bool {
+		return strings.Contains(v.log.String(), "the caller has left") || strings.Contains(v.log.String(), "stream broken")
+	})
 	must.Eq(t, 1, runs(b.engines))
 }
 
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -182,7 +183,7 @@
 	events := newEvents(r.Response.Body)
 	for {
 		event, err := events.next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			r.Exchange.Finish()
 			x.answer.close(r.Response)
 			x.mark()
--- /dev/null
+++ b/internal/logs/trail/trail.go
@@ -0,0 +1,123 @@
+// Package trail follows one request through the logs of VMs.
+package trail
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+)
+
+// before is how long before a request's end its VM's changes of belief are of
+// interest.
+const before = 5 * time.Second
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 1 << 20
+
+// A Line is one line of a log.
+type Line struct {
+	At     time.Time
+	VM     string
+	Msg    string
+	Fields [][2]string
+}
+
+// Parse decodes a line. Text before the first field, such as what a log collector
+// adds, is skipped. It returns false for a line without a time and a message.
+func Parse(text string) (Line, bool) {
+	start := strings.Index(text, "at=")
+	if start < 0 {
+		return Line{}, false
+	}
+	var l Line
+	d := logfmt.NewDecoder(strings.NewReader(text[start:]))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			key, value := string(d.Key()), string(d.Value())
+			switch key {
+			case "at":
+				at, err := time.Parse(time.RFC3339Nano, value)
+				if err != nil {
+					return Line{}, false
+				}
+				l.At = at
+			case "vm":
+				l.VM = value
+			case "msg":
+				l.Msg = value
+			default:
+				l.Fields = append(l.Fields, [2]string{key, value})
+			}
+		}
+	}
+	return l, d.Err() == nil && !l.At.IsZero() && l.Msg != ""
+}
+
+// field returns a field of the line.
+func (l *Line) field(name string) string {
+	for _, f := range l.Fields {
+		if f[0] == name {
+			return f[1]
+		}
+	}
+	return ""
+}
+
+// mentions tells whether the line is of a request.
+func (l *Line) mentions(id string) bool { return l.Msg == "request" && l.field("id") == id }
+
+// Read decodes the lines of a log and returns those that may matter: the lines of
+// the request, and all lines that are of no request.
+func Read(r io.Reader, id string) ([]Line, error) {
+	var lines []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineBytes)
+	for s.Scan() {
+		l, ok := Parse(s.Text())
+		if ok && (l.Msg != "request" || l.mentions(id)) {
+			lines = append(lines, l)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	return lines, nil
+}
+
+// Explain returns the lines of a request, and the changes of belief of the VMs
+// that served it in the seconds before, in the order of time.
+func Explain(lines []Line, id string) []Line {
+	var own []Line
+	for _, l := range lines {
+		if l.mentions(id) {
+			own = append(own, l)
+		}
+	}
+	out := slices.Clone(own)
+	for _, l := range lines {
+		if l.Msg != "request" && slices.ContainsFunc(own, func(o Line) bool {
+			return o.VM == l.VM && !l.At.After(o.At) && o.At.Sub(l.At) <= before
+		}) {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// String returns the line for a reader.
+func (l Line) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.At.Format("15:04:05.000"), l.VM, l.Msg)
+	for _, f := range l.Fields {
+		if f[1] != "" {
+			fmt.Fprintf(&b, " %s=%q", f[0], f[1])
+		}
+	}
+	return b.String()
+}
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/config"
-	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/prefix"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
--- a/route/slope_test.go
+++ b/route/slope_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/internal/seed"
-	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/route"
+	"github.com/baobabdyke/baobabdyke/store"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
