Take weights that are named first for new, keep a right to act through doubt

Cause: the first weights that were ever named counted as named 4 s before, which was meant for VMs that have just started; an unanswered renewal of the lease ended a right to act that still stood.

Change: the age is assumed within 3 s of a VM's start only; a doubted renewal leaves the right as it was.

--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -226,7 +226,7 @@
 		_ = t.opts.Log.Log("msg", "lease not asked for", "err", r.Err)
 		t.yield()
 	case lease.Unsure:
-		t.watch.Lost()
+		// The right to act that is held ends by itself.
 		_ = t.opts.Log.Log("msg", "lease unsure", "err", r.Err)
 		t.yield()
 	}
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -72,6 +72,8 @@
 	view   atomic.Pointer[View]
 	ready  chan struct{}
 	opened sync.Once
+	// started is when this VM began to learn.
+	started time.Time
 
 	// mu guards the tables.
 	mu     sync.Mutex
@@ -83,7 +85,7 @@
 
 // New returns a Source that knows nothing.
 func New(o Options) *Source {
-	s := &Source{opts: o, ready: make(chan struct{})}
+	s := &Source{opts: o, ready: make(chan struct{}), started: time.Now()}
 	for i := range s.tables {
 		s.tables[i] = newTable()
 	}
--- a/internal/fleet/source/source_test.go
+++ b/internal/fleet/source/source_test.go
@@ -245,3 +245,30 @@
 	at, _ := s.View().Weights.Overtaken("m", 2)
 	must.Eq(t, now.Add(-4*time.Second), at, must.Sprint("an earlier word counts"))
 }
+
+func TestNamedAt(t *testing.T) {
+	overtaken := func(s *Source) time.Duration {
+		at, ok := s.View().Weights.Overtaken("m", 1)
+		must.True(t, ok)
+		return time.Since(at)
+	}
+	t.Run("weights found at the start may have been named before", func(t *testing.T) {
+		play(t, func(f *feed, s *Source) {
+			f.put("weights/m", "2")
+			f.put("config/main", "5")
+			<-s.Ready()
+			time.Sleep(100 * time.Millisecond)
+			must.GreaterEq(t, startAge, overtaken(s))
+		})
+	})
+	t.Run("weights named later are new, the first ones too", func(t *testing.T) {
+		play(t, func(f *feed, s *Source) {
+			f.put("config/main", "5")
+			<-s.Ready()
+			time.Sleep(startTime)
+			f.put("weights/m", "2")
+			time.Sleep(100 * time.Millisecond)
+			must.LessEq(t, 200*time.Millisecond, overtaken(s))
+		})
+	})
+}
--- a/internal/fleet/source/weights.go
+++ b/internal/fleet/source/weights.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// startAge is how long ago weights count as named that a VM finds at its start,
-	// until another VM tells better.
-	startAge = 4 * time.Second
+	// startAge is how long ago weights count as named that a VM finds within
+	// startTime of its start, until another VM tells better.
+	startAge  = 4 * time.Second
+	startTime = 3 * time.Second
 	// nameSlack is a difference between two VMs' times that is not worth learning.
 	nameSlack = 100 * time.Millisecond
 	// maxNames is the number of versions that are remembered for a model.
@@ -84,7 +85,7 @@
 			continue
 		}
 		at := time.Now()
-		if v.Weights.Wanted(model) == 0 {
+		if at.Sub(s.started) < startTime {
 			at = at.Add(-startAge)
 		}
 		if version > v.Weights.Wanted(model) {
@@ -126,7 +127,7 @@
 	for _, n := range names {
 		if v.Weights.news(n.Model, n.Version, at(n)) {
 			v.Weights = v.Weights.with(n.Model, n.Version, at(n))
-			s.log("msg", "weights named", "model", n.Model, "version", n.Version, "told", true)
+			s.log("msg", "weights named", "model", n.Model, "version", n.Version, "told", true, "agems", n.AgeMS)
 		}
 	}
 	s.view.Store(&v)
--- a/internal/gateway/placing/holders.go
+++ b/internal/gateway/placing/holders.go
@@ -182,6 +182,28 @@
 	}
 }
 
+// presume marks the engine that is taken to hold a family in a large pool: the
+// home if it has been up for a while, else the one that was the home before it.
+func presume(candidates []candidate, home *candidate, r *Request, now time.Time) {
+	if home == nil {
+		return
+	}
+	holder := home
+	if now.Sub(home.record.changed) < warmTime {
+		holder = nil
+		for i := range candidates {
+			c := &candidates[i]
+			earlier := c.version == home.version && c.record.changed.Before(home.record.changed)
+			if earlier && (holder == nil || c.rank > holder.rank) {
+				holder = c
+			}
+		}
+	}
+	if holder != nil && holder.depth == 0 {
+		holder.depth, holder.held = len(r.Chain), r.family().Tokens
+	}
+}
+
 // stored returns how many of the shared parts the store of KV cache holds.
 func (p *Placer) stored(r *Request, k *keys, version int64, now time.Time) int {
 	list := k.of(version)
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -74,7 +74,8 @@
 	darkDoubt = 700 * time.Millisecond
 	// largePool is the number of engines from which on their memory outlasts the
 	// time in which a family returns, so that a home that has been up for warmTime
-	// is taken to hold its families. Feeds of so many engines are not read.
+	// is taken to hold its families. Feeds of so many engines are not read, and the
+	// one link of a store of KV cache is left alone.
 	largePool = 40
 	warmTime  = 3 * time.Second
 	// tellTime is how long another VM's telling of its loads counts.
@@ -211,8 +212,9 @@
 	for i := range candidates {
 		p.holds(&candidates[i], &r, keys, now)
 	}
-	if len(candidates) >= largePool && home != nil && home.depth == 0 && now.Sub(home.record.changed) > warmTime {
-		home.depth, home.held = len(r.Chain), r.family().Tokens
+	if len(candidates) >= largePool {
+		r.Cache = ""
+		presume(candidates, home, &r, now)
 	}
 	for i := range candidates {
 		c := &candidates[i]
