Learn from VMs when weights were named that the store no longer has

Change: a guess is neither told nor kept beside a word; namings of any version are learnt; a VM waits up to 0.6 s after its start for the word of one that serves.

--- a/internal/fleet/source/weights.go
+++ b/internal/fleet/source/weights.go
@@ -21,6 +21,8 @@
 type naming struct {
 	version int64
 	at      time.Time
+	// guessed tells that this VM has just started and nobody has told it the time.
+	guessed bool
 }
 
 // Weights is which versions of which models were named when, in ascending order
@@ -51,12 +53,11 @@
 func (w Weights) with(model string, version int64, at time.Time) Weights {
 	names := slices.Clone(w[model])
 	i, known := slices.BinarySearchFunc(names, version, func(n naming, v int64) int { return int(n.version - v) })
-	if known {
-		if at.Before(names[i].at) {
-			names[i].at = at
-		}
-	} else {
-		names = slices.Insert(names, i, naming{version, at})
+	switch {
+	case !known:
+		names = slices.Insert(names, i, naming{version: version, at: at})
+	case names[i].guessed || at.Before(names[i].at):
+		names[i] = naming{version: version, at: at}
 	}
 	out := maps.Clone(w)
 	if out == nil {
@@ -66,14 +67,22 @@
 	return out
 }
 
+// guess returns the weights with a naming whose time is not known.
+func (w Weights) guess(model string, version int64, at time.Time) Weights {
+	out := w.with(model, version, at)
+	names := out[model]
+	names[len(names)-1].guessed = true
+	return out
+}
+
 // news tells whether a naming is new or notably earlier than known.
 func (w Weights) news(model string, version int64, at time.Time) bool {
 	names := w[model]
 	i, known := slices.BinarySearchFunc(names, version, func(n naming, v int64) int { return int(n.version - v) })
 	if known {
-		return at.Add(nameSlack).Before(names[i].at)
+		return names[i].guessed || at.Add(nameSlack).Before(names[i].at)
 	}
-	return len(names) == 0 || version > names[0].version
+	return len(names) < maxNames || version > names[0].version
 }
 
 // nameWeights adds the weights in the table to a view.
@@ -84,12 +93,13 @@
 			s.log("msg", "weights ignored", "err", err, "version", e.object.Version)
 			continue
 		}
-		at := time.Now()
-		if at.Sub(s.started) < startTime {
-			at = at.Add(-startAge)
-		}
 		if version > v.Weights.Wanted(model) {
-			v.Weights = v.Weights.with(model, version, at)
+			at := time.Now()
+			if at.Sub(s.started) < startTime {
+				v.Weights = v.Weights.guess(model, version, at.Add(-startAge))
+			} else {
+				v.Weights = v.Weights.with(model, version, at)
+			}
 			s.log("msg", "weights named", "model", model, "version", version)
 		}
 	}
@@ -108,6 +118,9 @@
 	var names []Name
 	for model, namings := range s.view.Load().Weights {
 		for _, n := range namings {
+			if n.guessed {
+				continue
+			}
 			names = append(names, Name{Model: model, Version: n.version, AgeMS: now.Sub(n.at).Milliseconds()})
 		}
 	}
--- a/internal/gateway/node/life.go
+++ b/internal/gateway/node/life.go
@@ -25,6 +25,10 @@
 	// idleStop is how long no request has come when a stop goes on early; it
 	// exceeds the time that callers keep an answer.
 	idleStop = 2200 * time.Millisecond
+	// wordTime is how long after its start a VM waits for the word of another one;
+	// wordPoll is how often it looks.
+	wordTime = 600 * time.Millisecond
+	wordPoll = 20 * time.Millisecond
 	// stopPoll is how often a stopping VM looks at its requests.
 	stopPoll = 50 * time.Millisecond
 	// staleWord is how long a VM that hears of nothing may go without word before
@@ -47,6 +51,7 @@
 		return
 	case <-n.source.Ready():
 	}
+	n.awaitWord(ctx)
 	n.enter(n.life.Serve)
 	n.ready.Store(true)
 	n.roster.Kick()
@@ -56,6 +61,17 @@
 	}
 }
 
+// awaitWord waits for the word of a VM that serves, which knows more than the
+// store tells, but no longer than others would take to answer.
+func (n *Node) awaitWord(ctx context.Context) {
+	n.roster.Kick()
+	for time.Since(n.start) < wordTime && !n.told.Load() {
+		if !store.Sleep(ctx, wordPoll) {
+			return
+		}
+	}
+}
+
 func (n *Node) enter(step func() error) {
 	if err := step(); err != nil {
 		_ = n.log.Log("msg", "life", "err", err)
@@ -140,6 +156,9 @@
 	now := time.Now()
 	for _, e := range fresh {
 		n.source.HearNames(e.Names, now)
+		if e.State == roster.Ready {
+			n.told.Store(true)
+		}
 	}
 	v := n.source.View()
 	for _, e := range fresh {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -52,7 +52,9 @@
 	// watches tells whether this VM reads the store, fewVMs whether the fleet is
 	// small.
 	watches atomic.Bool
-	fewVMs  atomic.Bool
+	// told tells that a VM that serves was heard of.
+	told   atomic.Bool
+	fewVMs atomic.Bool
 	// begun is the start of a planned stop, nil before.
 	begun  atomic.Pointer[time.Time]
 	ready  atomic.Bool
