Count silent VMs in limits, and drop what nothing uses

Cause: a VM that is registered and was never heard of had no part in the shares of a limit, so that a VM cut off from its start took more than its own.

Change: such VMs count until their share lapses; unused functions are gone.

--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -149,9 +149,6 @@
 	return len(t.table.members) + 1
 }
 
-// Farewell tells a few VMs the last state of this one.
-func (t *Task) Farewell(ctx context.Context) { t.round(ctx, 1, urgentFanout) }
-
 // round tells and asks a few VMs.
 func (t *Task) round(ctx context.Context, round, n int) {
 	t.mu.Lock()
--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -180,16 +180,6 @@
 	return c.byKey[key]
 }
 
-// CustomerNamed returns a customer by name, or nil.
-func (c *Config) CustomerNamed(name string) *Customer {
-	for i := range c.Customers {
-		if c.Customers[i].Name == name {
-			return &c.Customers[i]
-		}
-	}
-	return nil
-}
-
 // CacheStore returns the store of KV cache that engines may use, or nil.
 func (c *Config) CacheStore() *Cache {
 	for _, s := range c.Services {
--- a/internal/gateway/conn/conn.go
+++ b/internal/gateway/conn/conn.go
@@ -48,7 +48,6 @@
 	// since is when the connection became idle, life how long it may stay so.
 	since time.Time
 	life  time.Duration
-	used  int
 }
 
 // dial opens a connection.
--- a/internal/gateway/conn/pool.go
+++ b/internal/gateway/conn/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -219,7 +218,6 @@
 	} else if e.resp.Header.Get("Keep-Alive") != "" {
 		e.conn.life = 0
 	}
-	e.conn.used++
 	_ = e.conn.net.SetReadDeadline(time.Time{})
 	e.pool.put(e.address, e.conn)
 }
@@ -242,9 +240,3 @@
 func chunked(resp *http.Response) bool {
 	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
-
-// TimedOut tells whether an error is the end of a read deadline.
-func TimedOut(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/internal/gateway/node/watchers.go
+++ b/internal/gateway/node/watchers.go
@@ -22,6 +22,9 @@
 	freshWord = 3 * time.Second
 	// watchPeriod is the time between two choices of the watchers.
 	watchPeriod = 200 * time.Millisecond
+	// expectTime is how long a VM that was never heard of counts in the limits; it
+	// is less than the time after which a share lapses.
+	expectTime = 8 * time.Second
 	// fewVMs is the size of a fleet up to which VMs tell each other of all sends of
 	// shared parts.
 	fewVMs = 16
@@ -31,6 +34,12 @@
 func (n *Node) chooseWatchers(now time.Time) {
 	members := n.roster.Members()
 	n.fewVMs.Store(len(members) < fewVMs)
+	for _, m := range members {
+		// A VM that is registered and silent has a share of the limits until it lapses.
+		if !m.Alive(now) && now.Sub(m.Heard) < expectTime {
+			n.quota.Expect(m.Entry.VM, m.Entry.Born)
+		}
+	}
 	self := roster.Entry{VM: n.settings.VM, Watch: roster.Watch{Reads: n.watches.Load(), AgeMS: now.Sub(n.source.StoreAnswered()).Milliseconds()}}
 	reads := watches(self, members, now)
 	if n.watches.Swap(reads) != reads {
