Do not count what a VM admitted before it was heard of

Change: the first word of a VM is where its account begins, expected or not. A test that fails without it.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -13,6 +13,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
@@ -66,8 +67,9 @@
 
 // A peer is another VM's admissions as last told.
 type peer struct {
-	born    int64
-	heard   time.Time
+	born  int64
+	heard time.Time
+	// told is nil until the VM was heard of.
 	told    map[string]float64
 	assumed map[string]float64
 }
@@ -203,12 +205,15 @@
 	s.heard = now
 	p, ok := s.peers[vm]
 	if !ok {
-		// What it admitted before it was known is in nobody's estimate, and the
-		// buckets of this VM started empty.
-		p = &peer{born: born, told: map[string]float64{}, assumed: map[string]float64{}}
+		p = &peer{assumed: map[string]float64{}}
 		s.peers[vm] = p
-		for name, n := range spent {
-			p.told[name] = n
+	}
+	if p.told == nil {
+		// What it admitted before it was heard of is in nobody's estimate, and the
+		// buckets of this VM started empty.
+		p.born, p.told = born, maps.Clone(spent)
+		if p.told == nil {
+			p.told = map[string]float64{}
 		}
 	}
 	if p.born != born {
@@ -229,7 +234,7 @@
 func (s *State) Expect(vm string, born int64, now time.Time) {
 	if _, ok := s.peers[vm]; !ok {
 		s.peers[vm] = &peer{
-			born: born, heard: now.Add(-silentTime), told: map[string]float64{}, assumed: map[string]float64{},
+			born: born, heard: now.Add(-silentTime), assumed: map[string]float64{},
 		}
 	}
 }
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -165,6 +165,14 @@
 	t.Run("a VM that has just started does not know what was admitted", func(t *testing.T) {
 		must.False(t, s.Admit(c, 500, epoch.Add(time.Millisecond)).Admitted)
 	})
+	t.Run("what others admitted before is not counted against it", func(t *testing.T) {
+		s := NewState(epoch)
+		s.Prepare([]site.Customer{*c}, epoch)
+		s.Expect("vm-2", 1, epoch)
+		now := epoch.Add(time.Second)
+		s.Hear("vm-2", 1, map[string]float64{"c": 1e6}, now)
+		must.True(t, s.Admit(c, 400, now.Add(time.Second)).Admitted)
+	})
 	t.Run("a refund comes back", func(t *testing.T) {
 		now := epoch.Add(2 * time.Second)
 		must.True(t, s.Admit(c, 900, now).Admitted)
