Change the view of a test without a race

Cause: TestReader changed a view that its reader reads; the race detector told.

Change: the view is replaced whole, as the source does.

Measured: go test -race -count 2 of the packages passes.

--- a/internal/gateway/caches/index_test.go
+++ b/internal/gateway/caches/index_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,15 +67,17 @@
 
 func TestReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := &source.View{
-			Config:  &site.Config{Services: map[string]*site.Service{"llm": {Engine: &site.Engine{}}}},
+		cfg := &site.Config{Services: map[string]*site.Service{"llm": {Engine: &site.Engine{}}}}
+		var view atomic.Pointer[source.View]
+		view.Store(&source.View{
+			Config:  cfg,
 			Targets: map[string]*site.Target{"i": {ID: "i", Service: "llm"}, "app": {ID: "app", Service: "app"}},
-		}
+		})
 		x, s := NewIndex(), &script{}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() {
-			done <- NewReader(s, x, func() *source.View { return v }, log.NewNopLogger()).Run(ctx)
+			done <- NewReader(s, x, view.Load, log.NewNopLogger()).Run(ctx)
 		}()
 		time.Sleep(2 * time.Second)
 		must.Greater(t, 3, x.Size("i"))
@@ -85,7 +88,7 @@
 		time.Sleep(freshTime + time.Second)
 		_, known := x.Holds("i", 1, time.Now())
 		must.False(t, known)
-		v.Targets = nil
+		view.Store(&source.View{Config: cfg})
 		time.Sleep(2 * lookPeriod)
 		must.Eq(t, 0, x.Size("i"))
 		cancel()
