--- /dev/null
+++ b/internal/cmd/servecmd_test.go
@@ -0,0 +1,81 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/gateway/node"
+	"github.com/baobabdyke/baobabdyke/internal/settings"
+)
+
+// A safeLog is a log that may be read while it is written.
+type safeLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *safeLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *safeLog) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), text)
+}
+
+func TestReload(t *testing.T) {
+	good, err := os.ReadFile("testdata/gateway.yaml")
+	must.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) { must.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	write(string(good))
+	s, err := settings.Load(file)
+	must.NoError(t, err)
+
+	out := &safeLog{}
+	logger := log.NewLogfmtLogger(out)
+	hangups := make(chan os.Signal)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	c := &serveCommand{File: file}
+	go func() {
+		defer close(done)
+		c.reload(ctx, node.New(s, logger), hangups, logger)
+	}()
+	await := func(text string, n int) {
+		t.Helper()
+		for out.count(text) < n {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+
+	hangups <- syscall.SIGHUP
+	must.Eq(t, 0, out.count("settings"), must.Sprint("nothing has changed"))
+	for i, bad := range []string{
+		strings.Replace(string(good), "grace: 8s", "grace: -8s", 1),
+		strings.Replace(string(good), "memory", "colour", 1),
+		"vm: [", strings.Split(string(good), "gateway:")[0],
+	} {
+		write(bad)
+		hangups <- syscall.SIGHUP
+		await("changed settings refused", i+1)
+	}
+	must.Eq(t, 0, out.count("settings reloaded"))
+	write(strings.Replace(string(good), "grace: 8s", "grace: 6s", 1))
+	await("settings reloaded", 1) // without a signal
+	cancel()
+	<-done
+}
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -431,7 +431,10 @@
 
 func TestFleet(t *testing.T) {
 	b := newBench(t)
+	b.store.PutRaw("vms", "odd", []byte(`{"vm":7}`))
+	b.store.PutRaw("vms", "empty", []byte(`{}`))
 	v1 := b.start("vm-1")
+	eventually(t, func() bool { return strings.Count(v1.log.String(), "registration ignored") >= 2 })
 	v2 := b.start("vm-2", v1.settings.Peers.Address)
 	v1.ready()
 	v2.ready()
