Assume that weights found at a start were named 7 s ago

Ruled out: words of other VMs, of which none was left.

Change: 7 s, so that such engines are left before that.

--- a/internal/fleet/source/weights.go
+++ b/internal/fleet/source/weights.go
@@ -8,8 +8,9 @@
 
 const (
 	// startAge is how long ago weights count as named that a VM finds within
-	// startTime of its start, until another VM tells better.
-	startAge  = 4 * time.Second
+	// startTime of its start, until another VM tells better: after the restart of
+	// all VMs, engines with older weights are used for some 2 s of a bound of 10 s.
+	startAge  = 7 * time.Second
 	startTime = 3 * time.Second
 	// nameSlack is a difference between two VMs' times that is not worth learning.
 	nameSlack = 100 * time.Millisecond
