--- a/internal/fleet/rollout/plan.go
+++ b/internal/fleet/rollout/plan.go
@@ -24,6 +24,9 @@
 	// loadedRuns is the number of requests per engine above which a pool counts as
 	// loaded.
 	loadedRuns = 3
+	// urgentAge is how long after weights were overtaken a loaded pool spares as
+	// many engines as any other; rollouts are bound to end within some 10 s.
+	urgentAge = 6 * time.Second
 	// firstLoad is the time that a load takes until one has been seen.
 	firstLoad = 700 * time.Millisecond
 	// loadWeight is the weight of the newest load in the learnt time.
@@ -126,6 +129,9 @@
 		return cmp.Or(x.since.Compare(y.since), cmp.Compare(x.running, y.running), cmp.Compare(x.target.ID, y.target.ID))
 	})
 	load, empty := p.room()
+	if len(lagging) > 0 && now.Sub(lagging[0].since) > urgentAge {
+		empty = load
+	}
 	if p.dark+len(b.orders) >= max(1, p.engines/2) {
 		empty = 0
 	}
--- a/internal/fleet/rollout/plan_test.go
+++ b/internal/fleet/rollout/plan_test.go
@@ -63,6 +63,12 @@
 		announced, _ := count(b.plan(lagging, pool{engines: 9, running: 90}, epoch))
 		must.Len(t, 1, announced)
 	})
+	t.Run("a loaded pool spares as many once it is late", func(t *testing.T) {
+		b := newBook()
+		lagging := []engine{lag("a", 9, epoch), lag("b", 9, epoch), lag("c", 9, epoch)}
+		announced, _ := count(b.plan(lagging, pool{engines: 9, running: 90}, epoch.Add(urgentAge+1)))
+		must.Len(t, 2, announced)
+	})
 	t.Run("half of the engines keep serving", func(t *testing.T) {
 		b := newBook()
 		announced, _ := count(b.plan([]engine{lag("a", 0, epoch)}, pool{engines: 9, dark: 4}, epoch))
