Drop a condition that always held and a factor of zero

Cause: read once more: holders.sent asked what every part of a chain fulfils, and a bucket's first level was a constant 0 times the burst.

Change: both are gone; behaviour is the same.

Measured: tests and lint of both packages pass; nothing else was rerun.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -34,9 +34,6 @@
 	// spend a whole rate from a full bucket of one second.
 	drawPart   = 2.0
 	drawPeriod = 250 * time.Millisecond
-	// startPart is the part of the burst that a bucket holds when it is first
-	// seen: a VM that has just started does not know what was admitted.
-	startPart = 0.0
 	// drift is the part of the rate that is not given out, for clocks that run at
 	// different speeds.
 	drift = 0.01
@@ -162,7 +159,8 @@
 	rate := c.Rate * (1 - drift)
 	b, ok := s.buckets[c.Name]
 	if !ok {
-		b = &bucket{rate: rate, burst: c.Burst, level: startPart * c.Burst, last: now}
+		// Empty: a VM that has just started does not know what was admitted.
+		b = &bucket{rate: rate, burst: c.Burst, last: now}
 		s.buckets[c.Name] = b
 	}
 	if b.rate != rate || b.burst != c.Burst {
--- a/internal/gateway/placing/holders.go
+++ b/internal/gateway/placing/holders.go
@@ -91,13 +91,10 @@
 
 // sent notes a send of this VM.
 func (h *holders) sent(c Choice, chain []Link, now time.Time) {
-	for i, l := range chain {
+	for _, l := range chain {
 		key := versioned(l.Family, c.Weights)
-		kept := c.Keep
-		h.note(key, c.Target.ID, kept, now)
-		if i == len(chain)-1 || len(chain) > 1 {
-			h.reads = append(h.reads, read{family: key, target: c.Target.ID, kept: kept, at: now})
-		}
+		h.note(key, c.Target.ID, c.Keep, now)
+		h.reads = append(h.reads, read{family: key, target: c.Target.ID, kept: c.Keep, at: now})
 	}
 }
 
