Replace a garbled record of the lease of orders

Ruled out: taking it at once, since the record before may have been held by a VM that still has its right to act; a term of 1, since engines may have seen higher fencing numbers.

Change: lease.Read tells a garbled record and the version of its object; lease.Replace overwrites exactly that version. The VM that would take the lease waits for two lengths of it and the wait between the orders of two VMs, counted anew when the object changes, and goes on from the highest term it has heard of plus 2^20.

--- a/internal/fleet/rollout/duty.go
+++ b/internal/fleet/rollout/duty.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
@@ -89,6 +91,10 @@
 	case lease.NotSent:
 		_ = t.opts.Log.Log("msg", "lease not asked for", "err", r.Err)
 		t.yield()
+		var garbled *lease.GarbledError
+		if errors.As(r.Err, &garbled) {
+			t.replace(ctx, garbled.Version)
+		}
 	case lease.Unsure:
 		// The right to act that is held ends by itself.
 		_ = t.opts.Log.Log("msg", "lease unsure", "err", r.Err)
@@ -96,6 +102,28 @@
 	}
 }
 
+// replace takes the lease over a garbled record that has stood for so long that
+// whoever held it has lapsed and its last order has arrived.
+func (t *Task) replace(ctx context.Context, version int64) {
+	now := t.opts.Clock.Now()
+	if t.garbled.version != version {
+		t.garbled.version, t.garbled.since = version, now
+	}
+	if now.Sub(t.garbled.since) < garbledLengths*leaseLength+t.opts.Quiet() {
+		return
+	}
+	_, term := t.holding()
+	for _, m := range t.opts.Members() {
+		term = max(term, m.Entry.Duty.Term)
+	}
+	r := lease.Replace(ctx, t.opts.Store, lease.Request{Duty: duty, Self: t.opts.Self, Length: leaseLength}, version, term+garbledTerms)
+	if held, ok := r.(lease.Held); ok {
+		t.won(held.Record, lease.Lease{}, now)
+		return
+	}
+	_ = t.opts.Log.Log("msg", "garbled lease not replaced", "version", version, "outcome", fmt.Sprintf("%T", r))
+}
+
 // yield tells other VMs that this one gives no more orders under its term, once
 // its right to act is over and the store does not answer it.
 func (t *Task) yield() {
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -30,6 +30,12 @@
 	tick = 50 * time.Millisecond
 	// askPause is the pause between two questions for the lease.
 	askPause = 400 * time.Millisecond
+	// garbledLengths is the lengths of the lease for which a garbled record must
+	// stand unchanged before it is replaced.
+	garbledLengths = 2
+	// garbledTerms is added to the highest term that is known when a record is
+	// replaced; fewer were given unheard of, since each takes a VM seconds.
+	garbledTerms = 1 << 20
 )
 
 // Engines makes the calls to engines.
@@ -78,6 +84,12 @@
 	asked  time.Time
 	quiet  time.Time
 	orders *book
+	// garbled is the version of a record that cannot be read, and when it was
+	// first met.
+	garbled struct {
+		version int64
+		since   time.Time
+	}
 }
 
 // NewTask returns a Task that holds nothing.
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -164,7 +164,7 @@
 	}
 	l, err := Decode(o.Value)
 	if err != nil {
-		return Record{}, err
+		return Record{}, &GarbledError{Version: o.Version, Err: err}
 	}
 	return Record{Lease: l, Version: o.Version}, nil
 }
