Let late requests wait behind those that can be in time, and order no dark engine

Change: a request whose first token is expected beyond its aim at every engine gets a rank behind all others, if it may wait so long under the bound of old weights; VMs tell late and timely backlogs apart; each engine's pace is learnt from first tokens. The rollout asks an engine whether it answers when it begins to empty it; engines that did not answer some VM go last; a rollout that is late goes on where half of the engines are out, since those with old weights soon serve nobody. The log of a request tells what was expected to be read and whether it was late.

--- a/internal/fleet/rollout/duty_test.go
+++ b/internal/fleet/rollout/duty_test.go
@@ -37,7 +37,7 @@
 		d.entitled(t.Context())
 		time.Sleep(6500 * time.Millisecond)
 		must.False(t, d.entitled(t.Context()), must.Sprint("a holder may still act under the record before"))
-		put, ok = s.Put(t.Context(), lease.Key(duty), []byte(`again`), put.Version).(store.Done)
+		_, ok = s.Put(t.Context(), lease.Key(duty), []byte(`again`), put.Version).(store.Done)
 		must.True(t, ok)
 		time.Sleep(time.Second)
 		must.False(t, d.entitled(t.Context()), must.Sprint("another record was written meanwhile"))
--- a/internal/fleet/rollout/plan.go
+++ b/internal/fleet/rollout/plan.go
@@ -50,6 +50,8 @@
 	has     int64
 	wants   int64
 	running int
+	// suspect engines did not answer some VM lately.
+	suspect bool
 	// since is when the engine's weights were first overtaken.
 	since time.Time
 }
@@ -97,7 +99,8 @@
 // A step is what is to be done with one engine now: announce, instruct or ask.
 type step interface{ step() }
 
-// announce tells other VMs that an engine is about to be ordered.
+// announce tells other VMs that an engine is about to be ordered, and finds out
+// whether it answers.
 type announce struct{ engine engine }
 
 // instruct gives the order.
@@ -122,18 +125,27 @@
 // plan returns what is to be done now, given the engines that lag behind and their
 // pool. Engines are emptied before they are ordered, so that
 // loads follow each other without a pause; those whose weights were overtaken
-// first go first.
+// first go first, and those that may not answer last.
 func (b *book) plan(lagging []engine, p pool, now time.Time) []step {
 	b.prune(lagging)
+	doubtful := func(e engine) bool {
+		p := b.orders[e.target.ID]
+		return e.suspect || p != nil && p.phase == resting
+	}
 	slices.SortFunc(lagging, func(x, y engine) int {
-		return cmp.Or(x.since.Compare(y.since), cmp.Compare(x.running, y.running), cmp.Compare(x.target.ID, y.target.ID))
+		return cmp.Or(compareBool(doubtful(x), doubtful(y)), x.since.Compare(y.since), cmp.Compare(x.running, y.running), cmp.Compare(x.target.ID, y.target.ID))
 	})
 	load, empty := p.room()
-	if len(lagging) > 0 && now.Sub(lagging[0].since) > urgentAge {
+	urgent := oldest(lagging, now) > urgentAge
+	if urgent {
 		empty = load
 	}
 	if p.dark+len(b.orders) >= max(1, p.engines/2) {
+		// Engines with weights that are too old serve nobody.
 		empty = 0
+		if urgent {
+			empty = 1
+		}
 	}
 	for _, p := range b.orders {
 		switch p.phase {
@@ -171,6 +183,27 @@
 	return steps
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// oldest returns for how long the weights of the engine that lags most have been
+// overtaken.
+func oldest(lagging []engine, now time.Time) time.Duration {
+	most := time.Duration(0)
+	for _, e := range lagging {
+		most = max(most, now.Sub(e.since))
+	}
+	return most
+}
+
 // follow returns what is to be done with an engine that has been ordered.
 func (b *book) follow(e engine, p *progress, now time.Time) step {
 	if now.Sub(p.since) > orderTimeout {
--- a/internal/fleet/rollout/plan_test.go
+++ b/internal/fleet/rollout/plan_test.go
@@ -57,6 +57,21 @@
 		announced, _ := count(b.plan(lagging, pool{engines: 9}, epoch))
 		must.Eq(t, []string{"b", "d"}, announced)
 	})
+	t.Run("those that may not answer go last", func(t *testing.T) {
+		b := newBook()
+		lagging := []engine{lag("a", 0, epoch), lag("b", 5, epoch), lag("c", 6, epoch)}
+		lagging[0].suspect = true
+		announced, _ := count(b.plan(lagging, pool{engines: 9}, epoch))
+		must.Eq(t, []string{"b", "c"}, announced)
+	})
+	t.Run("those that could not be asked go last", func(t *testing.T) {
+		b := newBook()
+		lagging := []engine{lag("a", 0, epoch), lag("b", 5, epoch), lag("c", 6, epoch)}
+		b.plan(lagging[:1], pool{engines: 9}, epoch)
+		b.failed("a", epoch)
+		announced, _ := count(b.plan(lagging, pool{engines: 9}, epoch.Add(failPause)))
+		must.Eq(t, []string{"b", "c"}, announced)
+	})
 	t.Run("a loaded pool spares fewer", func(t *testing.T) {
 		b := newBook()
 		lagging := []engine{lag("a", 9, epoch), lag("b", 9, epoch), lag("c", 9, epoch)}
@@ -73,6 +88,8 @@
 		b := newBook()
 		announced, _ := count(b.plan([]engine{lag("a", 0, epoch)}, pool{engines: 9, dark: 4}, epoch))
 		must.Len(t, 0, announced)
+		announced, _ = count(b.plan([]engine{lag("a", 0, epoch)}, pool{engines: 9, dark: 4}, epoch.Add(urgentAge+1)))
+		must.Len(t, 1, announced, must.Sprint("they will not be allowed to serve much longer"))
 	})
 	t.Run("a lost order is given again", func(t *testing.T) {
 		b := newBook()
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -61,6 +61,8 @@
 	// Dark tells that an engine takes no connections, so that there is no use in
 	// ordering it now.
 	Dark func(t *site.Target) bool
+	// Suspect tells that an engine may not answer.
+	Suspect func(t *site.Target) bool
 	// Saw takes the versions that engines report.
 	Saw func(t *site.Target, model string, version int64)
 	// Told is called when what Duty returns has changed.
@@ -148,7 +150,8 @@
 			if has < wants {
 				since, _ := v.Weights.Overtaken(model, has)
 				lagging = append(lagging, engine{
-					target: target, model: model, has: has, wants: wants, running: t.opts.Running(target), since: since,
+					target: target, model: model, has: has, wants: wants, since: since,
+					running: t.opts.Running(target), suspect: t.opts.Suspect(target),
 				})
 			}
 		}
@@ -176,6 +179,7 @@
 	for i, s := range steps {
 		switch s := s.(type) {
 		case announce:
+			wg.Go(func() { notes[i] = t.check(ctx, s.engine) })
 		case instruct:
 			wg.Go(func() { notes[i] = t.instruct(ctx, s.engine) })
 		case ask:
@@ -190,6 +194,19 @@
 	}
 }
 
+// check finds out whether an engine that is being emptied answers, so that no
+// time is lost on one that does not. It returns what is to be noted.
+func (t *Task) check(ctx context.Context, e engine) func() {
+	report, err := t.report(ctx, e)
+	switch {
+	case err != nil:
+		return func() { t.orders.failed(e.target.ID, time.Now()) }
+	case report.Busy:
+		return func() { t.orders.accepted(e.target.ID, time.Now()) }
+	}
+	return nil
+}
+
 // instruct reads the number of orders that the engine has accepted and gives
 // the order under the condition that there was no other since. It returns what
 // is to be noted.
--- /dev/null
+++ b/internal/fleet/rollout/task_test.go
@@ -0,0 +1,78 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
+)
+
+// A fleet is engines that load in no time, of which some take no connections.
+type fleet struct {
+	dark    map[string]bool
+	weights map[string]int64
+	ordered []string
+}
+
+func (f *fleet) Report(_ context.Context, target, _ string) (platform.EngineReport, error) {
+	if f.dark[target] {
+		time.Sleep(400 * time.Millisecond)
+		return platform.EngineReport{}, errors.New("i/o timeout")
+	}
+	return platform.EngineReport{Weights: map[string]int64{"m": f.weights[target]}}, nil
+}
+
+func (f *fleet) Load(_ context.Context, _ string, o platform.LoadOrder) (platform.OrderOutcome, error) {
+	f.ordered = append(f.ordered, o.Target)
+	f.weights[o.Target] = o.Version
+	return platform.OrderAccepted, nil
+}
+
+// TestDarkEngine plays a rollout while the engine that looks idle has gone dark
+// unnoticed. An engine that is emptied in vain costs the pool emptyTime.
+func TestDarkEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{dark: map[string]bool{"i-0": true}, weights: map[string]int64{"i-0": 1, "i-1": 1, "i-2": 2, "i-3": 2, "i-4": 2}}
+		v := &source.View{
+			Config:  &site.Config{Services: map[string]*site.Service{"llm": {Engine: &site.Engine{Models: []string{"m"}}}}},
+			Targets: map[string]*site.Target{},
+			Weights: source.NewWeights("m", map[int64]time.Time{2: time.Now()}),
+		}
+		for id := range f.weights {
+			v.Targets[id] = &site.Target{ID: id, Service: "llm"}
+		}
+		d := newDuty("a", store.NewMemory())
+		d.opts.Engines = f
+		d.opts.View = func() *source.View { return v }
+		d.opts.Members = func() []roster.Member { return nil }
+		d.opts.Version = func(target *site.Target, _ string) int64 { return f.weights[target.ID] }
+		d.opts.Running = func(target *site.Target) int {
+			if target.ID == "i-0" {
+				return 4
+			}
+			return 9
+		}
+		d.opts.Dark = func(*site.Target) bool { return false }
+		d.opts.Suspect = d.opts.Dark
+		d.opts.Saw = func(*site.Target, string, int64) {}
+
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		begun := time.Now()
+		go func() { _ = d.Run(ctx) }()
+		for len(f.ordered) == 0 && time.Since(begun) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		must.Eq(t, "i-1", f.ordered[0])
+		must.Less(t, emptyTime+time.Second, time.Since(begun))
+	})
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -24,7 +24,7 @@
 type Load struct {
 	Target string `cbor:"1,keyasint"`
 	// Running counts requests, Prefill the prompt tokens of those that have not
-	// answered yet.
+	// answered yet and are in time, Late of those that are late.
 	Running int `cbor:"2,keyasint"`
 	Prefill int `cbor:"3,keyasint"`
 	// Failing is the share of late requests that failed there, in percent.
@@ -34,6 +34,7 @@
 	// Answered is how many milliseconds ago, plus one, the target last sent
 	// something to the VM; 0 if that was long ago.
 	Answered int `cbor:"6,keyasint"`
+	Late     int `cbor:"7,keyasint,omitempty"`
 }
 
 // A Read tells that an engine was sent shared parts of a prompt and so holds
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -176,6 +176,7 @@
 		Members: n.roster.Members,
 		Version: n.placer.Version,
 		Running: func(t *site.Target) int { return n.placer.Running(t, time.Now()) },
+		Suspect: func(t *site.Target) bool { return n.placer.Suspect(t, time.Now()) },
 		Dark:    n.placer.Dark,
 		Saw: func(t *site.Target, model string, version int64) {
 			if n.placer.Saw(t, model, version, time.Now()) {
--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -21,6 +21,7 @@
 	home      bool
 	running   int
 	prefill   int
+	late      int
 	failing   float64
 	// dark counts the other VMs that the target takes no connections from.
 	dark    int
@@ -31,6 +32,9 @@
 	held   int
 	source string
 	cost   float64
+	// first is the expected time to the first token, plain the same without the
+	// target's pace.
+	first, plain time.Duration
 }
 
 // candidates returns the targets of the service that may be used.
@@ -41,7 +45,7 @@
 			continue
 		}
 		rec := p.record(t, now)
-		c := candidate{target: t, record: rec, running: rec.running, prefill: rec.prefill, failing: rec.rate(now)}
+		c := candidate{target: t, record: rec, running: rec.running, prefill: rec.prefill, late: rec.late, failing: rec.rate(now)}
 		if r.Model != "" {
 			c.version = rec.version(t, r.Model)
 			c.overtaken, c.old = v.Weights.Overtaken(r.Model, c.version)
@@ -76,6 +80,7 @@
 	}
 	c.running += sum.running
 	c.prefill += sum.prefill
+	c.late += sum.late
 	if now.Sub(c.record.answered) > darkDoubt {
 		c.dark = sum.dark
 	}
@@ -86,8 +91,8 @@
 
 // A sum is what all other VMs have in flight at one target.
 type sum struct {
-	running, prefill, dark, failures int
-	failing                          float64
+	running, prefill, late, dark, failures int
+	failing                                float64
 }
 
 // sumTime is how long sums of what others tell are used.
@@ -111,6 +116,7 @@
 			s := p.summedUp[id]
 			s.running += l.Running
 			s.prefill += l.Prefill
+			s.late += l.Late
 			if l.Dark {
 				s.dark++
 			}
@@ -169,10 +175,12 @@
 		c.cost += float64(c.running) / float64(max(c.target.Slots, 1))
 	} else {
 		c.cost = (float64(c.prefill)+float64(c.missing))/prefillRate + stepPerRun*float64(c.running)
-		shared := r.family().Tokens
 		if c.source != "" {
 			c.cost += fetchCost
 		}
+		c.plain = time.Duration(c.cost * float64(time.Millisecond))
+		c.first = time.Duration(c.record.pace * float64(c.plain))
+		shared := r.family().Tokens
 		if !c.home && c.held < shared {
 			c.cost += awayCost * min(1, float64(shared-c.held)/2000)
 		}
--- /dev/null
+++ b/internal/gateway/placing/overload_test.go
@@ -0,0 +1,219 @@
+package placing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+)
+
+// A waiter is one request at a played engine.
+type waiter struct {
+	vm     int
+	choice Choice
+	start  time.Time
+	sent   time.Time
+	left   int
+}
+
+// A played engine reads prompts one after the other, those in time first.
+type played struct{ queue []*waiter }
+
+// read goes on for a time and returns the requests whose prompts have been read.
+func (e *played) read(tokens int) []*waiter {
+	var done []*waiter
+	for tokens > 0 && len(e.queue) > 0 {
+		i := max(0, slices.IndexFunc(e.queue, func(w *waiter) bool { return !w.choice.Late }))
+		w := e.queue[i]
+		n := min(tokens, w.left)
+		tokens, w.left = tokens-n, w.left-n
+		if w.left == 0 {
+			done = append(done, w)
+			e.queue = slices.Delete(e.queue, i, i+1)
+		}
+	}
+	return done
+}
+
+// A rush is more work than the engines can read, from callers that reach VMs at
+// random.
+type rush struct {
+	engines, vms int
+	// load is the work that comes, as a part of what the engines read.
+	load float64
+	// aim is what VMs are told of the time in which callers want the first token.
+	aim time.Duration
+}
+
+const (
+	rushTokens = 4000
+	rushRate   = 50 // tokens in a millisecond
+	rushAim    = 500 * time.Millisecond
+	rushEnd    = 4 * time.Second
+)
+
+// play returns the shares of the requests that were served in time and at all.
+func (r rush) play(t *testing.T) (inTime, served float64) {
+	t.Helper()
+	v := engines(r.engines)
+	random := rand.New(rand.NewPCG(3, 4))
+	placers := make([]*Placer, r.vms)
+	for i := range placers {
+		placers[i] = newPlacer()
+	}
+	pool := map[string]*played{}
+	for id := range v.Targets {
+		pool[id] = &played{}
+	}
+	ids := slices.Sorted(func(yield func(string) bool) {
+		for id := range pool {
+			if !yield(id) {
+				return
+			}
+		}
+	})
+	asked, early, late, due := 0, 0, 0, 0.0
+	for ms := range 8000 {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		if ms%100 == 0 {
+			tell(placers, v, now)
+		}
+		for due += r.load * rushRate * float64(r.engines) / rushTokens; due >= 1; due-- {
+			vm := random.IntN(r.vms)
+			w := r.send(t, placers[vm], v, now)
+			w.vm = vm
+			pool[w.choice.Target.ID].queue = append(pool[w.choice.Target.ID].queue, w)
+			asked++
+		}
+		for _, id := range ids {
+			for _, w := range pool[id].read(rushRate) {
+				placers[w.vm].FirstToken(w.choice, now.Sub(w.sent), now)
+				placers[w.vm].End(w.choice, Served, true, now)
+				switch took := now.Sub(w.start); {
+				case took <= rushAim:
+					early++
+				case took <= rushEnd:
+					late++
+				}
+			}
+			pool[id].queue = slices.DeleteFunc(pool[id].queue, func(w *waiter) bool {
+				over := now.Sub(w.start) > rushEnd
+				if over {
+					placers[w.vm].End(w.choice, Dropped, false, now)
+				}
+				return over
+			})
+		}
+	}
+	return float64(early) / float64(asked), float64(early+late) / float64(asked)
+}
+
+func (r rush) send(t *testing.T, p *Placer, v *source.View, now time.Time) *waiter {
+	request := Request{Service: "llm", Model: "m", Tokens: rushTokens, Aim: r.aim, Left: rushEnd}
+	c := mustChoose(t, p, v, request, now)
+	p.Begin(c, nil, now)
+	return &waiter{choice: c, start: now, sent: now, left: rushTokens}
+}
+
+// tell makes every VM hear of the loads of every other.
+func tell(placers []*Placer, v *source.View, now time.Time) {
+	for i, p := range placers {
+		loads, _ := p.Loads(now)
+		for j, other := range placers {
+			if i != j {
+				other.Hear(roster.Entry{VM: fmt.Sprint(i), Loads: loads}, v, now)
+			}
+		}
+	}
+}
+
+// TestRush plays a third more work than the engines can read. Without the aim,
+// which was the way before, every request waits its turn.
+func TestRush(t *testing.T) {
+	r := rush{engines: 6, vms: 4, load: 1.3}
+	inTimeBefore, servedBefore := r.play(t)
+	r.aim = rushAim
+	inTime, served := r.play(t)
+	t.Logf("in time %.2f, served %.2f; without the aim %.2f, %.2f", inTime, served, inTimeBefore, servedBefore)
+	must.Greater(t, 0.65, inTime, must.Sprint("engines can read 0.77 of the work"))
+	must.Less(t, 0.3, inTimeBefore)
+	must.GreaterEq(t, servedBefore-0.05, served)
+	t.Run("nobody waits behind others without need", func(t *testing.T) {
+		inTime, served := rush{engines: 6, vms: 4, load: 0.6, aim: rushAim}.play(t)
+		must.Greater(t, 0.97, inTime)
+		must.Greater(t, 0.97, served)
+	})
+}
+
+func TestLate(t *testing.T) {
+	v := engines(2)
+	v.Weights = source.NewWeights("m", map[int64]time.Time{2: epoch})
+	p := newPlacer()
+	crowd := func(target string) {
+		p.Hear(roster.Entry{VM: "b-" + target, Loads: []roster.Load{{Target: target, Prefill: 60000}}}, v, epoch)
+	}
+	r := Request{Service: "llm", Model: "m", Tokens: 1000, Aim: 300 * time.Millisecond, Left: 4 * time.Second}
+	t.Run("in time", func(t *testing.T) {
+		must.False(t, mustChoose(t, p, v, r, epoch).Late)
+	})
+	t.Run("late where every target is full", func(t *testing.T) {
+		crowd("i-0")
+		must.False(t, mustChoose(t, p, v, r, epoch).Late)
+		crowd("i-1")
+		must.True(t, mustChoose(t, p, v, r, epoch).Late)
+	})
+	t.Run("late ones count only for late ones", func(t *testing.T) {
+		fresh := newPlacer()
+		loads := []roster.Load{{Target: "i-0", Late: 60000}, {Target: "i-1", Late: 60000}}
+		fresh.Hear(roster.Entry{VM: "b", Loads: loads}, v, epoch)
+		must.False(t, mustChoose(t, fresh, v, r, epoch).Late)
+	})
+	t.Run("without an aim nothing is late", func(t *testing.T) {
+		r := r
+		r.Aim = 0
+		must.False(t, mustChoose(t, p, v, r, epoch).Late)
+	})
+	t.Run("not behind others where overtaken weights would be too old", func(t *testing.T) {
+		at := epoch.Add(time.Second)
+		must.True(t, mustChoose(t, p, v, r, at).Late)
+		r := r
+		r.Left = 9 * time.Second
+		must.False(t, mustChoose(t, p, v, r, at).Late)
+	})
+}
+
+func TestPace(t *testing.T) {
+	p, v := newPlacer(), engines(2)
+	r := Request{Service: "llm", Model: "m", Tokens: 5000, Aim: time.Second, Left: 4 * time.Second}
+	before := mustChoose(t, p, v, r, epoch)
+	for range 20 {
+		p.Begin(before, nil, epoch)
+		p.FirstToken(before, 2*before.First, epoch)
+		p.End(before, Served, true, epoch)
+	}
+	v.Targets = map[string]*site.Target{before.Target.ID: before.Target}
+	after := mustChoose(t, p, v, r, epoch)
+	must.InDelta(t, 2, float64(after.First)/float64(before.First), 0.2)
+}
+
+func TestSuspect(t *testing.T) {
+	p, v := newPlacer(), engines(1)
+	target := v.Targets["i-0"]
+	c := mustChoose(t, p, v, verdict(1), epoch)
+	must.False(t, p.Suspect(target, epoch))
+	p.Begin(c, nil, epoch)
+	p.Heard(c, epoch)
+	must.False(t, p.Suspect(target, epoch.Add(suspectTime/2)))
+	must.True(t, p.Suspect(target, epoch.Add(suspectTime)))
+	p.End(c, Served, true, epoch.Add(suspectTime))
+	must.False(t, p.Suspect(target, epoch.Add(suspectTime)))
+	p.Hear(roster.Entry{VM: "b", Loads: []roster.Load{{Target: "i-0", Dark: true}}}, v, epoch.Add(2*suspectTime))
+	must.True(t, p.Suspect(target, epoch.Add(2*suspectTime)))
+}
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -7,7 +7,6 @@
 package placing
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -58,6 +57,16 @@
 	failWeight = 0.2
 	// failHalf is the time after which a failure counts half.
 	failHalf = 4 * time.Second
+	// paceWeight is the weight of the newest first token in a target's pace, which
+	// is kept between leastPace and mostPace; expectations below leastLearnt say
+	// little.
+	paceWeight  = 0.15
+	leastPace   = 0.5
+	mostPace    = 4.0
+	leastLearnt = 20 * time.Millisecond
+	// suspectTime is how long a target with work in flight may be quiet; prompts
+	// of a loaded engine are read in less.
+	suspectTime = time.Second
 	// silentFirst and silentMost bound how long a target is avoided after it did
 	// not answer.
 	silentFirst = 400 * time.Millisecond
@@ -93,6 +102,10 @@
 	Cache string
 	// Salt returns the salt of KV cache made with a version of the weights.
 	Salt func(version int64) string
+	// Aim is how long the first token may take to be in time, and Left how long
+	// the request may last. Without an aim no request counts as late.
+	Aim  time.Duration
+	Left time.Duration
 	// Tried are the targets that have failed this request.
 	Tried []string
 }
@@ -124,9 +137,16 @@
 	Keep   bool
 	// Home tells whether the target is the home of the family.
 	Home bool
-	// Expected is the estimate that decided, Missing the tokens to be read.
+	// Late tells that no target can give the first token in time, so that the
+	// request has to wait behind those that can be served in time.
+	Late bool
+	// Expected is the estimate that decided, First the time to the first token in
+	// it, and Missing the tokens to be read.
 	Expected time.Duration
+	First    time.Duration
 	Missing  int
+	// plain is First without the pace of the target.
+	plain time.Duration
 }
 
 // Silent tells whether the chosen target is one that did not answer lately.
@@ -155,7 +175,12 @@
 type record struct {
 	born    int64
 	running int
+	// prefill and late are the prompt tokens of requests that have not answered
+	// yet, those in time and those that are late.
 	prefill int
+	late    int
+	// pace is how much longer first tokens take than expected.
+	pace    float64
 	failing float64
 	noted   time.Time
 	silent  time.Duration
@@ -204,8 +229,6 @@
 	}
 	home := homeOf(candidates)
 	average := averageFailing(candidates)
-	best := math.Inf(1)
-	var chosen *candidate
 	keys := newKeys(&r)
 	for i := range candidates {
 		p.holds(&candidates[i], &r, keys, now)
@@ -219,17 +242,56 @@
 		c.home = home != nil && c.target.ID == home.target.ID
 		p.cover(c, &r, keys, candidates, now)
 		c.score(p, r, average, now)
-		if c.cost < best {
-			best, chosen = c.cost, c
+	}
+	chosen := cheapest(candidates)
+	late := false
+	if r.Model != "" && r.Aim != 0 && chosen.first > r.Aim {
+		if c := p.behind(candidates, r, average, now); c != nil {
+			chosen, late = c, true
 		}
 	}
 	return Choice{
 		Target:   chosen.target,
 		Weights:  chosen.version,
 		Home:     chosen.home,
+		Late:     late,
 		Missing:  chosen.missing,
+		First:    chosen.first,
+		plain:    chosen.plain,
 		Expected: time.Duration(chosen.cost * float64(time.Millisecond)),
 		Source:   chosen.source,
 		Keep:     p.worthKeeping(&r, keys, chosen.version, now),
 	}, true
 }
+
+func cheapest(candidates []candidate) *candidate {
+	best := &candidates[0]
+	for i := range candidates {
+		if candidates[i].cost < best.cost {
+			best = &candidates[i]
+		}
+	}
+	return best
+}
+
+// behind returns the best target for a request that is late anyway, and nil if
+// it must not wait: behind others it may begin at any time until its end, which
+// has to be before the weights may no longer be used.
+func (p *Placer) behind(candidates []candidate, r Request, average float64, now time.Time) *candidate {
+	var patient []candidate
+	for _, c := range candidates {
+		age := time.Duration(0)
+		if c.old {
+			age = now.Sub(c.overtaken)
+		}
+		if age+r.Left < p.oldest {
+			c.prefill += c.late
+			c.score(p, r, average, now)
+			patient = append(patient, c)
+		}
+	}
+	if len(patient) == 0 {
+		return nil
+	}
+	return cheapest(patient)
+}
--- a/internal/gateway/placing/placing_test.go
+++ b/internal/gateway/placing/placing_test.go
@@ -77,7 +77,7 @@
 		must.True(t, home.Home)
 		must.Eq(t, "", home.Source)
 		p.Begin(home, verdict(1).Chain, epoch)
-		p.FirstToken(home, epoch)
+		p.FirstToken(home, 0, epoch)
 		for i := range 6 {
 			p.Begin(Choice{Target: home.Target, Missing: 9000}, nil, epoch.Add(time.Duration(i)))
 		}
@@ -156,7 +156,7 @@
 	home := mustChoose(t, p, v, r, epoch)
 	must.True(t, home.Keep)
 	p.Begin(home, r.Chain, epoch)
-	p.FirstToken(home, epoch)
+	p.FirstToken(home, 0, epoch)
 	keys := []caches.Key{caches.KeyOf("m.v1", "rules"), caches.KeyOf("m.v1", "1")}
 	now := epoch.Add(5 * time.Second)
 
--- a/internal/gateway/placing/record.go
+++ b/internal/gateway/placing/record.go
@@ -13,7 +13,7 @@
 func (p *Placer) record(t *site.Target, now time.Time) *record {
 	r, ok := p.records[t.ID]
 	if !ok || r.born != t.Born {
-		r = &record{born: t.Born, weights: map[string]int64{}, noted: now, changed: now}
+		r = &record{born: t.Born, weights: map[string]int64{}, pace: 1, noted: now, changed: now}
 		p.records[t.ID] = r
 	}
 	r.seen = now
@@ -46,16 +46,36 @@
 	p.holders.sent(c, chain, now)
 	r := p.record(c.Target, now)
 	r.running++
-	r.prefill += c.Missing
+	r.wait(c, c.Missing)
 }
 
-// FirstToken notes that a request's prompt has been read.
-func (p *Placer) FirstToken(c Choice, now time.Time) {
+// wait adds to the prompt tokens that have not been read.
+func (r *record) wait(c Choice, tokens int) {
+	if c.Late {
+		r.late = max(0, r.late+tokens)
+	} else {
+		r.prefill = max(0, r.prefill+tokens)
+	}
+}
+
+// learn takes in how long the first token of a request took that was expected.
+func (r *record) learn(c Choice, took time.Duration) {
+	if c.Late || c.plain < leastLearnt {
+		return
+	}
+	ratio := float64(took) / float64(c.plain)
+	r.pace += paceWeight * (min(max(ratio, leastPace), mostPace) - r.pace)
+}
+
+// FirstToken notes that a request's prompt has been read, so long after it was
+// sent.
+func (p *Placer) FirstToken(c Choice, took time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r, ok := p.records[c.Target.ID]; ok && r.born == c.Target.Born {
 		r.answered = now
-		r.prefill = max(0, r.prefill-c.Missing)
+		r.wait(c, -c.Missing)
+		r.learn(c, took)
 	}
 }
 
@@ -86,7 +106,7 @@
 	}
 	r.running = max(0, r.running-1)
 	if !first {
-		r.prefill = max(0, r.prefill-c.Missing)
+		r.wait(c, -c.Missing)
 	}
 	switch end {
 	case Served:
@@ -193,7 +213,7 @@
 		}
 		failing := int(100 * r.rate(now))
 		if r.running > 0 || failing > 0 || r.dark {
-			l := roster.Load{Target: id, Running: r.running, Prefill: r.prefill, Failing: failing, Dark: r.dark}
+			l := roster.Load{Target: id, Running: r.running, Prefill: r.prefill, Late: r.late, Failing: failing, Dark: r.dark}
 			if age := now.Sub(r.answered); age < tellTime {
 				l.Answered = 1 + int(age.Milliseconds())
 			}
@@ -265,11 +285,25 @@
 }
 
 // Running returns how many requests all VMs have in flight at a target.
-func (p *Placer) Running(t *site.Target, now time.Time) int {
+func (p *Placer) Running(t *site.Target, now time.Time) int { return p.inFlight(t, now).running }
+
+// inFlight returns what all VMs have in flight at a target.
+func (p *Placer) inFlight(t *site.Target, now time.Time) candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := candidate{target: t, record: p.record(t, now)}
-	c.running = c.record.running
+	rec := p.record(t, now)
+	c := candidate{target: t, record: rec, running: rec.running, prefill: rec.prefill, late: rec.late}
 	p.addOthers(&c, now)
-	return c.running
+	return c
+}
+
+// Suspect tells whether a target may not answer: it took no connection from some
+// VM or left this one without an answer lately, or has work of this VM and has
+// answered none for a while.
+func (p *Placer) Suspect(t *site.Target, now time.Time) bool {
+	c := p.inFlight(t, now)
+	if c.dark > 0 || now.Before(c.record.until) {
+		return true
+	}
+	return c.running > 0 && !p.Answers(Choice{Target: t}, suspectTime, now)
 }
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -174,7 +174,7 @@
 	if j.first == 0 {
 		j.first = time.Since(j.start)
 	}
-	x.handler.opts.Placer.FirstToken(x.choice, time.Now())
+	x.handler.opts.Placer.FirstToken(x.choice, time.Since(x.sent), time.Now())
 }
 
 // passStream passes events on as they come.
--- a/internal/gateway/relay/failure.go
+++ b/internal/gateway/relay/failure.go
@@ -93,8 +93,8 @@
 	_ = h.opts.Log.Log("msg", "request", "id", j.declared.ID, "route", route, "customer", customer,
 		"config", version, "status", status, "outcome", outcome, "detail", j.detail, "target", j.target, "sends", j.sends,
 		"ran", j.ran, "firstms", j.first.Milliseconds(), "ms", now.Sub(j.start).Milliseconds(),
-		"leftms", j.until.Sub(now).Milliseconds(), "expectedms", j.estimate.Milliseconds(), "home", j.home, "source", j.source, "keep", j.keep,
-		"weights", j.weights, "tokens", j.tokens, "shared", j.shared, "level", int(j.level))
+		"leftms", j.until.Sub(now).Milliseconds(), "expectedms", j.estimate.Milliseconds(), "home", j.home, "source", j.source, "keep", j.keep, "late", j.late,
+		"weights", j.weights, "tokens", j.tokens, "shared", j.shared, "missing", j.missing, "level", int(j.level))
 }
 
 func appendInt(b []byte, n int64) []byte { return strconv.AppendInt(b, n, 10) }
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -95,9 +95,12 @@
 	source   string
 	home     bool
 	keep     bool
+	late     bool
 	estimate time.Duration
-	weights  int64
-	detail   string
+	// missing is the number of tokens that the target is expected to read.
+	missing int
+	weights int64
+	detail  string
 }
 
 // ServeHTTP implements http.Handler.
@@ -278,13 +281,22 @@
 	return string(b)
 }
 
-// rank returns the priority that engines are told.
-func (j *job) rank() int {
-	switch {
-	case !j.engine:
+// lateRank is the rank from which on requests are late; engines know ten ranks.
+const lateRank = 5
+
+// rank returns the priority that engines are told: late requests come after all
+// others.
+func (j *job) rank(late bool) int {
+	if !j.engine {
 		return -1
-	case j.customer != nil && j.customer.Ranked:
-		return j.customer.Priority
 	}
-	return j.route.Priority
+	rank := j.route.Priority
+	if j.customer != nil && j.customer.Ranked {
+		rank = j.customer.Priority
+	}
+	rank = min(rank, lateRank-1)
+	if late {
+		rank += lateRank
+	}
+	return rank
 }
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -89,6 +89,10 @@
 	r := placing.Request{Service: j.service, Tried: j.tried}
 	if j.engine {
 		r.Model, r.Chain, r.Tokens, r.Cache, r.Salt = j.declared.Model, j.chain, j.tokens, j.cache, j.salt
+		r.Left = time.Until(j.until)
+		if j.route.Aim > 0 && j.first == 0 {
+			r.Aim = j.route.Aim - time.Since(j.start)
+		}
 	}
 	return r
 }
@@ -185,8 +189,8 @@
 
 // note keeps what the log tells of the latest choice.
 func (j *job) note(c placing.Choice) {
-	j.target, j.home, j.estimate, j.weights = c.Target.ID, c.Home, c.Expected, c.Weights
-	j.source, j.keep = c.Source, c.Keep
+	j.target, j.home, j.estimate, j.weights, j.missing = c.Target.ID, c.Home, c.Expected, c.Weights, c.Missing
+	j.source, j.keep, j.late = c.Source, c.Keep, c.Late
 }
 
 // instruction returns what the target is told about the send.
@@ -194,7 +198,7 @@
 	in := platform.Instruction{
 		Left:   time.Until(j.until),
 		Target: c.Target.ID,
-		Rank:   j.rank(),
+		Rank:   j.rank(c.Late),
 		After:  after,
 	}
 	if j.customer != nil {
