Bound the log by requests that went well, and test a reader that stops

Cause: every request was a line whatever the load, bounded only by the writer's buffer, which drops refusals as readily as what went well; and only the writer was tested with a reader that does not read.

Change: of requests that went well 40 a second are logged by each VM, the others are counted in the next line. TestStuckLog serves requests through a VM whose log nobody reads until twice the room of the log has been written.

--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 )
 
@@ -112,6 +114,15 @@
 
 // start runs a VM that knows others by seeds.
 func (b *bench) start(name string, seeds ...string) *running {
+	b.t.Helper()
+	buffer := &lockedBuffer{}
+	v := b.startLogging(name, buffer, seeds...)
+	v.log = buffer
+	return v
+}
+
+// startLogging is start with another reader of the log.
+func (b *bench) startLogging(name string, to io.Writer, seeds ...string) *running {
 	b.t.Helper()
 	s := settings.Settings{VM: name, Region: "r", DataCentre: "z", Gateway: &settings.Gateway{
 		Ready: "127.0.0.1:0", Directory: "127.0.0.1:0", Seeds: seeds,
@@ -125,8 +136,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l, s, err := Listen(ctx, s)
 	must.NoError(b.t, err)
-	buffer := &lockedBuffer{}
-	v := &running{Node: New(s, log.NewLogfmtLogger(buffer)), t: b.t, stop: cancel, done: make(chan error, 1), log: buffer}
+	v := &running{Node: New(s, log.NewLogfmtLogger(to)), t: b.t, stop: cancel, done: make(chan error, 1)}
 	go func() { v.done <- v.Run(ctx, l) }()
 	b.t.Cleanup(func() {
 		cancel()
@@ -429,6 +439,39 @@
 	eventually(t, func() bool { return v.ask("/stream/b/", "r").status == http.StatusOK })
 }
 
+// A stuck reader of the log never takes a line.
+type stuck struct{ until chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.until
+	return len(p), nil
+}
+
+// TestStuckLog serves many more requests than the log has room for.
+func TestStuckLog(t *testing.T) {
+	b := newBench(t)
+	reader := stuck{make(chan struct{})}
+	lines := &counted{to: logline.NewWriter(reader)}
+	t.Cleanup(func() { close(reader.until) })
+	v := b.startLogging("vm-1", lines)
+	v.ready()
+	for i := 0; lines.bytes.Load() < 2*logline.MaxPending; i++ {
+		must.Eq(t, http.StatusOK, v.ask("/commit/", fmt.Sprint("r-", i)).status)
+	}
+	must.Eq(t, http.StatusOK, v.ask("/stream/a/", "last").status)
+}
+
+// counted counts the bytes of a log.
+type counted struct {
+	to    io.Writer
+	bytes atomic.Int64
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.to.Write(p)
+}
+
 func TestFleet(t *testing.T) {
 	b := newBench(t)
 	b.store.PutRaw("vms", "odd", []byte(`{"vm":7}`))
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -155,7 +155,7 @@
 		return lost{why: "no stream but " + r.Response.Status}, end
 	}
 	x.answer.whole(r.Response, body)
-	x.handler.finish(j, r.Response.StatusCode, "answered")
+	x.handler.finish(j, r.Response.StatusCode, answered)
 	return delivered{}, end
 }
 
@@ -187,7 +187,7 @@
 			r.Exchange.Finish()
 			x.answer.close(r.Response)
 			x.mark()
-			x.handler.finish(j, r.Response.StatusCode, "streamed")
+			x.handler.finish(j, r.Response.StatusCode, streamed)
 			return delivered{}, placing.Served
 		}
 		if err != nil {
--- a/internal/gateway/relay/failure.go
+++ b/internal/gateway/relay/failure.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// Outcomes of requests that went well.
+const (
+	answered = "answered"
+	streamed = "streamed"
+)
+
+// goodLines is the number of requests that went well which are logged each second,
+// some 20 KB of lines; all others are logged.
+const goodLines = 40
+
 // finish logs and counts a request.
 func (h *Handler) finish(j *job, status int, outcome string) {
 	now := time.Now()
@@ -90,11 +100,18 @@
 		version = j.view.Config.Version
 	}
 	h.opts.Meters.note(status, j.first, now.Sub(j.start))
+	leftOut := 0
+	if outcome == answered || outcome == streamed {
+		var ok bool
+		if ok, leftOut = h.good.Take(now); !ok {
+			return
+		}
+	}
 	_ = h.opts.Log.Log("msg", "request", "id", j.declared.ID, "route", route, "customer", customer,
 		"config", version, "status", status, "outcome", outcome, "detail", j.detail, "target", j.target, "sends", j.sends,
 		"ran", j.ran, "firstms", j.first.Milliseconds(), "ms", now.Sub(j.start).Milliseconds(),
 		"leftms", j.until.Sub(now).Milliseconds(), "expectedms", j.estimate.Milliseconds(), "home", j.home, "source", j.source, "keep", j.keep, "late", j.late,
-		"weights", j.weights, "tokens", j.tokens, "shared", j.shared, "missing", j.missing, "level", int(j.level))
+		"weights", j.weights, "tokens", j.tokens, "shared", j.shared, "missing", j.missing, "level", int(j.level), "leftout", leftOut)
 }
 
 func appendInt(b []byte, n int64) []byte { return strconv.AppendInt(b, n, 10) }
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -19,6 +19,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
+	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
 
@@ -60,10 +61,16 @@
 }
 
 // A Handler serves callers' requests. It implements http.Handler.
-type Handler struct{ opts Options }
+type Handler struct {
+	opts Options
+	// good decides which requests that went well are logged.
+	good logline.Sample
+}
 
 // NewHandler returns a Handler.
-func NewHandler(o Options) *Handler { return &Handler{opts: o} }
+func NewHandler(o Options) *Handler {
+	return &Handler{opts: o, good: logline.Sample{PerSecond: goodLines}}
+}
 
 // A job is one request of a caller on its way.
 type job struct {
--- a/internal/logs/logline/writer.go
+++ b/internal/logs/logline/writer.go
@@ -9,9 +9,10 @@
 	"time"
 )
 
+// MaxPending bounds the bytes that wait to be written.
+const MaxPending = 256 << 10
+
 const (
-	// maxPending bounds the bytes that wait to be written.
-	maxPending = 256 << 10
 	// flushPeriod is the longest time that a line waits.
 	flushPeriod = 100 * time.Millisecond
 	// flushBytes is the size of pending lines that are written at once.
@@ -43,7 +44,7 @@
 // Write implements io.Writer. It takes whole lines and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
-	if w.closed || len(w.pending)+len(line) > maxPending {
+	if w.closed || len(w.pending)+len(line) > MaxPending {
 		w.dropped++
 		w.mu.Unlock()
 		return len(line), nil
