Give families of a large fleet homes by rank alone

During a rollout all families had their home among the first engines with new weights. One rejected send of one VM made all VMs avoid an engine for seconds. Engines evict half of the shared parts before they return, and nothing was kept in the store of KV cache. Changes were told every 60 ms by every VM.

Change: in fleets of 16 VMs or more loads of others choose no engine; a family goes on at its home through a rollout; hot families have several homes, which take turns; a part of the requests waits behind the others while too many first tokens come late, and what others had waiting counts for lateness and for the bound of old weights; failures count once three VMs have met them, rejections for 400 ms. Families are divided between engines and the store by their room, and VMs tell which were written. Changes of targets are gathered for 120 ms, registrations read up to four times as rarely, changes told at most every 240 ms.

--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -22,8 +22,10 @@
 const Kind = "vms"
 
 const (
-	// kickPause is the least time between two rounds that tell changes.
-	kickPause = 60 * time.Millisecond
+	// kickPause is the least time between two rounds that tell changes, in a small
+	// fleet; mostKickPause bounds it in a large one, where word takes four rounds.
+	kickPause     = 60 * time.Millisecond
+	mostKickPause = 240 * time.Millisecond
 	// fanout is the number of VMs that a round talks to.
 	fanout = 2
 	// urgentFanout is the same for a round that tells a change at once.
@@ -36,6 +38,8 @@
 	registerRetry = 500 * time.Millisecond
 	// relist is the time between two readings of the registered VMs.
 	relist = 12 * time.Second
+	// mostRelist bounds how much longer that is in a large fleet.
+	mostRelist = 4.0
 )
 
 // An Exchange is what one VM tells another.
@@ -127,7 +131,7 @@
 		case <-timer.C:
 		case <-t.kick:
 			n = urgentFanout
-			store.Sleep(ctx, kickPause-time.Since(last))
+			store.Sleep(ctx, t.kickPause()-time.Since(last))
 		}
 		last = time.Now()
 		t.round(ctx, round, n)
@@ -142,6 +146,11 @@
 	return t.table.Period()
 }
 
+// kickPause is the least time between two rounds.
+func (t *Task) kickPause() time.Duration {
+	return min(time.Duration(float64(kickPause)*slowness(t.Count())), mostKickPause)
+}
+
 // Count returns the number of VMs that are remembered, this one included.
 func (t *Task) Count() int {
 	t.mu.Lock()
@@ -286,7 +295,7 @@
 		}
 		pause := registerRetry/2 + rand.N(registerRetry)
 		if registered && listed {
-			pause = relist/2 + rand.N(relist)
+			pause = t.relistPause()
 		}
 		if !store.Sleep(ctx, pause) {
 			return
@@ -294,6 +303,13 @@
 	}
 }
 
+// relistPause is the time until the registered VMs are read again; a fleet reads
+// them about as often whatever its size.
+func (t *Task) relistPause() time.Duration {
+	scaled := time.Duration(float64(relist) * min(slowness(t.Count()), mostRelist))
+	return scaled/2 + rand.N(scaled)
+}
+
 // list reads the registered VMs.
 func (t *Task) list(ctx context.Context) bool {
 	objects, err := t.opts.Store.List(ctx, Kind+"/")
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -30,6 +30,9 @@
 	// margin it stays below the shortest time in which a change must be in force
 	// after connections have gone silent.
 	waitTime = 2200 * time.Millisecond
+	// gatherTime is the pause after changes of targets, which often come together;
+	// a leaving target must be known within seconds.
+	gatherTime = 120 * time.Millisecond
 	// restPause is the time between two looks at whether to read the store.
 	restPause = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read.
@@ -175,6 +178,9 @@
 		return err
 	}
 	s.takeEvents(kind, after, events, at)
+	if kind == Targets && len(events) > 0 {
+		store.Sleep(ctx, gatherTime)
+	}
 	return nil
 }
 
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -49,12 +49,10 @@
 
 	life    *vm.Life
 	leaving atomic.Bool
-	// watches tells whether this VM reads the store, fewVMs whether the fleet is
-	// small.
+	// watches tells whether this VM reads the store.
 	watches atomic.Bool
 	// told tells that a VM that serves was heard of.
-	told   atomic.Bool
-	fewVMs atomic.Bool
+	told atomic.Bool
 	// begun is the start of a planned stop, nil before.
 	begun  atomic.Pointer[time.Time]
 	ready  atomic.Bool
@@ -96,7 +94,6 @@
 	}
 	n.gateway.Store(s.Gateway)
 	n.watches.Store(true)
-	n.fewVMs.Store(true)
 	n.limitMemory()
 	n.quota = quota.NewLedger(n.clock)
 	n.server = peer.NewServer(peer.ServerOptions{Self: s.VM, Log: n.log})
--- a/internal/gateway/node/telling.go
+++ b/internal/gateway/node/telling.go
@@ -22,10 +22,7 @@
 	e.Spent = n.quota.Spent()
 	e.Loads, e.Loaded = n.placer.Loads(time.Now())
 	e.Names = n.source.Names(time.Now())
-	e.Reads = nil
-	if reads := n.placer.Reads(time.Now()); n.fewVMs.Load() {
-		e.Reads = reads
-	}
+	e.Reads = n.placer.Reads(time.Now())
 	e.Watch = roster.Watch{Reads: n.watches.Load(), AgeMS: time.Since(n.source.StoreAnswered()).Milliseconds()}
 	e.Duty = n.orders.Duty()
 }
--- a/internal/gateway/node/watchers.go
+++ b/internal/gateway/node/watchers.go
@@ -25,15 +25,11 @@
 	// expectTime is how long a VM that was never heard of counts in the limits; it
 	// is less than the time after which a share lapses.
 	expectTime = 8 * time.Second
-	// fewVMs is the size of a fleet up to which VMs tell each other of all sends of
-	// shared parts.
-	fewVMs = 16
 )
 
 // chooseWatchers decides whether this VM reads the store.
 func (n *Node) chooseWatchers(now time.Time) {
 	members := n.roster.Members()
-	n.fewVMs.Store(len(members) < fewVMs)
 	for _, m := range members {
 		// A VM that is registered and silent has a share of the limits until it lapses.
 		if !m.Alive(now) && now.Sub(m.Heard) < expectTime {
--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -22,16 +22,21 @@
 	running   int
 	prefill   int
 	late      int
-	failing   float64
+	// rumoured is what other VMs of a large fleet had waiting there when they last
+	// told, too old to choose by.
+	rumoured int
+	failing  float64
 	// dark counts the other VMs that the target takes no connections from.
 	dark    int
 	missing int
 	// depth is the number of shared parts that the candidate holds from the first
 	// one on, held their tokens, source the address to fetch more from.
-	depth  int
-	held   int
-	source string
-	cost   float64
+	depth int
+	held  int
+	// presumed tells that this is taken for granted.
+	presumed bool
+	source   string
+	cost     float64
 	// first is the expected time to the first token, plain the same without the
 	// target's pace.
 	first, plain time.Duration
@@ -51,7 +56,7 @@
 			c.overtaken, c.old = v.Weights.Overtaken(r.Model, c.version)
 		}
 		p.addOthers(&c, now)
-		wait := time.Duration(waitDoubt * float64(c.prefill) / prefillRate * float64(time.Millisecond))
+		wait := time.Duration(waitDoubt * float64(c.prefill+c.rumoured) / prefillRate * float64(time.Millisecond))
 		if c.old && now.Sub(c.overtaken)+wait > p.oldest {
 			continue
 		}
@@ -78,13 +83,17 @@
 	if !ok {
 		return
 	}
-	c.running += sum.running
-	c.prefill += sum.prefill
-	c.late += sum.late
+	if p.crowded() {
+		c.rumoured = sum.prefill
+	} else {
+		c.running += sum.running
+		c.prefill += sum.prefill
+		c.late += sum.late
+	}
 	if now.Sub(c.record.answered) > darkDoubt {
 		c.dark = sum.dark
 	}
-	if sum.failures > 0 {
+	if sum.failures > 0 && (!p.crowded() || sum.failures >= crowdFailures) {
 		c.failing = max(c.failing, sum.failing/float64(sum.failures))
 	}
 }
@@ -178,10 +187,14 @@
 		if c.source != "" {
 			c.cost += fetchCost
 		}
-		c.plain = time.Duration(c.cost * float64(time.Millisecond))
+		c.plain = time.Duration((c.cost + float64(c.rumoured)/prefillRate) * float64(time.Millisecond))
 		c.first = time.Duration(c.record.pace * float64(c.plain))
 		shared := r.family().Tokens
-		if !c.home && c.held < shared {
+		switch {
+		case c.home:
+		case r.hot:
+			c.cost += awayCost
+		case c.held < shared:
 			c.cost += awayCost * min(1, float64(shared-c.held)/2000)
 		}
 		if c.old && now.Sub(c.overtaken) > oldGrace {
--- a/internal/gateway/placing/holders.go
+++ b/internal/gateway/placing/holders.go
@@ -15,10 +15,14 @@
 	// feed: the prompt has to be read and the event told.
 	sentTime = 1200 * time.Millisecond
 	// keptTime is how long after a part was last sent to the store of KV cache it
-	// is taken to be there.
-	keptTime = 12 * time.Second
-	// readTell is how long sends are told to other VMs.
-	readTell = 3 * time.Second
+	// is taken to be there; crowdKept is the same in a large fleet, where only some
+	// families go there.
+	keptTime  = 12 * time.Second
+	crowdKept = 30 * time.Second
+	// readTell is how long sends are told to other VMs, crowdTell how long writes to
+	// the store of KV cache are in a large fleet, where a telling takes seconds.
+	readTell  = 3 * time.Second
+	crowdTell = 8 * time.Second
 	// maxHolders is the number of engines remembered for a part.
 	maxHolders = 3
 )
@@ -40,7 +44,9 @@
 	family uint64
 	target string
 	kept   bool
-	at     time.Time
+	// whole tells that the family is all shared parts of a prompt.
+	whole bool
+	at    time.Time
 }
 
 // holders knows which engines hold which shared parts, from this VM's sends and
@@ -70,6 +76,9 @@
 	if kept && at.After(p.kept) {
 		p.kept = at
 	}
+	if target == "" {
+		return
+	}
 	oldest := -1
 	for i := range p.holders {
 		if p.holders[i].target == target {
@@ -91,22 +100,32 @@
 
 // sent notes a send of this VM.
 func (h *holders) sent(c Choice, chain []Link, now time.Time) {
-	for _, l := range chain {
+	for i, l := range chain {
 		key := versioned(l.Family, c.Weights)
 		h.note(key, c.Target.ID, c.Keep, now)
-		h.reads = append(h.reads, read{family: key, target: c.Target.ID, kept: c.Keep, at: now})
+		h.reads = append(h.reads, read{family: key, target: c.Target.ID, kept: c.Keep, whole: i == len(chain)-1, at: now})
 	}
 }
 
 // tell returns the sends that other VMs are told of, and forgets what is old.
-func (h *holders) tell(now time.Time) []roster.Read {
+func (h *holders) tell(crowded bool, now time.Time) []roster.Read {
+	within := readTell
+	if crowded {
+		within = crowdTell
+	}
 	n := 0
-	for n < len(h.reads) && now.Sub(h.reads[n].at) > readTell {
+	for n < len(h.reads) && now.Sub(h.reads[n].at) > within {
 		n++
 	}
 	h.reads = h.reads[n:]
 	out := make([]roster.Read, 0, len(h.reads))
 	for _, r := range h.reads {
+		if crowded {
+			if r.kept && r.whole {
+				out = append(out, roster.Read{Family: r.family, Kept: true, AgeMS: now.Sub(r.at).Milliseconds()})
+			}
+			continue
+		}
 		out = append(out, roster.Read{Family: r.family, Target: r.target, Kept: r.kept, AgeMS: now.Sub(r.at).Milliseconds()})
 	}
 	return out
@@ -128,7 +147,7 @@
 				last = x.at
 			}
 		}
-		if now.Sub(last) > 2*keptTime {
+		if now.Sub(last) > crowdKept {
 			delete(h.parts, key)
 		}
 	}
@@ -180,8 +199,9 @@
 }
 
 // presume marks the engine that is taken to hold a family in a large pool: the
-// home if it has been up for a while, else the one that was the home before it.
-func presume(candidates []candidate, home *candidate, r *Request, now time.Time) {
+// home if it has been up for a while, else the one that was the home before it. In
+// a large fleet VMs learn of that at different times, and no other is presumed.
+func presume(candidates []candidate, home *candidate, r *Request, crowd bool, now time.Time) {
 	if home == nil {
 		return
 	}
@@ -189,6 +209,9 @@
 	if now.Sub(home.record.changed) < warmTime {
 		holder = nil
 		for i := range candidates {
+			if crowd {
+				break
+			}
 			c := &candidates[i]
 			earlier := c.version == home.version && c.record.changed.Before(home.record.changed)
 			if earlier && (holder == nil || c.rank > holder.rank) {
@@ -197,13 +220,17 @@
 		}
 	}
 	if holder != nil && holder.depth == 0 {
-		holder.depth, holder.held = len(r.Chain), r.family().Tokens
+		holder.depth, holder.held, holder.presumed = len(r.Chain), r.family().Tokens, true
 	}
 }
 
 // stored returns how many of the shared parts the store of KV cache holds.
 func (p *Placer) stored(r *Request, k *keys, version int64, now time.Time) int {
 	list := k.of(version)
+	if whole := p.holders.parts[versioned(r.family().Family, version)]; p.crowded() && whole != nil && now.Sub(whole.kept) < crowdKept {
+		// Large fleets tell of whole families only.
+		return len(r.Chain)
+	}
 	for i, l := range r.Chain {
 		held, known := p.index.Holds(r.Cache, list[i], now)
 		within := sentTime
@@ -223,6 +250,9 @@
 func (p *Placer) cover(c *candidate, r *Request, k *keys, all []candidate, now time.Time) {
 	c.source, c.missing = "", r.Tokens-c.held
 	if c.depth == len(r.Chain) {
+		if c.presumed && r.Cache != "" && p.stored(r, k, c.version, now) == c.depth {
+			c.source = r.Cache
+		}
 		return
 	}
 	from, depth := "", c.depth
--- a/internal/gateway/placing/overload_test.go
+++ b/internal/gateway/placing/overload_test.go
@@ -50,13 +50,16 @@
 	load float64
 	// aim is what VMs are told of the time in which callers want the first token.
 	aim time.Duration
+	// pause is the time between two tellings of a VM.
+	pause time.Duration
 }
 
 const (
-	rushTokens = 4000
-	rushRate   = 50 // tokens in a millisecond
-	rushAim    = 500 * time.Millisecond
-	rushEnd    = 4 * time.Second
+	rushTokens   = 4000
+	rushFamilies = 500
+	rushRate     = 50 // tokens in a millisecond
+	rushAim      = 500 * time.Millisecond
+	rushEnd      = 4 * time.Second
 )
 
 // play returns the shares of the requests that were served in time and at all.
@@ -80,14 +83,14 @@
 		}
 	})
 	asked, early, late, due := 0, 0, 0, 0.0
-	for ms := range 8000 {
+	for ms := range 20000 {
 		now := epoch.Add(time.Duration(ms) * time.Millisecond)
-		if ms%100 == 0 {
+		if ms%int(r.pause.Milliseconds()) == 0 {
 			tell(placers, v, now)
 		}
 		for due += r.load * rushRate * float64(r.engines) / rushTokens; due >= 1; due-- {
 			vm := random.IntN(r.vms)
-			w := r.send(t, placers[vm], v, now)
+			w := r.send(t, placers[vm], v, uint64(random.IntN(rushFamilies)), now)
 			w.vm = vm
 			pool[w.choice.Target.ID].queue = append(pool[w.choice.Target.ID].queue, w)
 			asked++
@@ -115,10 +118,11 @@
 	return float64(early) / float64(asked), float64(early+late) / float64(asked)
 }
 
-func (r rush) send(t *testing.T, p *Placer, v *source.View, now time.Time) *waiter {
-	request := Request{Service: "llm", Model: "m", Tokens: rushTokens, Aim: r.aim, Left: rushEnd}
+func (r rush) send(t *testing.T, p *Placer, v *source.View, family uint64, now time.Time) *waiter {
+	chain := []Link{{Family: versioned(family, 9), Part: fmt.Sprint(family), Tokens: 100}}
+	request := Request{Service: "llm", Model: "m", Tokens: rushTokens, Chain: chain, Aim: r.aim, Left: rushEnd, Salt: func(int64) string { return "" }}
 	c := mustChoose(t, p, v, request, now)
-	p.Begin(c, nil, now)
+	p.Begin(c, chain, now)
 	return &waiter{choice: c, start: now, sent: now, left: rushTokens}
 }
 
@@ -137,7 +141,7 @@
 // TestRush plays a third more work than the engines can read. Without the aim,
 // which was the way before, every request waits its turn.
 func TestRush(t *testing.T) {
-	r := rush{engines: 6, vms: 4, load: 1.3}
+	r := rush{engines: 6, vms: 4, load: 1.3, pause: 100 * time.Millisecond}
 	inTimeBefore, servedBefore := r.play(t)
 	r.aim = rushAim
 	inTime, served := r.play(t)
@@ -146,17 +150,36 @@
 	must.Less(t, 0.3, inTimeBefore)
 	must.GreaterEq(t, servedBefore-0.05, served)
 	t.Run("nobody waits behind others without need", func(t *testing.T) {
-		inTime, served := rush{engines: 6, vms: 4, load: 0.6, aim: rushAim}.play(t)
+		inTime, served := rush{engines: 6, vms: 4, load: 0.6, aim: rushAim, pause: 100 * time.Millisecond}.play(t)
 		must.Greater(t, 0.97, inTime)
 		must.Greater(t, 0.97, served)
 	})
 }
 
+// TestCrowd plays fleets that hear of each other every three seconds.
+func TestCrowd(t *testing.T) {
+	t.Run("loads that are too old are not used", func(t *testing.T) {
+		// Families are many enough that their homes share the load; with loads that
+		// are 3 s old 0.75 were in time.
+		inTime, _ := rush{engines: 30, vms: 24, load: 0.5, aim: rushAim, pause: 3 * time.Second}.play(t)
+		must.Greater(t, 0.9, inTime)
+	})
+	t.Run("some wait so that others are in time", func(t *testing.T) {
+		r := rush{engines: 30, vms: 24, load: 1.2, pause: 3 * time.Second}
+		inTimeBefore, servedBefore := r.play(t)
+		r.aim = rushAim
+		inTime, served := r.play(t)
+		t.Logf("in time %.2f, served %.2f; without the aim %.2f, %.2f", inTime, served, inTimeBefore, servedBefore)
+		must.Greater(t, 2*inTimeBefore, inTime)
+		must.GreaterEq(t, servedBefore-0.05, served)
+	})
+}
+
 func TestLate(t *testing.T) {
 	v := engines(2)
 	v.Weights = source.NewWeights("m", map[int64]time.Time{2: epoch})
 	p := newPlacer()
-	crowd := func(target string) {
+	fill := func(target string) {
 		p.Hear(roster.Entry{VM: "b-" + target, Loads: []roster.Load{{Target: target, Prefill: 60000}}}, v, epoch)
 	}
 	r := Request{Service: "llm", Model: "m", Tokens: 1000, Aim: 300 * time.Millisecond, Left: 4 * time.Second}
@@ -164,9 +187,9 @@
 		must.False(t, mustChoose(t, p, v, r, epoch).Late)
 	})
 	t.Run("late where every target is full", func(t *testing.T) {
-		crowd("i-0")
+		fill("i-0")
 		must.False(t, mustChoose(t, p, v, r, epoch).Late)
-		crowd("i-1")
+		fill("i-1")
 		must.True(t, mustChoose(t, p, v, r, epoch).Late)
 	})
 	t.Run("late ones count only for late ones", func(t *testing.T) {
@@ -217,3 +240,99 @@
 	p.Hear(roster.Entry{VM: "b", Loads: []roster.Load{{Target: "i-0", Dark: true}}}, v, epoch.Add(2*suspectTime))
 	must.True(t, p.Suspect(target, epoch.Add(2*suspectTime)))
 }
+
+// crowd lets a VM hear of a large fleet.
+func crowd(p *Placer, v *source.View, now time.Time) {
+	for i := range crowdSize {
+		p.Hear(roster.Entry{VM: fmt.Sprint("b-", i)}, v, now)
+	}
+}
+
+func TestHotFamily(t *testing.T) {
+	p, v := newPlacer(), engines(30)
+	crowd(p, v, epoch)
+	r := verdict(1)
+	r.Cache = "10.9.9.9:1"
+	now, targets := epoch, map[string]int{}
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		c := mustChoose(t, p, v, r, now)
+		targets[c.Target.ID]++
+		p.Begin(c, r.Chain, now)
+		p.FirstToken(c, 60*time.Millisecond, now)
+		p.End(c, Served, true, now)
+	}
+	// 10 sends a second at each of 17 VMs need 10 of 30 engines to be read in time.
+	must.MapLen(t, 30, v.Targets)
+	must.Greater(t, 9, len(targets))
+	t.Run("a family that is sent seldom has one engine", func(t *testing.T) {
+		targets := map[string]int{}
+		for range 40 {
+			now = now.Add(5 * time.Second)
+			crowd(p, v, now)
+			targets[mustChoose(t, p, v, verdict(2), now).Target.ID]++
+		}
+		must.MapLen(t, 1, targets)
+	})
+	t.Run("it goes on at its engine with old weights", func(t *testing.T) {
+		before := mustChoose(t, p, v, verdict(3), now)
+		for id := range v.Targets {
+			if id != before.Target.ID {
+				p.Saw(v.Targets[id], "m", 2, now)
+				break
+			}
+		}
+		v.Weights = source.NewWeights("m", map[int64]time.Time{2: now})
+		later := now.Add(2 * time.Second)
+		must.Eq(t, before.Target.ID, mustChoose(t, p, v, verdict(3), later).Target.ID)
+	})
+	t.Run("one that rejects is avoided for a moment only", func(t *testing.T) {
+		before := mustChoose(t, p, v, verdict(4), now)
+		p.Begin(before, nil, now)
+		p.End(before, Rejected, false, now)
+		must.NotEq(t, before.Target.ID, mustChoose(t, p, v, verdict(4), now).Target.ID)
+		later := now.Add(2 * silentFirst)
+		must.Eq(t, before.Target.ID, mustChoose(t, p, v, verdict(4), later).Target.ID)
+	})
+}
+
+// TestDivide checks that the store of KV cache gets the families that its room is
+// for, and that large fleets hear of it.
+func TestDivide(t *testing.T) {
+	p, q, v := newPlacer(), newPlacer(), engines(50)
+	crowd(p, v, epoch)
+	crowd(q, v, epoch)
+	kept, request := 0, Request{}
+	for subject := range 1000 {
+		r := verdict(subject)
+		r.Cache, r.EngineTokens = "10.9.9.9:1", 100_000
+		r.CacheTokens = int(sharedRoom * 50 * 100_000)
+		c := mustChoose(t, p, v, r, epoch)
+		if c.Keep {
+			kept++
+			request = r
+			p.Begin(c, r.Chain, epoch)
+			must.False(t, mustChoose(t, p, v, r, epoch).Keep, must.Sprint("it is there already"))
+		}
+	}
+	must.Between(t, 450, kept, 550)
+	must.True(t, mustChoose(t, q, v, request, epoch).Keep)
+	q.Hear(roster.Entry{VM: "a", Reads: p.Reads(epoch)}, v, epoch)
+	heard := mustChoose(t, q, v, request, epoch)
+	must.False(t, heard.Keep)
+	must.Eq(t, request.Cache, heard.Source)
+	must.True(t, mustChoose(t, q, v, request, epoch.Add(crowdKept)).Keep)
+}
+
+// TestRumouredWait checks that a large fleet does not send to an engine where the
+// wait would outlast the bound of its weights.
+func TestRumouredWait(t *testing.T) {
+	p, v := newPlacer(), engines(1)
+	v.Weights = source.NewWeights("m", map[int64]time.Time{2: epoch})
+	at := epoch.Add(8 * time.Second)
+	crowd(p, v, at)
+	mustChoose(t, p, v, verdict(1), at)
+	p.Hear(roster.Entry{VM: "b-0", Loads: []roster.Load{{Target: "i-0", Prefill: 50_000}}}, v, at)
+	_, ok := p.Choose(v, verdict(1), at)
+	must.False(t, ok)
+}
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -98,8 +98,11 @@
 	Chain []Link
 	// Tokens are the prompt's tokens.
 	Tokens int
-	// Cache is the address of the store of KV cache, or empty.
-	Cache string
+	// Cache is the address of the store of KV cache, or empty, and CacheTokens its
+	// room beside the room of one engine, EngineTokens.
+	Cache        string
+	CacheTokens  int
+	EngineTokens int
 	// Salt returns the salt of KV cache made with a version of the weights.
 	Salt func(version int64) string
 	// Aim is how long the first token may take to be in time, and Left how long
@@ -108,6 +111,8 @@
 	Left time.Duration
 	// Tried are the targets that have failed this request.
 	Tried []string
+	// hot tells that the family has several homes, which take turns.
+	hot bool
 }
 
 // A Link is the start of a prompt up to the end of one shared part. Part is the
@@ -145,8 +150,9 @@
 	Expected time.Duration
 	First    time.Duration
 	Missing  int
-	// plain is First without the pace of the target.
+	// plain is First without the pace of the target, aim what was asked for.
 	plain time.Duration
+	aim   time.Duration
 }
 
 // Silent tells whether the chosen target is one that did not answer lately.
@@ -169,6 +175,12 @@
 	told     bool
 	holders  holders
 	index    *caches.Index
+	// heats are the families that this VM has sent lately; turn counts sends of hot
+	// ones.
+	heats map[uint64]heat
+	turn  int
+	// pressure is the part of the requests that wait behind others in a large fleet.
+	pressure float64
 }
 
 // A record is what this VM knows of one target by its own sends.
@@ -208,7 +220,7 @@
 // for longer than oldest, less a margin for what this VM learnt late, are not
 // used.
 func New(dataCentre string, oldest time.Duration, index *caches.Index) *Placer {
-	return &Placer{dataCentre: dataCentre, index: index, oldest: oldest - learnMargin, records: map[string]*record{}, others: map[string]telling{}, busy: map[string]bool{}, holders: newHolders()}
+	return &Placer{dataCentre: dataCentre, index: index, oldest: oldest - learnMargin, records: map[string]*record{}, others: map[string]telling{}, busy: map[string]bool{}, holders: newHolders(), heats: map[uint64]heat{}}
 }
 
 // SetOldest replaces the time after which overtaken weights are not used.
@@ -227,15 +239,31 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	home := homeOf(candidates)
+	large := len(candidates) >= largePool
+	keeps := r.keeps(len(candidates), large)
+	crowd := p.crowded() && len(r.Chain) > 0
+	var first *candidate
+	if crowd {
+		candidates = p.narrow(candidates, now)
+		first = copyOf(candidates, 1, 0)
+	} else {
+		first = homeOf(candidates)
+	}
+	home := first
+	if crowd {
+		if copies := p.warm(&r, now); copies > 1 {
+			p.turn++
+			r.hot = true
+			home = copyOf(candidates, copies, p.turn)
+		}
+	}
 	average := averageFailing(candidates)
 	keys := newKeys(&r)
 	for i := range candidates {
 		p.holds(&candidates[i], &r, keys, now)
 	}
-	if len(candidates) >= largePool {
-		r.Cache = ""
-		presume(candidates, home, &r, now)
+	if large {
+		presume(candidates, first, &r, crowd, now)
 	}
 	for i := range candidates {
 		c := &candidates[i]
@@ -245,7 +273,7 @@
 	}
 	chosen := cheapest(candidates)
 	late := false
-	if r.Model != "" && r.Aim != 0 && chosen.first > r.Aim {
+	if r.Model != "" && r.Aim != 0 && (chosen.first > r.Aim || p.yields()) {
 		if c := p.behind(candidates, r, average, now); c != nil {
 			chosen, late = c, true
 		}
@@ -258,9 +286,10 @@
 		Missing:  chosen.missing,
 		First:    chosen.first,
 		plain:    chosen.plain,
+		aim:      r.Aim,
 		Expected: time.Duration(chosen.cost * float64(time.Millisecond)),
 		Source:   chosen.source,
-		Keep:     p.worthKeeping(&r, keys, chosen.version, now),
+		Keep:     keeps && p.worthKeeping(&r, keys, chosen.version, now),
 	}, true
 }
 
--- a/internal/gateway/placing/record.go
+++ b/internal/gateway/placing/record.go
@@ -72,6 +72,7 @@
 func (p *Placer) FirstToken(c Choice, took time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.press(c, took)
 	if r, ok := p.records[c.Target.ID]; ok && r.born == c.Target.Born {
 		r.answered = now
 		r.wait(c, -c.Missing)
@@ -94,6 +95,8 @@
 	Silenced
 	// Dropped is a send that says nothing of its target.
 	Dropped
+	// Rejected is a target that is full or loads.
+	Rejected
 )
 
 // End notes how a send ended. First tells whether FirstToken was called.
@@ -107,6 +110,9 @@
 	r.running = max(0, r.running-1)
 	if !first {
 		r.wait(c, -c.Missing)
+		if end == Dropped {
+			p.press(c, c.aim)
+		}
 	}
 	switch end {
 	case Served:
@@ -115,6 +121,14 @@
 		r.silent, r.until, r.dark = 0, time.Time{}, false
 	case Failed:
 		r.note(true, now)
+	case Rejected:
+		if p.crowded() {
+			// It may take requests again at once, and the sends of one VM are too few
+			// to tell how often.
+			r.until = now.Add(silentFirst)
+			return
+		}
+		r.note(true, now)
 	case Unreached:
 		// Until a probe reaches it again.
 		r.note(true, now)
@@ -229,12 +243,13 @@
 }
 
 // Reads returns which engines this VM has sent shared parts to lately, for other
-// VMs.
+// VMs; in a large fleet only what went to the store of KV cache.
 func (p *Placer) Reads(now time.Time) []roster.Read {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.holders.prune(now)
-	return p.holders.tell(now)
+	p.cool(now)
+	return p.holders.tell(p.crowded(), now)
 }
 
 // forgetTime is how long the record of a target that is not listed is kept.
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -131,7 +131,7 @@
 		x.handler.opts.Placer.Refused(x.choice, x.answer.job.declared.Model, time.Now())
 		return again{why: "misdirected at " + receipt.Target, arrived: true}, placing.Dropped
 	}
-	return again{why: "rejected with " + r.Response.Status, arrived: true}, placing.Failed
+	return again{why: "rejected with " + r.Response.Status, arrived: true}, placing.Rejected
 }
 
 // passPlain holds an answer back until it is whole.
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -88,8 +88,11 @@
 	cost     float64
 	chain    []placing.Link
 	cache    string
-	shared   int
-	tokens   int
+	// cacheTokens and engineTokens are the room of the store and of one engine.
+	cacheTokens  int
+	engineTokens int
+	shared       int
+	tokens       int
 
 	// What happened so far.
 	tried    []string
@@ -251,8 +254,11 @@
 		}
 	}
 	j.tokens = max(j.tokens, d.PromptTokens)
+	if s := j.view.Config.Services[j.service]; j.engine {
+		j.engineTokens = s.Engine.CapacityTokens
+	}
 	if cache := j.view.Config.CacheStore(); cache != nil {
-		j.cache = cache.Address
+		j.cache, j.cacheTokens = cache.Address, cache.CapacityTokens
 	}
 }
 
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -89,6 +89,7 @@
 	r := placing.Request{Service: j.service, Tried: j.tried}
 	if j.engine {
 		r.Model, r.Chain, r.Tokens, r.Cache, r.Salt = j.declared.Model, j.chain, j.tokens, j.cache, j.salt
+		r.CacheTokens, r.EngineTokens = j.cacheTokens, j.engineTokens
 		r.Left = time.Until(j.until)
 		if j.route.Aim > 0 && j.first == 0 {
 			r.Aim = j.route.Aim - time.Since(j.start)
