Guard the played engines of a rollout test

Change: the first order comes over a channel, weights under a lock. The bound is the same.

Measured: go test -race -cpu 1 passes; without the question whether an engine answers the test fails as before (2.55 s).

--- a/internal/fleet/rollout/task_test.go
+++ b/internal/fleet/rollout/task_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,9 +19,19 @@
 
 // A fleet is engines that load in no time, of which some take no connections.
 type fleet struct {
-	dark    map[string]bool
+	dark map[string]bool
+	// first takes the first order.
+	first chan string
+
+	mu      sync.Mutex
 	weights map[string]int64
-	ordered []string
+}
+
+// version returns the weights of an engine.
+func (f *fleet) version(target string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.weights[target]
 }
 
 func (f *fleet) Report(_ context.Context, target, _ string) (platform.EngineReport, error) {
@@ -28,12 +39,17 @@
 		time.Sleep(400 * time.Millisecond)
 		return platform.EngineReport{}, errors.New("i/o timeout")
 	}
-	return platform.EngineReport{Weights: map[string]int64{"m": f.weights[target]}}, nil
+	return platform.EngineReport{Weights: map[string]int64{"m": f.version(target)}}, nil
 }
 
 func (f *fleet) Load(_ context.Context, _ string, o platform.LoadOrder) (platform.OrderOutcome, error) {
-	f.ordered = append(f.ordered, o.Target)
+	f.mu.Lock()
 	f.weights[o.Target] = o.Version
+	f.mu.Unlock()
+	select {
+	case f.first <- o.Target:
+	default:
+	}
 	return platform.OrderAccepted, nil
 }
 
@@ -41,7 +57,7 @@
 // unnoticed. An engine that is emptied in vain costs the pool emptyTime.
 func TestDarkEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{dark: map[string]bool{"i-0": true}, weights: map[string]int64{"i-0": 1, "i-1": 1, "i-2": 2, "i-3": 2, "i-4": 2}}
+		f := &fleet{first: make(chan string, 1), dark: map[string]bool{"i-0": true}, weights: map[string]int64{"i-0": 1, "i-1": 1, "i-2": 2, "i-3": 2, "i-4": 2}}
 		v := &source.View{
 			Config:  &site.Config{Services: map[string]*site.Service{"llm": {Engine: &site.Engine{Models: []string{"m"}}}}},
 			Targets: map[string]*site.Target{},
@@ -54,7 +70,7 @@
 		d.opts.Engines = f
 		d.opts.View = func() *source.View { return v }
 		d.opts.Members = func() []roster.Member { return nil }
-		d.opts.Version = func(target *site.Target, _ string) int64 { return f.weights[target.ID] }
+		d.opts.Version = func(target *site.Target, _ string) int64 { return f.version(target.ID) }
 		d.opts.Running = func(target *site.Target) int {
 			if target.ID == "i-0" {
 				return 4
@@ -69,10 +85,7 @@
 		defer cancel()
 		begun := time.Now()
 		go func() { _ = d.Run(ctx) }()
-		for len(f.ordered) == 0 && time.Since(begun) < time.Minute {
-			time.Sleep(10 * time.Millisecond)
-		}
-		must.Eq(t, "i-1", f.ordered[0])
+		must.Eq(t, "i-1", <-f.first)
 		must.Less(t, emptyTime+time.Second, time.Since(begun))
 	})
 }
