--- a/internal/gateway/placing/crowd.go
+++ b/internal/gateway/placing/crowd.go
@@ -73,6 +73,24 @@
 	return sound
 }
 
+// homes returns the candidates that count, the first home of the request's family
+// and the home that takes this request; the homes are nil without shared parts.
+func (p *Placer) homes(all []candidate, r *Request, now time.Time) (candidates []candidate, first, home *candidate) {
+	if !p.crowded() || len(r.Chain) == 0 {
+		first = homeOf(all)
+		return all, first, first
+	}
+	candidates = p.narrow(all, now)
+	first = copyOf(candidates, 1, 0)
+	home = first
+	if copies := p.warm(r, now); copies > 1 {
+		p.turn++
+		r.hot = true
+		home = copyOf(candidates, copies, p.turn)
+	}
+	return candidates, first, home
+}
+
 // newest returns the part of the candidates that have the newest weights.
 func newest(candidates []candidate) float64 {
 	version, n := int64(math.MinInt64), 0
--- a/internal/gateway/placing/holders.go
+++ b/internal/gateway/placing/holders.go
@@ -208,15 +208,8 @@
 	holder := home
 	if now.Sub(home.record.changed) < warmTime {
 		holder = nil
-		for i := range candidates {
-			if crowd {
-				break
-			}
-			c := &candidates[i]
-			earlier := c.version == home.version && c.record.changed.Before(home.record.changed)
-			if earlier && (holder == nil || c.rank > holder.rank) {
-				holder = c
-			}
+		if !crowd {
+			holder = earlierHome(candidates, home)
 		}
 	}
 	if holder != nil && holder.depth == 0 {
@@ -224,6 +217,20 @@
 	}
 }
 
+// earlierHome returns the engine that was the home before another one came to have
+// the same weights.
+func earlierHome(candidates []candidate, home *candidate) *candidate {
+	var holder *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		earlier := c.version == home.version && c.record.changed.Before(home.record.changed)
+		if earlier && (holder == nil || c.rank > holder.rank) {
+			holder = c
+		}
+	}
+	return holder
+}
+
 // stored returns how many of the shared parts the store of KV cache holds.
 func (p *Placer) stored(r *Request, k *keys, version int64, now time.Time) int {
 	list := k.of(version)
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -235,49 +235,28 @@
 func (p *Placer) Choose(v *source.View, r Request, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := p.candidates(v, r, now)
-	if len(candidates) == 0 {
+	all := p.candidates(v, r, now)
+	if len(all) == 0 {
 		return Choice{}, false
 	}
-	large := len(candidates) >= largePool
-	keeps := r.keeps(len(candidates), large)
-	crowd := p.crowded() && len(r.Chain) > 0
-	var first *candidate
-	if crowd {
-		candidates = p.narrow(candidates, now)
-		first = copyOf(candidates, 1, 0)
-	} else {
-		first = homeOf(candidates)
-	}
-	home := first
-	if crowd {
-		if copies := p.warm(&r, now); copies > 1 {
-			p.turn++
-			r.hot = true
-			home = copyOf(candidates, copies, p.turn)
-		}
-	}
-	average := averageFailing(candidates)
+	large := len(all) >= largePool
+	keeps := r.keeps(len(all), large)
+	candidates, first, home := p.homes(all, &r, now)
 	keys := newKeys(&r)
 	for i := range candidates {
 		p.holds(&candidates[i], &r, keys, now)
 	}
 	if large {
-		presume(candidates, first, &r, crowd, now)
+		presume(candidates, first, &r, p.crowded(), now)
 	}
+	average := averageFailing(candidates)
 	for i := range candidates {
 		c := &candidates[i]
 		c.home = home != nil && c.target.ID == home.target.ID
 		p.cover(c, &r, keys, candidates, now)
 		c.score(p, r, average, now)
 	}
-	chosen := cheapest(candidates)
-	late := false
-	if r.Model != "" && r.Aim != 0 && (chosen.first > r.Aim || p.yields()) {
-		if c := p.behind(candidates, r, average, now); c != nil {
-			chosen, late = c, true
-		}
-	}
+	chosen, late := p.pick(candidates, r, average, now)
 	return Choice{
 		Target:   chosen.target,
 		Weights:  chosen.version,
@@ -293,6 +272,19 @@
 	}, true
 }
 
+// pick returns the best of the candidates, and whether the request is late there
+// and has to wait behind others.
+func (p *Placer) pick(candidates []candidate, r Request, average float64, now time.Time) (*candidate, bool) {
+	chosen := cheapest(candidates)
+	if r.Model == "" || r.Aim == 0 || chosen.first <= r.Aim && !p.yields() {
+		return chosen, false
+	}
+	if c := p.behind(candidates, r, average, now); c != nil {
+		return c, true
+	}
+	return chosen, false
+}
+
 func cheapest(candidates []candidate) *candidate {
 	best := &candidates[0]
 	for i := range candidates {
