Bound the pulls of one kind in a large fleet

Change: from 16 VMs on a VM has at most two pulls of a kind under way, which have 2.5 s. Smaller fleets are as they were.

Conclusion: a configuration in changes only, or packed, would need less; open.

--- a/internal/gateway/node/telling.go
+++ b/internal/gateway/node/telling.go
@@ -34,6 +34,43 @@
 	// ahead is when a kind was first seen to be behind.
 	ahead map[int]time.Time
 	word  time.Time
+	// pulling counts the pulls of each kind that are under way.
+	pulling map[int]int
+}
+
+const (
+	// largeFleet is the number of VMs from which on pulls are bounded: a large
+	// configuration fills the links of VMs that many others pull it from.
+	largeFleet = 16
+	// mostPulls is the number of pulls of one kind at the same time.
+	mostPulls = 2
+	// pullTimeout and largePullTimeout bound a pull; 500 KB take 0.4 s on the
+	// slowest links if nobody else pulls.
+	pullTimeout      = time.Second
+	largePullTimeout = 2500 * time.Millisecond
+)
+
+// begin returns the kinds of which another pull may begin, and counts them. The
+// caller holds mu.
+func (m *marks) begin(kinds []int) []int {
+	var out []int
+	for _, kind := range kinds {
+		if m.pulling == nil {
+			m.pulling = map[int]int{}
+		}
+		if m.pulling[kind] < mostPulls {
+			m.pulling[kind]++
+			out = append(out, kind)
+		}
+	}
+	return out
+}
+
+// ended notes that a pull is over.
+func (m *marks) ended(kind int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pulling[kind]--
 }
 
 // pullDelay is how long this VM's own read has before another VM is asked.
@@ -82,14 +119,23 @@
 		clear(n.mark.ahead)
 	}
 	n.mark.word = now
+	bounded := n.roster.Count() >= largeFleet
+	if bounded {
+		pull = n.mark.begin(pull)
+	}
 	n.mark.mu.Unlock()
 	for _, kind := range pull {
-		go n.pull(peer.Destination{VM: e.VM, Address: e.Peers}, kind)
+		go n.pull(peer.Destination{VM: e.VM, Address: e.Peers}, kind, bounded)
 	}
 }
 
-func (n *Node) pull(from peer.Destination, kind int) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+func (n *Node) pull(from peer.Destination, kind int, bounded bool) {
+	timeout := pullTimeout
+	if bounded {
+		timeout = largePullTimeout
+		defer n.mark.ended(kind)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := n.source.PullFrom(ctx, n.client, from, kind); err != nil {
 		_ = n.log.Log("msg", "state not pulled", "from", from.VM, "kind", kind, "err", err)
