Keep one size from which a fleet is large

Cause: roster, quota, placing and node each had their own 16 for the fleet in which tellings come less often.

Change: roster.SmallFleet, used by all four. Values are the same.

Measured: vet, lint and the tests of internal/fleet, placing and node pass.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -16,6 +16,7 @@
 	"maps"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 )
 
@@ -34,8 +35,6 @@
 	// spend a whole rate from a full bucket of one second.
 	drawPart   = 2.0
 	drawPeriod = 250 * time.Millisecond
-	// drawFleet is the number of VMs from which on tellings come less often.
-	drawFleet = 16
 	// drift is the part of the rate that is not given out, for clocks that run at
 	// different speeds.
 	drift = 0.01
@@ -130,7 +129,7 @@
 // drawPeriod is the time for which one draw lasts; tellings take longer in a large
 // fleet.
 func (s *State) drawPeriod() time.Duration {
-	return time.Duration(float64(drawPeriod) * max(1, float64(s.sharers())/drawFleet))
+	return time.Duration(float64(drawPeriod) * max(1, float64(s.sharers())/roster.SmallFleet))
 }
 
 // Refund gives back what an admitted request did not use, since it did not run.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -104,11 +104,14 @@
 	return e.Seq > o.Seq
 }
 
+// SmallFleet is the number of VMs from which on tellings come less often, so that
+// what a VM hears does not grow with the fleet.
+const SmallFleet = 16
+
 const (
-	// period is the time between two tellings of a VM in a fleet of smallFleet VMs
+	// period is the time between two tellings of a VM in a fleet of SmallFleet VMs
 	// or fewer; it grows with the fleet, so that what a VM hears does not.
-	period     = 250 * time.Millisecond
-	smallFleet = 16
+	period = 250 * time.Millisecond
 	// aliveTime is how long after its last new telling a VM counts as alive, in a
 	// small fleet.
 	aliveTime = 1500 * time.Millisecond
@@ -130,7 +133,7 @@
 
 // slowness is how much longer than in a small fleet tellings take in one of so
 // many VMs.
-func slowness(vms int) float64 { return max(1, float64(vms)/smallFleet) }
+func slowness(vms int) float64 { return max(1, float64(vms)/SmallFleet) }
 
 // patience returns how long a VM counts as alive after its last telling.
 func (t *Table) patience() time.Duration {
@@ -308,7 +311,7 @@
 
 // Large tells whether the fleet is so large that VMs compare digests before they
 // tell each other entries.
-func (t *Table) Large() bool { return len(t.members) >= smallFleet }
+func (t *Table) Large() bool { return len(t.members) >= SmallFleet }
 
 // Delivered notes that a peer has taken in entries.
 func (t *Table) Delivered(peer string, entries []Entry) {
--- a/internal/gateway/node/telling.go
+++ b/internal/gateway/node/telling.go
@@ -39,10 +39,8 @@
 }
 
 const (
-	// largeFleet is the number of VMs from which on pulls are bounded: a large
-	// configuration fills the links of VMs that many others pull it from.
-	largeFleet = 16
-	// mostPulls is the number of pulls of one kind at the same time.
+	// mostPulls is the number of pulls of one kind at the same time in a large fleet,
+	// where a large configuration fills the links of VMs that many others pull from.
 	mostPulls = 2
 	// pullTimeout and largePullTimeout bound a pull; 500 KB take 0.4 s on the
 	// slowest links if nobody else pulls.
@@ -119,7 +117,7 @@
 		clear(n.mark.ahead)
 	}
 	n.mark.word = now
-	bounded := n.roster.Count() >= largeFleet
+	bounded := n.roster.Count() >= roster.SmallFleet
 	if bounded {
 		pull = n.mark.begin(pull)
 	}
--- a/internal/gateway/placing/crowd.go
+++ b/internal/gateway/placing/crowd.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 )
 
 // The load that this file answers: fleets so large that what VMs tell each other
@@ -11,9 +13,8 @@
 // its engine by rank alone, and only what a VM meets itself moves it.
 
 const (
-	// crowdSize is the number of VMs from which on loads of others are not used; the
-	// pause between two tellings grows with the fleet.
-	crowdSize = 16
+	// crowdSize is the number of VMs from which on loads of others are not used.
+	crowdSize = roster.SmallFleet
 	// mostNewer is the part of the engines that must have newer weights before what
 	// need not stay at its home leaves the others.
 	mostNewer = 0.5
