Keep the age of old weights where they are spared in a large fleet

Cause: read in the diff: while few engines have newer weights, narrow marked the others as not old, so that they cost no more; behind took that for their age, and could let a late request wait at them past the bound of their weights.

Change: a mark of its own spares the cost; the age stays.

Measured: TestLateInCrowd fails before and passes; the package's tests and lint pass.

--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -17,11 +17,13 @@
 	// old tells that newer weights were named, overtaken when.
 	old       bool
 	overtaken time.Time
-	rank      uint64
-	home      bool
-	running   int
-	prefill   int
-	late      int
+	// spared tells that old weights are no reason to go elsewhere yet.
+	spared  bool
+	rank    uint64
+	home    bool
+	running int
+	prefill int
+	late    int
 	// rumoured is what other VMs of a large fleet had waiting there when they last
 	// told, too old to choose by.
 	rumoured int
@@ -197,7 +199,7 @@
 		case c.held < shared:
 			c.cost += awayCost * min(1, float64(shared-c.held)/2000)
 		}
-		if c.old && now.Sub(c.overtaken) > oldGrace {
+		if c.old && !c.spared && now.Sub(c.overtaken) > oldGrace {
 			c.cost += oldCost
 		}
 	}
--- a/internal/gateway/placing/crowd.go
+++ b/internal/gateway/placing/crowd.go
@@ -68,7 +68,7 @@
 	}
 	if newest(sound) < mostNewer {
 		for i := range sound {
-			sound[i].old = false
+			sound[i].spared = true
 		}
 	}
 	return sound
--- a/internal/gateway/placing/overload_test.go
+++ b/internal/gateway/placing/overload_test.go
@@ -337,3 +337,17 @@
 	_, ok := p.Choose(v, verdict(1), at)
 	must.False(t, ok)
 }
+
+// TestLateInCrowd checks that a large fleet lets nothing wait at an engine until its
+// weights are too old, also while few engines have newer ones.
+func TestLateInCrowd(t *testing.T) {
+	p, v := newPlacer(), engines(30)
+	v.Weights = source.NewWeights("m", map[int64]time.Time{2: epoch})
+	at := epoch.Add(6 * time.Second)
+	crowd(p, v, at)
+	p.Saw(v.Targets["i-0"], "m", 2, at)
+	r := verdict(1)
+	r.Aim, r.Left = time.Millisecond, 4*time.Second
+	c := mustChoose(t, p, v, r, at)
+	must.True(t, !c.Late || c.Weights == 2)
+}
