Read the store in time when no watcher confirms a VM's state

Callers saw requests run with keys whose withdrawal had been confirmed more than 3 s before, on VMs of several data centres.

Cause: four VMs read changes for the fleet. The store turned the four away together; they kept their duty until their last response was 3 s old, and no other VM could tell how old its state was. The timeout had no relation to the bound within which a change must be in force.

Change: each VM knows, by kind, up to when its state is complete. VMs that do not poll ask those that do, every eighth of the shortest bound, and read the store themselves when their state is unconfirmed for half of its bound. The bounds come from the settings, and polls wait a quarter of them. A watcher whose read fails says so at once and is replaced. Under a strict bound of withdrawn keys the age of the configuration counts, not the last update of any VM.

Conclusion: the bound is kept by each VM for itself, whatever happens to the VMs that read for it: half of it passes before it reads the store, half is left.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -76,6 +76,8 @@
 type StoreWatch struct {
 	Reads bool  `cbor:"1,keyasint"`
 	AgeMS int64 `cbor:"2,keyasint"`
+	// Failing reports whether the VM's last read of the store failed.
+	Failing bool `cbor:"3,keyasint,omitempty"`
 }
 
 // An Entry is the state that one VM publishes about itself. Born, the time of its
--- /dev/null
+++ b/internal/fleet/source/confirm_test.go
@@ -0,0 +1,47 @@
+package source
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/store"
+)
+
+// TestConfirmationIsNotOptimistic guards against a VM that counts as up to date
+// although a change that another VM knows, or an outage of that VM, is unknown to it.
+func TestConfirmationIsNotOptimistic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peer.NewMemory()
+		watcher, follower := New(Options{Decoder: decoder}), New(Options{Decoder: decoder, Peers: network.Node("f", "f")})
+		watcher.Register(network.Node("w", "w"))
+		to := peer.Destination{VM: "w", Address: "w"}
+		config := store.Object{Key: "config/main", Version: 2, Value: []byte("1")}
+		for _, s := range []*Source{watcher, follower} {
+			s.applySnapshot(Config, []store.Object{config}, 2, time.Now())
+		}
+		ask := func() { follower.ask(t.Context(), to, time.Second) }
+
+		time.Sleep(3 * time.Second)
+		ask()
+		must.Eq(t, 3*time.Second, follower.Age(Config), must.Sprint("the watcher's state is as old"))
+
+		watcher.applyEvents(Config, 2, nil, 3)
+		time.Sleep(time.Second)
+		ask()
+		must.Eq(t, time.Second, follower.Age(Config), must.Sprint("a read without changes confirms both"))
+
+		config.Version, config.Value = 4, []byte("2")
+		watcher.applyEvents(Config, 3, []store.Event{{Object: config}}, 4)
+		time.Sleep(time.Second)
+		ask()
+		must.Eq(t, 2*time.Second, follower.Age(Config), must.Sprint("the change is not known"))
+
+		must.NoError(t, follower.PullFrom(t.Context(), follower.opts.Peers, to, Config))
+		must.Eq(t, 2, follower.View().Config.Version)
+		must.Between(t, time.Second, follower.Age(Config), 1010*time.Millisecond)
+	})
+}
--- a/internal/fleet/source/share.go
+++ b/internal/fleet/source/share.go
@@ -39,6 +39,9 @@
 	// RecoveredMS is the number of milliseconds since the end of the store's last
 	// outage, after which entries may be missing for a while.
 	RecoveredMS int64 `cbor:"5,keyasint"`
+	// ConfirmedMS is the age of the objects in milliseconds plus one, or 0 if it is
+	// not known.
+	ConfirmedMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Positions returns the store version up to which this VM has read each kind.
@@ -70,6 +73,9 @@
 	peer.Handle(r, CallPull, func(_ context.Context, _ string, p PullRequest) (PullResponse, error) {
 		return s.handlePull(p), nil
 	})
+	peer.Handle(r, CallConfirm, func(_ context.Context, _ string, _ ConfirmRequest) (ConfirmResponse, error) {
+		return s.handleConfirm(), nil
+	})
 }
 
 func (s *Source) handlePull(p PullRequest) PullResponse {
@@ -80,6 +86,7 @@
 	defer s.mu.Unlock()
 	t := s.tables[p.Kind]
 	out := PullResponse{At: t.at, Whole: p.After < t.floor || p.After == 0, RecoveredMS: time.Since(t.recovered).Milliseconds()}
+	out.ConfirmedMS = t.age(time.Now()).Milliseconds() + 1
 	for _, e := range t.objects {
 		if e.missingSince.IsZero() && (out.Whole || e.object.Version > p.After) {
 			out.Objects = append(out.Objects, e.object)
@@ -104,6 +111,7 @@
 	after := t.at
 	s.mu.Unlock()
 	var resp PullResponse
+	sent := time.Now()
 	if err := c.Call(ctx, to, CallPull, PullRequest{Kind: kind, After: after}, &resp); err != nil {
 		return err
 	}
@@ -113,6 +121,9 @@
 		return nil
 	}
 	s.applyPulled(kind, t, resp)
+	if resp.ConfirmedMS > 0 {
+		t.confirm(sent.Add(-time.Duration(resp.ConfirmedMS) * time.Millisecond))
+	}
 	t.rehash()
 	s.log("msg", "state pulled from VM", "from", to.VM, "kind", s.opts.Decoder.Kinds[kind], "at", resp.At,
 		"whole", resp.Whole, "objects", len(resp.Objects), "removed", len(resp.Removed))
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/peer"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
@@ -27,10 +28,6 @@
 )
 
 const (
-	// pollTimeout is how long one read waits for a change. Together with the
-	// client's additional timeout it stays below the shortest time within which a
-	// change must take effect when a connection stops delivering data.
-	pollTimeout = 2200 * time.Millisecond
 	// batchDelay is the delay after changes of targets, which often come in groups.
 	// It is short because a target that is leaving must be known within seconds.
 	batchDelay = 120 * time.Millisecond
@@ -51,6 +48,10 @@
 	Weights func(spec []byte) (model string, version int64, err error)
 }
 
+// Bounds are the times, by kind, within which a change must be in force on all VMs;
+// zero means defaultBound.
+type Bounds [kinds]time.Duration
+
 // Options are the parameters of a Source.
 type Options struct {
 	Feed    store.Feed
@@ -59,8 +60,16 @@
 	// OnChange is called after the view has changed.
 	OnChange func()
 	// Watching reports whether this VM polls the store. If not, it receives changes
-	// from other VMs. Nil means always.
+	// from other VMs, and reads the store if they do not confirm its state in time.
+	// Nil means always.
 	Watching func() bool
+	// Watchers returns other VMs that poll the store, and Peers calls them.
+	Watchers func() []peer.Destination
+	Peers    peer.Caller
+	// Bounds returns the bounds in force.
+	Bounds func() Bounds
+	// OnStoreStatus is called when the store starts or stops responding to this VM.
+	OnStoreStatus func()
 }
 
 // A View is the state of the site as known to one VM. It is read-only.
@@ -85,8 +94,9 @@
 	tables [kinds]*table
 	// lastResponse is when the store last responded to this VM.
 	lastResponse time.Time
-	// down reports whether the last read failed.
-	down bool
+	// down reports whether the last read failed, and lastFailure when it did.
+	down        bool
+	lastFailure time.Time
 }
 
 // New returns a Source with an empty view.
@@ -112,26 +122,39 @@
 	return s.lastResponse
 }
 
-// Run polls the store for all kinds until ctx ends.
+// failureMemory is how long a VM is not asked to poll the store for others after a
+// read of it has failed.
+const failureMemory = 5 * time.Second
+
+// StoreFailing reports whether the last read of the store failed, and recently.
+func (s *Source) StoreFailing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down && time.Since(s.lastFailure) < failureMemory
+}
+
+// Run keeps the view up to date until ctx ends.
 func (s *Source) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	for kind := range kinds {
 		wg.Go(func() { s.poll(ctx, kind) })
 	}
 	wg.Go(func() { s.expireMissing(ctx) })
+	wg.Go(func() { s.follow(ctx) })
 	wg.Wait()
 	return nil
 }
 
-// poll reads one kind and its changes until ctx ends.
+// poll reads one kind and its changes until ctx ends, whenever that is due.
 func (s *Source) poll(ctx context.Context, kind int) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		if s.idle() {
+		wait, due := s.nextRead(kind)
+		if !due {
 			store.Sleep(ctx, idleInterval)
 			continue
 		}
-		err := s.read(ctx, kind)
+		err := s.read(ctx, kind, wait)
 		s.recordResult(err)
 		if err == nil || errors.Is(err, store.ErrHistoryLost) {
 			delay = minRetryDelay
@@ -143,33 +166,38 @@
 	}
 }
 
-// idle reports whether this VM leaves polling the store to others. It polls until
-// it has a configuration and a list of targets.
-func (s *Source) idle() bool {
+// nextRead reports whether a read of a kind is due, and how long it may wait for a
+// change. A VM polls the store until it has a configuration and a list of targets,
+// and while it is a watcher. Other VMs read only what no watcher confirms.
+func (s *Source) nextRead(kind int) (wait time.Duration, due bool) {
 	select {
 	case <-s.ready:
-		return s.opts.Watching != nil && !s.opts.Watching()
 	default:
-		return false
+		return s.pollWait(kind), true
+	}
+	if s.opts.Watching == nil || s.opts.Watching() {
+		return s.pollWait(kind), true
 	}
+	return minPollWait, s.isUnconfirmed(kind)
 }
 
 // read makes one call for a kind and applies its result.
-func (s *Source) read(ctx context.Context, kind int) error {
+func (s *Source) read(ctx context.Context, kind int, wait time.Duration) error {
 	name := s.opts.Decoder.Kinds[kind]
 	s.mu.Lock()
 	t := s.tables[kind]
 	after, listed := t.at, t.listed
 	s.mu.Unlock()
 	if !listed {
+		start := time.Now()
 		objects, at, err := s.opts.Feed.Snapshot(ctx, name)
 		if err != nil {
 			return err
 		}
-		s.applySnapshot(kind, objects, at)
+		s.applySnapshot(kind, objects, at, start)
 		return nil
 	}
-	events, at, err := s.opts.Feed.Changes(ctx, name, after, pollTimeout)
+	events, at, err := s.opts.Feed.Changes(ctx, name, after, wait)
 	switch {
 	case errors.Is(err, store.ErrHistoryLost):
 		s.mu.Lock()
@@ -196,20 +224,32 @@
 
 // recordResult records whether the store responds, and logs when that changes.
 func (s *Source) recordResult(err error) {
+	if s.updateStatus(err) && s.opts.OnStoreStatus != nil {
+		s.opts.OnStoreStatus()
+	}
+}
+
+// updateStatus records the result of a read and reports whether the status of the
+// store has changed.
+func (s *Source) updateStatus(err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil || errors.Is(err, store.ErrHistoryLost) {
-		s.lastResponse = time.Now()
-		if s.down {
-			s.down = false
-			s.log("msg", "object store available")
-		}
-		return
+	was := s.down
+	switch {
+	case err == nil || errors.Is(err, store.ErrHistoryLost):
+		s.lastResponse, s.down = time.Now(), false
+	case errors.Is(err, context.Canceled):
+		// The process is stopping.
+	default:
+		s.lastFailure, s.down = time.Now(), true
 	}
-	if !s.down && !errors.Is(err, context.Canceled) {
-		s.down = true
+	switch {
+	case s.down && !was:
 		s.log("msg", "object store unavailable", "err", err)
+	case was && !s.down:
+		s.log("msg", "object store available")
 	}
+	return was != s.down
 }
 
 func (s *Source) log(keyvals ...any) {
--- a/internal/fleet/source/source_test.go
+++ b/internal/fleet/source/source_test.go
@@ -178,7 +178,7 @@
 			time.Sleep(2 * time.Second)
 			f.set(func() { f.silent = false })
 			f.put("config/main", "6")
-			time.Sleep(pollTimeout + maxRetryDelay)
+			time.Sleep(maxPollWait + maxRetryDelay)
 			must.Eq(t, 6, s.View().Config.Version)
 		})
 	})
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -29,6 +29,12 @@
 	// listed reports whether changes after at may be read. Otherwise a snapshot of
 	// the kind has to be read.
 	listed bool
+	// confirmed is a time up to which the table has all changes that the store had
+	// acknowledged, as far as known.
+	confirmed time.Time
+	// selfReading reports whether this VM reads the kind from the store because no
+	// other VM confirms it.
+	selfReading bool
 	// hash identifies the content.
 	hash uint64
 	// failed reports whether the last read of the kind got no response.
@@ -102,14 +108,15 @@
 }
 
 // applySnapshot replaces the content of a table with the store's objects at a
-// version.
-func (s *Source) applySnapshot(kind int, objects []store.Object, at int64) {
+// version, which were requested at start.
+func (s *Source) applySnapshot(kind int, objects []store.Object, at int64, start time.Time) {
 	s.mu.Lock()
 	t := s.tables[kind]
 	now := time.Now()
 	t.markResponded(now)
 	s.replace(kind, t, objects, now)
 	t.at, t.listed = max(at, t.at), true
+	t.confirm(start)
 	// Removals before the snapshot are not known.
 	clear(t.removed)
 	t.floor = t.at
@@ -157,6 +164,7 @@
 		s.put(kind, t, e.Object)
 	}
 	t.at = max(at, after)
+	t.confirm(now)
 	if len(events) == 0 {
 		s.mu.Unlock()
 		return
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -23,7 +23,7 @@
 	e.Loads, e.Loaded = n.placer.Loads(time.Now())
 	e.Names = n.source.Announcements(time.Now())
 	e.Reads = n.placer.RecentlySent(time.Now())
-	e.Watch = roster.StoreWatch{Reads: n.watching.Load(), AgeMS: time.Since(n.source.LastStoreResponse()).Milliseconds()}
+	e.Watch = n.storeWatch()
 	e.Duty = n.orders.LeaseStatus()
 }
 
@@ -33,8 +33,6 @@
 	mu sync.Mutex
 	// behindSince is when this VM was first seen to be behind, by kind.
 	behindSince map[int]time.Time
-	// lastUpdate is when an update last arrived from the VM that it describes.
-	lastUpdate time.Time
 	// inProgress counts the running pulls of each kind.
 	inProgress map[int]int
 }
@@ -119,7 +117,6 @@
 	if len(behind) == 0 {
 		clear(n.pulls.behindSince)
 	}
-	n.pulls.lastUpdate = now
 	largeFleet := n.roster.Count() >= roster.SmallFleetSize
 	if largeFleet {
 		due = n.pulls.begin(due)
--- a/internal/gateway/node/lifecycle.go
+++ b/internal/gateway/node/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
@@ -27,8 +28,8 @@
 	peerPoll = 20 * time.Millisecond
 	// stopPoll is how often a stopping VM checks its running requests.
 	stopPoll = 50 * time.Millisecond
-	// maxStaleFraction is the part of the revocation bound for which a VM may
-	// receive no updates before it may have missed a withdrawal.
+	// maxStaleFraction is the part of the revocation bound for which the
+	// configuration may be unconfirmed before a withdrawal may have been missed.
 	maxStaleFraction = 0.6
 )
 
@@ -117,17 +118,8 @@
 }
 
 // fresh reports whether requests with a key may be served. Under a strict bound,
-// a VM that has received no updates may have missed the withdrawal of a key.
+// a VM whose configuration is not confirmed may have missed the withdrawal of a key.
 func (n *Node) fresh() bool {
 	b := n.bounds()
-	if !b.Strict {
-		return true
-	}
-	n.pulls.mu.Lock()
-	lastUpdate := n.pulls.lastUpdate
-	n.pulls.mu.Unlock()
-	if lastResponse := n.source.LastStoreResponse(); lastResponse.After(lastUpdate) {
-		lastUpdate = lastResponse
-	}
-	return time.Since(lastUpdate) < time.Duration(maxStaleFraction*float64(b.Revoke))
+	return !b.Strict || n.source.Age(source.Config) < time.Duration(maxStaleFraction*float64(b.Revoke))
 }
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -74,16 +74,29 @@
 	feeds   *caches.Reader
 	prober  *prober
 	server  *peer.Server
-	client  *peer.Client
+	client  peer.Caller
 	pulls   pullState
 }
 
 // New returns a Node that uses the addresses in its settings.
 func New(s settings.Settings, logger log.Logger) *Node {
+	logger = log.With(logger, "vm", s.VM)
+	client := peer.NewClient(peer.ClientOptions{Self: s.VM, Log: logger})
+	server := peer.NewServer(peer.ServerOptions{Self: s.VM, Log: logger})
+	metrics.Set(s.VM+".peers", expvar.Func(client.Dump))
+	n := newNode(s, logger, platform.NewObjects(s.Platform.Address), client, server)
+	n.server = server
+	return n
+}
+
+// newNode returns a Node that calls other VMs with client and registers its own
+// handlers with registrar.
+func newNode(s settings.Settings, logger log.Logger, objects Objects, client peer.Caller, registrar peer.Registrar) *Node {
 	index := caches.NewIndex()
 	n := &Node{
 		settings:  s,
-		log:       log.With(logger, "vm", s.VM),
+		log:       logger,
+		client:    client,
 		clock:     store.BootClock{},
 		start:     time.Now(),
 		lifecycle: vm.NewLifecycle(nil),
@@ -96,15 +109,11 @@
 	n.watching.Store(true)
 	n.limitMemory()
 	n.quota = quota.NewLimiter(n.clock)
-	n.server = peer.NewServer(peer.ServerOptions{Self: s.VM, Log: n.log})
-	n.client = peer.NewClient(peer.ClientOptions{Self: s.VM, Log: n.log})
 	n.prober = newProber(n)
-	objects := platform.NewObjects(s.Platform.Address)
-	n.buildFleet(objects)
+	n.buildFleet(objects, registrar)
 	n.buildRelay()
 	metrics.Set(s.VM, n.metrics.Vars())
 	metrics.Set(s.VM+".connections", expvar.Func(n.connections))
-	metrics.Set(s.VM+".peers", expvar.Func(n.client.Dump))
 	return n
 }
 
@@ -135,7 +144,7 @@
 )
 
 // buildFleet builds the tasks that track the site and the other VMs.
-func (n *Node) buildFleet(objects Objects) {
+func (n *Node) buildFleet(objects Objects, registrar peer.Registrar) {
 	s := n.settings
 	n.source = source.New(source.Options{
 		Feed: objects,
@@ -146,8 +155,12 @@
 			Target:  platform.DecodeTarget,
 			Weights: platform.DecodeWeights,
 		},
-		OnChange: n.siteChanged,
-		Watching: n.watching.Load,
+		OnChange:      n.siteChanged,
+		OnStoreStatus: n.storeStatusChanged,
+		Watching:      n.watching.Load,
+		Watchers:      func() []peer.Destination { return watcherAddresses(n.roster.Members(), time.Now()) },
+		Peers:         n.client,
+		Bounds:        n.sourceBounds,
 	})
 	engines := platform.NewEngines()
 	n.feeds = caches.NewReader(engines, n.index, n.source.View, n.log)
@@ -184,13 +197,20 @@
 		},
 		OnStatusChange: n.leaseChanged,
 	})
-	n.roster.Register(n.server)
-	n.source.Register(n.server)
+	n.roster.Register(registrar)
+	n.source.Register(registrar)
 }
 
 // bounds returns the bounds in force.
 func (n *Node) bounds() settings.Bounds { return n.gateway.Load().Bounds }
 
+// sourceBounds returns the times within which changes must be in force, by kind.
+func (n *Node) sourceBounds() (bounds source.Bounds) {
+	b := n.bounds()
+	bounds[source.Config], bounds[source.Targets], bounds[source.WeightVersions] = b.Config, b.Drain, b.Weights
+	return bounds
+}
+
 // limitMemory sets the garbage collector's memory limit.
 func (n *Node) limitMemory() {
 	if memory := n.gateway.Load().MemoryMB; memory > 0 {
--- a/internal/gateway/node/watchers.go
+++ b/internal/gateway/node/watchers.go
@@ -8,19 +8,14 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/peer"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
 const (
 	// watcherCount is the number of VMs that poll the store for the others.
 	watcherCount = 4
-	// minOtherWatchers is the number of other VMs with a recent response from
-	// the store below which a VM polls the store itself.
-	minOtherWatchers = 2
-	// watcherTimeout is how recently the store must have responded to a watcher.
-	// A long poll takes 2.2 s if nothing changes, and the watcher's update
-	// arrives a little later.
-	watcherTimeout = 3 * time.Second
 	// watchPeriod is the time between two elections of the watchers.
 	watchPeriod = 200 * time.Millisecond
 	// silentShareTime is how long a VM that was never heard from has a share of
@@ -39,46 +34,59 @@
 			n.quota.AddPeer(m.Entry.VM, m.Entry.Born)
 		}
 	}
-	self := roster.Entry{VM: n.settings.VM, Watch: roster.StoreWatch{Reads: n.watching.Load(), AgeMS: now.Sub(n.source.LastStoreResponse()).Milliseconds()}}
-	reads := shouldWatch(self, members, now)
-	if n.watching.Swap(reads) != reads {
-		_ = n.log.Log("msg", "store polling changed", "store", reads)
+	self := roster.Entry{VM: n.settings.VM, Watch: n.storeWatch()}
+	watches := shouldWatch(self, members, now)
+	if n.watching.Swap(watches) != watches {
+		_ = n.log.Log("msg", "store polling changed", "store", watches, "failing", self.Watch.Failing, "watchers", len(watcherAddresses(members, now)),
+			"age", n.source.Age(source.Config))
 	}
 }
 
-// shouldWatch reports whether a VM polls the store: if it ranks among the first,
-// or if too few others have a recent response from the store.
-func shouldWatch(self roster.Entry, members []roster.Member, now time.Time) bool {
-	ranked := []string{}
-	recent := 0
-	for _, m := range members {
-		if !m.Alive(now) || m.Entry.State == roster.Leaving {
-			continue
-		}
-		age := time.Duration(m.Entry.Watch.AgeMS)*time.Millisecond + now.Sub(m.Heard)
-		if m.Entry.Watch.Reads && age < watcherTimeout {
-			recent++
-		}
-		if !m.Entry.Watch.Reads || age < watcherTimeout {
-			ranked = append(ranked, m.Entry.VM)
-		}
+// storeWatch returns the state of this VM's polling of the store.
+func (n *Node) storeWatch() roster.StoreWatch {
+	return roster.StoreWatch{
+		Reads: n.watching.Load(), Failing: n.source.StoreFailing(),
+		AgeMS: time.Since(n.source.LastStoreResponse()).Milliseconds(),
 	}
-	if recent < minOtherWatchers {
-		return true
+}
+
+// shouldWatch reports whether a VM polls the store for the others: if it ranks among
+// the first of those to which the store responds.
+func shouldWatch(self roster.Entry, members []roster.Member, now time.Time) bool {
+	if self.Watch.Failing {
+		return false
 	}
 	before := func(vm string) bool {
 		a, b := xxhash.Sum64String(vm), xxhash.Sum64String(self.VM)
 		return cmp.Or(cmp.Compare(a, b), cmp.Compare(vm, self.VM)) < 0
 	}
 	rank := 0
-	for _, vm := range ranked {
-		if before(vm) {
+	for _, m := range members {
+		if m.Alive(now) && m.Entry.State != roster.Leaving && !m.Entry.Watch.Failing && before(m.Entry.VM) {
 			rank++
 		}
 	}
 	return rank < watcherCount
 }
 
+// watcherAddresses returns the VMs that poll the store and to which it responds.
+func watcherAddresses(members []roster.Member, now time.Time) []peer.Destination {
+	var out []peer.Destination
+	for _, m := range members {
+		if m.Alive(now) && m.Entry.Watch.Reads && !m.Entry.Watch.Failing {
+			out = append(out, peer.Destination{VM: m.Entry.VM, Address: m.Entry.Peers})
+		}
+	}
+	return out
+}
+
+// storeStatusChanged elects the watchers anew and tells the other VMs whether the
+// store responds to this one.
+func (n *Node) storeStatusChanged() {
+	n.updateWatching(time.Now())
+	n.roster.Trigger()
+}
+
 // runWatching repeats the election of the watchers until ctx ends, even if no
 // updates arrive.
 func (n *Node) runWatching(ctx context.Context) error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,8 @@
 	DefaultOrderQuiet  = 3 * time.Second
 	DefaultWeights     = 10 * time.Second
 	DefaultRevoke      = 5 * time.Second
+	DefaultConfig      = 10 * time.Second
+	DefaultDrain       = 10 * time.Second
 	DefaultRetryWindow = 10 * time.Second
 	DefaultRetryRatio  = 0.1
 	// DefaultCallsPerSecond is the number of calls of the object store per second.
@@ -136,6 +138,10 @@
 	// VMs that receive no updates only if Strict is set.
 	Revoke time.Duration `yaml:"revoke,omitempty"`
 	Strict bool          `yaml:"strict,omitempty"`
+	// Config and Drain are the times after which a change of the configuration, and
+	// the leaving of a target, must be in force on all VMs.
+	Config time.Duration `yaml:"config,omitempty"`
+	Drain  time.Duration `yaml:"drain,omitempty"`
 	// Retries limits the attempts after the first one of each request.
 	Retries Retries `yaml:"retries,omitempty"`
 }
@@ -210,6 +216,8 @@
 	orDefault(&b.Quiet, DefaultOrderQuiet)
 	orDefault(&b.Weights, DefaultWeights)
 	orDefault(&b.Revoke, DefaultRevoke)
+	orDefault(&b.Config, DefaultConfig)
+	orDefault(&b.Drain, DefaultDrain)
 	orDefault(&b.Retries.Window, DefaultRetryWindow)
 	if b.Retries.Ratio == 0 && b.Retries.Slack == 0 {
 		b.Retries.Ratio = DefaultRetryRatio
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -49,6 +49,8 @@
 		positive("gateway.bounds.quiet", int64(g.Bounds.Quiet)),
 		positive("gateway.bounds.weights", int64(g.Bounds.Weights)),
 		positive("gateway.bounds.revoke", int64(g.Bounds.Revoke)),
+		positive("gateway.bounds.config", int64(g.Bounds.Config)),
+		positive("gateway.bounds.drain", int64(g.Bounds.Drain)),
 		positive("gateway.bounds.retries.window", int64(g.Bounds.Retries.Window)),
 		{g.Bounds.Retries.Ratio >= 0 && g.Bounds.Retries.Slack >= 0, "gateway.bounds.retries", "is negative", "numbers above zero"},
 	}
