Keep prompt segments that crash engines from further engines

Cause: each request was new, so no retry limit applied, and each VM saw a few of the crashes. Nothing related a crash to what the engine was answering. The request's lines did not name the segments of a prompt.

Change: internal/fleet/quarantine. A VM records the shared segments of requests whose engine closed the connection before an answer, and logs them. A segment is refused as not run, with the time left as Retry-After, when three engines were lost with it one after the other and none of its requests was answered in between; losses at the same time count once, and a loss is blamed on the segment that was answered least recently. VMs tell each other their losses with their updates, so that VMs that restart learn them before they serve. An answer ends a quarantine.

Conclusion: the deadly segment is refused fleet-wide after its third crash, since what the losses have in common is known to all VMs within an update.

--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -46,6 +46,8 @@
 	SiteEarlyResponse
 	// SiteMalformed sends bytes that are not an HTTP response.
 	SiteMalformed
+	// SiteHeaderOnly closes the connection after the header of the response.
+	SiteHeaderOnly
 )
 
 // A SiteRun is a request that a SiteTarget ran.
@@ -218,6 +220,9 @@
 		}
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text)+10, text)
 		return false
+	case SiteHeaderOnly:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head)
+		return false
 	case SiteUnframed:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", head, text)
 		return false
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 )
 
@@ -107,6 +108,8 @@
 	Names []source.Announcement `cbor:"15,keyasint"`
 	// Watch is the state of the VM's polling of the object store.
 	Watch StoreWatch `cbor:"16,keyasint"`
+	// Suspects lists prompt segments that seem to crash engines.
+	Suspects []quarantine.Report `cbor:"17,keyasint,omitempty"`
 }
 
 // isNewer reports whether e is a later update of the same VM than o.
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -24,6 +24,7 @@
 	e.Names = n.source.Announcements(time.Now())
 	e.Reads = n.placer.RecentlySent(time.Now())
 	e.Watch = n.storeWatch()
+	e.Suspects = n.quarantine.Reports(time.Now())
 	e.Duty = n.orders.LeaseStatus()
 }
 
@@ -87,6 +88,7 @@
 	v := n.source.View()
 	for _, e := range entries {
 		n.quota.UpdatePeer(e.VM, e.Born, e.Spent)
+		n.quarantine.Merge(e.Suspects, now)
 		n.placer.ApplyUpdate(e, v, now)
 		if e.VM == from {
 			n.pullNewer(e, now)
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/rollout"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
@@ -61,21 +62,23 @@
 	lastRequest atomic.Int64
 	start       time.Time
 
-	source  *source.Source
-	roster  *roster.Task
-	quota   *quota.Limiter
-	placer  *placing.Placer
-	pool    *conn.Pool
-	orders  *rollout.Task
-	relay   *relay.Handler
-	metrics *relay.Metrics
-	budget  *retry.Budget
-	index   *caches.Index
-	feeds   *caches.Reader
-	prober  *prober
-	server  *peer.Server
-	client  peer.Caller
-	pulls   pullState
+	source *source.Source
+	roster *roster.Task
+	quota  *quota.Limiter
+	// quarantine holds the prompt segments that crash engines.
+	quarantine *quarantine.List
+	placer     *placing.Placer
+	pool       *conn.Pool
+	orders     *rollout.Task
+	relay      *relay.Handler
+	metrics    *relay.Metrics
+	budget     *retry.Budget
+	index      *caches.Index
+	feeds      *caches.Reader
+	prober     *prober
+	server     *peer.Server
+	client     peer.Caller
+	pulls      pullState
 }
 
 // New returns a Node that uses the addresses in its settings.
@@ -109,6 +112,7 @@
 	n.watching.Store(true)
 	n.limitMemory()
 	n.quota = quota.NewLimiter(n.clock)
+	n.quarantine = quarantine.NewList(n.log)
 	n.prober = newProber(n)
 	n.buildFleet(objects, registrar)
 	n.buildRelay()
@@ -240,14 +244,16 @@
 func (n *Node) buildRelay() {
 	n.budget = retry.NewBudget(limitsOf(n.bounds().Retries))
 	n.relay = relay.NewHandler(relay.Options{
-		View:   n.source.View,
-		Quota:  n.quota,
-		Placer: n.placer,
-		Pool:   n.pool,
-		Budget: n.budget,
-		Log:    n.log,
-		VMs:    n.roster.Count,
-		Fresh:  n.fresh,
+		View:       n.source.View,
+		Quota:      n.quota,
+		Quarantine: n.quarantine,
+		OnSuspect:  n.roster.Trigger,
+		Placer:     n.placer,
+		Pool:       n.pool,
+		Budget:     n.budget,
+		Log:        n.log,
+		VMs:        n.roster.Count,
+		Fresh:      n.fresh,
 
 		StopBy:  n.stopBy,
 		Suspect: n.prober.suspect,
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -365,6 +365,53 @@
 	})
 }
 
+// TestPromptThatCrashesEnginesIsRefused guards against a VM that sends requests with
+// the same prompt segment to engines that crash under them, one after the other.
+func TestPromptThatCrashesEnginesIsRefused(t *testing.T) {
+	b := newTestbed(t)
+	v1 := b.start("vm-1")
+	v1.ready()
+	v2 := b.start("vm-2", v1.settings.Peers.Address)
+	v2.ready()
+	bad := []string{"Baobabdyke-Prefix-Hash", "aa:50,bad:50,own:10"}
+	must.Eq(t, http.StatusOK, v1.request("/stream/b/", "sound").status)
+
+	// Engines restart under other ids after each crash.
+	setModes(b.engines, fake.SiteHeaderOnly)
+	status := http.StatusBadGateway
+	for i := 0; status == http.StatusBadGateway && i < 20; i++ {
+		time.Sleep(300 * time.Millisecond)
+		status = v1.request("/stream/b/", "r", bad...).status
+		b.restartEngines(i)
+		eventually(t, func() bool { return strings.Contains(v1.log.String(), fmt.Sprintf("target=llm-0-%d ", i)) })
+	}
+	must.Eq(t, http.StatusServiceUnavailable, status)
+	must.StrContains(t, v1.log.String(), "prompt segment quarantined")
+	setModes(b.engines, fake.SiteNormal)
+	eventually(t, func() bool { return strings.Contains(v2.log.String(), "prompt segment quarantined") })
+
+	before := runs(b.engines)
+	for _, v := range []*testVM{v1, v2} {
+		for _, path := range []string{"/stream/b/", "/stream/a/"} {
+			got := v.request(path, "again", bad...)
+			must.Eq(t, http.StatusServiceUnavailable, got.status)
+			must.NotEq(t, "", got.header.Get("Retry-After"))
+		}
+	}
+	must.Eq(t, before, runs(b.engines))
+	must.Eq(t, http.StatusOK, v1.request("/stream/b/", "sound", "Baobabdyke-Prefix-Hash", "aa:50,bb:50,own:10").status)
+}
+
+// restartEngines replaces the engines' entries by those of new incarnations.
+func (b *testbed) restartEngines(round int) {
+	for i := range b.engines {
+		old := b.engines[i]
+		b.store.Remove("servers", old.ID)
+		b.engines[i] = b.target("llm", fmt.Sprintf("llm-%d-%d", i, round))
+		b.engines[i].SetMode(fake.SiteHeaderOnly)
+	}
+}
+
 func TestCallerDisconnects(t *testing.T) {
 	b := newTestbed(t)
 	v := b.start("vm-1")
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -27,6 +27,8 @@
 	// gotFirst reports whether the first event or the whole response has
 	// arrived.
 	gotFirst bool
+	// broken reports whether the target broke off its response.
+	broken bool
 	// timedOut reports whether the attempt was aborted because the target sent
 	// nothing.
 	timedOut atomic.Bool
@@ -144,6 +146,7 @@
 	j := x.response.job
 	body, err := r.Exchange.ReadBody(maxResponseBytes)
 	if err != nil {
+		x.broken = true
 		r.Exchange.Abort()
 		return lost{reason: "the answer broke off: " + err.Error()}, placing.Failed
 	}
@@ -180,6 +183,9 @@
 		j.timeToFirst = time.Since(j.start)
 	}
 	x.handler.opts.Placer.FirstToken(x.choice, time.Since(x.sentAt), time.Now())
+	if j.engine {
+		x.handler.opts.Quarantine.RecordAnswer(j.shared, time.Now())
+	}
 }
 
 // passStream relays events as they arrive.
@@ -196,6 +202,7 @@
 			return delivered{}, placing.Served
 		}
 		if err != nil {
+			x.broken = true
 			r.Exchange.Abort()
 			if x.timedOut.Load() {
 				return lost{reason: "the stream fell silent"}, placing.TimedOut
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
@@ -43,12 +44,16 @@
 
 // Options are the parameters of a Handler.
 type Options struct {
-	View   func() *source.View
-	Quota  *quota.Limiter
-	Placer *placing.Placer
-	Pool   *conn.Pool
-	Budget *retry.Budget
-	Log    log.Logger
+	View  func() *source.View
+	Quota *quota.Limiter
+	// Quarantine holds the prompt segments that crash engines, and OnSuspect is
+	// called when this VM has added to it.
+	Quarantine *quarantine.List
+	OnSuspect  func()
+	Placer     *placing.Placer
+	Pool       *conn.Pool
+	Budget     *retry.Budget
+	Log        log.Logger
 	// VMs returns the number of VMs that share the retry budget.
 	VMs func() int
 	// Fresh reports whether requests with a key may be served. A VM that has no
@@ -90,7 +95,9 @@
 	stopBy   time.Time
 	cost     float64
 	prefixes []placing.Prefix
-	cache    string
+	// shared are the ids of the prompt's segments that other prompts may share.
+	shared []string
+	cache  string
 	// cacheTokens is the capacity of the KV cache store, engineTokens that of
 	// one engine.
 	cacheTokens  int
@@ -159,9 +166,25 @@
 		return refusal{http.StatusServiceUnavailable, "this VM is about to stop", stopRetry}
 	}
 	j.describe()
+	if f := h.checkQuarantine(j); f != nil {
+		return f
+	}
 	return h.charge(j)
 }
 
+// checkQuarantine refuses a request whose prompt contains a quarantined segment.
+func (h *Handler) checkQuarantine(j *job) failure {
+	if !j.engine {
+		return nil
+	}
+	segment, left, quarantined := h.opts.Quarantine.Quarantined(j.shared, time.Now())
+	if !quarantined {
+		return nil
+	}
+	j.detail += "segment " + segment + " is quarantined; "
+	return refusal{http.StatusServiceUnavailable, "a segment of the prompt crashes engines", left}
+}
+
 // tooLate reports whether the VM may stop before the request has ended.
 func (j *job) tooLate() bool {
 	return !j.stopBy.IsZero() && j.deadline.After(j.stopBy) && j.start.Add(longRun).After(j.stopBy)
@@ -255,6 +278,7 @@
 		j.tokens += segment.Tokens
 		if i < len(info.Segments)-1 {
 			j.sharedTokens += segment.Tokens
+			j.shared = append(j.shared, segment.ID)
 			_, _ = hash.WriteString("/" + segment.ID)
 			j.prefixes = append(j.prefixes, placing.Prefix{Hash: hash.Sum64(), Segment: segment.ID, Tokens: j.sharedTokens})
 		}
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/platform"
@@ -63,6 +65,9 @@
 		if time.Until(j.deadline) < minTimeLeft && j.sends > 0 {
 			break
 		}
+		if j.sends > 0 && h.checkQuarantine(j) != nil {
+			break
+		}
 		choice, ok := h.opts.Placer.Choose(h.opts.View(), j.placingRequest(), time.Now())
 		if !ok || !h.maySend(j) {
 			break
@@ -177,15 +182,33 @@
 		o, end = lost{reason: "lost: " + r.Err.Error()}, placing.Failed
 		if x.timedOut.Load() {
 			end = placing.TimedOut
+		} else {
+			h.recordLoss(requestCtx, j, choice, false)
 		}
 	case conn.Responded:
 		j.received++
 		o, end = x.pass(ctx, r)
+		if x.broken && !x.gotFirst && !x.timedOut.Load() {
+			h.recordLoss(requestCtx, j, choice, true)
+		}
 	}
 	x.stop()
 	return h.settle(requestCtx, o, &end)
 }
 
+// recordLoss records that an engine closed its connection without an answer, unless
+// the caller has left or the deadline has passed. Answering reports whether the header
+// of the response had arrived.
+func (h *Handler) recordLoss(ctx context.Context, j *job, c placing.Choice, answering bool) {
+	if !j.engine || ctx.Err() != nil {
+		return
+	}
+	_ = h.opts.Log.Log("msg", "engine lost before its answer", "id", j.info.ID, "target", c.Target.ID, "answering", answering,
+		"segments", strings.Join(j.shared, ","))
+	h.opts.Quarantine.RecordLoss(j.shared, quarantine.Engine(c.Target.ID, c.Target.Born), answering, time.Now())
+	h.opts.OnSuspect()
+}
+
 // settle replaces the outcome of an attempt that was ended by the caller or the
 // deadline rather than by the target.
 func (h *Handler) settle(ctx context.Context, o outcome, end *placing.Outcome) outcome {
