--- a/internal/fake/sitelink.go
+++ b/internal/gateway/node/sitelink_test.go
@@ -1,44 +1,46 @@
-package fake
+package node
 
 import (
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"syscall"
+
+	"github.com/baobabdyke/baobabdyke/internal/fake"
 )
 
-// A LinkFault is how the calls of one VM to a SiteStore fail.
-type LinkFault int
+// A linkFault is how the calls of one VM to a store fail.
+type linkFault int
 
-// Faults of a SiteLink.
+// Faults of a siteLink.
 const (
-	// LinkOK delivers calls and responses.
-	LinkOK LinkFault = iota
-	// LinkReset fails every call at once, also those that wait for a response.
-	LinkReset
-	// LinkSilent leaves every call without a response until the caller gives up.
-	LinkSilent
+	// linkOK delivers calls and responses.
+	linkOK linkFault = iota
+	// linkReset fails every call at once, also those that wait for a response.
+	linkReset
+	// linkSilent leaves every call without a response until the caller gives up.
+	linkSilent
 )
 
-// A SiteLink carries the calls of one VM to a SiteStore within the process, with
+// A siteLink carries the calls of one VM to a store within the process, with
 // faults that other VMs do not have. It implements http.RoundTripper and waits on
 // channels only, so that it works in virtual time.
-type SiteLink struct {
-	store *SiteStore
+type siteLink struct {
+	store *fake.SiteStore
 
 	mu      sync.Mutex
-	fault   LinkFault
+	fault   linkFault
 	changed chan struct{}
 	calls   int
 }
 
-// NewSiteLink returns a SiteLink without faults.
-func NewSiteLink(s *SiteStore) *SiteLink {
-	return &SiteLink{store: s, changed: make(chan struct{})}
+// newSiteLink returns a siteLink without faults.
+func newSiteLink(s *fake.SiteStore) *siteLink {
+	return &siteLink{store: s, changed: make(chan struct{})}
 }
 
-// SetFault changes the fault, also for calls that wait for a response.
-func (l *SiteLink) SetFault(f LinkFault) {
+// setFault changes the fault, also for calls that wait for a response.
+func (l *siteLink) setFault(f linkFault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fault = f
@@ -46,15 +48,15 @@
 	l.changed = make(chan struct{})
 }
 
-// Calls returns the number of calls made.
-func (l *SiteLink) Calls() int {
+// callCount returns the number of calls made.
+func (l *siteLink) callCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.calls
 }
 
 // RoundTrip implements http.RoundTripper.
-func (l *SiteLink) RoundTrip(r *http.Request) (*http.Response, error) {
+func (l *siteLink) RoundTrip(r *http.Request) (*http.Response, error) {
 	l.mu.Lock()
 	l.calls++
 	l.mu.Unlock()
@@ -69,12 +71,12 @@
 		fault, changed := l.fault, l.changed
 		l.mu.Unlock()
 		switch fault {
-		case LinkReset:
+		case linkReset:
 			return nil, syscall.ECONNRESET
-		case LinkSilent:
+		case linkSilent:
 			<-r.Context().Done()
 			return nil, r.Context().Err()
-		case LinkOK:
+		case linkOK:
 		}
 		select {
 		case whole := <-handled:
--- a/internal/gateway/node/watchers_test.go
+++ b/internal/gateway/node/watchers_test.go
@@ -27,7 +27,7 @@
 
 type watchVM struct {
 	*Node
-	link *fake.SiteLink
+	link *siteLink
 	stop context.CancelFunc
 }
 
@@ -62,7 +62,7 @@
 		Seeds: []string{"10.0.0.1:1"}, Bounds: bounds,
 	}}
 	s.Callers.Address, s.Peers.Address = address, address
-	link := fake.NewSiteLink(f.store)
+	link := newSiteLink(f.store)
 	network := f.network.Node(id, address)
 	ctx, cancel := context.WithCancel(t.Context())
 	v := &watchVM{Node: newNode(s, log.NewNopLogger(), platform.NewObjectsOver("store", link), network, network), link: link, stop: cancel}
@@ -102,8 +102,8 @@
 
 // losses are ways in which a watcher loses the store.
 var losses = map[string]func(f *watchFleet, v *watchVM){
-	"reset":  func(_ *watchFleet, v *watchVM) { v.link.SetFault(fake.LinkReset) },
-	"silent": func(_ *watchFleet, v *watchVM) { v.link.SetFault(fake.LinkSilent) },
+	"reset":  func(_ *watchFleet, v *watchVM) { v.link.setFault(linkReset) },
+	"silent": func(_ *watchFleet, v *watchVM) { v.link.setFault(linkSilent) },
 	"killed": func(f *watchFleet, v *watchVM) {
 		v.stop()
 		f.network.Remove(v.settings.Peers.Address)
@@ -143,7 +143,7 @@
 		must.Len(t, watcherCount, f.watchers())
 		before := map[*watchVM]int{}
 		for _, v := range f.vms {
-			before[v] = v.link.Calls()
+			before[v] = v.link.callCount()
 		}
 		for range 6 {
 			time.Sleep(bound)
@@ -154,7 +154,7 @@
 		must.Len(t, watcherCount, f.watchers())
 		for _, v := range f.vms {
 			if !v.watching.Load() {
-				must.LessEq(t, maxListCalls, v.link.Calls()-before[v], must.Sprint(v.settings.VM))
+				must.LessEq(t, maxListCalls, v.link.callCount()-before[v], must.Sprint(v.settings.VM))
 			}
 		}
 	})
