Give up a silent target only once another one answers

Callers saw their connection end in the middle of an answer, or got a 502, while the engine that answered paused for a second and went on.

Cause: a VM closed the connection to a target that had sent nothing for 1.2 s, and only then looked for another one. If the retry budget was spent, the others rejected the request or there was no other, nothing was left to answer with. All answers of one engine fall silent at once, so the first of them spend the budget for the others.

Change: relay/standby.go. While a target is silent the request is sent to another target as well; the silent one is given up once the other has begun to answer, and the other one if the silent one goes on first. Without a permitted attempt the silent one is waited for. The log says what prevents an attempt and how one ended.

Measured: TestSilentTargetEndsNoAnswer on fails in its four cases: a stream and a plain response get 502 while the other target rejects, a stream that has begun ends with "unexpected EOF", and a stream gets 502 with the retry budget spent. It passes now.

Conclusion: a timeout cannot tell a dead target from one that pauses. What follows it now costs at most a second send, and no answer ends before its replacement has begun.

--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -73,6 +73,10 @@
 	eventCount    int
 	eventInterval time.Duration
 	connections   int
+	// rejections counts the requests that were not run in mode SiteReject.
+	rejections int
+	// thawed is closed when the target goes on; nil unless it is silent.
+	thawed chan struct{}
 }
 
 // NewSiteTarget returns a SiteTarget in mode SiteNormal whose streams have
@@ -102,6 +106,43 @@
 	t.eventInterval = d
 }
 
+// Silence makes the target answer no request until Resume is called. It still accepts
+// connections and requests.
+func (t *SiteTarget) Silence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.thawed == nil {
+		t.thawed = make(chan struct{})
+	}
+}
+
+// Resume ends a silence.
+func (t *SiteTarget) Resume() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.thawed != nil {
+		close(t.thawed)
+		t.thawed = nil
+	}
+}
+
+// awaitResume blocks while the target is silent.
+func (t *SiteTarget) awaitResume() {
+	t.mu.Lock()
+	thawed := t.thawed
+	t.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
+// Rejections returns the number of requests that were not run in mode SiteReject.
+func (t *SiteTarget) Rejections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rejections
+}
+
 // Runs returns the requests that were run.
 func (t *SiteTarget) Runs() []SiteRun {
 	t.mu.Lock()
@@ -191,6 +232,10 @@
 		return false
 	}
 	if mode == SiteReject {
+		t.mu.Lock()
+		t.rejections++
+		t.mu.Unlock()
+		t.awaitResume()
 		return write(c, "503 Service Unavailable", "Baobabdyke-Not-Executed: 1\r\n", "")
 	}
 	run := SiteRun{ID: r.Header.Get("Baobabdyke-Request-Id"), Method: r.Method, Path: r.RequestURI, Header: r.Header, Body: body}
@@ -205,6 +250,7 @@
 func (t *SiteTarget) respond(c net.Conn, mode SiteMode, run SiteRun) bool {
 	head := "Baobabdyke-Request-Id: " + run.ID + "\r\nBaobabdyke-Response-Seal: seal-" + t.ID + "\r\n"
 	text := "answer of " + t.ID + " to " + run.ID
+	t.awaitResume()
 	switch mode {
 	case SiteError:
 		return write(c, "500 Internal Server Error", head, "failed")
@@ -255,6 +301,7 @@
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nBaobabdyke-Weight-Versions: %d\r\nTransfer-Encoding: chunked\r\n\r\n", head, version)
 	from, _ := strconv.Atoi(run.Header.Get("Last-Event-Id"))
 	for i := from + 1; i <= lastEvent; i++ {
+		t.awaitResume()
 		e := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
 			return false
@@ -264,6 +311,7 @@
 	if lastEvent < t.eventCount {
 		return false
 	}
+	t.awaitResume()
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -42,11 +42,13 @@
 	apps    [2]*fake.SiteTarget
 	engines [2]*fake.SiteTarget
 	version int
+	// retries are the limits of the retry budget of VMs that are started.
+	retries settings.Retries
 }
 
 func newTestbed(t *testing.T) *testbed {
 	t.Helper()
-	b := &testbed{t: t, store: fake.NewSiteStore()}
+	b := &testbed{t: t, store: fake.NewSiteStore(), retries: settings.Retries{Ratio: 1, Slack: 1000, Window: time.Second}}
 	server := httptest.NewServer(b.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -129,7 +131,7 @@
 		ReadyAddress: "127.0.0.1:0", DirectoryAddress: "127.0.0.1:0", Seeds: seeds,
 		Bounds: settings.Bounds{
 			Grace: 3 * time.Second, TTL: time.Second, Quiet: time.Second, Weights: 10 * time.Second, Revoke: time.Second,
-			Retries: settings.Retries{Ratio: 1, Slack: 1000, Window: time.Second},
+			Retries: b.retries,
 		},
 	}}
 	s.Callers.Address, s.Operators.Address, s.Peers.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -23,31 +23,33 @@
 	response *response
 	choice   placing.Choice
 	sentAt   time.Time
-	cancel   context.CancelFunc
+	// requestCtx is the context of the request, and ctx that of the attempt, which
+	// cancel ends.
+	requestCtx, ctx context.Context
+	cancel          context.CancelFunc
+	result          conn.Result
 	// gotFirst reports whether the first event or the whole response has
 	// arrived.
 	gotFirst bool
 	// broken reports whether the target broke off its response.
 	broken bool
-	// timedOut reports whether the attempt was aborted because the target sent
-	// nothing.
-	timedOut atomic.Bool
-	// silenceTimeout is how long the target may send nothing before the attempt
-	// is aborted.
-	silenceTimeout time.Duration
-	timer          *time.Timer
-	stop           func()
+	// replaced reports whether the attempt was ended because its target was silent
+	// and another one had begun to answer.
+	replaced atomic.Bool
+	standby  *standby
 }
 
-// do sends the request. The returned function stops the silence timer.
-func (h *Handler) do(ctx context.Context, x *exchange) (conn.Result, func()) {
+// newExchange returns an attempt at the chosen target that is not sent yet.
+func (h *Handler) newExchange(ctx context.Context, resp *response, choice placing.Choice) *exchange {
+	x := &exchange{handler: h, response: resp, choice: choice, sentAt: time.Now(), requestCtx: ctx}
+	x.ctx, x.cancel = context.WithCancel(ctx)
+	h.opts.Placer.Begin(choice, resp.job.prefixes, x.sentAt)
+	return x
+}
+
+// send sends the request and waits for the header of the response.
+func (x *exchange) send() {
 	j := x.response.job
-	x.startTimer(j.silenceTimeout())
-	stop := func() {
-		if x.timer != nil {
-			x.timer.Stop()
-		}
-	}
 	req := conn.Request{
 		Method: j.request.Method,
 		Path:   j.request.RequestURI,
@@ -59,54 +61,24 @@
 			return id == j.info.ID || id == "" && status >= http.StatusBadRequest
 		},
 	}
-	return h.opts.Pool.Do(ctx, x.choice.Target.Address, req, !j.route.Repeatable()), stop
+	x.result = x.handler.opts.Pool.Do(x.ctx, x.choice.Target.Address, req, !j.route.Repeatable())
 }
 
-// silenceTimeout returns how long a target may send nothing while another one may
-// still be tried, or 0 for no limit but the request's deadline.
+// silenceTimeout returns how long a target may send nothing before another one is
+// tried.
 func (j *job) silenceTimeout() time.Duration {
-	if !j.route.Repeatable() || j.runs+1 >= j.route.MaxAttempts {
-		return 0
-	}
 	if j.engine {
 		return max(streamSilence, silenceGoals*j.route.LatencyGoal)
 	}
 	return time.Duration(plainWaitFraction * float64(time.Until(j.deadline)))
 }
 
-// startTimer aborts the attempt after a period without data from the target.
-func (x *exchange) startTimer(silence time.Duration) {
-	if silence <= 0 {
-		return
-	}
-	x.silenceTimeout = silence
-	x.timer = time.AfterFunc(silence, x.expire)
-}
-
-// expire aborts the attempt unless the target has recently responded to other
-// requests.
-func (x *exchange) expire() {
-	if x.handler.opts.Placer.RespondedWithin(x.choice, busyTargetTimeout, time.Now()) {
-		x.timer.Reset(busyTargetTimeout)
-		return
-	}
-	x.timedOut.Store(true)
-	x.cancel()
-}
-
 // busyTargetTimeout is how recently a silent target must have responded to any
-// request for the attempt to continue.
+// request for the attempt to continue alone.
 const busyTargetTimeout = 700 * time.Millisecond
 
-// resetTimer restarts the silence timer.
-func (x *exchange) resetTimer() {
-	if x.timer != nil {
-		x.timer.Reset(x.silenceTimeout)
-	}
-}
-
 // pass relays the target's response to the caller.
-func (x *exchange) pass(ctx context.Context, r conn.Responded) (outcome, placing.Outcome) {
+func (x *exchange) pass(r conn.Responded) (outcome, placing.Outcome) {
 	j := x.response.job
 	info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header)
 	if x.handler.opts.Placer.ObserveWeights(x.choice.Target, j.info.Model, info.WeightsVersion, time.Now()) {
@@ -122,7 +94,7 @@
 		return lost{reason: "the answer is not the target's"}, placing.Failed
 	}
 	if success && isStream(r.Response) {
-		return x.passStream(ctx, r)
+		return x.passStream(r)
 	}
 	return x.passPlain(r)
 }
@@ -155,11 +127,11 @@
 	end := placing.Served
 	if r.Response.StatusCode >= http.StatusInternalServerError {
 		end = placing.Failed
-		if j.route.Repeatable() && j.runs < j.route.MaxAttempts && !x.response.started && x.handler.worthRepeating(j) {
+		if j.route.Repeatable() && j.runs < j.route.MaxAttempts && !x.response.started.Load() && x.handler.worthRepeating(j) {
 			return lost{reason: "failed with " + r.Response.Status}, end
 		}
 	}
-	if x.response.started {
+	if x.response.started.Load() {
 		return lost{reason: "no stream but " + r.Response.Status}, end
 	}
 	x.response.writePlain(r.Response, body)
@@ -189,7 +161,7 @@
 }
 
 // passStream relays events as they arrive.
-func (x *exchange) passStream(ctx context.Context, r conn.Responded) (outcome, placing.Outcome) {
+func (x *exchange) passStream(r conn.Responded) (outcome, placing.Outcome) {
 	j := x.response.job
 	events := newEventReader(r.Response.Body)
 	for {
@@ -204,12 +176,13 @@
 		if err != nil {
 			x.broken = true
 			r.Exchange.Abort()
-			if x.timedOut.Load() {
-				return lost{reason: "the stream fell silent"}, placing.TimedOut
+			reason := "the stream broke off: " + err.Error()
+			if x.replaced.Load() {
+				reason = "the stream fell silent"
 			}
-			return lost{reason: "the stream broke off: " + err.Error()}, placing.Failed
+			return lost{reason: reason}, placing.Failed
 		}
-		x.resetTimer()
+		x.standby.progress()
 		x.handler.opts.Placer.RecordActivity(x.choice, time.Now())
 		x.markFirst()
 		if event.weights > 0 {
@@ -220,9 +193,9 @@
 			x.cancel()
 			return stopped{err: err}, placing.Inconclusive
 		}
-		if ctx.Err() != nil {
+		if x.requestCtx.Err() != nil {
 			r.Exchange.Abort()
-			return stopped{err: context.Cause(ctx)}, placing.Inconclusive
+			return stopped{err: context.Cause(x.requestCtx)}, placing.Inconclusive
 		}
 	}
 }
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -174,10 +174,7 @@
 
 // checkQuarantine refuses a request whose prompt contains a quarantined segment.
 func (h *Handler) checkQuarantine(j *job) failure {
-	if !j.engine {
-		return nil
-	}
-	segment, left, quarantined := h.opts.Quarantine.Quarantined(j.shared, time.Now())
+	segment, left, quarantined := h.quarantined(j)
 	if !quarantined {
 		return nil
 	}
@@ -185,6 +182,17 @@
 	return refusal{http.StatusServiceUnavailable, "a segment of the prompt crashes engines", left}
 }
 
+// quarantined returns a quarantined segment of the prompt and the time that is left of
+// its quarantine, if there is one.
+func (h *Handler) quarantined(j *job) (segment string, left time.Duration, ok bool) {
+	if !j.engine {
+		return "", 0, false
+	}
+	return h.opts.Quarantine.Quarantined(j.shared, time.Now())
+}
+
+func (h *Handler) log(keyvals ...any) { _ = h.opts.Log.Log(keyvals...) }
+
 // tooLate reports whether the VM may stop before the request has ended.
 func (j *job) tooLate() bool {
 	return !j.stopBy.IsZero() && j.deadline.After(j.stopBy) && j.start.Add(longRun).After(j.stopBy)
--- a/internal/gateway/relay/response.go
+++ b/internal/gateway/relay/response.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/platform"
@@ -93,10 +94,10 @@
 	w   http.ResponseWriter
 	job *job
 	// started reports whether the header of a stream was sent.
-	started bool
+	started atomic.Bool
 	// lastEvent is the id of the last event that was passed on; 0 if there is
 	// none.
-	lastEvent int64
+	lastEvent atomic.Int64
 }
 
 // resumeAfter returns the id of the event after which the stream is resumed, or
@@ -105,8 +106,8 @@
 	if !j.route.Resumable {
 		return ""
 	}
-	if r.lastEvent > 0 {
-		return strconv.FormatInt(r.lastEvent, 10)
+	if last := r.lastEvent.Load(); last > 0 {
+		return strconv.FormatInt(last, 10)
 	}
 	return j.info.LastEvent
 }
@@ -124,28 +125,28 @@
 
 // writeEvent passes one event on. Events that the caller already has are dropped.
 func (r *response) writeEvent(resp *http.Response, e event) error {
-	if r.started && e.id >= 0 && e.id <= r.lastEvent {
+	last := r.lastEvent.Load()
+	if r.started.Load() && e.id >= 0 && e.id <= last {
 		return nil
 	}
-	if r.started && r.lastEvent > 0 && e.id > r.lastEvent+1 && r.job.sends > 1 {
-		return fmt.Errorf("%w: %d after %d", errGap, e.id, r.lastEvent)
+	if r.started.Load() && last > 0 && e.id > last+1 && r.job.sends > 1 {
+		return fmt.Errorf("%w: %d after %d", errGap, e.id, last)
 	}
 	r.start(resp)
 	if _, err := r.w.Write(e.raw); err != nil {
 		return err
 	}
 	if e.id >= 0 {
-		r.lastEvent = e.id
+		r.lastEvent.Store(e.id)
 	}
 	return http.NewResponseController(r.w).Flush()
 }
 
 // start sends the header of a stream, as received in its first run.
 func (r *response) start(resp *http.Response) {
-	if r.started {
+	if r.started.Swap(true) {
 		return
 	}
-	r.started = true
 	platform.CopyResponseHeader(r.w.Header(), resp.Header)
 	_ = http.NewResponseController(r.w).SetWriteDeadline(r.job.deadline.Add(writeSlack))
 	r.w.WriteHeader(resp.StatusCode)
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -19,12 +19,11 @@
 	// minTimeLeft is the least time before the deadline at which a request is
 	// sent.
 	minTimeLeft = 15 * time.Millisecond
-	// plainWaitFraction is the part of the remaining time that an attempt of a
-	// repeatable plain request waits for its response while another attempt may
-	// follow.
+	// plainWaitFraction is the part of the remaining time after which a repeatable
+	// plain request without a response is sent to another target as well.
 	plainWaitFraction = 0.4
-	// streamSilence is how long a resumable stream may be silent before it is
-	// resumed at another target, at least silenceGoals times the route's latency
+	// streamSilence is how long a resumable stream may be silent before another
+	// target is asked to continue it, at least silenceGoals times the route's latency
 	// goal.
 	streamSilence = 1200 * time.Millisecond
 	silenceGoals  = 3
@@ -61,18 +60,18 @@
 func (h *Handler) run(ctx context.Context, w http.ResponseWriter, j *job) {
 	resp := &response{w: w, job: j}
 	var last outcome = notRun{reason: "no target"}
-	for j.sends < maxSends {
-		if time.Until(j.deadline) < minTimeLeft && j.sends > 0 {
-			break
-		}
-		if j.sends > 0 && h.checkQuarantine(j) != nil {
-			break
-		}
-		choice, ok := h.opts.Placer.Choose(h.opts.View(), j.placingRequest(), time.Now())
-		if !ok || !h.maySend(j) {
-			break
+	// next is an attempt that has begun to answer in place of the last one.
+	var next *exchange
+	for {
+		x := next
+		if x == nil {
+			choice, ok := h.chooseNext(j)
+			if !ok {
+				break
+			}
+			x = h.newExchange(ctx, resp, choice)
 		}
-		last = h.send(ctx, resp, choice)
+		last, next = h.attempt(x)
 		switch o := last.(type) {
 		case delivered:
 			return
@@ -82,18 +81,33 @@
 			return
 		case lost:
 			j.detail += o.reason + "; "
-			if !j.route.Repeatable() || j.runs >= j.route.MaxAttempts {
+			if next == nil && (!j.route.Repeatable() || j.runs >= j.route.MaxAttempts) {
 				h.end(ctx, resp, o)
 				return
 			}
 		case notRun:
 			j.detail += o.reason + "; "
 		}
-		j.tried = append(j.tried, choice.Target.ID)
+		j.tried = append(j.tried, x.choice.Target.ID)
 	}
 	h.end(ctx, resp, last)
 }
 
+// chooseNext returns the target of the next attempt, and false if the request may not
+// be sent again.
+func (h *Handler) chooseNext(j *job) (placing.Choice, bool) {
+	switch {
+	case j.sends >= maxSends:
+		return placing.Choice{}, false
+	case j.sends > 0 && time.Until(j.deadline) < minTimeLeft:
+		return placing.Choice{}, false
+	case j.sends > 0 && h.checkQuarantine(j) != nil:
+		return placing.Choice{}, false
+	}
+	choice, ok := h.opts.Placer.Choose(h.opts.View(), j.placingRequest(), time.Now())
+	return choice, ok && h.maySend(j)
+}
+
 // placingRequest returns the request as the placer needs it.
 func (j *job) placingRequest() placing.Request {
 	r := placing.Request{Service: j.service, Tried: j.tried}
@@ -125,7 +139,7 @@
 // end responds to a request after its last attempt.
 func (h *Handler) end(ctx context.Context, resp *response, last outcome) {
 	j := resp.job
-	if resp.started {
+	if resp.started.Load() {
 		// The caller has received part of a stream; the connection is aborted
 		// so that the stream does not look complete.
 		h.finish(j, http.StatusOK, "stream broken")
@@ -157,43 +171,64 @@
 	return refusal{http.StatusServiceUnavailable, "no target can run the request now", busyRetry}
 }
 
-// send sends the request once to the chosen target and passes the response on.
-func (h *Handler) send(requestCtx context.Context, resp *response, choice placing.Choice) outcome {
-	j := resp.job
+// attempt makes an attempt and passes its response on. It returns the outcome, and the
+// attempt that has begun to answer in its place if its target fell silent. An attempt
+// that already has a response is not sent again.
+func (h *Handler) attempt(x *exchange) (outcome, *exchange) {
+	defer x.cancel()
+	j := x.response.job
 	j.sends++
-	j.recordChoice(choice)
-	ctx, cancel := context.WithCancel(requestCtx)
-	defer cancel()
-	x := &exchange{handler: h, response: resp, choice: choice, sentAt: time.Now(), cancel: cancel}
-	h.opts.Placer.Begin(choice, j.prefixes, x.sentAt)
-	end := placing.Inconclusive
-	defer func() { h.opts.Placer.End(choice, end, x.gotFirst, time.Now()) }()
-
-	var result conn.Result
-	result, x.stop = h.do(ctx, x)
-	var o outcome
-	switch r := result.(type) {
-	case conn.Unsent:
-		o, end = notRun{reason: "unsent: " + r.Err.Error()}, placing.Unreachable
-		h.opts.Suspect(choice.Target)
-	case conn.Lost:
+	j.recordChoice(x.choice)
+	x.standby = newStandby(x)
+	if x.result == nil {
+		x.send()
+	}
+	o, end := x.complete()
+	o = settle(x.requestCtx, o, &end)
+	h.opts.Placer.End(x.choice, end, x.gotFirst, time.Now())
+	_, isLost := o.(lost)
+	next := x.standby.end(isLost)
+	if next != nil && !isLost {
+		j.count(next.discard())
+		next = nil
+	}
+	return o, next
+}
+
+// complete passes the response on, if the target has responded.
+func (x *exchange) complete() (outcome, placing.Outcome) {
+	h, j := x.handler, x.response.job
+	if r, ok := x.result.(conn.Responded); ok {
+		x.standby.progress()
 		j.received++
-		j.runs++
-		o, end = lost{reason: "lost: " + r.Err.Error()}, placing.Failed
-		if x.timedOut.Load() {
+		o, end := x.pass(r)
+		switch {
+		case x.broken && x.replaced.Load():
 			end = placing.TimedOut
-		} else {
-			h.recordLoss(requestCtx, j, choice, false)
+		case x.broken && !x.gotFirst:
+			h.recordLoss(x.requestCtx, j, x.choice, true)
 		}
-	case conn.Responded:
+		return o, end
+	}
+	o, end := x.unanswered()
+	j.count(o)
+	if _, ok := o.(lost); ok && !x.replaced.Load() {
+		h.recordLoss(x.requestCtx, j, x.choice, false)
+	}
+	return o, end
+}
+
+// count adds an attempt without an answer to the job's counters.
+func (j *job) count(o outcome) {
+	switch o := o.(type) {
+	case lost:
 		j.received++
-		o, end = x.pass(ctx, r)
-		if x.broken && !x.gotFirst && !x.timedOut.Load() {
-			h.recordLoss(requestCtx, j, choice, true)
+		j.runs++
+	case notRun:
+		if o.arrived {
+			j.received++
 		}
 	}
-	x.stop()
-	return h.settle(requestCtx, o, &end)
 }
 
 // recordLoss records that an engine closed its connection without an answer, unless
@@ -211,7 +246,7 @@
 
 // settle replaces the outcome of an attempt that was ended by the caller or the
 // deadline rather than by the target.
-func (h *Handler) settle(ctx context.Context, o outcome, end *placing.Outcome) outcome {
+func settle(ctx context.Context, o outcome, end *placing.Outcome) outcome {
 	if _, ok := o.(delivered); ok || ctx.Err() == nil {
 		return o
 	}
--- /dev/null
+++ b/internal/gateway/relay/standby.go
@@ -0,0 +1,245 @@
+package relay
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// standbyRetry is the time between two checks of whether a silent target can be
+// replaced.
+const standbyRetry = 300 * time.Millisecond
+
+// A standby sends the request to another target while the target of an attempt is
+// silent. The attempt ends only once the other target has begun to answer: a sound
+// target may pause, and an answer that was given up cannot be recovered if no other
+// target accepts the request.
+type standby struct {
+	of *exchange
+	// timeout is how long the target may be silent before another one is tried.
+	timeout time.Duration
+	// request is the placing request of a trial, sends the number of sends up to the
+	// attempt, and maxRuns the number of further runs that are permitted.
+	request placing.Request
+	sends   int
+	maxRuns int
+
+	wg sync.WaitGroup
+	// mu guards the fields below.
+	mu     sync.Mutex
+	timer  *time.Timer
+	ended  bool
+	logged bool
+	// trial is the running attempt at another target, and next the one that replaces
+	// the silent target; nil if there is none.
+	trial *exchange
+	next  *exchange
+	// failed are the attempts at other targets that brought no answer.
+	failed []outcome
+}
+
+// newStandby returns the standby of an attempt, or nil if the request may not be sent
+// to another target while this one is silent.
+func newStandby(x *exchange) *standby {
+	j := x.response.job
+	maxRuns := j.route.MaxAttempts - j.runs - 1
+	if !j.route.Repeatable() || maxRuns <= 0 {
+		return nil
+	}
+	s := &standby{of: x, timeout: j.silenceTimeout(), request: j.placingRequest(), sends: j.sends, maxRuns: maxRuns}
+	s.request.Goal = 0
+	s.request.Tried = append(slices.Clone(j.tried), x.choice.Target.ID)
+	s.timer = time.AfterFunc(s.timeout, s.expire)
+	return s
+}
+
+// progress records that the target has sent something, which ends a trial.
+func (s *standby) progress() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil {
+		return
+	}
+	if s.trial != nil {
+		s.trial.cancel()
+		s.trial = nil
+	}
+	s.timer.Reset(s.timeout)
+}
+
+// end ends the standby together with its attempt. It adds the trials to the job's
+// counters and returns the attempt that replaces the silent target, if there is one. If
+// the attempt was lost, a running trial is waited for, else it is cancelled.
+func (s *standby) end(lost bool) *exchange {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	s.ended = true
+	s.timer.Stop()
+	if s.trial != nil && !lost {
+		s.trial.cancel()
+		s.trial = nil
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	for _, o := range s.failed {
+		s.of.response.job.sends++
+		s.of.response.job.count(o)
+	}
+	return s.next
+}
+
+// expire tries another target, unless the silent one has recently responded to other
+// requests.
+func (s *standby) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.next != nil || s.trial != nil {
+		return
+	}
+	h, now := s.of.handler, time.Now()
+	if h.opts.Placer.RespondedWithin(s.of.choice, busyTargetTimeout, now) {
+		s.timer.Reset(busyTargetTimeout)
+		return
+	}
+	choice, obstacle := s.choose(now)
+	if !s.logged || obstacle == "" {
+		s.logged = true
+		h.log("msg", "target silent", "id", s.of.response.job.info.ID, "target", s.of.choice.Target.ID, "limit", s.timeout,
+			"standby", obstacle == "", "obstacle", obstacle)
+	}
+	if obstacle != "" {
+		s.timer.Reset(standbyRetry)
+		return
+	}
+	s.trial = h.newExchange(s.of.requestCtx, s.of.response, choice)
+	trial := s.trial
+	s.wg.Go(func() {
+		trial.send()
+		s.finish(trial)
+	})
+}
+
+// choose returns the target to try, or what prevents a trial.
+func (s *standby) choose(now time.Time) (choice placing.Choice, obstacle string) {
+	h, j := s.of.handler, s.of.response.job
+	runs := 0
+	for _, o := range s.failed {
+		if _, ok := o.(lost); ok {
+			runs++
+		}
+	}
+	if runs >= s.maxRuns || s.sends+len(s.failed) >= maxSends {
+		return choice, "no further attempt is permitted"
+	}
+	if _, _, quarantined := h.quarantined(j); quarantined {
+		return choice, "a segment of the prompt is quarantined"
+	}
+	s.request.TimeLeft = time.Until(j.deadline)
+	choice, ok := h.opts.Placer.Choose(h.opts.View(), s.request, now)
+	if !ok || choice.Unresponsive() {
+		return choice, "no other target"
+	}
+	if !h.opts.Budget.Spend(j.service, h.opts.VMs(), now) {
+		return choice, "the retry budget is spent"
+	}
+	return choice, ""
+}
+
+// finish records the result of a trial: it replaces the silent target if it has begun
+// to answer.
+func (s *standby) finish(trial *exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.trial == trial
+	s.trial = nil
+	id, from, to := s.of.response.job.info.ID, s.of.choice.Target.ID, trial.choice.Target.ID
+	if current && trial.answers() {
+		s.next = trial
+		s.of.replaced.Store(true)
+		s.of.cancel()
+		s.of.handler.log("msg", "silent target replaced", "id", id, "target", from, "by", to)
+		return
+	}
+	o := trial.discard()
+	s.failed = append(s.failed, o)
+	s.request.Tried = append(s.request.Tried, trial.choice.Target.ID)
+	s.of.handler.log("msg", "silent target not replaced", "id", id, "target", from, "by", to, "outcome", describe(o))
+	if current && !s.ended {
+		s.timer.Reset(standbyRetry)
+	}
+}
+
+// answers reports whether the target has begun to answer the request.
+func (x *exchange) answers() bool {
+	r, ok := x.result.(conn.Responded)
+	if !ok || x.ctx.Err() != nil {
+		return false
+	}
+	info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header)
+	return r.Response.StatusCode < 300 && info.Sealed && !info.Encoded && !info.NotRun &&
+		(isStream(r.Response) || !x.response.started.Load())
+}
+
+// discard ends an attempt whose response is not passed on, and returns its outcome.
+func (x *exchange) discard() outcome {
+	o, end := x.unanswered()
+	x.handler.opts.Placer.End(x.choice, end, false, time.Now())
+	x.cancel()
+	return o
+}
+
+// unanswered ends an attempt without an answer that is passed on.
+func (x *exchange) unanswered() (outcome, placing.Outcome) {
+	switch r := x.result.(type) {
+	case conn.Unsent:
+		o := notRun{reason: "unsent: " + r.Err.Error()}
+		if x.ctx.Err() != nil {
+			return o, placing.Inconclusive
+		}
+		x.handler.opts.Suspect(x.choice.Target)
+		return o, placing.Unreachable
+	case conn.Lost:
+		o := lost{reason: "lost: " + r.Err.Error()}
+		switch {
+		case x.replaced.Load():
+			return o, placing.TimedOut
+		case x.ctx.Err() != nil:
+			return o, placing.Inconclusive
+		}
+		return o, placing.Failed
+	case conn.Responded:
+		if info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header); info.NotRun {
+			return x.handleNotRun(r, info)
+		}
+		end := placing.Failed
+		if x.answers() {
+			end = placing.Inconclusive
+		}
+		r.Exchange.Abort()
+		return lost{reason: "not passed on: " + r.Response.Status}, end
+	}
+	panic("relay: unknown result")
+}
+
+// describe returns the reason of an outcome for the log.
+func describe(o outcome) string {
+	switch o := o.(type) {
+	case notRun:
+		return o.reason
+	case lost:
+		return o.reason
+	case stopped:
+		return o.err.Error()
+	default:
+		return "delivered"
+	}
+}
