--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -187,6 +187,8 @@
 	header http.Header
 	body   string
 	err    error
+	// close reports whether the VM closes the connection after the response.
+	close bool
 }
 
 // request sends a request as a caller.
@@ -216,7 +218,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return result{resp.StatusCode, resp.Header, string(body), err}
+	return result{resp.StatusCode, resp.Header, string(body), err, resp.Close}
 }
 
 // runs returns the number of requests that ran at the targets.
@@ -563,6 +565,22 @@
 		must.NoError(t, <-v2.done)
 		v2.done <- nil
 	})
+	t.Run("answers of a VM that stops close the connection", func(t *testing.T) {
+		for _, path := range []string{"/commit/", "/stream/a/"} {
+			got := v1.request(path, "r")
+			must.Eq(t, http.StatusOK, got.status)
+			must.False(t, got.close)
+		}
+		v4 := b.start("vm-4", v1.settings.Peers.Address)
+		v4.ready()
+		v4.stop()
+		eventually(t, func() bool { return strings.Contains(v4.log.String(), "state=draining") })
+		for _, path := range []string{"/commit/", "/stream/a/"} {
+			got := v4.request(path, "r")
+			must.Eq(t, http.StatusOK, got.status)
+			must.True(t, got.close, must.Sprint(path))
+		}
+	})
 	t.Run("invalid bytes from a peer are ignored", func(t *testing.T) {
 		var d net.Dialer
 		c, err := d.DialContext(t.Context(), "tcp", v1.settings.Peers.Address)
