Ignore a silence timeout that crosses data of the target

Cause: found by reading. A timer that fires while an event is being read waits for the mutex and then started a trial although the target had just sent something; and a timeout of zero could run before the timer was stored.

Change: the expiry looks at when the target was last heard, and the timer is stored under the mutex that the expiry takes.

Measured: TestSilentTarget*, TestRepeat, TestAtMostOnce, TestCallerDisconnects three times with -race: pass. The crossing itself was not reproduced by a test.

Conclusion: an expiry acts on the state under the mutex, not on having fired.

--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -19,7 +19,7 @@
 // target may pause, and an answer that was given up cannot be recovered if no other
 // target accepts the request.
 type standby struct {
-	of *exchange
+	first *exchange // the attempt whose target may be silent
 	// timeout is how long the target may be silent before another one is tried.
 	timeout time.Duration
 	// request is the placing request of a trial, sends the number of sends up to the
@@ -34,6 +34,8 @@
 	timer  *time.Timer
 	ended  bool
 	logged bool
+	// heard is when the target last sent something, or the start of the attempt.
+	heard time.Time
 	// trial is the running attempt at another target, and next the one that replaces
 	// the silent target; nil if there is none.
 	trial *exchange
@@ -50,9 +52,12 @@
 	if !j.route.Repeatable() || maxRuns <= 0 {
 		return nil
 	}
-	s := &standby{of: x, timeout: j.silenceTimeout(), request: j.placingRequest(), sends: j.sends, maxRuns: maxRuns}
+	s := &standby{first: x, timeout: j.silenceTimeout(), request: j.placingRequest(), sends: j.sends, maxRuns: maxRuns}
 	s.request.Goal = 0
 	s.request.Tried = append(slices.Clone(j.tried), x.choice.Target.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard = time.Now()
 	s.timer = time.AfterFunc(s.timeout, s.expire)
 	return s
 }
@@ -71,6 +76,7 @@
 		s.trial.cancel()
 		s.trial = nil
 	}
+	s.heard = time.Now()
 	s.timer.Reset(s.timeout)
 }
 
@@ -91,8 +97,8 @@
 	s.mu.Unlock()
 	s.wg.Wait()
 	for _, o := range s.failed {
-		s.of.response.job.sends++
-		s.of.response.job.count(o)
+		s.first.response.job.sends++
+		s.first.response.job.count(o)
 	}
 	return s.next
 }
@@ -105,22 +111,26 @@
 	if s.ended || s.next != nil || s.trial != nil {
 		return
 	}
-	h, now := s.of.handler, time.Now()
-	if h.opts.Placer.RespondedWithin(s.of.choice, busyTargetTimeout, now) {
+	h, now := s.first.handler, time.Now()
+	if left := s.timeout - now.Sub(s.heard); left > 0 {
+		s.timer.Reset(left)
+		return
+	}
+	if h.opts.Placer.RespondedWithin(s.first.choice, busyTargetTimeout, now) {
 		s.timer.Reset(busyTargetTimeout)
 		return
 	}
 	choice, obstacle := s.choose(now)
 	if !s.logged || obstacle == "" {
 		s.logged = true
-		h.log("msg", "target silent", "id", s.of.response.job.info.ID, "target", s.of.choice.Target.ID, "limit", s.timeout,
+		h.log("msg", "target silent", "id", s.first.response.job.info.ID, "target", s.first.choice.Target.ID, "limit", s.timeout,
 			"standby", obstacle == "", "obstacle", obstacle)
 	}
 	if obstacle != "" {
 		s.timer.Reset(standbyRetry)
 		return
 	}
-	s.trial = h.newExchange(s.of.requestCtx, s.of.response, choice)
+	s.trial = h.newExchange(s.first.requestCtx, s.first.response, choice)
 	trial := s.trial
 	s.wg.Go(func() {
 		trial.send()
@@ -130,7 +140,7 @@
 
 // choose returns the target to try, or what prevents a trial.
 func (s *standby) choose(now time.Time) (choice placing.Choice, obstacle string) {
-	h, j := s.of.handler, s.of.response.job
+	h, j := s.first.handler, s.first.response.job
 	runs := 0
 	for _, o := range s.failed {
 		if _, ok := o.(lost); ok {
@@ -161,18 +171,18 @@
 	defer s.mu.Unlock()
 	current := s.trial == trial
 	s.trial = nil
-	id, from, to := s.of.response.job.info.ID, s.of.choice.Target.ID, trial.choice.Target.ID
+	id, from, to := s.first.response.job.info.ID, s.first.choice.Target.ID, trial.choice.Target.ID
 	if current && trial.answers() {
 		s.next = trial
-		s.of.replaced.Store(true)
-		s.of.cancel()
-		s.of.handler.log("msg", "silent target replaced", "id", id, "target", from, "by", to)
+		s.first.replaced.Store(true)
+		s.first.cancel()
+		s.first.handler.log("msg", "silent target replaced", "id", id, "target", from, "by", to)
 		return
 	}
 	o := trial.discard()
 	s.failed = append(s.failed, o)
 	s.request.Tried = append(s.request.Tried, trial.choice.Target.ID)
-	s.of.handler.log("msg", "silent target not replaced", "id", id, "target", from, "by", to, "outcome", describe(o))
+	s.first.handler.log("msg", "silent target not replaced", "id", id, "target", from, "by", to, "outcome", reasonOf(o))
 	if current && !s.ended {
 		s.timer.Reset(standbyRetry)
 	}
@@ -230,8 +240,8 @@
 	panic("relay: unknown result")
 }
 
-// describe returns the reason of an outcome for the log.
-func describe(o outcome) string {
+// reasonOf returns the reason of an outcome for the log.
+func reasonOf(o outcome) string {
 	switch o := o.(type) {
 	case notRun:
 		return o.reason
