Report the last answer if the first configuration is not applied

Seen: on arm64 the demo and TestLoad of internal/demo hung until the test binary's timeout, with goroutine stacks and no other output.

Cause: applyFirstConfig repeated the patch for as long as it was answered 503, and dropped the answers. If its context ended, its error did not hold them either.

Change: the repetition is bounded by readyTimeout, which already bounds the wait for readiness after it. The error names the last answer.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// readyTimeout bounds the time until all VMs are ready.
+	// readyTimeout bounds the time until the first configuration is applied, and the
+	// time from then until all VMs are ready.
 	readyTimeout = 8 * time.Second
 	// pollInterval is the time between two polls of a VM's state.
 	pollInterval = 20 * time.Millisecond
@@ -74,21 +75,26 @@
 	f.memory.SetVMs(records)
 }
 
-// applyFirstConfig sends the first configuration to a VM.
+// applyFirstConfig sends the first configuration to a VM until it is applied.
 func (f *fleet) applyFirstConfig(ctx context.Context) error {
 	patch, err := config.EncodePatch(config.FirstPatch(configuration(f.targets)))
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	var last string
 	for {
 		status, body, err := f.operator(ctx, f.vms[0], http.MethodPost, "/patch", string(patch))
 		switch {
 		case err != nil:
-			return err
+			return eris.Wrapf(err, "first configuration not applied, last answer %q", last)
 		case status == http.StatusOK:
 			return nil
-		case status != http.StatusServiceUnavailable || ctx.Err() != nil:
-			return eris.Errorf("first configuration answered %d: %s", status, body)
+		}
+		last = fmt.Sprintf("%d: %s", status, strings.TrimSpace(body))
+		if status != http.StatusServiceUnavailable {
+			return eris.Errorf("first configuration answered %s", last)
 		}
 		store.Sleep(ctx, pollInterval)
 	}
