Give the demo's VMs the default limit of store calls

Seen: on arm64 the first configuration of the demo was answered 503 for ever, "this VM's budget of calls is spent": with and without the race detector, with one processor and with all.

Cause: the demo built its settings without Decode and so without defaults. CallsPerSecond was 0. A VM with no calls a second has a burst of none either, and the wait for one token is 1 / 0. Converted to a Duration, that is the smallest one on x86-64, which passed for "no wait", and the largest one on arm64. So the demo ran without any limit on the one and without any call on the other.

Change: WithDefaults is exported, and the demo's settings use it.

Measured: TestNodeSettingsHaveDefaults failed with 0 calls a second in place of 50.

--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/settings"
 )
 
 // TestFirstConfigReportsLastAnswer guards against an error without the answer that kept
@@ -35,3 +37,9 @@
 	f := &fleet{standIns: targets, client: s.Client(), vms: []*node{vm}}
 	must.ErrorContains(t, f.applyFirstConfig(ctx), "503: the budget of calls is spent")
 }
+
+// TestNodeSettingsHaveDefaults guards against a demo VM that may not call the object store.
+func TestNodeSettingsHaveDefaults(t *testing.T) {
+	s := newNode("vm-1", "hakata").settings("127.0.0.1:9000")
+	must.Eq(t, float64(settings.DefaultCallsPerSecond), s.Platform.CallsPerSecond)
+}
--- a/internal/demo/node.go
+++ b/internal/demo/node.go
@@ -119,15 +119,12 @@
 		VM:         n.id,
 		Region:     "kyushu-north",
 		DataCentre: n.dataCentre,
-		Callers: settings.Callers{
-			Address:      n.callers,
-			MaxBodyBytes: settings.DefaultBodyBytes, MaxHeaderBytes: settings.DefaultHeaderBytes, BodyTimeout: settings.DefaultBodyTimeout,
-		},
-		Operators: settings.Operators{Address: n.operators},
-		Peers:     settings.Peers{Address: n.peers},
-		Platform:  settings.Platform{Address: objects},
-		Entry:     settings.Entry{TTL: entryTTL, Lag: entryLag},
-	}
+		Callers:    settings.Callers{Address: n.callers},
+		Operators:  settings.Operators{Address: n.operators},
+		Peers:      settings.Peers{Address: n.peers},
+		Platform:   settings.Platform{Address: objects},
+		Entry:      settings.Entry{TTL: entryTTL, Lag: entryLag},
+	}.WithDefaults()
 }
 
 // start starts the VM. It runs until ctx ends, or until it is killed or drained.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -178,12 +178,13 @@
 	if err != nil {
 		return Settings{}, err
 	}
-	s = s.withDefaults()
+	s = s.WithDefaults()
 	return s, s.validate(file, lines)
 }
 
-// withDefaults sets the optional settings that are missing to their defaults.
-func (s Settings) withDefaults() Settings {
+// WithDefaults returns the settings with the optional ones that are missing set to their
+// defaults. Decode includes it.
+func (s Settings) WithDefaults() Settings {
 	if s.Callers.MaxBodyBytes == 0 {
 		s.Callers.MaxBodyBytes = DefaultBodyBytes
 	}
