Bound the wait for a store call that no rate will ever admit

Seen: a VM without a rate of store calls made as many as it liked on x86-64, and none on arm64.

Cause: the wait for a token was converted from a float64 that was infinite. The result of a conversion out of range depends on the processor.

Change: the quotient is bounded before it is converted, so that such a call is rejected everywhere.

Measured: TestBudgetWithoutRateRejects failed with a wait of 2562047 h in place of 2 s on arm64; it passes. What x86-64 did follows from the demo that ran there; no run on x86-64 was made. go test -race -cpu 1 ./store ./internal/daemon ./internal/demo passes.

Conclusion: the other conversions of float64 to a duration were read. Those in limit, quota and queue are bounded before or after in a way that holds for both results, and a caller's deadline (platform) that is out of range is taken for none on x86-64 and for 292 years on arm64, which a route's timeout bounds.

--- a/store/budget.go
+++ b/store/budget.go
@@ -30,6 +30,9 @@
 	normalReserve = 0.2
 	// maxBudgetWait is the longest time that a call waits for the budget.
 	maxBudgetWait = time.Second
+	// maxTokenWait bounds the result of takeToken: a call that would wait longer than
+	// maxBudgetWait is rejected.
+	maxTokenWait = 2 * maxBudgetWait
 	// minBudgetWait is the shortest time between two checks of the budget.
 	minBudgetWait = 5 * time.Millisecond
 )
@@ -109,7 +112,7 @@
 }
 
 // takeToken takes the token for one call and returns 0, or returns the time
-// until enough tokens are available.
+// until enough tokens are available, at most maxTokenWait.
 func (b *Budget) takeToken(p Priority) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -117,7 +120,8 @@
 	b.tokens = min(b.opts.Burst, b.tokens+now.Sub(b.last).Seconds()*b.opts.PerSecond)
 	b.last = now
 	if missing := 1 + b.reserve(p) - b.tokens; missing > 0 {
-		return time.Duration(missing / b.opts.PerSecond * float64(time.Second))
+		// Without a rate the quotient is infinite, and out of the range of a Duration.
+		return time.Duration(min(missing/b.opts.PerSecond, maxTokenWait.Seconds()) * float64(time.Second))
 	}
 	b.tokens--
 	return 0
--- a/store/budget_test.go
+++ b/store/budget_test.go
@@ -50,6 +50,18 @@
 	})
 }
 
+// TestBudgetWithoutRateRejects guards against a wait that exceeds a Duration, which some
+// processors convert to a negative one, so that every call was admitted.
+func TestBudgetWithoutRateRejects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, perSecond := range []float64{0, 1e-12} {
+			b := NewBudget(NewMemory(), BudgetOptions{PerSecond: perSecond, Clock: SystemClock{}})
+			must.Eq(t, maxTokenWait, b.takeToken(PriorityHigh))
+			must.ErrorIs(t, get(t, b.WithPriority(PriorityHigh)), errBudget)
+		}
+	})
+}
+
 func TestBreaker(t *testing.T) {
 	withBudget(t, func(t *testing.T, m *Memory, b *Budget) {
 		m.SetFault(Down())
