Take no shares of a limit before the platform's list is read

Seen: TestProcesses timed out waiting for a stream without the platform: every request was refused for limits after vm-2 had been killed while the platform was frozen.

Cause: a VM that starts leaves slots to VMs that the platform lists and that are not in the membership yet. Until it had read the list it counted the known VMs in its place: itself. The first VM to start therefore took all slots of a shard when the list was answered after the first read of the slots, or was not answered at first, and gave them up 10 s later, one at a time. If it was vm-2, the shares were lost with it.

Change: Listed is 0 before the first read of the list, and a VM acquires no slots before it, for the 10 s for which it leaves slots to others. It isn't warm meanwhile, for the 5 s for which a start waits for slots at all.

Conclusion: a fault of the product, not of the test, which is as it was. Not changed: config's membershipSettled also uses the count, and holds at once while the list is unread; before, it held then for a VM that knew no others.

--- a/limit/event.go
+++ b/limit/event.go
@@ -55,11 +55,13 @@
 
 // Membership is the current membership: the VMs that are considered alive,
 // sorted by ID, the number of VMs that the platform lists, and the holders of
-// slots that are proven to have ended.
+// slots that are proven to have ended. ListUnread reports whether this VM has not
+// read the platform's list yet.
 type Membership struct {
-	Live    []vm.Member
-	Listed  int
-	Removed map[string]bool
+	Live       []vm.Member
+	Listed     int
+	ListUnread bool
+	Removed    map[string]bool
 }
 
 // SlotsListed is the state of a shard's slots in the store. With Failed the
--- a/limit/loop.go
+++ b/limit/loop.go
@@ -79,13 +79,14 @@
 func (l *loop) tick() {
 	l.configure()
 	now := l.t.o.Clock.Now()
-	if now.Sub(l.lastMembership) >= membershipInterval {
+	if now.Sub(l.lastMembership) >= membershipInterval || l.state.awaitsList() {
 		l.lastMembership = now
 		removed := map[string]bool{}
 		for _, id := range l.state.Holders() {
 			removed[id] = l.t.o.Roster.Removed(id)
 		}
-		l.step(Membership{Live: l.t.o.Roster.Live(), Listed: l.t.o.Roster.Listed(), Removed: removed})
+		listed := l.t.o.Roster.Listed()
+		l.step(Membership{Live: l.t.o.Roster.Live(), Listed: listed, ListUnread: listed == 0, Removed: removed})
 	}
 	l.step(Tick{})
 	if !l.t.warm.Load() && l.state.Warm(now) {
--- a/limit/queries.go
+++ b/limit/queries.go
@@ -59,6 +59,9 @@
 	if now.Sub(s.startAt) >= warmTimeout {
 		return true
 	}
+	if s.awaitsList() {
+		return false
+	}
 	for _, sh := range s.shards {
 		_, more := s.availableSlot(sh)
 		lacking := sh.listedAt.IsZero() || sh.active() < len(sh.held) || (more && len(sh.held) < sh.assigned)
--- a/limit/slot.go
+++ b/limit/slot.go
@@ -215,8 +215,8 @@
 		s.startAt = now.Add(s.startJitter())
 	}
 	graceOver := !now.Before(s.startAt.Add(joinGrace))
-	if changed || e.Listed != s.listedVMs || graceOver != s.joinGraceOver {
-		s.listedVMs = e.Listed
+	if changed || e.Listed != s.listedVMs || e.ListUnread != s.listUnread || graceOver != s.joinGraceOver {
+		s.listedVMs, s.listUnread = e.Listed, e.ListUnread
 		s.joinGraceOver = graceOver
 		s.assignSlots()
 	}
@@ -226,7 +226,7 @@
 // assignSlots computes how many slots of each shard this VM should hold. Until
 // the other VMs have had time to appear in the membership, it counts all VMs
 // that the platform lists, so that the first VM to start doesn't acquire all
-// slots.
+// slots. It acquires none before it has read that list.
 func (s *State) assignSlots() {
 	s.candidates = candidates(s.live)
 	for _, sh := range s.shards {
@@ -237,13 +237,17 @@
 		}
 		rank := slices.IndexFunc(preferred, func(c candidate) bool { return c.id == s.self.ID })
 		sh.assigned, sh.rank, sh.holders = 0, rank, holders
-		if rank >= 0 {
+		if rank >= 0 && !s.awaitsList() {
 			sh.assigned = s.layout.assignedSlots(rank, holders)
 		}
 		sh.otherHolders = nil
 	}
 }
 
+// awaitsList reports whether this VM waits for the platform's list before it
+// acquires slots.
+func (s *State) awaitsList() bool { return s.listUnread && !s.joinGraceOver }
+
 // startJitter returns the delay of this VM's first access to the store. It
 // spreads the accesses of VMs that start together.
 func (s *State) startJitter() time.Duration {
--- a/limit/slot_test.go
+++ b/limit/slot_test.go
@@ -109,6 +109,32 @@
 		held, _ = countSlots(f, n)
 		must.Eq(t, 8, held)
 	})
+	t.Run("a VM leaves all slots until it has read the platform's list", func(t *testing.T) {
+		f := newFleet(1, limit.Layout{Shards: 1, Slots: 8}, oneCustomer(hakataRate), seed.Value())
+		n := f.nodes[0]
+		unread := limit.Membership{Live: []vm.Member{n.member}, ListUnread: true}
+		n.step(unread)
+		f.Advance(4 * time.Second)
+		held, _ := countSlots(f, n)
+		must.Eq(t, 0, held)
+		must.False(t, n.s.Warm(f.Now()))
+		n.step(limit.Membership{Live: []vm.Member{n.member}, Listed: 3})
+		f.Advance(time.Second)
+		held, _ = countSlots(f, n)
+		must.Eq(t, 3, held)
+		must.True(t, n.s.Warm(f.Now()))
+	})
+	t.Run("a VM that cannot read the platform's list acquires slots after the grace", func(t *testing.T) {
+		f := newFleet(1, limit.Layout{Shards: 1, Slots: 8}, oneCustomer(hakataRate), seed.Value())
+		n := f.nodes[0]
+		unread := limit.Membership{Live: []vm.Member{n.member}, ListUnread: true}
+		n.step(unread)
+		f.Advance(11 * time.Second)
+		n.step(unread)
+		f.Advance(5 * time.Second)
+		held, _ := countSlots(f, n)
+		must.Eq(t, 8, held)
+	})
 	t.Run("releasing a slot removes its part from the account", func(t *testing.T) {
 		f, first := slowRefillFleet(2)
 		mustAdmit(t, decide(f, first, limit.Cost{Requests: 1, Tokens: 12000}))
--- a/limit/state.go
+++ b/limit/state.go
@@ -28,9 +28,11 @@
 	inactiveSlots int
 	// startAt is the time of this VM's first access to the store.
 	startAt time.Time
-	// listedVMs is the number of VMs that the platform lists; joinGraceOver
-	// reports whether they have had time to appear in the membership.
+	// listedVMs is the number of VMs that the platform lists, and listUnread
+	// reports whether it is not known yet; joinGraceOver reports whether they have
+	// had time to appear in the membership.
 	listedVMs     int
+	listUnread    bool
 	joinGraceOver bool
 	lastReconcile time.Time
 	lastEviction  time.Time
--- a/vm/membership.go
+++ b/vm/membership.go
@@ -53,6 +53,7 @@
 	self       Member
 	others     map[string]*memberState
 	listed     map[string]store.VMRecord
+	listRead   bool                // the list has been read
 	removedIDs map[string]struct{} // were listed and no longer are
 	broadcasts []broadcast
 	local      roundRobin
@@ -87,7 +88,7 @@
 			delete(m.others, id)
 		}
 	}
-	m.listed, m.removedIDs = listed, removed
+	m.listed, m.listRead, m.removedIDs = listed, true, removed
 }
 
 func (m *membership) removed(id string) bool {
--- a/vm/queries.go
+++ b/vm/queries.go
@@ -16,6 +16,7 @@
 	listed     map[string]store.VMRecord
 	removedIDs map[string]struct{}
 	outcomes   []outcome
+	listRead   bool
 	listedUp   int // number of other VMs that are listed and not Down
 }
 
@@ -26,6 +27,7 @@
 		live:       []Member{m.self},
 		others:     make(map[string]Update, len(m.others)),
 		listed:     m.listed,
+		listRead:   m.listRead,
 		removedIDs: m.removedIDs,
 		outcomes:   slices.Clone(m.outcomes),
 	}
@@ -49,12 +51,16 @@
 // Live implements Roster. VMs that are Suspect are included.
 func (t *Task) Live() []Member { return slices.Clone(t.view.Load().live) }
 
-// Listed implements Roster. Before the first list it returns the number of known
-// VMs.
-func (t *Task) Listed() int { return t.view.Load().fleetSize() }
+// Listed implements Roster. If no VM is listed it returns the number of known VMs.
+func (t *Task) Listed() int {
+	v := t.view.Load()
+	if !v.listRead {
+		return 0
+	}
+	return v.fleetSize()
+}
 
-// fleetSize returns the number of listed VMs, or of known ones before the first
-// list.
+// fleetSize returns the number of listed VMs, or of known ones if none is listed.
 func (v *view) fleetSize() int {
 	if len(v.listed) == 0 {
 		return len(v.others) + 1
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -40,7 +40,8 @@
 	// Live returns the VMs that are not Down, including this one and draining
 	// ones, sorted by id.
 	Live() []Member
-	// Listed returns the number of VMs on the platform's list.
+	// Listed returns the number of VMs on the platform's list, or 0 before the
+	// first read of it.
 	Listed() int
 	// Removed reports whether the VM was on the platform's list and is no longer,
 	// which proves that it has ended.
