Wait for the handover delay after a term that this VM did not see

Cause: whether the new holder of the rollout lease has to wait was decided by the record that it had last read or written itself. A VM that held term 1, and against which term 2 was acquired while it was silent, acquired term 3 at its first claim if the holder of term 2 had yielded.

Change: the previous holder is the one in the record that is replaced.

Measured: TestHandoverDelayAfterUnseenTerm failed (orders permitted at once) and passes; go test -race -cpu 1 ./internal/fleet/rollout passes.

Conclusion: it takes a yield (a holder without the store) to show, since a first claim against any other holder is refused and reads the record.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -80,7 +80,10 @@
 	} else {
 		r = lease.Acquire(ctx, t.opts.Store, lease.Request{
 			Name: leaseName, Self: t.opts.Self, TTL: leaseTTL,
-			HolderGone: func(rec lease.Record) bool { return t.tracker.Expired(rec, t.opts.Clock.Now()) || t.hasYielded(rec) },
+			HolderGone: func(rec lease.Record) bool {
+				previous = rec.Lease
+				return t.tracker.Expired(rec, t.opts.Clock.Now()) || t.hasYielded(rec)
+			},
 		})
 	}
 	switch r := r.(type) {
--- a/internal/fleet/rollout/lease_test.go
+++ b/internal/fleet/rollout/lease_test.go
@@ -64,3 +64,28 @@
 		}
 	})
 }
+
+// TestHandoverDelayAfterUnseenTerm guards against a VM that continues under the lease
+// without the handover delay although another VM held it since.
+func TestHandoverDelayAfterUnseenTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.NewMemory()
+		var other roster.Member
+		first, second := newTask("a", s), newTask("b", s)
+		first.opts.Members = func() []roster.Member { return []roster.Member{other} }
+		must.True(t, first.mayOrder(t.Context()))
+		for range 10 {
+			time.Sleep(claimInterval)
+			second.mayOrder(t.Context())
+		}
+		held, term := second.leaseTerm()
+		must.True(t, held)
+		must.Eq(t, 2, term)
+
+		other.Entry = roster.Entry{VM: "b", Born: 1, Duty: roster.LeaseStatus{Term: 2, Yielded: 2}}
+		must.False(t, first.mayOrder(t.Context()))
+		held, term = first.leaseTerm()
+		must.True(t, held)
+		must.Eq(t, 3, term)
+	})
+}
