Read the rejection of a standby without its lock

Callers saw a stream stop although its engine had gone on after a pause, and end without its rest at the deadline. A plain answer that had arrived would be passed on late.

Cause: finish discarded the attempt at the other target while it held the lock, and discarding a rejection reads its body. If the header arrived and the body did not, each event of the silent target waited for the lock, and nothing ended the read but the request's deadline. Besides, finish cleared the running trial even if that was another one.

Change: finish reads the rejection without the lock and keeps it as the running trial meanwhile, so that an event of the silent target cancels it.

Measured: TestStalledRejectionStallsNoStream before: "unexpected EOF" after two events, 6.7 s after the engine had gone on. It passes now, as do TestSilentTargetEndsNoAnswer and TestSilentTargetIsReplaced (-race -cpu 1).

Conclusion: no input from a target is awaited while the lock of a standby is held.

--- a/internal/gateway/node/standby_test.go
+++ b/internal/gateway/node/standby_test.go
@@ -38,3 +38,61 @@
 		eventually(t, func() bool { return v.inFlight.Load() == 0 })
 	}
 }
+
+// rawTarget registers an engine whose responses are written by respond.
+func (b *testbed) rawTarget(id string, respond func(c net.Conn, r *http.Request)) {
+	b.t.Helper()
+	var lc net.ListenConfig
+	l, err := lc.Listen(b.t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				respond(c, r)
+			}()
+		}
+	}()
+	b.list("llm", id, l.Addr().String(), "ready")
+}
+
+// TestStalledRejectionStallsNoStream guards against a stream that stops because the
+// rejection of an attempt at another target does not arrive in full.
+func TestStalledRejectionStallsNoStream(t *testing.T) {
+	b := newTestbed(t)
+	b.store.Remove("servers", "llm-1")
+	v := b.start("vm-1")
+	v.ready()
+	e := b.engines[0]
+	e.SetEventInterval(100 * time.Millisecond)
+	results := v.send("/stream/a/")
+	eventually(t, func() bool { return len(e.Runs()) == 1 })
+	rejected := make(chan struct{}, 8)
+	b.rawTarget("llm-2", func(c net.Conn, r *http.Request) {
+		if r.URL.Path != "/stream/a/" {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nBaobabdyke-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n")
+		rejected <- struct{}{}
+		_, _ = io.Copy(io.Discard, c)
+	})
+	e.Silence()
+	t.Cleanup(e.Resume)
+	<-rejected
+	// The VM receives the header of the rejection.
+	time.Sleep(100 * time.Millisecond)
+	e.Resume()
+	got := <-results
+	must.NoError(t, got.err)
+	must.Eq(t, wholeStream(), got.body)
+}
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -167,27 +167,41 @@
 // finish records the result of a trial: it replaces the silent target if it has begun
 // to answer.
 func (s *standby) finish(trial *exchange) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current := s.trial == trial
-	s.trial = nil
 	id, from, to := s.first.response.job.info.ID, s.first.choice.Target.ID, trial.choice.Target.ID
-	if current && trial.answers() {
-		s.next = trial
-		s.first.replaced.Store(true)
-		s.first.cancel()
+	if s.replace(trial) {
 		s.first.handler.log("msg", "silent target replaced", "id", id, "target", from, "by", to)
 		return
 	}
+	// Reading a rejection may block, so mu is not held.
 	o := trial.discard()
-	s.failed = append(s.failed, o)
-	s.request.Tried = append(s.request.Tried, trial.choice.Target.ID)
 	s.first.handler.log("msg", "silent target not replaced", "id", id, "target", from, "by", to, "outcome", reasonOf(o))
-	if current && !s.ended {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = append(s.failed, o)
+	s.request.Tried = append(s.request.Tried, to)
+	if s.trial != trial {
+		return
+	}
+	s.trial = nil
+	if !s.ended {
 		s.timer.Reset(standbyRetry)
 	}
 }
 
+// replace reports whether the trial has begun to answer and the silent target has not
+// gone on, and ends the attempt at the silent target if so.
+func (s *standby) replace(trial *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.trial != trial || !trial.answers() {
+		return false
+	}
+	s.trial, s.next = nil, trial
+	s.first.replaced.Store(true)
+	s.first.cancel()
+	return true
+}
+
 // answers reports whether the target has begun to answer the request.
 func (x *exchange) answers() bool {
 	r, ok := x.result.(conn.Responded)
