Keep a standby when the silent target rejects the request

Callers got a 502 or a 503 while another target was working on their request: the silent target went on, but only to reject the request or to fail.

Cause: any header from the silent target ended the attempt at the other one, before it was known whether it began an answer. The next attempt is charged to the retry budget once more, and if that is spent there is none.

Change: a rejection or a server error does not end the attempt at the other target, and it is waited for after a rejection as it is after a loss.

Measured: TestFailureKeepsStandby before: 502 in both cases. It passes now, as do the other tests of silent targets (-race -cpu 1,4).

--- a/internal/gateway/node/standby_test.go
+++ b/internal/gateway/node/standby_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/internal/settings"
 )
 
 // TestBodyAfterDeadlineStopsNoVM guards against a VM that crashes when the body of a request
@@ -96,3 +99,37 @@
 	must.NoError(t, got.err)
 	must.Eq(t, wholeStream(), got.body)
 }
+
+// TestFailureKeepsStandby guards against a VM that gives up an attempt at another
+// target because the silent target rejects the request or fails.
+func TestFailureKeepsStandby(t *testing.T) {
+	for name, mode := range map[string]fake.SiteMode{"rejected": fake.SiteReject, "failed": fake.SiteError} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t)
+			b.retries = settings.Retries{Ratio: 2, Window: time.Hour}
+			v := b.start("vm-1")
+			v.ready()
+			for _, e := range b.engines {
+				e.SetMode(mode)
+				e.Silence()
+				t.Cleanup(e.Resume)
+			}
+			results := v.send("/stream/a/")
+			received := func(e *fake.SiteTarget) int { return e.Rejections() + len(e.Runs()) }
+			eventually(t, func() bool { return received(b.engines[0])+received(b.engines[1]) == 1 })
+			first, other := b.engines[0], b.engines[1]
+			if received(first) == 0 {
+				first, other = other, first
+			}
+			other.SetMode(fake.SiteNormal)
+			eventually(t, func() bool { return len(other.Runs()) == 1 })
+			first.Resume()
+			time.Sleep(100 * time.Millisecond)
+			other.Resume()
+			got := <-results
+			must.NoError(t, got.err)
+			must.Eq(t, wholeStream(), got.body)
+			must.Len(t, 1, other.Runs())
+		})
+	}
+}
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -186,20 +186,37 @@
 	o, end := x.complete()
 	o = settle(x.requestCtx, o, &end)
 	h.opts.Placer.End(x.choice, end, x.gotFirst, time.Now())
-	_, isLost := o.(lost)
-	next := x.standby.end(isLost)
-	if next != nil && !isLost {
+	unanswered := isUnanswered(o)
+	next := x.standby.end(unanswered)
+	if next != nil && !unanswered {
 		j.count(next.discard())
 		next = nil
 	}
 	return o, next
 }
 
+// isUnanswered reports whether another attempt may answer the request.
+func isUnanswered(o outcome) bool {
+	switch o.(type) {
+	case lost, notRun:
+		return true
+	}
+	return false
+}
+
+// usable reports whether the response is neither a rejection nor a server error.
+func usable(r conn.Responded) bool {
+	status := r.Response.StatusCode
+	return status < http.StatusInternalServerError && !platform.ReadResponseInfo(status, r.Response.Header).NotRun
+}
+
 // complete passes the response on, if the target has responded.
 func (x *exchange) complete() (outcome, placing.Outcome) {
 	h, j := x.handler, x.response.job
 	if r, ok := x.result.(conn.Responded); ok {
-		x.standby.progress()
+		if usable(r) {
+			x.standby.progress()
+		}
 		j.received++
 		o, end := x.pass(r)
 		switch {
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -82,15 +82,15 @@
 
 // end ends the standby together with its attempt. It adds the trials to the job's
 // counters and returns the attempt that replaces the silent target, if there is one. If
-// the attempt was lost, a running trial is waited for, else it is cancelled.
-func (s *standby) end(lost bool) *exchange {
+// the request is unanswered, a running trial is waited for, else it is cancelled.
+func (s *standby) end(unanswered bool) *exchange {
 	if s == nil {
 		return nil
 	}
 	s.mu.Lock()
 	s.ended = true
 	s.timer.Stop()
-	if s.trial != nil && !lost {
+	if s.trial != nil && !unanswered {
 		s.trial.cancel()
 		s.trial = nil
 	}
