End no stream that cannot be resumed because it pauses

Callers would see the event stream of a plain service end with an error event after 3 s without a byte, although the service goes on. Only engines promise a ping every second.

Cause: the idle timeout, after which a stream is resumed over a new connection, also applied to streams that cannot be resumed, which it ended with nothing in their place.

Change: the idle timeout applies only to streams that can be resumed.

Measured: TestRelayPauseEndsNoStream before: Broken instead of Complete. It passes now; the tests of stream and dispatch pass with -race -cpu 1.

Conclusion: a timeout ends an attempt only where something takes its place.

--- a/stream/relay.go
+++ b/stream/relay.go
@@ -53,7 +53,7 @@
 	failures := 0
 	for {
 		before := resp.relayed
-		err := resp.relayEvents(ctx, r.Body, onPart)
+		err := resp.relayEvents(ctx, r.Body, resume != nil, onPart)
 		switch {
 		case err == nil:
 			return Complete{}
@@ -112,8 +112,9 @@
 
 // relayEvents relays the events of one connection until its end. It returns nil at
 // the end of the response, and an error that wraps errBroken for errors on the
-// target's side. Any data after that is discarded with the connection.
-func (resp *Response) relayEvents(ctx context.Context, body io.ReadCloser, onPart func()) error {
+// target's side. Any data after that is discarded with the connection. A stream that
+// cannot be resumed has no idle timeout, since its target may pause and go on.
+func (resp *Response) relayEvents(ctx context.Context, body io.ReadCloser, resumable bool, onPart func()) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer body.Close()
@@ -121,6 +122,9 @@
 	go readEvents(ctx, body, reads)
 	idle := time.NewTimer(resp.opts.IdleTimeout)
 	defer idle.Stop()
+	if !resumable {
+		idle.Stop()
+	}
 	stall := time.NewTimer(resp.opts.StallTimeout)
 	defer stall.Stop()
 	ping := time.NewTicker(resp.opts.PingInterval)
@@ -156,7 +160,9 @@
 			stall.Reset(resp.opts.StallTimeout)
 			ping.Reset(resp.opts.PingInterval)
 		}
-		idle.Reset(resp.opts.IdleTimeout)
+		if resumable {
+			idle.Reset(resp.opts.IdleTimeout)
+		}
 	}
 }
 
--- a/stream/response.go
+++ b/stream/response.go
@@ -13,7 +13,8 @@
 
 const (
 	// DefaultIdleTimeout is the time without a byte from the target after which
-	// its connection is considered broken. Engines send a ping every second.
+	// its connection is considered broken if the stream can be resumed. Engines send a
+	// ping every second.
 	DefaultIdleTimeout = 3 * time.Second
 	// DefaultStallTimeout is the time without progress, which is an event or body
 	// data but not a ping, after which a response is considered broken.
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -102,6 +102,27 @@
 	})
 }
 
+// TestRelayPauseEndsNoStream guards against a stream that cannot be resumed and is ended
+// because its target pauses.
+func TestRelayPauseEndsNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := httptest.NewRecorder()
+		resp := stream.NewResponse(w, stream.Options{})
+		read, write := io.Pipe()
+		go func() {
+			for i := range 3 {
+				time.Sleep(2 * stream.DefaultIdleTimeout)
+				if _, err := write.Write([]byte(event(i + 1))); err != nil {
+					return
+				}
+			}
+			_ = write.Close()
+		}()
+		must.Eq(t, "Complete", endOf(resp.Relay(t.Context(), response("text/event-stream", read), nil, func() {})))
+		must.Eq(t, 3, strings.Count(w.Body.String(), "data: "))
+	})
+}
+
 // A slowCaller blocks all writes until release is closed.
 type slowCaller struct {
 	*httptest.ResponseRecorder
