Answer the requests that still run when a stop ends

Callers would get neither an answer nor a refusal: a planned stop ends the process shortly before the grace period is over, and with it the connections of all requests that still run, among them those that a target has queued.

Cause: the deadline of http.Server.Shutdown ends only the wait for the handlers. The process ended next, without telling them.

Change: the VM cancels the requests at that moment and waits up to 0.2 s for their responses. A request without a response gets a 504, which promises nothing. A stream that has begun is still closed.

Measured: TestStopAnswersRunningRequests before: the node stops with one request in progress, which a process would have closed. It passes now (-race -cpu 1,4).

Conclusion: what the grace period leaves unfinished gets a response as long as there is time for one.

--- a/internal/gateway/node/lifecycle.go
+++ b/internal/gateway/node/lifecycle.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/relay"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
@@ -19,6 +20,9 @@
 	// exitMargin is the time before the end of the grace period at which the
 	// process exits on its own.
 	exitMargin = 400 * time.Millisecond
+	// abortTime is how long a stopping VM waits for the error responses of aborted
+	// requests to be written.
+	abortTime = 200 * time.Millisecond
 	// idleStopTime is how long no request must have arrived for a stop to finish
 	// early. It exceeds the time for which callers cache an address.
 	idleStopTime = 2200 * time.Millisecond
@@ -79,8 +83,8 @@
 
 // stop performs a planned stop: the VM is no longer named in directory responses,
 // serves the requests that still arrive, and ends when none has arrived for
-// idleStopTime or the grace period is over.
-func (n *Node) stop(taskCtx context.Context, callers *http.Server) {
+// idleStopTime or the grace period is over. Then it aborts the requests that still run.
+func (n *Node) stop(taskCtx context.Context, callers *http.Server, abort context.CancelCauseFunc) {
 	start := time.Now()
 	n.stopStart.Store(&start)
 	n.leaving.Store(true)
@@ -95,6 +99,10 @@
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		_ = n.log.Log("msg", "running requests aborted", "err", err, "running", n.inFlight.Load())
+		abort(relay.ErrStopping)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(taskCtx), abortTime)
+		defer cancel()
+		_ = callers.Shutdown(ctx)
 	}
 	n.transition(n.lifecycle.Stop)
 	_ = n.log.Log("msg", "stop", "after", time.Since(start))
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -267,7 +267,9 @@
 	defer cancel()
 	_ = n.log.Log("msg", "start", "callers", n.settings.Callers.Address, "peers", n.settings.Peers.Address)
 	g, taskCtx := errgroup.WithContext(taskCtx)
-	callers := n.callerServer()
+	requestCtx, abort := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer abort(nil)
+	callers := n.callerServer(requestCtx)
 	for _, run := range []func(context.Context) error{
 		n.source.Run, n.roster.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching,
 	} {
@@ -280,7 +282,7 @@
 	}
 	g.Go(func() error {
 		n.runLifecycle(ctx, taskCtx)
-		n.stop(taskCtx, callers)
+		n.stop(taskCtx, callers, abort)
 		cancel()
 		listeners.Close()
 		return nil
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -70,9 +70,10 @@
 	return l, s, nil
 }
 
-// callerServer returns the server of the callers' port.
-func (n *Node) callerServer() *http.Server {
+// callerServer returns the server of the callers' port, whose requests end with ctx.
+func (n *Node) callerServer(ctx context.Context) *http.Server {
 	return &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           alice.New(n.trackRequests).Then(n.relay),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
--- a/internal/gateway/node/standby_test.go
+++ b/internal/gateway/node/standby_test.go
@@ -133,3 +133,22 @@
 		})
 	}
 }
+
+// TestStopAnswersRunningRequests guards against a planned stop that closes the
+// connections of requests that still run without an answer.
+func TestStopAnswersRunningRequests(t *testing.T) {
+	b := newTestbed(t)
+	setModes(b.apps, fake.SiteHang)
+	v := b.start("vm-1")
+	v.ready()
+	results := make(chan result, 1)
+	go func() { results <- v.request("/commit/", "r", "Baobabdyke-Deadline-Ms", "3000") }()
+	eventually(t, func() bool { return runs(b.apps) == 1 })
+	v.stop()
+	must.NoError(t, <-v.done)
+	v.done <- nil
+	must.Eq(t, 0, v.inFlight.Load())
+	got := <-results
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusGatewayTimeout, got.status)
+}
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -42,6 +42,10 @@
 	startRetry = 500 * time.Millisecond
 )
 
+// ErrStopping is the cause with which the context of a request is cancelled when the
+// VM stops.
+var ErrStopping = errors.New("the VM stops")
+
 // Options are the parameters of a Handler.
 type Options struct {
 	View  func() *source.View
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -150,7 +151,7 @@
 
 // failure returns the reason that the caller of an unsuccessful request is given.
 func (j *job) failure(ctx context.Context, last outcome) failure {
-	if err := j.request.Context().Err(); err != nil {
+	if err := context.Cause(j.request.Context()); err != nil && !errors.Is(err, ErrStopping) {
 		return callerGone{err}
 	}
 	if j.runs > 0 && !j.route.Repeatable() {
