Replace a standby that is silent as well

Callers would get a 504 although a third target could answer: the silent target and the one tried in its place were waited for until the deadline.

Cause: a standby had one trial, and no other one was started while that was running, however long it was silent. When several targets fall silent at once, the trial often meets another silent one.

Change: a trial that is silent for the timeout is joined by another one, within the attempts that the route permits, also while trials are waited for after the first target was lost. The first to answer ends the others.

Conclusion: what is done about a silent target holds for each of them.

--- a/internal/gateway/node/standby_test.go
+++ b/internal/gateway/node/standby_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -152,3 +154,36 @@
 	must.NoError(t, got.err)
 	must.Eq(t, http.StatusGatewayTimeout, got.status)
 }
+
+// TestSilentStandbyIsReplaced guards against a request that waits for two silent
+// targets although its route permits a third.
+func TestSilentStandbyIsReplaced(t *testing.T) {
+	b := newTestbed(t)
+	third := b.target("llm", "llm-2")
+	b.version++
+	config := fmt.Sprintf(configuration, b.version, 1_000_000, 1_000_000)
+	b.store.PutRaw("config", "main", []byte(strings.ReplaceAll(config, `"maxAttempts":2`, `"maxAttempts":3`)))
+	v := b.start("vm-1")
+	v.ready()
+	all := []*fake.SiteTarget{b.engines[0], b.engines[1], third}
+	for _, e := range all {
+		e.Silence()
+		t.Cleanup(e.Resume)
+	}
+	ran := func() (n int) {
+		for _, e := range all {
+			n += len(e.Runs())
+		}
+		return n
+	}
+	results := v.send("/stream/a/")
+	eventually(t, func() bool { return ran() == 2 })
+	for _, e := range all {
+		if len(e.Runs()) == 0 {
+			e.Resume()
+		}
+	}
+	got := <-results
+	must.NoError(t, got.err)
+	must.Eq(t, wholeStream(), got.body)
+}
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -30,16 +30,17 @@
 
 	wg sync.WaitGroup
 	// mu guards the fields below.
-	mu     sync.Mutex
-	timer  *time.Timer
-	ended  bool
+	mu    sync.Mutex
+	timer *time.Timer
+	// over reports whether the attempt has ended.
+	over   bool
 	logged bool
 	// heard is when the target last sent something, or the start of the attempt.
 	heard time.Time
-	// trial is the running attempt at another target, and next the one that replaces
-	// the silent target; nil if there is none.
-	trial *exchange
-	next  *exchange
+	// trials are the running attempts at other targets, and next is the one that
+	// replaces the silent target; nil if there is none.
+	trials []*exchange
+	next   *exchange
 	// failed are the attempts at other targets that brought no answer.
 	failed []outcome
 }
@@ -62,7 +63,7 @@
 	return s
 }
 
-// progress records that the target has sent something, which ends a trial.
+// progress records that the target has sent something, which ends all trials.
 func (s *standby) progress() {
 	if s == nil {
 		return
@@ -72,30 +73,26 @@
 	if s.next != nil {
 		return
 	}
-	if s.trial != nil {
-		s.trial.cancel()
-		s.trial = nil
-	}
+	s.cancelTrials()
 	s.heard = time.Now()
 	s.timer.Reset(s.timeout)
 }
 
 // end ends the standby together with its attempt. It adds the trials to the job's
 // counters and returns the attempt that replaces the silent target, if there is one. If
-// the request is unanswered, a running trial is waited for, else it is cancelled.
+// the request is unanswered, running trials are waited for, else they are cancelled.
 func (s *standby) end(unanswered bool) *exchange {
 	if s == nil {
 		return nil
 	}
 	s.mu.Lock()
-	s.ended = true
-	s.timer.Stop()
-	if s.trial != nil && !unanswered {
-		s.trial.cancel()
-		s.trial = nil
+	s.over = true
+	if !unanswered {
+		s.cancelTrials()
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
+	s.timer.Stop()
 	for _, o := range s.failed {
 		s.first.response.job.sends++
 		s.first.response.job.count(o)
@@ -103,12 +100,20 @@
 	return s.next
 }
 
+// cancelTrials cancels all trials. The caller must hold mu.
+func (s *standby) cancelTrials() {
+	for _, trial := range s.trials {
+		trial.cancel()
+	}
+	s.trials = nil
+}
+
 // expire tries another target, unless the silent one has recently responded to other
-// requests.
+// requests. The latest trial may be silent as well.
 func (s *standby) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended || s.next != nil || s.trial != nil {
+	if s.next != nil || s.over && len(s.trials) == 0 {
 		return
 	}
 	h, now := s.first.handler, time.Now()
@@ -116,7 +121,11 @@
 		s.timer.Reset(left)
 		return
 	}
-	if h.opts.Placer.RespondedWithin(s.first.choice, busyTargetTimeout, now) {
+	latest := s.first
+	if n := len(s.trials); n > 0 {
+		latest = s.trials[n-1]
+	}
+	if h.opts.Placer.RespondedWithin(latest.choice, busyTargetTimeout, now) {
 		s.timer.Reset(busyTargetTimeout)
 		return
 	}
@@ -130,8 +139,10 @@
 		s.timer.Reset(standbyRetry)
 		return
 	}
-	s.trial = h.newExchange(s.first.requestCtx, s.first.response, choice)
-	trial := s.trial
+	trial := h.newExchange(s.first.requestCtx, s.first.response, choice)
+	s.trials = append(s.trials, trial)
+	s.request.Tried = append(s.request.Tried, choice.Target.ID)
+	s.timer.Reset(s.timeout)
 	s.wg.Go(func() {
 		trial.send()
 		s.finish(trial)
@@ -141,13 +152,13 @@
 // choose returns the target to try, or what prevents a trial.
 func (s *standby) choose(now time.Time) (choice placing.Choice, obstacle string) {
 	h, j := s.first.handler, s.first.response.job
-	runs := 0
+	runs := len(s.trials)
 	for _, o := range s.failed {
 		if _, ok := o.(lost); ok {
 			runs++
 		}
 	}
-	if runs >= s.maxRuns || s.sends+len(s.failed) >= maxSends {
+	if runs >= s.maxRuns || s.sends+len(s.failed)+len(s.trials) >= maxSends {
 		return choice, "no further attempt is permitted"
 	}
 	if _, _, quarantined := h.quarantined(j); quarantined {
@@ -178,12 +189,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failed = append(s.failed, o)
-	s.request.Tried = append(s.request.Tried, to)
-	if s.trial != trial {
-		return
-	}
-	s.trial = nil
-	if !s.ended {
+	if i := slices.Index(s.trials, trial); i >= 0 {
+		s.trials = slices.Delete(s.trials, i, i+1)
 		s.timer.Reset(standbyRetry)
 	}
 }
@@ -193,10 +200,13 @@
 func (s *standby) replace(trial *exchange) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.trial != trial || !trial.answers() {
+	i := slices.Index(s.trials, trial)
+	if i < 0 || !trial.answers() {
 		return false
 	}
-	s.trial, s.next = nil, trial
+	s.trials = slices.Delete(s.trials, i, i+1)
+	s.cancelTrials()
+	s.next = trial
 	s.first.replaced.Store(true)
 	s.first.cancel()
 	return true
