Count no target as silent while its caller reads slowly

Engines would run streams a second time because their callers read slowly: the VM did not read the next event while it waited for the caller, took the target for silent and sent the stream to another one, which charges the retry budget and reads the prompt again.

Cause: the time without an event included the time of the write to the caller.

Change: the time counts from the end of the write.

Measured: TestSlowCallerIsNoSilentTarget before: 2 runs instead of 1. It passes now, as do the other tests of silent targets (-race -cpu 1,4).

Conclusion: only a target that is being read can be silent.

--- a/internal/gateway/node/standby_test.go
+++ b/internal/gateway/node/standby_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +155,46 @@
 	must.NoError(t, got.err)
 	must.Eq(t, http.StatusGatewayTimeout, got.status)
 }
+
+// TestSlowCallerIsNoSilentTarget guards against a stream that is sent to another target
+// because its caller reads slowly.
+func TestSlowCallerIsNoSilentTarget(t *testing.T) {
+	const events = 400
+	b := newTestbed(t)
+	var streams atomic.Int64
+	for i := range 2 {
+		b.store.Remove("servers", fmt.Sprintf("llm-%d", i))
+		b.rawTarget(fmt.Sprintf("raw-%d", i), func(c net.Conn, r *http.Request) {
+			if r.URL.Path != "/stream/a/" {
+				return
+			}
+			streams.Add(1)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: r\r\nBaobabdyke-Response-Seal: s\r\n"+
+				"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for id := range events {
+				e := fmt.Sprintf("id: %d\ndata: %s\n\n", id+1, strings.Repeat("x", 32<<10))
+				if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
+					return
+				}
+			}
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		})
+	}
+	v := b.start("vm-1")
+	v.ready()
+	var d net.Dialer
+	c, err := d.DialContext(t.Context(), "tcp", v.settings.Callers.Address)
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /stream/a/ HTTP/1.1\r\nHost: h\r\nBaobabdyke-Request-Id: r\r\nBaobabdyke-Credential: key\r\n"+
+		"Baobabdyke-Model: m\r\nBaobabdyke-Token-Usage: 100,10\r\nBaobabdyke-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n")
+	must.NoError(t, err)
+	time.Sleep(2 * time.Second)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	must.NoError(t, err)
+	must.Eq(t, events, strings.Count(string(body), "id: "))
+	must.Eq(t, 1, streams.Load())
+}
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -182,7 +182,7 @@
 			}
 			return lost{reason: reason}, placing.Failed
 		}
-		x.standby.progress()
+		x.standby.hold()
 		x.handler.opts.Placer.RecordActivity(x.choice, time.Now())
 		x.markFirst()
 		if event.weights > 0 {
@@ -193,6 +193,7 @@
 			x.cancel()
 			return stopped{err: err}, placing.Inconclusive
 		}
+		x.standby.release()
 		if x.requestCtx.Err() != nil {
 			r.Exchange.Abort()
 			return stopped{err: context.Cause(x.requestCtx)}, placing.Inconclusive
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -34,6 +34,8 @@
 	timer  *time.Timer
 	ended  bool
 	logged bool
+	// held reports whether an event of the target is being written to the caller.
+	held bool
 	// heard is when the target last sent something, or the start of the attempt.
 	heard time.Time
 	// trial is the running attempt at another target, and next the one that replaces
@@ -64,6 +66,13 @@
 
 // progress records that the target has sent something, which ends a trial.
 func (s *standby) progress() {
+	s.hold()
+	s.release()
+}
+
+// hold is progress, but the target does not count as silent until release is called:
+// nothing is read from it while the caller does not accept an event.
+func (s *standby) hold() {
 	if s == nil {
 		return
 	}
@@ -76,6 +85,20 @@
 		s.trial.cancel()
 		s.trial = nil
 	}
+	s.held = true
+}
+
+// release ends a hold.
+func (s *standby) release() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil {
+		return
+	}
+	s.held = false
 	s.heard = time.Now()
 	s.timer.Reset(s.timeout)
 }
@@ -108,7 +131,7 @@
 func (s *standby) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended || s.next != nil || s.trial != nil {
+	if s.ended || s.held || s.next != nil || s.trial != nil {
 		return
 	}
 	h, now := s.first.handler, time.Now()
