--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -35,6 +35,8 @@
 	// over reports whether the attempt has ended.
 	over   bool
 	logged bool
+	// held reports whether an event of the target is being written to the caller.
+	held bool
 	// heard is when the target last sent something, or the start of the attempt.
 	heard time.Time
 	// trials are the running attempts at other targets, and next is the one that
@@ -65,6 +67,13 @@
 
 // progress records that the target has sent something, which ends all trials.
 func (s *standby) progress() {
+	s.hold()
+	s.release()
+}
+
+// hold is progress, but the target does not count as silent until release is called:
+// nothing is read from it while the caller does not accept an event.
+func (s *standby) hold() {
 	if s == nil {
 		return
 	}
@@ -74,6 +83,20 @@
 		return
 	}
 	s.cancelTrials()
+	s.held = true
+}
+
+// release ends a hold.
+func (s *standby) release() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil {
+		return
+	}
+	s.held = false
 	s.heard = time.Now()
 	s.timer.Reset(s.timeout)
 }
@@ -113,7 +136,7 @@
 func (s *standby) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.next != nil || s.over && len(s.trials) == 0 {
+	if s.held || s.next != nil || s.over && len(s.trials) == 0 {
 		return
 	}
 	h, now := s.first.handler, time.Now()
