Count a silent target as failing when its silence is noticed

New requests were sent to a target that was silent, for as long as no other one had begun to answer in its place, for example while the retry budget was spent.

Cause: an attempt at a silent target was recorded as timed out when it ended. Since a silent target is waited for, that is when it is replaced, or never.

Change: the silence is recorded when it is noticed, once an attempt. The outcome TimedOut is gone.

Measured: TestSilentTargetCountsAsFailing failed before (failure rate 0 with the retry budget spent); it passes now, as does TestSilentTargetIsAvoided of placing.

Conclusion: other requests learn of the silence as early as they did before the silent target was waited for.

--- a/internal/gateway/node/silence_test.go
+++ b/internal/gateway/node/silence_test.go
@@ -115,3 +115,22 @@
 	must.Eq(t, wholeStream(), got.body)
 	must.Len(t, 1, other.Runs())
 }
+
+// TestSilentTargetCountsAsFailing guards against a VM that goes on choosing a silent
+// target because no attempt was made to replace it.
+func TestSilentTargetCountsAsFailing(t *testing.T) {
+	b := newTestbed(t)
+	b.retries = settings.Retries{Window: time.Second}
+	v := b.start("vm-1")
+	v.ready()
+	var results <-chan result
+	silent, other := b.silenceFirst(b.engines, func() { results = v.send("/stream/a/") })
+	eventually(t, func() bool { return strings.Contains(v.log.String(), "target silent") })
+	loads, _ := v.placer.Loads(time.Now())
+	must.Len(t, 1, loads)
+	must.Eq(t, silent.ID, loads[0].Target)
+	must.Positive(t, loads[0].Failing)
+	must.SliceEmpty(t, other.Runs())
+	silent.Resume()
+	must.NoError(t, (<-results).err)
+}
--- a/internal/gateway/placing/placing_test.go
+++ b/internal/gateway/placing/placing_test.go
@@ -185,3 +185,19 @@
 		must.Eq(t, r.Tokens, mustChoose(t, p, v, r, now).MissingTokens)
 	})
 }
+
+// TestSilentTargetIsAvoided guards against requests that are sent to a target that has
+// fallen silent while another one serves.
+func TestSilentTargetIsAvoided(t *testing.T) {
+	p, v := newPlacer(), engineView(2)
+	first := mustChoose(t, p, v, subjectRequest(1), epoch)
+	p.Begin(first, nil, epoch)
+	p.RecordSilence(first, epoch)
+	for range 20 {
+		c := mustChoose(t, p, v, subjectRequest(1), epoch)
+		must.NotEq(t, first.Target.ID, c.Target.ID)
+		p.Begin(c, nil, epoch)
+	}
+	p.End(first, Served, true, epoch)
+	must.Eq(t, first.Target.ID, mustChoose(t, p, v, subjectRequest(1), epoch).Target.ID)
+}
--- a/internal/gateway/placing/state.go
+++ b/internal/gateway/placing/state.go
@@ -93,9 +93,6 @@
 	Failed
 	// Unreachable means that the target accepted no connection.
 	Unreachable
-	// TimedOut means that the target accepted the request but did not respond in
-	// time.
-	TimedOut
 	// Inconclusive means that the attempt ended for a reason that is unrelated
 	// to the target's health.
 	Inconclusive
@@ -139,14 +136,24 @@
 		s.recordOutcome(true, now)
 		s.unreachable = true
 		s.avoidUntil = now.Add(unreachableTimeout)
-	case TimedOut:
-		s.recordOutcome(true, now)
-		s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-		s.avoidUntil = now.Add(s.backoff)
 	case Inconclusive:
 	}
 }
 
+// RecordSilence records that a target has accepted a request and sends nothing. New
+// requests avoid it for a while.
+func (p *Placer) RecordSilence(c Choice, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.states[c.Target.ID]
+	if !ok || s.born != c.Target.Born {
+		return
+	}
+	s.recordOutcome(true, now)
+	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
+	s.avoidUntil = now.Add(s.backoff)
+}
+
 // MarkReachable records that a target accepts connections again.
 func (p *Placer) MarkReachable(id string) {
 	p.mu.Lock()
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -222,7 +222,7 @@
 		o, end := x.pass(r)
 		switch {
 		case x.broken && x.replaced.Load():
-			end = placing.TimedOut
+			end = placing.Inconclusive
 		case x.broken && !x.gotFirst:
 			h.recordLoss(x.requestCtx, j, x.choice, true)
 		}
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -33,8 +33,9 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	// over reports whether the attempt has ended.
-	over   bool
-	logged bool
+	over bool
+	// noticed reports whether the silence was recorded.
+	noticed bool
 	// held reports whether an event of the target is being written to the caller.
 	held bool
 	// heard is when the target last sent something, or the start of the attempt.
@@ -152,12 +153,15 @@
 		s.timer.Reset(busyTargetTimeout)
 		return
 	}
+	if !s.noticed {
+		h.opts.Placer.RecordSilence(s.first.choice, now)
+	}
 	choice, obstacle := s.choose(now)
-	if !s.logged || obstacle == "" {
-		s.logged = true
+	if !s.noticed || obstacle == "" {
 		h.log("msg", "target silent", "id", s.first.response.job.info.ID, "target", s.first.choice.Target.ID, "limit", s.timeout,
 			"standby", obstacle == "", "obstacle", obstacle)
 	}
+	s.noticed = true
 	if obstacle != "" {
 		s.timer.Reset(standbyRetry)
 		return
@@ -266,10 +270,7 @@
 		return o, placing.Unreachable
 	case conn.Lost:
 		o := lost{reason: "lost: " + r.Err.Error()}
-		switch {
-		case x.replaced.Load():
-			return o, placing.TimedOut
-		case x.ctx.Err() != nil:
+		if x.ctx.Err() != nil {
 			return o, placing.Inconclusive
 		}
 		return o, placing.Failed
