Exclude the targets of failed trials from later attempts

A request was sent a second time to a target that had just rejected it, which charges the retry budget and takes the place of an attempt elsewhere.

Cause: targets that were tried while another one was silent were remembered until that attempt ended, not for the request.

Change: they are added to the targets that the request has tried.

Measured: TestRejectedTrialIsNotRepeated: 2 rejections instead of 1 before; passes now.

Conclusion: an attempt counts the same whether it was made beside a silent target or not.

--- a/internal/gateway/node/standby_test.go
+++ b/internal/gateway/node/standby_test.go
@@ -231,3 +231,21 @@
 	must.Eq(t, events, strings.Count(string(body), "id: "))
 	must.Eq(t, 1, streams.Load())
 }
+
+// TestRejectedTrialIsNotRepeated guards against a request that is sent again to a
+// target that has rejected it while its first target was silent.
+func TestRejectedTrialIsNotRepeated(t *testing.T) {
+	b := newTestbed(t)
+	v := b.start("vm-1")
+	v.ready()
+	for _, e := range b.engines {
+		e.SetMode(fake.SiteReset)
+	}
+	var results <-chan result
+	silent, other := b.silenceFirst(b.engines, func() { results = v.send("/stream/a/") })
+	other.SetMode(fake.SiteReject)
+	eventually(t, func() bool { return strings.Contains(v.log.String(), "silent target not replaced") })
+	silent.Resume()
+	must.Eq(t, http.StatusBadGateway, (<-results).status)
+	must.Eq(t, 1, other.Rejections())
+}
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -44,8 +44,10 @@
 	// replaces the silent target; nil if there is none.
 	trials []*exchange
 	next   *exchange
-	// failed are the attempts at other targets that brought no answer.
-	failed []outcome
+	// failed are the attempts at other targets that brought no answer, and failedAt
+	// the ids of these targets.
+	failed   []outcome
+	failedAt []string
 }
 
 // newStandby returns the standby of an attempt, or nil if the request may not be sent
@@ -117,10 +119,12 @@
 	s.mu.Unlock()
 	s.wg.Wait()
 	s.timer.Stop()
+	j := s.first.response.job
 	for _, o := range s.failed {
-		s.first.response.job.sends++
-		s.first.response.job.count(o)
+		j.sends++
+		j.count(o)
 	}
+	j.tried = append(j.tried, s.failedAt...)
 	return s.next
 }
 
@@ -216,6 +220,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failed = append(s.failed, o)
+	s.failedAt = append(s.failedAt, to)
 	if i := slices.Index(s.trials, trial); i >= 0 {
 		s.trials = slices.Delete(s.trials, i, i+1)
 		s.timer.Reset(standbyRetry)
