Start no trial without time for it

Cause: found in review. A request that is sent anew needs at least 15 ms before its deadline; a trial at another target while the first one is silent was started at any time and charged the retry budget in vain.

Change: the same bound holds for trials; the log names "the deadline" as the obstacle.

Measured: the tests of silent targets pass; the case was read, not reproduced.

Conclusion: both ways to send a request anew have the same conditions.

--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -192,6 +192,9 @@
 	if runs >= s.maxRuns || s.sends+len(s.failed)+len(s.trials) >= maxSends {
 		return choice, "no further attempt is permitted"
 	}
+	if time.Until(j.deadline) < minTimeLeft {
+		return choice, "the deadline"
+	}
 	if _, _, quarantined := h.quarantined(j); quarantined {
 		return choice, "a segment of the prompt is quarantined"
 	}
