--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -106,8 +106,8 @@
 	t.eventInterval = d
 }
 
-// Silence makes the target answer no request until Resume is called. It still accepts
-// connections and requests.
+// Silence makes the target send nothing of an answer until Resume is called. It still
+// accepts connections and requests.
 func (t *SiteTarget) Silence() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
