Send nothing new to a target that says that it leaves

What callers would see: a target that is about to end says `Server-Leaving: 1` in all its answers. Its entry in the store may say so later or never, so VMs would go on to send it requests, and long streams would break when it ends.

Cause: the header was not read; only the entry's state took a target out of the choice.

Change: platform decodes the header as site.Notice from every response to a caller's request and from engine reports and cache event feeds, errors included. The placer keeps the notice by incarnation (id and born), apart from the state of a target, which is dropped after 30 s without use and replaced when an older incarnation's response arrives late. The notice is dropped once the incarnation has not been listed for 30 s. Until then the target is no candidate, the prober lets it be, its feed is not read, and rollouts neither order it nor wait for it. Feeds of engines whose entries say `draining` are not read either, since such engines are no candidates. Running requests and streams go on, and the header is passed on as before. If all targets leave, the request is refused as not run with Retry-After, as when there is no target.

Other VMs are not told. The bound is on each machine for the answers that it passed on itself; every VM learns it from the first answer, report or batch of events that it gets, the holder of the rollout lease from the report that precedes each order; and a wrong notice stays with the VM that got it. What this leaves is that a VM may start a stream at a leaving target before it has had an answer of it. No field of the wire changes.

Conclusion: the tests show that a VM sends a target nothing new after the first answer that says so. A target that restarts under its id and says so before its new entry has arrived is believed for the old incarnation only, until its next answer.

--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -73,12 +73,14 @@
 	eventCount    int
 	eventInterval time.Duration
 	connections   int
+	received      int
+	header        http.Header
 }
 
 // NewSiteTarget returns a SiteTarget in mode SiteNormal whose streams have
 // eventCount events.
 func NewSiteTarget(id string, eventCount int) *SiteTarget {
-	return &SiteTarget{ID: id, eventCount: eventCount, version: 1}
+	return &SiteTarget{ID: id, eventCount: eventCount, version: 1, header: http.Header{}}
 }
 
 // SetMode sets the mode of all following requests and clears the queued modes.
@@ -102,6 +104,25 @@
 	t.eventInterval = d
 }
 
+// SetHeader sets a header that is added to all responses; an empty value removes it.
+func (t *SiteTarget) SetHeader(name, value string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if value == "" {
+		t.header.Del(name)
+		return
+	}
+	t.header.Set(name, value)
+}
+
+// Received returns the number of callers' requests that arrived, including those that
+// were not run.
+func (t *SiteTarget) Received() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.received
+}
+
 // Runs returns the requests that were run.
 func (t *SiteTarget) Runs() []SiteRun {
 	t.mu.Lock()
@@ -168,21 +189,24 @@
 	case "/order":
 		return t.order(c, r)
 	case "/kv-events":
-		return write(c, "200 OK", "", `{"bootEpoch":1,"nextPage":1,"lost":false,"events":[]}`)
+		return t.write(c, "200 OK", "", `{"bootEpoch":1,"nextPage":1,"lost":false,"events":[]}`)
 	}
+	t.mu.Lock()
+	t.received++
+	t.mu.Unlock()
 	if want := r.Header.Get("Baobabdyke-Expect-Instance"); want != "" && want != t.ID {
 		_, _ = io.Copy(io.Discard, r.Body)
-		return write(c, "421 Misdirected Request", "Baobabdyke-Instance-Id: "+t.ID+"\r\n", "")
+		return t.write(c, "421 Misdirected Request", "Baobabdyke-Instance-Id: "+t.ID+"\r\n", "")
 	}
 	if want := r.Header.Get("Baobabdyke-Expect-Version"); want != "" && want != strconv.FormatInt(t.Version(), 10) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		return write(c, "421 Misdirected Request", fmt.Sprintf("Baobabdyke-Weight-Versions: %d\r\n", t.Version()), "")
+		return t.write(c, "421 Misdirected Request", fmt.Sprintf("Baobabdyke-Weight-Versions: %d\r\n", t.Version()), "")
 	}
 	mode := t.nextMode()
 	if mode == SiteEarlyResponse {
 		// The rejection is sent before the body is read, and the connection
 		// stays usable.
-		_ = write(c, "503 Service Unavailable", "Baobabdyke-Not-Executed: 1\r\n", "")
+		_ = t.write(c, "503 Service Unavailable", "Baobabdyke-Not-Executed: 1\r\n", "")
 		_, err := io.Copy(io.Discard, r.Body)
 		return err == nil
 	}
@@ -191,7 +215,7 @@
 		return false
 	}
 	if mode == SiteReject {
-		return write(c, "503 Service Unavailable", "Baobabdyke-Not-Executed: 1\r\n", "")
+		return t.write(c, "503 Service Unavailable", "Baobabdyke-Not-Executed: 1\r\n", "")
 	}
 	run := SiteRun{ID: r.Header.Get("Baobabdyke-Request-Id"), Method: r.Method, Path: r.RequestURI, Header: r.Header, Body: body}
 	t.mu.Lock()
@@ -204,10 +228,11 @@
 // connection can be reused.
 func (t *SiteTarget) respond(c net.Conn, mode SiteMode, run SiteRun) bool {
 	head := "Baobabdyke-Request-Id: " + run.ID + "\r\nBaobabdyke-Response-Seal: seal-" + t.ID + "\r\n"
+	raw := head + t.extraHeader()
 	text := "answer of " + t.ID + " to " + run.ID
 	switch mode {
 	case SiteError:
-		return write(c, "500 Internal Server Error", head, "failed")
+		return t.write(c, "500 Internal Server Error", head, "failed")
 	case SiteReset:
 		return false
 	case SiteHang:
@@ -215,33 +240,33 @@
 		return false
 	case SiteTruncated:
 		if strings.HasPrefix(run.Path, "/stream/") {
-			t.stream(c, head, run, 2)
+			t.stream(c, raw, run, 2)
 			return false
 		}
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text)+10, text)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", raw, len(text)+10, text)
 		return false
 	case SiteHeaderOnly:
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", raw)
 		return false
 	case SiteUnframed:
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", head, text)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", raw, text)
 		return false
 	case SiteUnsealed:
-		return write(c, "200 OK", "Baobabdyke-Request-Id: "+run.ID+"\r\n", text)
+		return t.write(c, "200 OK", "Baobabdyke-Request-Id: "+run.ID+"\r\n", text)
 	case SiteEncoded:
-		return write(c, "200 OK", head+"Content-Encoding: gzip\r\n", text)
+		return t.write(c, "200 OK", head+"Content-Encoding: gzip\r\n", text)
 	case SiteMalformed:
 		_, _ = io.WriteString(c, "\x00\x01 no answer\r\n\r\n")
 		return false
 	case SiteStrayResponse:
-		write(c, "200 OK", "Baobabdyke-Request-Id: another\r\nBaobabdyke-Response-Seal: s\r\n", "of another")
+		t.write(c, "200 OK", "Baobabdyke-Request-Id: another\r\nBaobabdyke-Response-Seal: s\r\n", "of another")
 	}
 	if strings.HasPrefix(run.Path, "/stream/") {
-		return t.stream(c, head, run, t.eventCount)
+		return t.stream(c, raw, run, t.eventCount)
 	}
-	ok := write(c, "200 OK", head, text)
+	ok := t.write(c, "200 OK", head, text)
 	if mode == SiteExtraResponse {
-		return write(c, "200 OK", head, "a second answer")
+		return t.write(c, "200 OK", head, "a second answer")
 	}
 	return ok
 }
@@ -272,7 +297,7 @@
 	t.mu.Lock()
 	body := fmt.Sprintf(`{"stage":"prefill_decode","models":[{"name":"m","version":%d}],"busy":false,"sequence":%d}`, t.version, t.orderCount)
 	t.mu.Unlock()
-	return write(c, "200 OK", "", body)
+	return t.write(c, "200 OK", "", body)
 }
 
 // order executes an order immediately.
@@ -282,7 +307,7 @@
 		ExpectedOrders int64 `json:"expected"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		return write(c, "400 Bad Request", "", "")
+		return t.write(c, "400 Bad Request", "", "")
 	}
 	t.mu.Lock()
 	accepted := o.ExpectedOrders == t.orderCount
@@ -292,12 +317,21 @@
 	}
 	t.mu.Unlock()
 	if !accepted {
-		return write(c, "409 Conflict", "", "")
+		return t.write(c, "409 Conflict", "", "")
 	}
-	return write(c, "202 Accepted", "", "")
+	return t.write(c, "202 Accepted", "", "")
+}
+
+// extraHeader returns the encoded headers that are added to all responses.
+func (t *SiteTarget) extraHeader() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var b strings.Builder
+	_ = t.header.Write(&b)
+	return b.String()
 }
 
-func write(c net.Conn, status, head, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
+func (t *SiteTarget) write(c net.Conn, status, head, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n%s", status, head, t.extraHeader(), len(body), body)
 	return err == nil
 }
--- a/internal/fleet/rollout/lease_test.go
+++ b/internal/fleet/rollout/lease_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/lease"
 	"github.com/baobabdyke/baobabdyke/store"
 )
@@ -20,6 +21,8 @@
 		HandoverDelay:  func() time.Duration { return 3 * time.Second },
 		Members:        func() []roster.Member { return members },
 		OnStatusChange: func() {},
+		Leaving:        func(site.Incarnation) bool { return false },
+		OnNotice:       func(site.Incarnation, site.Notice) {},
 	})
 }
 
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -63,6 +63,11 @@
 	// number of requests running on the engine, as known to this VM.
 	Version func(t *site.Target, model string) int64
 	Running func(t *site.Target) int
+	// Leaving reports whether an engine has stated that it leaves. It is treated as
+	// if it were not listed.
+	Leaving func(engine site.Incarnation) bool
+	// OnNotice is called with what an engine states about further requests.
+	OnNotice func(engine site.Incarnation, n site.Notice)
 	// Unreachable reports whether an engine accepts no connections; such an engine
 	// is sent no order.
 	Unreachable func(t *site.Target) bool
@@ -142,7 +147,7 @@
 	}
 	for _, target := range v.Targets {
 		s := v.Config.Services[target.Service]
-		if s == nil || s.Engine == nil || target.Leaving {
+		if s == nil || s.Engine == nil || target.Leaving || t.opts.Leaving(target.Incarnation()) {
 			continue
 		}
 		p.engines++
@@ -222,7 +227,7 @@
 	switch {
 	case err != nil:
 		return func() { t.planner.failed(id, time.Now()) }
-	case report.Weights[e.model] >= e.wanted:
+	case report.Weights[e.model] >= e.wanted || report.Notice.Leaving:
 		return nil
 	case report.Busy:
 		return func() { t.planner.accepted(id, time.Now()) }
@@ -277,6 +282,7 @@
 
 func (t *Task) report(ctx context.Context, e engine) (platform.EngineReport, error) {
 	r, err := t.opts.Engines.Report(ctx, e.target.ID, e.target.Address)
+	t.opts.OnNotice(e.target.Incarnation(), r.Notice)
 	if err != nil {
 		_ = t.opts.Log.Log("msg", "engine report failed", "target", e.target.ID, "err", err)
 		return r, err
--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -144,6 +144,12 @@
 // Incarnation returns the incarnation of the target that this entry describes.
 func (t *Target) Incarnation() Incarnation { return Incarnation{ID: t.ID, Born: t.Born} }
 
+// A Notice is what a target states in a response about further requests.
+type Notice struct {
+	// Leaving reports whether the target is about to end and wants no new requests.
+	Leaving bool
+}
+
 // BuildIndex builds the look-up tables of the configuration. It must be called once
 // before the configuration is shared.
 func (c *Config) BuildIndex() {
--- a/internal/gateway/caches/index.go
+++ b/internal/gateway/caches/index.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 )
 
 // A Key identifies one segment of a prompt under one salt.
@@ -40,6 +42,7 @@
 	// Gap reports whether events before these are missing.
 	Gap     bool
 	Changes []Change
+	Notice  site.Notice
 }
 
 // A cache is the known content of one engine's cache.
--- a/internal/gateway/caches/index_test.go
+++ b/internal/gateway/caches/index_test.go
@@ -48,11 +48,12 @@
 	}
 }
 
-// A fakeFeed is a feed that fails while down is set.
+// A fakeFeed is a feed that fails while down is set, and whose engine states notice.
 type fakeFeed struct {
-	mu    sync.Mutex
-	down  bool
-	reads int
+	mu     sync.Mutex
+	down   bool
+	reads  int
+	notice site.Notice
 }
 
 func (f *fakeFeed) Events(ctx context.Context, _, _ string, after int64, wait time.Duration) (Batch, int64, error) {
@@ -62,7 +63,16 @@
 		return Batch{}, 0, errors.New("down")
 	}
 	f.reads++
-	return Batch{Epoch: 1, Changes: []Change{{Stored: true, Key: Key(after)}}}, after + 1, nil
+	return Batch{Epoch: 1, Changes: []Change{{Stored: true, Key: Key(after)}}, Notice: f.notice}, after + 1, nil
+}
+
+// readerOptions returns the options of a reader of engines that state nothing.
+func readerOptions(f Feed, x *Index, view func() *source.View) Options {
+	return Options{
+		Feed: f, Index: x, View: view, Log: log.NewNopLogger(),
+		Leaving:  func(site.Incarnation) bool { return false },
+		OnNotice: func(site.Incarnation, site.Notice) {},
+	}
 }
 
 func TestReader(t *testing.T) {
@@ -77,7 +87,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() {
-			done <- NewReader(feed, x, view.Load, log.NewNopLogger()).Run(ctx)
+			done <- NewReader(readerOptions(feed, x, view.Load)).Run(ctx)
 		}()
 		time.Sleep(2 * time.Second)
 		must.Greater(t, 3, x.Size("i"))
@@ -95,3 +105,38 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// TestFeedOfLeavingEngineIsRead guards against reading the feed of an engine that has
+// stated in its feed that it leaves.
+func TestFeedOfLeavingEngineIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := &source.View{
+			Config:  &site.Config{Services: map[string]*site.Service{"llm": {Engine: &site.Engine{}}}},
+			Targets: map[string]*site.Target{"i": {ID: "i", Service: "llm", Born: 5}},
+		}
+		feed := &fakeFeed{notice: site.Notice{Leaving: true}}
+		var left atomic.Pointer[site.Incarnation]
+		o := readerOptions(feed, NewIndex(), func() *source.View { return view })
+		o.OnNotice = func(engine site.Incarnation, n site.Notice) {
+			if n.Leaving {
+				left.Store(&engine)
+			}
+		}
+		o.Leaving = func(engine site.Incarnation) bool { return left.Load() != nil && engine == *left.Load() }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- NewReader(o).Run(ctx) }()
+		reads := func() int {
+			feed.mu.Lock()
+			defer feed.mu.Unlock()
+			return feed.reads
+		}
+		time.Sleep(3 * refreshPeriod)
+		must.Eq(t, &site.Incarnation{ID: "i", Born: 5}, left.Load())
+		before := reads()
+		time.Sleep(10 * time.Second)
+		must.Eq(t, before, reads())
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
--- a/internal/gateway/caches/reader.go
+++ b/internal/gateway/caches/reader.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/store"
 )
@@ -32,18 +33,24 @@
 	Events(ctx context.Context, id, address string, after int64, wait time.Duration) (Batch, int64, error)
 }
 
-// A Reader reads the feeds of all engines and KV cache stores.
-type Reader struct {
-	feed  Feed
-	index *Index
-	view  func() *source.View
-	log   log.Logger
+// Options are the parameters of a Reader.
+type Options struct {
+	Feed  Feed
+	Index *Index
+	View  func() *source.View
+	Log   log.Logger
+	// Leaving reports whether an engine has stated that it leaves. Its feed is not
+	// read.
+	Leaving func(engine site.Incarnation) bool
+	// OnNotice is called with what an engine states about further requests.
+	OnNotice func(engine site.Incarnation, n site.Notice)
 }
 
-// NewReader returns a Reader that fills an index.
-func NewReader(f Feed, x *Index, view func() *source.View, l log.Logger) *Reader {
-	return &Reader{feed: f, index: x, view: view, log: l}
-}
+// A Reader reads the feeds of all engines and KV cache stores into an index.
+type Reader struct{ opts Options }
+
+// NewReader returns a Reader.
+func NewReader(o Options) *Reader { return &Reader{opts: o} }
 
 // An endpoint is where a feed is read from.
 type endpoint struct {
@@ -61,7 +68,7 @@
 			if !wanted[e] {
 				cancel()
 				delete(running, e)
-				r.index.Drop(e.key())
+				r.opts.Index.Drop(e.key())
 			}
 		}
 		for e := range wanted {
@@ -86,14 +93,20 @@
 	return e.id
 }
 
+// incarnation returns the engine that the feed belongs to.
+func (e endpoint) incarnation() site.Incarnation { return site.Incarnation{ID: e.id, Born: e.born} }
+
 // endpoints returns the engines and stores whose feeds are to be read.
 func (r *Reader) endpoints() map[endpoint]bool {
-	v := r.view()
+	v := r.opts.View()
 	out := map[endpoint]bool{}
 	if v.Config == nil {
 		return out
 	}
 	for _, t := range v.Targets {
+		if t.Leaving || r.opts.Leaving(t.Incarnation()) {
+			continue
+		}
 		if s := v.Config.Services[t.Service]; s != nil && s.Engine != nil {
 			out[endpoint{t.ID, t.Address, t.Born}] = true
 		}
@@ -113,20 +126,23 @@
 func (r *Reader) readFeed(ctx context.Context, e endpoint) {
 	after, healthy := int64(0), true
 	for ctx.Err() == nil {
-		b, next, err := r.feed.Events(ctx, e.id, e.address, after, longPollWait)
+		b, next, err := r.opts.Feed.Events(ctx, e.id, e.address, after, longPollWait)
+		if e.id != "" {
+			r.opts.OnNotice(e.incarnation(), b.Notice)
+		}
 		if err != nil {
 			if healthy && ctx.Err() == nil {
-				_ = r.log.Log("msg", "cache feed lost", "engine", e.key(), "after", after, "err", err)
+				_ = r.opts.Log.Log("msg", "cache feed lost", "engine", e.key(), "after", after, "err", err)
 			}
 			healthy = false
 			store.Sleep(ctx, retryPause)
 			continue
 		}
 		if !healthy || b.Gap {
-			_ = r.log.Log("msg", "cache feed resumed", "engine", e.key(), "gap", b.Gap, "epoch", b.Epoch, "after", after)
+			_ = r.opts.Log.Log("msg", "cache feed resumed", "engine", e.key(), "gap", b.Gap, "epoch", b.Epoch, "after", after)
 		}
 		healthy, after = true, next
-		r.index.Apply(e.key(), b, time.Now())
+		r.opts.Index.Apply(e.key(), b, time.Now())
 		store.Sleep(ctx, batchPause)
 	}
 }
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/peer"
 )
 
@@ -21,6 +22,7 @@
 	e.Marks = n.source.Positions()
 	e.Spent = n.quota.Spent()
 	e.Loads, e.Loaded = n.placer.Loads(time.Now())
+	n.placer.PruneNotices(n.source.View(), time.Now())
 	e.Names = n.source.Announcements(time.Now())
 	e.Reads = n.placer.RecentlySent(time.Now())
 	e.Watch = n.storeWatch()
@@ -151,6 +153,14 @@
 	n.roster.Trigger()
 }
 
+// recordNotice processes what a target states about further requests. The request id
+// is empty unless a caller's request got the response.
+func (n *Node) recordNotice(target site.Incarnation, notice site.Notice, requestID string) {
+	if n.placer.RecordNotice(target, notice, time.Now()) {
+		_ = n.log.Log("msg", "target says that it leaves", "target", target.ID, "born", target.Born, "id", requestID)
+	}
+}
+
 func (n *Node) leaseChanged() {
 	n.refreshBusy(time.Now())
 	n.roster.Trigger()
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -167,7 +167,10 @@
 		Bounds:        n.sourceBounds,
 	})
 	engines := platform.NewEngines()
-	n.feeds = caches.NewReader(engines, n.index, n.source.View, n.log)
+	onNotice := func(engine site.Incarnation, notice site.Notice) { n.recordNotice(engine, notice, "") }
+	n.feeds = caches.NewReader(caches.Options{
+		Feed: engines, Index: n.index, View: n.source.View, Log: n.log, Leaving: n.placer.Leaving, OnNotice: onNotice,
+	})
 	born := time.Now().UnixNano()
 	n.roster = roster.NewTask(roster.Options{
 		Self: roster.Entry{
@@ -193,6 +196,8 @@
 		Version:       n.placer.Version,
 		Running:       func(t *site.Target) int { return n.placer.Running(t, time.Now()) },
 		Suspect:       func(t *site.Target) bool { return n.placer.Suspect(t, time.Now()) },
+		Leaving:       n.placer.Leaving,
+		OnNotice:      onNotice,
 		Unreachable:   n.placer.Unreachable,
 		OnVersion: func(t *site.Target, model string, version int64) {
 			if n.placer.ObserveWeights(t, model, version, time.Now()) {
@@ -255,9 +260,10 @@
 		VMs:        n.roster.Count,
 		Fresh:      n.fresh,
 
-		StopBy:  n.stopBy,
-		Suspect: n.prober.suspect,
-		Metrics: n.metrics,
+		StopBy:   n.stopBy,
+		OnNotice: n.recordNotice,
+		Suspect:  n.prober.suspect,
+		Metrics:  n.metrics,
 	})
 }
 
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -80,8 +80,12 @@
 }
 
 func (b *testbed) list(service, id, address, state string) {
+	b.listBorn(service, id, address, state, 5)
+}
+
+func (b *testbed) listBorn(service, id, address, state string, born int) {
 	b.store.Put("servers", id, map[string]any{
-		"service": service, "address": address, "zone": "z", "slots": 4, "state": state, "sequence": 1, "born": 5,
+		"service": service, "address": address, "zone": "z", "slots": 4, "state": state, "sequence": 1, "born": born,
 		"models": []map[string]any{{"name": "m", "version": 1}},
 	})
 }
@@ -478,6 +482,89 @@
 	must.Len(t, before, b.apps[0].Runs())
 }
 
+// TestTargetThatSaidItLeavesGetsRequests guards against requests to a target that has
+// stated in any response that it leaves, while its entry says that it is ready.
+func TestTargetThatSaidItLeavesGetsRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		mode fake.SiteMode
+	}{
+		"success":   {"/commit/", fake.SiteNormal},
+		"error":     {"/commit/", fake.SiteError},
+		"rejection": {"/commit/", fake.SiteReject},
+		"engine":    {"/stream/b/", fake.SiteNormal},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t)
+			targets := b.apps
+			if c.path == "/stream/b/" {
+				targets = b.engines
+			}
+			v := b.start("vm-1")
+			v.ready()
+			targets[0].SetMode(c.mode)
+			targets[0].SetHeader("Server-Leaving", "1")
+			v.requestUntilLogged(c.path, "target says that it leaves")
+			before := targets[0].Received()
+			for i := range 20 {
+				must.Eq(t, http.StatusOK, v.request(c.path, "r"+strconv.Itoa(i)).status)
+			}
+			must.Eq(t, before, targets[0].Received())
+			must.Eq(t, 1, strings.Count(v.log.String(), "target says that it leaves"))
+
+			other := v.source.View().Targets[targets[1].ID]
+			b.list(other.Service, other.ID, other.Address, "draining")
+			eventually(t, func() bool { return strings.Contains(v.log.String(), "target leaves") })
+			got := v.request(c.path, "refused")
+			must.Eq(t, http.StatusServiceUnavailable, got.status)
+			must.NotEq(t, "", got.header.Get("Retry-After"))
+			must.Eq(t, before, targets[0].Received())
+		})
+	}
+	t.Run("a response with the notice is passed on and running streams go on", func(t *testing.T) {
+		b := newTestbed(t)
+		v := b.start("vm-1")
+		v.ready()
+		for _, e := range b.engines {
+			e.SetHeader("Server-Leaving", "1")
+			e.SetEventInterval(50 * time.Millisecond)
+		}
+		got := v.request("/stream/a/", "r")
+		must.NoError(t, got.err)
+		must.Eq(t, wholeStream(), got.body)
+		must.Eq(t, "1", got.header.Get("Server-Leaving"))
+	})
+	t.Run("all targets leave and one has restarted", func(t *testing.T) {
+		b := newTestbed(t)
+		v := b.start("vm-1")
+		v.ready()
+		for _, target := range b.apps {
+			target.SetHeader("Server-Leaving", "1")
+		}
+		v.requestUntilLogged("/commit/", `"target says that it leaves" target=app-0`, `"target says that it leaves" target=app-1`)
+		must.Eq(t, http.StatusServiceUnavailable, v.request("/commit/", "r").status)
+		b.apps[0].SetHeader("Server-Leaving", "")
+		b.listBorn("app", "app-0", v.source.View().Targets["app-0"].Address, "ready", 6)
+		eventually(t, func() bool { return v.request("/commit/", "r").status == http.StatusOK })
+	})
+}
+
+// requestUntilLogged sends requests until the log contains all texts.
+func (v *testVM) requestUntilLogged(path string, texts ...string) {
+	v.t.Helper()
+	i := 0
+	eventually(v.t, func() bool {
+		i++
+		v.request(path, fmt.Sprint("first-", i))
+		for _, text := range texts {
+			if !strings.Contains(v.log.String(), text) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func TestRollout(t *testing.T) {
 	b := newTestbed(t)
 	v := b.start("vm-1")
--- a/internal/gateway/node/prober.go
+++ b/internal/gateway/node/prober.go
@@ -42,7 +42,8 @@
 		p.mu.Unlock()
 		listed := p.node.source.View().Targets
 		for _, t := range targets {
-			if current, ok := listed[t.ID]; !ok || current.Born != t.Born {
+			current, ok := listed[t.ID]
+			if !ok || current.Born != t.Born || p.node.placer.Leaving(t.Incarnation()) {
 				p.remove(t)
 				continue
 			}
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -183,8 +183,10 @@
 
 	mu     sync.Mutex
 	states map[string]*targetState
-	peers  map[string]peerState
-	busy   map[string]bool
+	// notices are what targets have stated about further requests.
+	notices map[site.Incarnation]*noticeState
+	peers   map[string]peerState
+	busy    map[string]bool
 	// peerTotals are the loads of all other VMs as of totalledAt; totalsDirty
 	// reports whether an update arrived since then.
 	peerTotals  map[string]peerTotal
@@ -237,7 +239,7 @@
 // more than maxWeightsAge ago, less a margin for updates that reach this VM late,
 // are not used.
 func New(dataCentre string, maxWeightsAge time.Duration, index *caches.Index) *Placer {
-	return &Placer{dataCentre: dataCentre, index: index, maxWeightsAge: maxWeightsAge - weightsLagMargin, states: map[string]*targetState{}, peers: map[string]peerState{}, busy: map[string]bool{}, holders: newHolders(), sendRates: map[uint64]sendRate{}}
+	return &Placer{dataCentre: dataCentre, index: index, maxWeightsAge: maxWeightsAge - weightsLagMargin, states: map[string]*targetState{}, notices: map[site.Incarnation]*noticeState{}, peers: map[string]peerState{}, busy: map[string]bool{}, holders: newHolders(), sendRates: map[uint64]sendRate{}}
 }
 
 // SetMaxWeightsAge changes the age up to which superseded weights are used.
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -109,6 +109,7 @@
 func (x *exchange) pass(ctx context.Context, r conn.Responded) (outcome, placing.Outcome) {
 	j := x.response.job
 	info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header)
+	x.handler.opts.OnNotice(x.choice.Target.Incarnation(), info.Notice, j.info.ID)
 	if x.handler.opts.Placer.ObserveWeights(x.choice.Target, j.info.Model, info.WeightsVersion, time.Now()) {
 		j.weights = info.WeightsVersion
 	}
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -63,6 +63,9 @@
 	// StopBy returns when the VM aborts running requests; zero unless it is
 	// about to stop.
 	StopBy func() time.Time
+	// OnNotice is called with what a target states about further requests in the
+	// response to a request.
+	OnNotice func(target site.Incarnation, n site.Notice, requestID string)
 	// Suspect is called with targets that accepted no connection.
 	Suspect func(t *site.Target)
 	Metrics *Metrics
