Send nothing to a target while the pause that it asked for lasts

What callers would see: a target's 503 may add Retry-After, the seconds for which it wants nothing from that VM.

Cause: the header of a target's response was not read. A rejection only raised the target's failure rate, which is a cost.

Change: platform decodes Retry-After of a 503, whole or with a fraction, whether or not the response says not-executed, from responses to callers' requests and to reports, orders and feed reads. Values that are negative, unreadable or, in the placer, longer than maxPause (ten minutes) are ignored. The placer takes the target out of the choice for that incarnation until the pause is over: for first attempts, further attempts and as a source of cached segments. Several pauses last until the latest of their ends, and a success does not end one. If all targets of a service, except those that leave, are paused, the request is refused at once as not run with the rest of the shortest pause as Retry-After; if the request's time is over before that, with the 0.4 s of other refusals, after which another VM may serve it. The prober opens no connection to a paused target and its feed is not read. The rollout sends a paused engine neither reports nor orders. Its order stays, but once its next call is due it keeps no other engine from draining or loading, so that pauses do not hold up a rollout, and the length of such a load is left out of the average. Other VMs are not told, since a target asks each VM for itself.

The prober's check has no test.

Conclusion: the tests show that a VM sends a target no request from its 503 until the end of the pause.

--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -24,6 +24,8 @@
 	SiteReject
 	// SiteError runs the request and responds with status 500.
 	SiteError
+	// SiteUnavailable runs the request and responds with status 503.
+	SiteUnavailable
 	// SiteReset runs the request and closes the connection before the response.
 	SiteReset
 	// SiteTruncated closes the connection in the middle of the response.
@@ -233,6 +235,8 @@
 	switch mode {
 	case SiteError:
 		return t.write(c, "500 Internal Server Error", head, "failed")
+	case SiteUnavailable:
+		return t.write(c, "503 Service Unavailable", head, "failed")
 	case SiteReset:
 		return false
 	case SiteHang:
--- a/internal/fleet/rollout/lease_test.go
+++ b/internal/fleet/rollout/lease_test.go
@@ -22,6 +22,7 @@
 		Members:        func() []roster.Member { return members },
 		OnStatusChange: func() {},
 		Leaving:        func(site.Incarnation) bool { return false },
+		Paused:         func(site.Incarnation) bool { return false },
 		OnNotice:       func(site.Incarnation, site.Notice) {},
 	})
 }
--- a/internal/fleet/rollout/plan.go
+++ b/internal/fleet/rollout/plan.go
@@ -60,6 +60,8 @@
 	running int
 	// suspect reports whether the engine recently failed to respond to some VM.
 	suspect bool
+	// paused reports whether the engine has asked this VM for a pause.
+	paused bool
 	// since is when the engine's weights were first superseded.
 	since time.Time
 }
@@ -105,6 +107,8 @@
 	phase       phase
 	since       time.Time
 	next        time.Time
+	// delayed reports whether the engine was paused when its next call was due.
+	delayed bool
 }
 
 // A step is the next action for one engine: startDrain, sendOrder or pollReport.
@@ -162,7 +166,14 @@
 			drain = 1
 		}
 	}
-	for _, o := range pl.orders {
+	active, paused := splitPaused(lagging)
+	for id, o := range pl.orders {
+		if paused[id] && (o.phase == draining || now.After(o.next)) {
+			// Nothing is known of the engine until its pause is over, so it does
+			// not keep others from loading.
+			o.delayed = true
+			continue
+		}
 		switch o.phase {
 		case ordered:
 			load--
@@ -172,19 +183,19 @@
 		}
 	}
 	var steps []step
-	for _, e := range lagging {
+	for _, e := range active {
 		if o := pl.orders[e.target.ID]; o != nil && o.phase == ordered && now.After(o.next) {
 			steps = append(steps, pl.pollOrResend(e, o, now))
 		}
 	}
-	for _, e := range pl.drained(lagging, now) {
+	for _, e := range pl.drained(active, now) {
 		if load > 0 {
 			load--
 			drain++
 			steps = append(steps, sendOrder{e})
 		}
 	}
-	for _, e := range lagging {
+	for _, e := range active {
 		o := pl.orders[e.target.ID]
 		if drain <= 0 || o != nil && (o.phase != backingOff || now.Before(o.next)) {
 			continue
@@ -198,6 +209,19 @@
 	return steps
 }
 
+// splitPaused returns the engines that are not paused and the ids of those that are.
+func splitPaused(engines []engine) (active []engine, paused map[string]bool) {
+	paused = map[string]bool{}
+	for _, e := range engines {
+		if e.paused {
+			paused[e.target.ID] = true
+			continue
+		}
+		active = append(active, e)
+	}
+	return active, paused
+}
+
 // compareBool sorts false before true.
 func compareBool(a, b bool) int {
 	switch {
@@ -267,7 +291,7 @@
 // accepted records that an engine is executing an order, or may be.
 func (pl *planner) accepted(id string, now time.Time) {
 	if o := pl.orders[id]; o != nil {
-		o.phase, o.since, o.next = ordered, now, now.Add(pl.loadTime-pollInterval)
+		o.phase, o.since, o.next, o.delayed = ordered, now, now.Add(pl.loadTime-pollInterval), false
 	}
 }
 
@@ -280,9 +304,9 @@
 }
 
 // completed updates the average load time from an engine that has completed its
-// order.
+// order. The duration of a load that ended in a pause is not known.
 func (pl *planner) completed(id string, now time.Time) {
-	if o := pl.orders[id]; o != nil && o.phase == ordered {
+	if o := pl.orders[id]; o != nil && o.phase == ordered && !o.delayed {
 		took := now.Sub(o.since)
 		pl.loadTime += time.Duration(loadTimeWeight * float64(took-pl.loadTime))
 	}
--- a/internal/fleet/rollout/plan_test.go
+++ b/internal/fleet/rollout/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,6 +85,35 @@
 		toDrain, _ := stepIDs(pl.plan(lagging, pool{engines: 9, running: 90}, epoch.Add(urgentAge+1)))
 		must.Len(t, 2, toDrain)
 	})
+	t.Run("a paused engine is sent nothing and keeps no other from loading", func(t *testing.T) {
+		pl := newPlanner()
+		lagging := []engine{laggingEngine("a", 0, epoch), laggingEngine("b", 0, epoch), laggingEngine("c", 0, epoch), laggingEngine("d", 0, epoch)}
+		lagging[0].paused = true
+		toDrain, _ := stepIDs(pl.plan(slices.Clone(lagging), pool{engines: 9}, epoch))
+		must.Eq(t, []string{"b", "c"}, toDrain)
+		now := epoch.Add(time.Millisecond)
+		lagging[1].paused = true
+		toDrain, toOrder := stepIDs(pl.plan(slices.Clone(lagging), pool{engines: 9}, now))
+		must.Eq(t, []string{"c"}, toOrder)
+		must.Eq(t, []string{"d"}, toDrain)
+		pl.accepted("c", now)
+		lagging[2].paused = true
+		now = now.Add(2 * initialLoadTime)
+		steps := pl.plan(slices.Clone(lagging), pool{engines: 9}, now)
+		must.Len(t, 1, steps)
+		_, toOrder = stepIDs(steps)
+		must.Eq(t, []string{"d"}, toOrder)
+		pl.accepted("d", now)
+
+		lagging[2].paused = false
+		steps = pl.plan(slices.Clone(lagging), pool{engines: 9}, now.Add(time.Millisecond))
+		must.Len(t, 1, steps)
+		poll, ok := steps[0].(pollReport)
+		must.True(t, ok)
+		must.Eq(t, "c", poll.engine.target.ID)
+		pl.completed("c", now.Add(time.Hour))
+		must.Eq(t, initialLoadTime, pl.loadTime)
+	})
 	t.Run("half of the engines keep serving", func(t *testing.T) {
 		pl := newPlanner()
 		toDrain, _ := stepIDs(pl.plan([]engine{laggingEngine("a", 0, epoch)}, pool{engines: 9, unreachable: 4}, epoch))
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -44,7 +44,7 @@
 // Engines is a client of the engines' control calls.
 type Engines interface {
 	Report(ctx context.Context, target, address string) (platform.EngineReport, error)
-	Load(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderOutcome, error)
+	Load(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderOutcome, site.Notice, error)
 }
 
 // Options are the parameters of a Task.
@@ -66,6 +66,9 @@
 	// Leaving reports whether an engine has stated that it leaves. It is treated as
 	// if it were not listed.
 	Leaving func(engine site.Incarnation) bool
+	// Paused reports whether an engine has asked this VM for a pause. It is sent
+	// nothing until then.
+	Paused func(engine site.Incarnation) bool
 	// OnNotice is called with what an engine states about further requests.
 	OnNotice func(engine site.Incarnation, n site.Notice)
 	// Unreachable reports whether an engine accepts no connections; such an engine
@@ -162,7 +165,7 @@
 				since, _ := v.Weights.SupersededAt(model, current)
 				lagging = append(lagging, engine{
 					target: target, model: model, current: current, wanted: wanted, since: since,
-					running: t.opts.Running(target), suspect: t.opts.Suspect(target),
+					running: t.opts.Running(target), suspect: t.opts.Suspect(target), paused: t.opts.Paused(target.Incarnation()),
 				})
 			}
 		}
@@ -237,9 +240,10 @@
 		return nil
 	}
 	term := t.tracker.Record.Lease.Term
-	outcome, err := t.opts.Engines.Load(ctx, e.target.Address, platform.LoadOrder{
+	outcome, notice, err := t.opts.Engines.Load(ctx, e.target.Address, platform.LoadOrder{
 		Target: id, Model: e.model, Version: e.wanted, Holder: t.opts.Self.ID, Term: term, ExpectedOrders: report.Orders,
 	})
+	t.opts.OnNotice(e.target.Incarnation(), notice)
 	_ = t.opts.Log.Log("msg", "load order sent", "target", id, "model", e.model, "version", e.wanted, "has", e.current,
 		"term", term, "after", report.Orders, "outcome", outcome, "err", err)
 	return func() { t.recordOutcome(e, outcome) }
--- a/internal/fleet/rollout/task_test.go
+++ b/internal/fleet/rollout/task_test.go
@@ -45,7 +45,7 @@
 	return platform.EngineReport{Weights: map[string]int64{"m": f.version(target)}, Notice: site.Notice{Leaving: f.leaving[target]}}, nil
 }
 
-func (f *fleet) Load(_ context.Context, _ string, o platform.LoadOrder) (platform.OrderOutcome, error) {
+func (f *fleet) Load(_ context.Context, _ string, o platform.LoadOrder) (platform.OrderOutcome, site.Notice, error) {
 	f.mu.Lock()
 	f.weights[o.Target] = o.Version
 	f.mu.Unlock()
@@ -53,7 +53,7 @@
 	case f.first <- o.Target:
 	default:
 	}
-	return platform.OrderAccepted, nil
+	return platform.OrderAccepted, site.Notice{}, nil
 }
 
 // TestUnreachableEngine runs a rollout while the engine that seems least busy is
--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -148,6 +148,9 @@
 type Notice struct {
 	// Leaving reports whether the target is about to end and wants no new requests.
 	Leaving bool
+	// Pause is how long the target wants no requests from this VM; 0 if it states
+	// none.
+	Pause time.Duration
 }
 
 // BuildIndex builds the look-up tables of the configuration. It must be called once
--- a/internal/gateway/caches/index_test.go
+++ b/internal/gateway/caches/index_test.go
@@ -70,8 +70,9 @@
 func readerOptions(f Feed, x *Index, view func() *source.View) Options {
 	return Options{
 		Feed: f, Index: x, View: view, Log: log.NewNopLogger(),
-		Leaving:  func(site.Incarnation) bool { return false },
-		OnNotice: func(site.Incarnation, site.Notice) {},
+		Leaving:   func(site.Incarnation) bool { return false },
+		PauseLeft: func(site.Incarnation) time.Duration { return 0 },
+		OnNotice:  func(site.Incarnation, site.Notice) {},
 	}
 }
 
@@ -140,3 +141,32 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// TestFeedOfPausedEngineIsRead guards against reading the feed of an engine that has
+// asked for a pause.
+func TestFeedOfPausedEngineIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := &source.View{
+			Config:  &site.Config{Services: map[string]*site.Service{"llm": {Engine: &site.Engine{}}}},
+			Targets: map[string]*site.Target{"i": {ID: "i", Service: "llm"}},
+		}
+		feed := &fakeFeed{}
+		until := time.Now().Add(5 * time.Second)
+		o := readerOptions(feed, NewIndex(), func() *source.View { return view })
+		o.PauseLeft = func(site.Incarnation) time.Duration { return time.Until(until) }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- NewReader(o).Run(ctx) }()
+		reads := func() int {
+			feed.mu.Lock()
+			defer feed.mu.Unlock()
+			return feed.reads
+		}
+		time.Sleep(5*time.Second - 1)
+		must.Zero(t, reads())
+		time.Sleep(time.Second)
+		must.Positive(t, reads())
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
--- a/internal/gateway/caches/reader.go
+++ b/internal/gateway/caches/reader.go
@@ -42,6 +42,9 @@
 	// Leaving reports whether an engine has stated that it leaves. Its feed is not
 	// read.
 	Leaving func(engine site.Incarnation) bool
+	// PauseLeft returns how much longer an engine wants no requests. Its feed is not
+	// read until then.
+	PauseLeft func(engine site.Incarnation) time.Duration
 	// OnNotice is called with what an engine states about further requests.
 	OnNotice func(engine site.Incarnation, n site.Notice)
 }
@@ -126,6 +129,10 @@
 func (r *Reader) readFeed(ctx context.Context, e endpoint) {
 	after, healthy := int64(0), true
 	for ctx.Err() == nil {
+		if left := r.opts.PauseLeft(e.incarnation()); left > 0 {
+			store.Sleep(ctx, left)
+			continue
+		}
 		b, next, err := r.opts.Feed.Events(ctx, e.id, e.address, after, longPollWait)
 		if e.id != "" {
 			r.opts.OnNotice(e.incarnation(), b.Notice)
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -156,9 +156,18 @@
 // recordNotice processes what a target states about further requests. The request id
 // is empty unless a caller's request got the response.
 func (n *Node) recordNotice(target site.Incarnation, notice site.Notice, requestID string) {
-	if n.placer.RecordNotice(target, notice, time.Now()) {
+	now := time.Now()
+	leaves, pauses := n.placer.RecordNotice(target, notice, now)
+	if leaves {
 		_ = n.log.Log("msg", "target says that it leaves", "target", target.ID, "born", target.Born, "id", requestID)
 	}
+	if !pauses {
+		return
+	}
+	if ok, leftOut := n.pauseLog.Allow(now); ok {
+		_ = n.log.Log("msg", "target asks for a pause", "target", target.ID, "born", target.Born, "id", requestID,
+			"seconds", notice.Pause.Seconds(), "leftout", leftOut)
+	}
 }
 
 func (n *Node) leaseChanged() {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/relay"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
+	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/lease"
 	"github.com/baobabdyke/baobabdyke/peer"
@@ -72,13 +73,15 @@
 	orders     *rollout.Task
 	relay      *relay.Handler
 	metrics    *relay.Metrics
-	budget     *retry.Budget
-	index      *caches.Index
-	feeds      *caches.Reader
-	prober     *prober
-	server     *peer.Server
-	client     peer.Caller
-	pulls      pullState
+	// pauseLog selects the pauses that are logged.
+	pauseLog logline.Sampler
+	budget   *retry.Budget
+	index    *caches.Index
+	feeds    *caches.Reader
+	prober   *prober
+	server   *peer.Server
+	client   peer.Caller
+	pulls    pullState
 }
 
 // New returns a Node that uses the addresses in its settings.
@@ -102,6 +105,7 @@
 		client:    client,
 		clock:     store.BootClock{},
 		start:     time.Now(),
+		pauseLog:  logline.Sampler{PerSecond: loggedPauses},
 		lifecycle: vm.NewLifecycle(nil),
 		placer:    placing.New(s.DataCentre, s.Gateway.Bounds.Weights, index),
 		index:     index,
@@ -143,6 +147,8 @@
 	// idle time that operators announce, so that callers close connections
 	// first.
 	idleTimeout = 3 * time.Minute
+	// loggedPauses is the number of pauses of targets that are logged per second.
+	loggedPauses = 20
 	// sweepPeriod is the time between two checks for idle connections.
 	sweepPeriod = time.Second
 )
@@ -169,7 +175,9 @@
 	engines := platform.NewEngines()
 	onNotice := func(engine site.Incarnation, notice site.Notice) { n.recordNotice(engine, notice, "") }
 	n.feeds = caches.NewReader(caches.Options{
-		Feed: engines, Index: n.index, View: n.source.View, Log: n.log, Leaving: n.placer.Leaving, OnNotice: onNotice,
+		Feed: engines, Index: n.index, View: n.source.View, Log: n.log, Leaving: n.placer.Leaving,
+		PauseLeft: func(engine site.Incarnation) time.Duration { return n.placer.PauseLeft(engine, time.Now()) },
+		OnNotice:  onNotice,
 	})
 	born := time.Now().UnixNano()
 	n.roster = roster.NewTask(roster.Options{
@@ -197,6 +205,7 @@
 		Running:       func(t *site.Target) int { return n.placer.Running(t, time.Now()) },
 		Suspect:       func(t *site.Target) bool { return n.placer.Suspect(t, time.Now()) },
 		Leaving:       n.placer.Leaving,
+		Paused:        func(engine site.Incarnation) bool { return n.placer.PauseLeft(engine, time.Now()) > 0 },
 		OnNotice:      onNotice,
 		Unreachable:   n.placer.Unreachable,
 		OnVersion: func(t *site.Target, model string, version int64) {
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -549,6 +549,70 @@
 	})
 }
 
+// TestPausedTargetGetsRequests guards against requests to a target that has asked for a
+// pause, and against requests that wait for its end.
+func TestPausedTargetGetsRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		mode fake.SiteMode
+	}{
+		"rejection":           {"/commit/", fake.SiteReject},
+		"rejected idempotent": {"/lookup/", fake.SiteReject},
+		"failed run":          {"/lookup/", fake.SiteUnavailable},
+		"rejected stream":     {"/stream/a/", fake.SiteReject},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t)
+			targets := b.apps
+			if c.path == "/stream/a/" {
+				targets = b.engines
+			}
+			v := b.start("vm-1")
+			v.ready()
+			setModes(targets, c.mode)
+			for _, target := range targets {
+				target.SetHeader("Retry-After", "300")
+			}
+			pauseOf := `"target asks for a pause" target=`
+			v.requestUntilLogged(c.path, pauseOf+targets[0].ID, pauseOf+targets[1].ID)
+			before := targets[0].Received() + targets[1].Received()
+			for i := range 20 {
+				got := v.request(c.path, "r"+strconv.Itoa(i))
+				must.Eq(t, http.StatusServiceUnavailable, got.status)
+				must.NotEq(t, "", got.header.Get("Retry-After"))
+			}
+			must.Eq(t, before, targets[0].Received()+targets[1].Received())
+			must.Eq(t, 2, strings.Count(v.log.String(), "target asks for a pause"))
+			must.StrContains(t, v.log.String(), "seconds=300")
+		})
+	}
+	t.Run("other targets serve", func(t *testing.T) {
+		b := newTestbed(t)
+		v := b.start("vm-1")
+		v.ready()
+		b.apps[0].SetMode(fake.SiteReject)
+		b.apps[0].SetHeader("Retry-After", "300")
+		v.requestUntilLogged("/commit/", "target asks for a pause")
+		before := b.apps[0].Received()
+		for i := range 20 {
+			must.Eq(t, http.StatusOK, v.request("/commit/", "r"+strconv.Itoa(i)).status)
+		}
+		must.Eq(t, before, b.apps[0].Received())
+	})
+	t.Run("a target is used after its pause", func(t *testing.T) {
+		b := newTestbed(t)
+		v := b.start("vm-1")
+		v.ready()
+		setModes(b.apps, fake.SiteReject)
+		for _, target := range b.apps {
+			target.SetHeader("Retry-After", "0.3")
+		}
+		v.requestUntilLogged("/commit/", "target asks for a pause")
+		setModes(b.apps, fake.SiteNormal)
+		eventually(t, func() bool { return v.request("/commit/", "r").status == http.StatusOK })
+	})
+}
+
 // requestUntilLogged sends requests until the log contains all texts.
 func (v *testVM) requestUntilLogged(path string, texts ...string) {
 	v.t.Helper()
--- a/internal/gateway/node/prober.go
+++ b/internal/gateway/node/prober.go
@@ -47,6 +47,9 @@
 				p.remove(t)
 				continue
 			}
+			if p.node.placer.PauseLeft(t.Incarnation(), time.Now()) > 0 {
+				continue
+			}
 			go p.probe(ctx, t)
 		}
 	}
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -131,11 +131,14 @@
 		h.finish(j, http.StatusOK, "stream broken")
 		panic(http.ErrAbortHandler)
 	}
-	h.fail(resp.w, j, j.failure(ctx, last))
+	pause := h.opts.Placer.ServicePauseLeft(h.opts.View(), j.service, time.Now())
+	h.fail(resp.w, j, j.failure(ctx, last, pause))
 }
 
 // failure returns the reason that the caller of an unsuccessful request is given.
-func (j *job) failure(ctx context.Context, last outcome) failure {
+// Pause is the rest of the shortest pause if all targets have asked for one. It is
+// not the caller's Retry-After if the request's time is over before it.
+func (j *job) failure(ctx context.Context, last outcome, pause time.Duration) failure {
 	if err := j.request.Context().Err(); err != nil {
 		return callerGone{err}
 	}
@@ -151,6 +154,9 @@
 	if j.runs > 0 {
 		return indeterminate{http.StatusBadGateway, "no target gave a whole answer"}
 	}
+	if pause > 0 && time.Now().Add(pause).Before(j.deadline) {
+		return refusal{http.StatusServiceUnavailable, "all targets have asked for a pause", pause}
+	}
 	if o, ok := last.(notRun); ok {
 		return refusal{http.StatusServiceUnavailable, "no target can run the request now: " + o.reason, busyRetry}
 	}
