Test the prober's choice, and set the fake target's headers on callers' responses only

Cause: the prober's check for targets that leave or are paused had no test. The test that passes on a leaving target's stream set the header on the cache event feeds too, so that a VM which read both feeds before the request would have refused it; that was not seen.

Change: the prober's choice is a function of the listed targets and the time. The fake target adds its headers to responses to callers' requests; reports, orders and feeds are covered by the tests of platform, rollout and caches. Requests until the first notice have prompts without common segments, so that every engine gets some: with a common first segment they all went to one engine, and the test never ended (one run, stopped after 600 s).

Measured: TestPausedOrLeavingTargetIsProbed fails without the checks in the prober. With the check in the placer taken out, five of six cases of TestTargetThatSaidItLeavesGetsRequests (17 requests received in place of 1; 500 and 200 in place of 503; 2 received in place of 1) and four of six of TestPausedTargetGetsRequests (43 received in place of 3) fail as before; the other three check that streams, other targets and targets after their pause are served. go test -race -cpu 1 of fake and node: ok.

Conclusion: no change of behaviour.

--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -106,7 +106,8 @@
 	t.eventInterval = d
 }
 
-// SetHeader sets a header that is added to all responses; an empty value removes it.
+// SetHeader sets a header that is added to the responses to callers' requests; an empty
+// value removes it.
 func (t *SiteTarget) SetHeader(name, value string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -191,7 +192,7 @@
 	case "/order":
 		return t.order(c, r)
 	case "/kv-events":
-		return t.write(c, "200 OK", "", `{"bootEpoch":1,"nextPage":1,"lost":false,"events":[]}`)
+		return write(c, "200 OK", "", `{"bootEpoch":1,"nextPage":1,"lost":false,"events":[]}`)
 	}
 	t.mu.Lock()
 	t.received++
@@ -301,7 +302,7 @@
 	t.mu.Lock()
 	body := fmt.Sprintf(`{"stage":"prefill_decode","models":[{"name":"m","version":%d}],"busy":false,"sequence":%d}`, t.version, t.orderCount)
 	t.mu.Unlock()
-	return t.write(c, "200 OK", "", body)
+	return write(c, "200 OK", "", body)
 }
 
 // order executes an order immediately.
@@ -311,7 +312,7 @@
 		ExpectedOrders int64 `json:"expected"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		return t.write(c, "400 Bad Request", "", "")
+		return write(c, "400 Bad Request", "", "")
 	}
 	t.mu.Lock()
 	accepted := o.ExpectedOrders == t.orderCount
@@ -321,12 +322,12 @@
 	}
 	t.mu.Unlock()
 	if !accepted {
-		return t.write(c, "409 Conflict", "", "")
+		return write(c, "409 Conflict", "", "")
 	}
-	return t.write(c, "202 Accepted", "", "")
+	return write(c, "202 Accepted", "", "")
 }
 
-// extraHeader returns the encoded headers that are added to all responses.
+// extraHeader returns the encoded headers that SetHeader has set.
 func (t *SiteTarget) extraHeader() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -335,7 +336,12 @@
 	return b.String()
 }
 
+// write writes a response to a caller's request.
 func (t *SiteTarget) write(c net.Conn, status, head, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n%s", status, head, t.extraHeader(), len(body), body)
+	return write(c, status, head+t.extraHeader(), body)
+}
+
+func write(c net.Conn, status, head, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
 	return err == nil
 }
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -613,13 +613,14 @@
 	})
 }
 
-// requestUntilLogged sends requests until the log contains all texts.
+// requestUntilLogged sends requests with different prompts until the log contains all
+// texts.
 func (v *testVM) requestUntilLogged(path string, texts ...string) {
 	v.t.Helper()
 	i := 0
 	eventually(v.t, func() bool {
 		i++
-		v.request(path, fmt.Sprint("first-", i))
+		v.request(path, fmt.Sprint("first-", i), "Baobabdyke-Prefix-Hash", fmt.Sprintf("a%d:50,b%d:50,own:10", i, i))
 		for _, text := range texts {
 			if !strings.Contains(v.log.String(), text) {
 				return false
--- a/internal/gateway/node/prober.go
+++ b/internal/gateway/node/prober.go
@@ -34,28 +34,30 @@
 // run probes the targets until ctx ends.
 func (p *prober) run(ctx context.Context) error {
 	for store.Sleep(ctx, probePeriod) {
-		p.mu.Lock()
-		targets := make([]*site.Target, 0, len(p.targets))
-		for _, t := range p.targets {
-			targets = append(targets, t)
-		}
-		p.mu.Unlock()
-		listed := p.node.source.View().Targets
-		for _, t := range targets {
-			current, ok := listed[t.ID]
-			if !ok || current.Born != t.Born || p.node.placer.Leaving(t.Incarnation()) {
-				p.remove(t)
-				continue
-			}
-			if p.node.placer.PauseLeft(t.Incarnation(), time.Now()) > 0 {
-				continue
-			}
+		for _, t := range p.due(p.node.source.View().Targets, time.Now()) {
 			go p.probe(ctx, t)
 		}
 	}
 	return nil
 }
 
+// due returns the targets to be probed now. It removes those that have ended or leave.
+func (p *prober) due(listed map[string]*site.Target, now time.Time) []*site.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var due []*site.Target
+	for id, t := range p.targets {
+		current, ok := listed[id]
+		switch {
+		case !ok || current.Born != t.Born || p.node.placer.Leaving(t.Incarnation()):
+			delete(p.targets, id)
+		case p.node.placer.PauseLeft(t.Incarnation(), now) == 0:
+			due = append(due, t)
+		}
+	}
+	return due
+}
+
 func (p *prober) probe(ctx context.Context, t *site.Target) {
 	if err := p.node.pool.Probe(ctx, t.Address); err != nil {
 		return
