--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -77,6 +77,10 @@
 	connections   int
 	received      int
 	header        http.Header
+	// rejections counts the requests that were not run in mode SiteReject.
+	rejections int
+	// thawed is closed when the target goes on; nil unless it is silent.
+	thawed chan struct{}
 }
 
 // NewSiteTarget returns a SiteTarget in mode SiteNormal whose streams have
@@ -126,6 +130,43 @@
 	return t.received
 }
 
+// Silence makes the target answer no request until Resume is called. It still accepts
+// connections and requests.
+func (t *SiteTarget) Silence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.thawed == nil {
+		t.thawed = make(chan struct{})
+	}
+}
+
+// Resume ends a silence.
+func (t *SiteTarget) Resume() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.thawed != nil {
+		close(t.thawed)
+		t.thawed = nil
+	}
+}
+
+// awaitResume blocks while the target is silent.
+func (t *SiteTarget) awaitResume() {
+	t.mu.Lock()
+	thawed := t.thawed
+	t.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
+// Rejections returns the number of requests that were not run in mode SiteReject.
+func (t *SiteTarget) Rejections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rejections
+}
+
 // Runs returns the requests that were run.
 func (t *SiteTarget) Runs() []SiteRun {
 	t.mu.Lock()
@@ -218,6 +259,10 @@
 		return false
 	}
 	if mode == SiteReject {
+		t.mu.Lock()
+		t.rejections++
+		t.mu.Unlock()
+		t.awaitResume()
 		return t.write(c, "503 Service Unavailable", "Baobabdyke-Not-Executed: 1\r\n", "")
 	}
 	run := SiteRun{ID: r.Header.Get("Baobabdyke-Request-Id"), Method: r.Method, Path: r.RequestURI, Header: r.Header, Body: body}
@@ -233,6 +278,7 @@
 	head := "Baobabdyke-Request-Id: " + run.ID + "\r\nBaobabdyke-Response-Seal: seal-" + t.ID + "\r\n"
 	raw := head + t.extraHeader()
 	text := "answer of " + t.ID + " to " + run.ID
+	t.awaitResume()
 	switch mode {
 	case SiteError:
 		return t.write(c, "500 Internal Server Error", head, "failed")
@@ -285,6 +331,7 @@
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nBaobabdyke-Weight-Versions: %d\r\nTransfer-Encoding: chunked\r\n\r\n", head, version)
 	from, _ := strconv.Atoi(run.Header.Get("Last-Event-Id"))
 	for i := from + 1; i <= lastEvent; i++ {
+		t.awaitResume()
 		e := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
 			return false
@@ -294,6 +341,7 @@
 	if lastEvent < t.eventCount {
 		return false
 	}
+	t.awaitResume()
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -42,11 +42,13 @@
 	apps    [2]*fake.SiteTarget
 	engines [2]*fake.SiteTarget
 	version int
+	// retries are the limits of the retry budget of VMs that are started.
+	retries settings.Retries
 }
 
 func newTestbed(t *testing.T) *testbed {
 	t.Helper()
-	b := &testbed{t: t, store: fake.NewSiteStore()}
+	b := &testbed{t: t, store: fake.NewSiteStore(), retries: settings.Retries{Ratio: 1, Slack: 1000, Window: time.Second}}
 	server := httptest.NewServer(b.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -133,7 +135,7 @@
 		ReadyAddress: "127.0.0.1:0", DirectoryAddress: "127.0.0.1:0", Seeds: seeds,
 		Bounds: settings.Bounds{
 			Grace: 3 * time.Second, TTL: time.Second, Quiet: time.Second, Weights: 10 * time.Second, Revoke: time.Second,
-			Retries: settings.Retries{Ratio: 1, Slack: 1000, Window: time.Second},
+			Retries: b.retries,
 		},
 	}}
 	s.Callers.Address, s.Operators.Address, s.Peers.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
@@ -189,6 +191,8 @@
 	header http.Header
 	body   string
 	err    error
+	// close reports whether the VM closes the connection after the response.
+	close bool
 }
 
 // request sends a request as a caller.
@@ -218,7 +222,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return result{resp.StatusCode, resp.Header, string(body), err}
+	return result{resp.StatusCode, resp.Header, string(body), err, resp.Close}
 }
 
 // runs returns the number of requests that ran at the targets.
@@ -613,6 +617,32 @@
 	})
 }
 
+// TestNoticeOfStandbyIsMissed guards against a notice in a response that is not passed
+// on, because another target has gone on with the request.
+func TestNoticeOfStandbyIsMissed(t *testing.T) {
+	b := newTestbed(t)
+	v := b.start("vm-1")
+	v.ready()
+	address := v.source.View().Targets["llm-1"].Address
+	b.list("llm", "llm-1", address, "draining")
+	eventually(t, func() bool { return strings.Contains(v.log.String(), "target leaves") })
+	b.engines[0].SetEventInterval(100 * time.Millisecond)
+	results := v.send("/stream/a/")
+	eventually(t, func() bool { return len(b.engines[0].Runs()) == 1 })
+
+	b.engines[1].SetMode(fake.SiteReject)
+	b.engines[1].SetHeader("Retry-After", "300")
+	b.listBorn("llm", "llm-1", address, "ready", 6)
+	b.engines[0].Silence()
+	t.Cleanup(b.engines[0].Resume)
+	eventually(t, func() bool { return strings.Contains(v.log.String(), `"target asks for a pause" target=llm-1`) })
+	b.engines[0].Resume()
+	got := <-results
+	must.NoError(t, got.err)
+	must.Eq(t, wholeStream(), got.body)
+	must.Eq(t, 1, b.engines[1].Received())
+}
+
 // requestUntilLogged sends requests with different prompts until the log contains all
 // texts.
 func (v *testVM) requestUntilLogged(path string, texts ...string) {
@@ -713,6 +743,22 @@
 		must.NoError(t, <-v2.done)
 		v2.done <- nil
 	})
+	t.Run("answers of a VM that stops close the connection", func(t *testing.T) {
+		for _, path := range []string{"/commit/", "/stream/a/"} {
+			got := v1.request(path, "r")
+			must.Eq(t, http.StatusOK, got.status)
+			must.False(t, got.close)
+		}
+		v4 := b.start("vm-4", v1.settings.Peers.Address)
+		v4.ready()
+		v4.stop()
+		eventually(t, func() bool { return strings.Contains(v4.log.String(), "state=draining") })
+		for _, path := range []string{"/commit/", "/stream/a/"} {
+			got := v4.request(path, "r")
+			must.Eq(t, http.StatusOK, got.status)
+			must.True(t, got.close, must.Sprint(path))
+		}
+	})
 	t.Run("invalid bytes from a peer are ignored", func(t *testing.T) {
 		var d net.Dialer
 		c, err := d.DialContext(t.Context(), "tcp", v1.settings.Peers.Address)
--- /dev/null
+++ b/internal/gateway/relay/standby.go
@@ -0,0 +1,279 @@
+package relay
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// standbyRetry is the time between two checks of whether a silent target can be
+// replaced.
+const standbyRetry = 300 * time.Millisecond
+
+// A standby sends the request to another target while the target of an attempt is
+// silent. The attempt ends only once the other target has begun to answer: a sound
+// target may pause, and an answer that was given up cannot be recovered if no other
+// target accepts the request.
+type standby struct {
+	first *exchange // the attempt whose target may be silent
+	// timeout is how long the target may be silent before another one is tried.
+	timeout time.Duration
+	// request is the placing request of a trial, sends the number of sends up to the
+	// attempt, and maxRuns the number of further runs that are permitted.
+	request placing.Request
+	sends   int
+	maxRuns int
+
+	wg sync.WaitGroup
+	// mu guards the fields below.
+	mu    sync.Mutex
+	timer *time.Timer
+	// over reports whether the attempt has ended.
+	over   bool
+	logged bool
+	// heard is when the target last sent something, or the start of the attempt.
+	heard time.Time
+	// trials are the running attempts at other targets, and next is the one that
+	// replaces the silent target; nil if there is none.
+	trials []*exchange
+	next   *exchange
+	// failed are the attempts at other targets that brought no answer.
+	failed []outcome
+}
+
+// newStandby returns the standby of an attempt, or nil if the request may not be sent
+// to another target while this one is silent.
+func newStandby(x *exchange) *standby {
+	j := x.response.job
+	maxRuns := j.route.MaxAttempts - j.runs - 1
+	if !j.route.Repeatable() || maxRuns <= 0 {
+		return nil
+	}
+	s := &standby{first: x, timeout: j.silenceTimeout(), request: j.placingRequest(), sends: j.sends, maxRuns: maxRuns}
+	s.request.Goal = 0
+	s.request.Tried = append(slices.Clone(j.tried), x.choice.Target.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard = time.Now()
+	s.timer = time.AfterFunc(s.timeout, s.expire)
+	return s
+}
+
+// progress records that the target has sent something, which ends all trials.
+func (s *standby) progress() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil {
+		return
+	}
+	s.cancelTrials()
+	s.heard = time.Now()
+	s.timer.Reset(s.timeout)
+}
+
+// end ends the standby together with its attempt. It adds the trials to the job's
+// counters and returns the attempt that replaces the silent target, if there is one. If
+// the request is unanswered, running trials are waited for, else they are cancelled.
+func (s *standby) end(unanswered bool) *exchange {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	s.over = true
+	if !unanswered {
+		s.cancelTrials()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	s.timer.Stop()
+	for _, o := range s.failed {
+		s.first.response.job.sends++
+		s.first.response.job.count(o)
+	}
+	return s.next
+}
+
+// cancelTrials cancels all trials. The caller must hold mu.
+func (s *standby) cancelTrials() {
+	for _, trial := range s.trials {
+		trial.cancel()
+	}
+	s.trials = nil
+}
+
+// expire tries another target, unless the silent one has recently responded to other
+// requests. The latest trial may be silent as well.
+func (s *standby) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil || s.over && len(s.trials) == 0 {
+		return
+	}
+	h, now := s.first.handler, time.Now()
+	if left := s.timeout - now.Sub(s.heard); left > 0 {
+		s.timer.Reset(left)
+		return
+	}
+	latest := s.first
+	if n := len(s.trials); n > 0 {
+		latest = s.trials[n-1]
+	}
+	if h.opts.Placer.RespondedWithin(latest.choice, busyTargetTimeout, now) {
+		s.timer.Reset(busyTargetTimeout)
+		return
+	}
+	choice, obstacle := s.choose(now)
+	if !s.logged || obstacle == "" {
+		s.logged = true
+		h.log("msg", "target silent", "id", s.first.response.job.info.ID, "target", s.first.choice.Target.ID, "limit", s.timeout,
+			"standby", obstacle == "", "obstacle", obstacle)
+	}
+	if obstacle != "" {
+		s.timer.Reset(standbyRetry)
+		return
+	}
+	trial := h.newExchange(s.first.requestCtx, s.first.response, choice)
+	s.trials = append(s.trials, trial)
+	s.request.Tried = append(s.request.Tried, choice.Target.ID)
+	s.timer.Reset(s.timeout)
+	s.wg.Go(func() {
+		trial.send()
+		s.finish(trial)
+	})
+}
+
+// choose returns the target to try, or what prevents a trial.
+func (s *standby) choose(now time.Time) (choice placing.Choice, obstacle string) {
+	h, j := s.first.handler, s.first.response.job
+	runs := len(s.trials)
+	for _, o := range s.failed {
+		if _, ok := o.(lost); ok {
+			runs++
+		}
+	}
+	if runs >= s.maxRuns || s.sends+len(s.failed)+len(s.trials) >= maxSends {
+		return choice, "no further attempt is permitted"
+	}
+	if _, _, quarantined := h.quarantined(j); quarantined {
+		return choice, "a segment of the prompt is quarantined"
+	}
+	s.request.TimeLeft = time.Until(j.deadline)
+	choice, ok := h.opts.Placer.Choose(h.opts.View(), s.request, now)
+	if !ok || choice.Unresponsive() {
+		return choice, "no other target"
+	}
+	if !h.opts.Budget.Spend(j.service, h.opts.VMs(), now) {
+		return choice, "the retry budget is spent"
+	}
+	return choice, ""
+}
+
+// finish records the result of a trial: it replaces the silent target if it has begun
+// to answer.
+func (s *standby) finish(trial *exchange) {
+	id, from, to := s.first.response.job.info.ID, s.first.choice.Target.ID, trial.choice.Target.ID
+	if s.replace(trial) {
+		s.first.handler.log("msg", "silent target replaced", "id", id, "target", from, "by", to)
+		return
+	}
+	// Reading a rejection may block, so mu is not held.
+	o := trial.discard()
+	s.first.handler.log("msg", "silent target not replaced", "id", id, "target", from, "by", to, "outcome", reasonOf(o))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = append(s.failed, o)
+	if i := slices.Index(s.trials, trial); i >= 0 {
+		s.trials = slices.Delete(s.trials, i, i+1)
+		s.timer.Reset(standbyRetry)
+	}
+}
+
+// replace reports whether the trial has begun to answer and the silent target has not
+// gone on, and ends the attempt at the silent target if so.
+func (s *standby) replace(trial *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.Index(s.trials, trial)
+	if i < 0 || !trial.answers() {
+		return false
+	}
+	s.trials = slices.Delete(s.trials, i, i+1)
+	s.cancelTrials()
+	s.next = trial
+	s.first.replaced.Store(true)
+	s.first.cancel()
+	return true
+}
+
+// answers reports whether the target has begun to answer the request.
+func (x *exchange) answers() bool {
+	r, ok := x.result.(conn.Responded)
+	if !ok || x.ctx.Err() != nil {
+		return false
+	}
+	info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header)
+	return r.Response.StatusCode < 300 && info.Sealed && !info.Encoded && !info.NotRun &&
+		(isStream(r.Response) || !x.response.started.Load())
+}
+
+// discard ends an attempt whose response is not passed on, and returns its outcome.
+func (x *exchange) discard() outcome {
+	o, end := x.unanswered()
+	x.handler.opts.Placer.End(x.choice, end, false, time.Now())
+	x.cancel()
+	return o
+}
+
+// unanswered ends an attempt without an answer that is passed on.
+func (x *exchange) unanswered() (outcome, placing.Outcome) {
+	switch r := x.result.(type) {
+	case conn.Unsent:
+		o := notRun{reason: "unsent: " + r.Err.Error()}
+		if x.ctx.Err() != nil {
+			return o, placing.Inconclusive
+		}
+		x.handler.opts.Suspect(x.choice.Target)
+		return o, placing.Unreachable
+	case conn.Lost:
+		o := lost{reason: "lost: " + r.Err.Error()}
+		switch {
+		case x.replaced.Load():
+			return o, placing.TimedOut
+		case x.ctx.Err() != nil:
+			return o, placing.Inconclusive
+		}
+		return o, placing.Failed
+	case conn.Responded:
+		if info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header); info.NotRun {
+			return x.handleNotRun(r, info)
+		}
+		end := placing.Failed
+		if x.answers() {
+			end = placing.Inconclusive
+		}
+		r.Exchange.Abort()
+		return lost{reason: "not passed on: " + r.Response.Status}, end
+	}
+	panic("relay: unknown result")
+}
+
+// reasonOf returns the reason of an outcome for the log.
+func reasonOf(o outcome) string {
+	switch o := o.(type) {
+	case notRun:
+		return o.reason
+	case lost:
+		return o.reason
+	case stopped:
+		return o.err.Error()
+	default:
+		return "delivered"
+	}
+}
