--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -44,7 +44,7 @@
 // Engines is a client of the engines' control calls.
 type Engines interface {
 	Report(ctx context.Context, target, address string) (platform.EngineReport, error)
-	Load(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderOutcome, error)
+	Load(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderOutcome, site.Notice, error)
 }
 
 // Options are the parameters of a Task.
@@ -63,6 +63,14 @@
 	// number of requests running on the engine, as known to this VM.
 	Version func(t *site.Target, model string) int64
 	Running func(t *site.Target) int
+	// Leaving reports whether an engine has stated that it leaves. It is treated as
+	// if it were not listed.
+	Leaving func(engine site.Incarnation) bool
+	// Paused reports whether an engine has asked this VM for a pause. It is sent
+	// nothing until then.
+	Paused func(engine site.Incarnation) bool
+	// OnNotice is called with what an engine states about further requests.
+	OnNotice func(engine site.Incarnation, n site.Notice)
 	// Unreachable reports whether an engine accepts no connections; such an engine
 	// is sent no order.
 	Unreachable func(t *site.Target) bool
@@ -142,7 +150,7 @@
 	}
 	for _, target := range v.Targets {
 		s := v.Config.Services[target.Service]
-		if s == nil || s.Engine == nil || target.Leaving {
+		if s == nil || s.Engine == nil || target.Leaving || t.opts.Leaving(target.Incarnation()) {
 			continue
 		}
 		p.engines++
@@ -157,7 +165,7 @@
 				since, _ := v.Weights.SupersededAt(model, current)
 				lagging = append(lagging, engine{
 					target: target, model: model, current: current, wanted: wanted, since: since,
-					running: t.opts.Running(target), suspect: t.opts.Suspect(target),
+					running: t.opts.Running(target), suspect: t.opts.Suspect(target), paused: t.opts.Paused(target.Incarnation()),
 				})
 			}
 		}
@@ -222,7 +230,7 @@
 	switch {
 	case err != nil:
 		return func() { t.planner.failed(id, time.Now()) }
-	case report.Weights[e.model] >= e.wanted:
+	case report.Weights[e.model] >= e.wanted || report.Notice.Leaving:
 		return nil
 	case report.Busy:
 		return func() { t.planner.accepted(id, time.Now()) }
@@ -232,9 +240,10 @@
 		return nil
 	}
 	term := t.tracker.Record.Lease.Term
-	outcome, err := t.opts.Engines.Load(ctx, e.target.Address, platform.LoadOrder{
+	outcome, notice, err := t.opts.Engines.Load(ctx, e.target.Address, platform.LoadOrder{
 		Target: id, Model: e.model, Version: e.wanted, Holder: t.opts.Self.ID, Term: term, ExpectedOrders: report.Orders,
 	})
+	t.opts.OnNotice(e.target.Incarnation(), notice)
 	_ = t.opts.Log.Log("msg", "load order sent", "target", id, "model", e.model, "version", e.wanted, "has", e.current,
 		"term", term, "after", report.Orders, "outcome", outcome, "err", err)
 	return func() { t.recordOutcome(e, outcome) }
@@ -277,6 +286,7 @@
 
 func (t *Task) report(ctx context.Context, e engine) (platform.EngineReport, error) {
 	r, err := t.opts.Engines.Report(ctx, e.target.ID, e.target.Address)
+	t.opts.OnNotice(e.target.Incarnation(), r.Notice)
 	if err != nil {
 		_ = t.opts.Log.Log("msg", "engine report failed", "target", e.target.ID, "err", err)
 		return r, err
--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -56,6 +56,9 @@
 		if t.Service != r.Service || t.Leaving || contains(r.Tried, t.ID) {
 			continue
 		}
+		if target := t.Incarnation(); p.leaving(target) || p.pauseLeft(target, now) > 0 {
+			continue
+		}
 		state := p.state(t, now)
 		c := candidate{target: t, state: state, running: state.running, prefill: state.prefill, late: state.late, failureRate: state.decayedFailureRate(now)}
 		if r.Model != "" {
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -62,6 +62,10 @@
 		},
 	}
 	x.result = x.handler.opts.Pool.Do(x.ctx, x.choice.Target.Address, req, !j.route.Repeatable())
+	if r, ok := x.result.(conn.Responded); ok {
+		info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header)
+		x.handler.opts.OnNotice(x.choice.Target.Incarnation(), info.Notice, j.info.ID)
+	}
 }
 
 // silenceTimeout returns how long a target may send nothing before another one is
