--- a/internal/fake/sitestore.go
+++ b/internal/fake/sitestore.go
@@ -1,7 +1,10 @@
 package fake
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -20,6 +23,7 @@
 	compactedRevision int64
 	changed           chan struct{}
 	faults            SiteStoreFaults
+	pageSize          int
 	calls             int
 }
 
@@ -43,6 +47,20 @@
 	Meta siteMeta        `json:"metadata"`
 	Spec json.RawMessage `json:"spec"`
 	kind string
+	// item is sent in place of the object, if it is set.
+	item []byte
+}
+
+// encode returns the object as it is sent. The spec is not checked.
+func (o *siteObject) encode() []byte {
+	if o.item != nil {
+		return o.item
+	}
+	meta, err := json.Marshal(o.Meta)
+	if err != nil {
+		panic(err)
+	}
+	return fmt.Appendf(nil, `{"metadata":%s,"spec":%s}`, meta, cmp.Or(string(o.Spec), "null"))
 }
 
 type siteChange struct {
@@ -90,6 +108,22 @@
 	s.put(kind, name, spec)
 }
 
+// PutItem writes an object that is sent as the given text, including its metadata.
+func (s *SiteStore) PutItem(kind, name string, item []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, nil)
+	s.objects[kind+"/"+name].item = item
+	s.history[len(s.history)-1].object.item = item
+}
+
+// SetPageSize sets the number of objects on a page of a list; 0 is no limit.
+func (s *SiteStore) SetPageSize(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize = n
+}
+
 // Remove removes an object, if it exists.
 func (s *SiteStore) Remove(kind, name string) {
 	s.mu.Lock()
@@ -97,6 +131,13 @@
 	s.remove(kind, name)
 }
 
+// Revision returns the revision of the last change.
+func (s *SiteStore) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Calls returns the number of calls received.
 func (s *SiteStore) Calls() int {
 	s.mu.Lock()
@@ -153,7 +194,7 @@
 	case r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
 	default:
-		s.list(w, kind)
+		s.list(w, r, kind)
 	}
 }
 
@@ -165,21 +206,30 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(w, http.StatusOK, o)
+	reply(w, http.StatusOK, o.encode())
 }
 
-func (s *SiteStore) list(w http.ResponseWriter, kind string) {
+func (s *SiteStore) list(w http.ResponseWriter, r *http.Request, kind string) {
+	after := r.URL.Query().Get("after")
 	s.mu.Lock()
-	items := []*siteObject{}
+	var listed []*siteObject
 	for _, o := range s.objects {
-		if o.kind == kind {
-			items = append(items, o)
+		if o.kind == kind && o.Meta.Name > after {
+			listed = append(listed, o)
 		}
 	}
-	revision := s.revision
+	revision, pageSize := s.revision, s.pageSize
 	s.mu.Unlock()
-	slices.SortFunc(items, func(a, b *siteObject) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
-	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "at": revision})
+	slices.SortFunc(listed, func(a, b *siteObject) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
+	more := pageSize > 0 && len(listed) > pageSize
+	if more {
+		listed = listed[:pageSize]
+	}
+	var items [][]byte
+	for _, o := range listed {
+		items = append(items, o.encode())
+	}
+	reply(w, http.StatusOK, fmt.Appendf(nil, `{"items":[%s],"hasMore":%t,"at":%d}`, bytes.Join(items, []byte(",")), more, revision))
 }
 
 func (s *SiteStore) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -199,12 +249,12 @@
 			return
 		}
 		if len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "at": revision})
+			replyEvents(w, events, revision)
 			return
 		}
 		select {
 		case <-timer.C:
-			reply(w, http.StatusOK, map[string]any{"events": events, "at": revision})
+			replyEvents(w, events, revision)
 			return
 		case <-changed:
 		case <-r.Context().Done():
@@ -213,16 +263,19 @@
 	}
 }
 
-func (s *SiteStore) changesSince(kind string, after int64) []map[string]any {
-	events := []map[string]any{}
+func (s *SiteStore) changesSince(kind string, after int64) (events [][]byte) {
 	for _, c := range s.history {
 		if c.object.kind == kind && c.revision > after {
-			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+			events = append(events, fmt.Appendf(nil, `{"object":%s,"deleted":%t}`, c.object.encode(), c.deleted))
 		}
 	}
 	return events
 }
 
+func replyEvents(w http.ResponseWriter, events [][]byte, revision int64) {
+	reply(w, http.StatusOK, fmt.Appendf(nil, `{"events":[%s],"at":%d}`, bytes.Join(events, []byte(",")), revision))
+}
+
 func (s *SiteStore) write(w http.ResponseWriter, r *http.Request, kind, name string, dropResponse bool) {
 	var in siteObject
 	if r.Method != http.MethodDelete {
@@ -244,7 +297,11 @@
 	if dropResponse {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, status, o)
+	var body []byte
+	if o != nil {
+		body = o.encode()
+	}
+	reply(w, status, body)
 }
 
 // apply executes a write. The caller holds mu.
@@ -266,10 +323,8 @@
 	return http.StatusOK, s.put(kind, name, spec)
 }
 
-func reply(w http.ResponseWriter, status int, body any) {
+func reply(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	if body != nil {
-		_ = json.NewEncoder(w).Encode(body)
-	}
+	_, _ = w.Write(body)
 }
