Log an odd announcement once per change

An announcement of weights that can't be decoded was logged again with each change of any target, announcement or configuration, on every VM: where runners write every few hundred milliseconds, its lines would push those of requests out of the log. A line also quoted a number of any length in full.

Cause: addWeights decoded all announcements whenever a view was built, while targets and configurations are decoded when they are put into their table.

Change: announcements are decoded there too. The reason in a line is cut after 200 characters.

Measured: with the code before, go test ./internal/fleet/source failed in TestIgnoredObjectIsLoggedOnce: 30 lines for one announcement in ten changes of each kind. Now it passes, with -race -cpu 1 too.

Conclusion: ignored entries of all three kinds are logged once per change. After an outage of the store, an entry that was missing for a moment is logged again.

--- a/internal/fleet/source/source_test.go
+++ b/internal/fleet/source/source_test.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -184,6 +185,39 @@
 	})
 }
 
+// TestIgnoredObjectIsLoggedOnce guards against a log that repeats an odd object at each
+// read, or quotes all of it.
+func TestIgnoredObjectIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		f := newFeed()
+		var lines bytes.Buffer
+		s := New(Options{Feed: f, Decoder: decoder, Log: log.NewLogfmtLogger(log.NewSyncWriter(&lines))})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- s.Run(ctx) }()
+		f.put("config/main", "5")
+		odd := strings.Repeat("9", 10_000)
+		for _, key := range []string{"config/odd", "targets/odd", "weights/odd"} {
+			f.put(key, odd)
+		}
+		<-s.Ready()
+		for i := range 10 {
+			f.put("targets/a", strconv.Itoa(i))
+			f.put("weights/m", strconv.Itoa(i))
+			f.put("config/main", strconv.Itoa(6+i))
+			time.Sleep(time.Second)
+		}
+		f.set(func() { f.history, f.floor = nil, f.at })
+		time.Sleep(5 * time.Second)
+		cancel()
+		must.NoError(t, <-done)
+		for _, msg := range []string{"configuration ignored", "target entry ignored", "weights ignored"} {
+			must.Eq(t, 1, strings.Count(lines.String(), msg), must.Sprint(msg))
+		}
+		must.StrNotContains(t, lines.String(), odd[:1000])
+	})
+}
+
 func TestRecoveryGrace(t *testing.T) {
 	outage := func(f *feed) {
 		f.set(func() { f.down = store.ErrUnavailable })
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -47,12 +48,15 @@
 	floor   int64
 }
 
-// An entry is one object with its decoded form. Target and config are nil if the
-// object could not be decoded.
+// An entry is one object with its decoded form. Target and config are nil, and
+// weights is 0, if the object could not be decoded.
 type entry struct {
 	object store.Object
 	target *site.Target
 	config *site.Config
+	// weights is the announced version of the model.
+	model   string
+	weights int64
 	// missingSince is when the entry was found missing during the grace period after
 	// an outage; zero if the entry is not missing.
 	missingSince time.Time
@@ -188,6 +192,8 @@
 		s.logTarget(old.target, e.target)
 	case Config:
 		e.config = s.decodeConfig(o)
+	case WeightVersions:
+		e.model, e.weights = s.decodeWeights(o)
 	}
 	t.objects[o.Key] = e
 }
@@ -196,7 +202,7 @@
 	_, id, _ := strings.Cut(o.Key, "/")
 	t, err := s.opts.Decoder.Target(id, o.Value)
 	if err != nil {
-		s.log("msg", "target entry ignored", "err", err, "version", o.Version)
+		s.logIgnored("target entry ignored", o, err)
 		return nil
 	}
 	return t
@@ -205,12 +211,28 @@
 func (s *Source) decodeConfig(o store.Object) *site.Config {
 	cfg, err := s.opts.Decoder.Config(o.Value)
 	if err != nil {
-		s.log("msg", "configuration ignored", "err", err, "version", o.Version)
+		s.logIgnored("configuration ignored", o, err)
 		return nil
 	}
 	return cfg
 }
 
+func (s *Source) decodeWeights(o store.Object) (model string, version int64) {
+	model, version, err := s.opts.Decoder.Weights(o.Value)
+	if err != nil {
+		s.logIgnored("weights ignored", o, err)
+		return "", 0
+	}
+	return model, version
+}
+
+// maxErrorText bounds the text of a logged error, since it may quote the object.
+const maxErrorText = 200
+
+func (s *Source) logIgnored(msg string, o store.Object, err error) {
+	s.log("msg", msg, "err", fmt.Sprintf("%.*v", maxErrorText, err), "version", o.Version)
+}
+
 // logTarget logs that a target was added or began to leave.
 func (s *Source) logTarget(old, updated *site.Target) {
 	switch {
--- a/internal/fleet/source/weights.go
+++ b/internal/fleet/source/weights.go
@@ -95,11 +95,7 @@
 // addWeights adds the weights in the table to a view.
 func (s *Source) addWeights(v *View) {
 	for _, e := range s.tables[WeightVersions].objects {
-		model, version, err := s.opts.Decoder.Weights(e.object.Value)
-		if err != nil {
-			s.log("msg", "weights ignored", "err", err, "version", e.object.Version)
-			continue
-		}
+		model, version := e.model, e.weights
 		if version > v.Weights.Latest(model) {
 			at := time.Now()
 			if at.Sub(s.started) < startPeriod {
