Ignore registrations under the name of another VM

With an odd object among the registrations of VMs, a VM that works would count as silent for a moment at each read of them: its members' entry was replaced by one with the odd address and a later start, so that it got no updates and was left out of the directory until its next update came through another VM.

Cause: the VM that a registration names was not compared with the name of its object. Registrations that can't be decoded were ignored, but logged at each read, every 12 s on each VM.

Change: a registration must lie under its VM's name. One that is ignored is logged once per change, with a reason of at most 200 characters.

Measured: with the code before, go test ./internal/fleet/roster failed in TestOddRegistration: the member's address was that of the odd object. Now it passes, with -race -cpu 1 too.

--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -1,12 +1,17 @@
 package roster
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -104,3 +109,33 @@
 		})
 	}
 }
+
+// TestOddRegistration guards against a registration that names another VM or cannot be
+// decoded, and that is logged at each read.
+func TestOddRegistration(t *testing.T) {
+	objects := store.NewMemory().For("vm-1")
+	odd := map[string]string{
+		"text":         `{"vm":7}`,
+		"another":      `{"vm":"vm-2","born":9000000000000000000,"peers":"10.0.0.9:1"}`,
+		"nameless":     `{"peers":"10.0.0.9:1"}`,
+		"out-of-range": `{"vm":"out-of-range","born":` + strings.Repeat("9", 1000) + `,"peers":"10.0.0.9:1"}`,
+		"nested":       strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	}
+	put := func(name, value string) {
+		_, ok := objects.Put(t.Context(), Kind+"/"+name, []byte(value), store.MustNotExist).(store.Done)
+		must.True(t, ok)
+	}
+	for name, value := range odd {
+		put(name, value)
+	}
+	put("vm-2", `{"vm":"vm-2","born":1,"peers":"10.0.0.2:1"}`)
+	var lines bytes.Buffer
+	task := NewTask(Options{Self: entry("vm-1", 1, 0), Store: objects, Log: log.NewLogfmtLogger(&lines)})
+	for range 3 {
+		must.True(t, task.list(t.Context()))
+	}
+	must.Len(t, 1, task.Members())
+	must.Eq(t, "10.0.0.2:1", task.Members()[0].Entry.Peers)
+	must.Eq(t, len(odd), strings.Count(lines.String(), "registration ignored"))
+	must.StrNotContains(t, lines.String(), strings.Repeat("9", 500))
+}
--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -42,6 +43,8 @@
 	listInterval = 12 * time.Second
 	// maxListFactor bounds the factor by which listInterval grows in a large fleet.
 	maxListFactor = 4.0
+	// maxErrorText bounds the text of a logged error, since it may quote an object.
+	maxErrorText = 200
 )
 
 // An Exchange is the request and the response of CallExchange.
@@ -77,11 +80,13 @@
 	mu    sync.Mutex
 	table *Table
 	alive map[string]bool
+	// ignored holds, by key, the versions of registrations that could not be decoded.
+	ignored map[string]int64
 }
 
 // NewTask returns a Task whose table contains only this VM.
 func NewTask(o Options) *Task {
-	return &Task{opts: o, trigger: make(chan struct{}, 1), table: NewTable(o.Self), alive: map[string]bool{}}
+	return &Task{opts: o, trigger: make(chan struct{}, 1), table: NewTable(o.Self), alive: map[string]bool{}, ignored: map[string]int64{}}
 }
 
 // Register registers the handler of CallExchange.
@@ -323,8 +328,11 @@
 	defer t.mu.Unlock()
 	for _, o := range objects {
 		var r registration
-		if err := json.Unmarshal(o.Value, &r); err != nil || r.VM == "" || r.Peers == "" {
-			_ = t.opts.Log.Log("msg", "registration ignored", "object", o.Key, "err", err)
+		if err := json.Unmarshal(o.Value, &r); err != nil || r.VM == "" || Kind+"/"+r.VM != o.Key || r.Peers == "" {
+			if t.ignored[o.Key] != o.Version {
+				t.ignored[o.Key] = o.Version
+				_ = t.opts.Log.Log("msg", "registration ignored", "object", o.Key, "err", fmt.Sprintf("%.*v", maxErrorText, err))
+			}
 			continue
 		}
 		t.table.AddRegistered(Entry{
