Attribute responses of targets by the request's id only

Reported by operators of similar systems: a faulty runner wrote an earlier refusal once more on a kept connection. Callers would see "not run, try again" for a request that the runner ran or was running (REFUSED), such a request would run at a second runner (TWICE), or they would get another request's error (MIXED).

Cause: a response with status 400 or above and without an id counted as the request's own. Targets echo the id in all responses; only a 400 to a request without an id has none, and such a request is never forwarded. A response to another request was skipped by the method of this one, so that the body of a response before that to a HEAD request was read as the next response; and a long one was skipped in part only, so that the rest of its body could be taken for a refusal with the right id.

Change: Matches compares the id. After a response to another request that closes the connection, is longer than the bound, or comes before that to a HEAD request, the request is lost, as its own response can't be found. The stand-in of a target echoes the id in its refusals, as PROTOCOL says, and can repeat the latest one with or without it.

Conclusion: this could happen here, also to requests that may run once only, although they are sent on new connections. A target that refuses without the id, and so breaks the protocol, now leaves the request without a response until it times out.

--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -48,6 +48,13 @@
 	SiteMalformed
 	// SiteHeaderOnly closes the connection after the header of the response.
 	SiteHeaderOnly
+	// SiteRepeatBefore writes the latest rejection once more before the response,
+	// SiteRepeatTwice twice, and SiteRepeatEarly before the request is read.
+	// SiteRepeatAfter writes it after the response.
+	SiteRepeatBefore
+	SiteRepeatTwice
+	SiteRepeatEarly
+	SiteRepeatAfter
 )
 
 // A SiteRun is a request that a SiteTarget ran.
@@ -73,6 +80,10 @@
 	eventCount    int
 	eventInterval time.Duration
 	connections   int
+	// rejection is the latest rejection as it was written; anonymous reports whether
+	// it is repeated without the id of its request.
+	rejection string
+	anonymous bool
 }
 
 // NewSiteTarget returns a SiteTarget in mode SiteNormal whose streams have
@@ -102,6 +113,13 @@
 	t.eventInterval = d
 }
 
+// SetAnonymousRepeats sets whether rejections are repeated without the id.
+func (t *SiteTarget) SetAnonymousRepeats(anonymous bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.anonymous = anonymous
+}
+
 // Runs returns the requests that were run.
 func (t *SiteTarget) Runs() []SiteRun {
 	t.mu.Lock()
@@ -170,28 +188,32 @@
 	case "/kv-events":
 		return write(c, "200 OK", "", `{"bootEpoch":1,"nextPage":1,"lost":false,"events":[]}`)
 	}
+	echo := "Baobabdyke-Request-Id: " + r.Header.Get("Baobabdyke-Request-Id") + "\r\n"
 	if want := r.Header.Get("Baobabdyke-Expect-Instance"); want != "" && want != t.ID {
 		_, _ = io.Copy(io.Discard, r.Body)
-		return write(c, "421 Misdirected Request", "Baobabdyke-Instance-Id: "+t.ID+"\r\n", "")
+		return write(c, "421 Misdirected Request", echo+"Baobabdyke-Instance-Id: "+t.ID+"\r\n", "")
 	}
 	if want := r.Header.Get("Baobabdyke-Expect-Version"); want != "" && want != strconv.FormatInt(t.Version(), 10) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		return write(c, "421 Misdirected Request", fmt.Sprintf("Baobabdyke-Weight-Versions: %d\r\n", t.Version()), "")
+		return write(c, "421 Misdirected Request", fmt.Sprintf("%sBaobabdyke-Weight-Versions: %d\r\n", echo, t.Version()), "")
 	}
 	mode := t.nextMode()
 	if mode == SiteEarlyResponse {
 		// The rejection is sent before the body is read, and the connection
 		// stays usable.
-		_ = write(c, "503 Service Unavailable", "Baobabdyke-Not-Executed: 1\r\n", "")
+		_ = write(c, "503 Service Unavailable", echo+"Baobabdyke-Not-Executed: 1\r\n", "")
 		_, err := io.Copy(io.Discard, r.Body)
 		return err == nil
 	}
+	if mode == SiteRepeatEarly && !t.repeatRejection(c) {
+		return false
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return false
 	}
 	if mode == SiteReject {
-		return write(c, "503 Service Unavailable", "Baobabdyke-Not-Executed: 1\r\n", "")
+		return t.reject(c, echo)
 	}
 	run := SiteRun{ID: r.Header.Get("Baobabdyke-Request-Id"), Method: r.Method, Path: r.RequestURI, Header: r.Header, Body: body}
 	t.mu.Lock()
@@ -200,6 +222,32 @@
 	return t.respond(c, mode, run)
 }
 
+// reject responds that the request was not run.
+func (t *SiteTarget) reject(c net.Conn, echo string) bool {
+	text := func(echo string) string {
+		var b strings.Builder
+		write(&b, "503 Service Unavailable", echo+"Baobabdyke-Not-Executed: 1\r\n", "full")
+		return b.String()
+	}
+	t.mu.Lock()
+	t.rejection = text(echo)
+	if t.anonymous {
+		t.rejection = text("")
+	}
+	t.mu.Unlock()
+	_, err := io.WriteString(c, text(echo))
+	return err == nil
+}
+
+// repeatRejection writes the latest rejection.
+func (t *SiteTarget) repeatRejection(c net.Conn) bool {
+	t.mu.Lock()
+	text := t.rejection
+	t.mu.Unlock()
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
 // respond sends the response to a request that was run, and reports whether the
 // connection can be reused.
 func (t *SiteTarget) respond(c net.Conn, mode SiteMode, run SiteRun) bool {
@@ -235,6 +283,14 @@
 		return false
 	case SiteStrayResponse:
 		write(c, "200 OK", "Baobabdyke-Request-Id: another\r\nBaobabdyke-Response-Seal: s\r\n", "of another")
+	case SiteRepeatBefore:
+		t.repeatRejection(c)
+	case SiteRepeatTwice:
+		for range 2 {
+			t.repeatRejection(c)
+		}
+	case SiteRepeatAfter:
+		defer t.repeatRejection(c)
 	}
 	if strings.HasPrefix(run.Path, "/stream/") {
 		return t.stream(c, head, run, t.eventCount)
@@ -297,7 +353,7 @@
 	return write(c, "202 Accepted", "", "")
 }
 
-func write(c net.Conn, status, head, body string) bool {
+func write(c io.Writer, status, head, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
 	return err == nil
 }
--- a/internal/gateway/conn/conn.go
+++ b/internal/gateway/conn/conn.go
@@ -135,15 +135,27 @@
 		if r.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
+		if err := skipBody(r, resp); err != nil {
 			return nil, errors.Join(errStray, err)
 		}
-		if resp.Close {
-			return nil, errStray
-		}
 	}
 	return nil, errStray
 }
 
+// skipBody reads the body of a response to another request. It returns an error if the
+// next response cannot be expected after it.
+func skipBody(r Request, resp *http.Response) error {
+	if resp.Close || r.Method == http.MethodHead {
+		// Only the method of the other request, which is not known, tells whether
+		// the response to a HEAD request is followed by a body.
+		return errStray
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes+1))
+	if err == nil && n > maxStrayBytes {
+		return errTooLong
+	}
+	return err
+}
+
 // maxStrayBytes bounds a response that is skipped.
 const maxStrayBytes = 64 << 10
--- a/internal/gateway/conn/conn_test.go
+++ b/internal/gateway/conn/conn_test.go
@@ -1,10 +1,14 @@
 package conn
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,11 +31,8 @@
 func request(id string, body []byte) Request {
 	return Request{
 		Method: "POST", Path: "/plain/x", Host: "h", Body: body,
-		Header: http.Header{"Baobabdyke-Request-Id": {id}},
-		Matches: func(status int, h http.Header) bool {
-			got := h.Get("Baobabdyke-Request-Id")
-			return got == id || got == "" && status >= 400
-		},
+		Header:  http.Header{"Baobabdyke-Request-Id": {id}},
+		Matches: func(_ int, h http.Header) bool { return h.Get("Baobabdyke-Request-Id") == id },
 	}
 }
 
@@ -124,6 +125,88 @@
 	})
 }
 
+// TestResponseToAnotherRequest guards against a response, or bytes of one, that is taken
+// for that of the next request on a connection.
+func TestResponseToAnotherRequest(t *testing.T) {
+	const (
+		own     = "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: own\r\nContent-Length: 3\r\n\r\nown"
+		refused = "HTTP/1.1 503 Service Unavailable\r\nBaobabdyke-Not-Executed: 1\r\n"
+	)
+	inner := refused + "Baobabdyke-Request-Id: own\r\nContent-Length: 0\r\n\r\n"
+	withLength := func(head, body string) string {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	for name, c := range map[string]struct {
+		method, responses string
+		lost              bool
+	}{
+		"a refusal with an id":           {"POST", withLength(refused+"Baobabdyke-Request-Id: a\r\n", "full") + own, false},
+		"a refusal without an id":        {"POST", withLength(refused, "full") + own, false},
+		"two refusals":                   {"POST", withLength(refused, "full") + withLength(refused, "full") + own, false},
+		"too many refusals":              {"POST", strings.Repeat(withLength(refused, ""), 3) + own, true},
+		"a misdirected one":              {"POST", withLength("HTTP/1.1 421 Misdirected Request\r\n", "") + own, false},
+		"an error without an id":         {"POST", withLength("HTTP/1.1 500 Internal Server Error\r\n", inner) + own, false},
+		"a chunked refusal":              {"POST", refused + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n" + own, false},
+		"a refusal without a length":     {"POST", refused + "\r\n" + inner, true},
+		"a refusal that closes":          {"POST", withLength(refused+"Connection: close\r\n", "") + own, true},
+		"a refusal with a long body":     {"POST", withLength(refused, strings.Repeat("x", maxStrayBytes)+inner) + own, true},
+		"a refusal before a HEAD":        {"HEAD", withLength(refused, inner) + own, true},
+		"a refusal to a HEAD":            {"POST", refused + "Content-Length: 3\r\n\r\n" + own, true},
+		"an informational response":      {"POST", "HTTP/1.1 103 Early Hints\r\n\r\n" + own, false},
+		"nothing but a refusal":          {"POST", withLength(refused, "full"), true},
+		"a refusal and a broken one":     {"POST", withLength(refused, "full") + own[:20], true},
+		"a success without an id":        {"POST", withLength("HTTP/1.1 200 OK\r\n", "a") + own, false},
+		"a success of another":           {"POST", withLength("HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: a\r\n", "a") + own, false},
+		"bytes that belong to no answer": {"POST", "full" + own, true},
+	} {
+		for _, size := range []int{0, inlineBody + 1} {
+			t.Run(fmt.Sprint(name, " with a body of ", size), func(t *testing.T) {
+				address := script(t, c.responses)
+				r := request("own", bytes.Repeat([]byte("x"), size))
+				r.Method = c.method
+				p := NewPool()
+				t.Cleanup(p.Close)
+				switch got := p.Do(t.Context(), address, r, false).(type) {
+				case Lost:
+					must.True(t, c.lost)
+				case Responded:
+					must.False(t, c.lost)
+					body, err := got.Exchange.ReadBody(1 << 10)
+					must.NoError(t, err)
+					must.Eq(t, "own", string(body))
+					got.Exchange.Finish()
+				default:
+					t.Fatalf("the request was not sent: %v", got)
+				}
+			})
+		}
+	}
+}
+
+// script starts a target that writes the responses when it has read a request, closes the
+// connection, and returns its address.
+func script(t *testing.T, responses string) string {
+	t.Helper()
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, responses)
+	}()
+	return l.Addr().String()
+}
+
 func TestUnsent(t *testing.T) {
 	t.Run("a refused connection", func(t *testing.T) {
 		_, ok := NewPool().Do(t.Context(), "127.0.0.1:1", request("a", nil), true).(Unsent)
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -55,8 +55,7 @@
 		Header: platform.ForwardHeader(j.request.Header, j.forwardOptions(x.choice, x.response.resumeAfter(j))),
 		Body:   j.body,
 		Matches: func(status int, header http.Header) bool {
-			id := platform.ReadResponseInfo(status, header).ID
-			return id == j.info.ID || id == "" && status >= http.StatusBadRequest
+			return platform.ReadResponseInfo(status, header).ID == j.info.ID
 		},
 	}
 	return h.opts.Pool.Do(ctx, x.choice.Target.Address, req, !j.route.Repeatable()), stop
