Read a long line of a stream as one line

An event with a line longer than the read buffer could be passed on without its end, so that a caller whose stream then broke had a part of an event, and text of the line that begins with "id:" was taken for the event's id: the stream would then be resumed after an event that the caller doesn't have.

Cause: eventReader looked at each piece that fitted the buffer as a line of its own. A line end in a piece of its own is an empty line, which ends an event.

Change: a line is looked at once it is complete.

Conclusion: found while looking for the cause of a report about broken streams; no deployment is known to send lines of 4 KB.

--- a/internal/gateway/relay/response.go
+++ b/internal/gateway/relay/response.go
@@ -49,6 +49,7 @@
 // next returns the next event. It returns io.EOF only between events.
 func (e *eventReader) next() (event, error) {
 	out := event{id: -1}
+	lineStart := 0
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		out.raw = append(out.raw, line...)
@@ -67,11 +68,12 @@
 		case len(out.raw) > maxEventBytes:
 			return out, errEventTooLong
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(out.raw[lineStart:], "\r\n")
 		if len(text) == 0 {
 			return out, nil
 		}
 		out.parseField(string(text))
+		lineStart = len(out.raw)
 	}
 }
 
