Count a stream cut before its first event as broken off

A caller would get an empty stream that looks complete, and no other target would be tried, if a target sent the head of a stream without a length and then closed the connection.

Cause: without a length, the end of the connection is the end of the body, whether the target is done or has failed. Both count as complete unless the connection is reset, as PROTOCOL says; but no generation consists of no events.

Change: such a stream is broken off. It is sent to another target where that is permitted, else the caller gets 502, and it counts as a loss of the engine for the quarantine of prompt segments. An empty stream that has a length is passed on as before.

Measured: with the code before, go test ./internal/gateway/node failed in TestStreamCutBeforeFirstEvent on both routes; now it passes, with -race -cpu 1 too.

A stream without a length that ends between two events still counts as complete; that is listed as open.

--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -84,6 +84,7 @@
 	// it is repeated without the id of its request.
 	rejection string
 	anonymous bool
+	response  func(SiteRun) string
 }
 
 // NewSiteTarget returns a SiteTarget in mode SiteNormal whose streams have
@@ -120,6 +121,14 @@
 	t.anonymous = anonymous
 }
 
+// SetResponse sets a function that returns the bytes of each response, after which the
+// connection is closed. Nil restores the modes.
+func (t *SiteTarget) SetResponse(f func(SiteRun) string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.response = f
+}
+
 // Runs returns the requests that were run.
 func (t *SiteTarget) Runs() []SiteRun {
 	t.mu.Lock()
@@ -218,7 +227,12 @@
 	run := SiteRun{ID: r.Header.Get("Baobabdyke-Request-Id"), Method: r.Method, Path: r.RequestURI, Header: r.Header, Body: body}
 	t.mu.Lock()
 	t.runs = append(t.runs, run)
+	response := t.response
 	t.mu.Unlock()
+	if response != nil {
+		_, _ = io.WriteString(c, response(run))
+		return false
+	}
 	return t.respond(c, mode, run)
 }
 
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -193,6 +193,11 @@
 	events := newEventReader(r.Response.Body)
 	for {
 		event, err := events.next()
+		if errors.Is(err, io.EOF) && !x.gotFirst && endsWithConnection(r.Response) {
+			x.broken = true
+			r.Exchange.Abort()
+			return lost{reason: "the stream ended before its first event"}, placing.Failed
+		}
 		if errors.Is(err, io.EOF) {
 			r.Exchange.Finish()
 			x.response.close(r.Response)
--- a/internal/gateway/relay/response.go
+++ b/internal/gateway/relay/response.go
@@ -156,6 +156,12 @@
 // close ends a complete stream.
 func (r *response) close(resp *http.Response) { r.start(resp) }
 
+// endsWithConnection reports whether a response has no length, so that its end can't be
+// told from that of a target.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
 func isStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
