Break off a resumed stream without new events

Reported by operators of similar systems: a stream had begun and broke off, and the next runner answered with an error. Here a caller would get a part of a stream that ends as if it were complete, or text of the next target between the events.

Cause: passStream took the end of any stream for the end of the caller's. A target that resumed a stream and sent no event, or only those that the caller had, ended it. Events without an id were passed on, whatever they said.

Change: a resumed stream that adds no event is broken off. An event with data and without an id breaks it off as well, as its place isn't known; comments are dropped. The check for skipped events now applies to resumed streams, not to a first run after a refusal.

A stream that broke after its last event, and for which the next target rightly has nothing to add, is now broken off too, since such an answer can't be told from that of a target that failed.

--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -191,10 +191,12 @@
 func (x *exchange) passStream(ctx context.Context, r conn.Responded) (outcome, placing.Outcome) {
 	j := x.response.job
 	events := newEventReader(r.Response.Body)
+	resumed, before := x.response.started, x.response.events
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) && !x.gotFirst && endsWithConnection(r.Response) {
-			x.broken = true
+		if errors.Is(err, io.EOF) && x.response.events == before && (resumed || endsWithConnection(r.Response)) {
+			// A target that has nothing to add can't be told from one that failed.
+			x.broken = endsWithConnection(r.Response)
 			r.Exchange.Abort()
 			return lost{reason: "the stream ended before its first event"}, placing.Failed
 		}
@@ -219,7 +221,7 @@
 		if event.weights > 0 {
 			x.handler.opts.Placer.ObserveWeights(x.choice.Target, j.info.Model, event.weights, time.Now())
 		}
-		if err := x.response.writeEvent(r.Response, event); err != nil {
+		if err := x.response.writeEvent(r.Response, event, resumed); err != nil {
 			r.Exchange.Abort()
 			x.cancel()
 			return stopped{err: err}, placing.Inconclusive
--- a/internal/gateway/relay/response.go
+++ b/internal/gateway/relay/response.go
@@ -28,6 +28,7 @@
 	errEventTooLong = errors.New("event is too long")
 	errTruncated    = errors.New("stream ends within an event")
 	errGap          = errors.New("stream skips an event")
+	errNoID         = errors.New("event of a resumed stream has no id")
 )
 
 // An event is one event of a stream, as the target wrote it.
@@ -37,6 +38,8 @@
 	id int64
 	// weights is the version named in the event, or 0.
 	weights int64
+	// hasData reports whether the event has a data field.
+	hasData bool
 }
 
 // An eventReader reads the events of a stream.
@@ -88,6 +91,7 @@
 	if version := platform.EventWeightsVersion(line); version > 0 {
 		e.weights = version
 	}
+	e.hasData = e.hasData || strings.HasPrefix(line, "data")
 }
 
 // A response is what the caller has been sent.
@@ -99,6 +103,8 @@
 	// lastEvent is the id of the last event that was passed on; 0 if there is
 	// none.
 	lastEvent int64
+	// events is the number of events that were passed on.
+	events int
 }
 
 // resumeAfter returns the id of the event after which the stream is resumed, or
@@ -124,13 +130,16 @@
 	_, _ = r.w.Write(body)
 }
 
-// writeEvent passes one event on. Events that the caller already has are dropped.
-func (r *response) writeEvent(resp *http.Response, e event) error {
-	if r.started && e.id >= 0 && e.id <= r.lastEvent {
+// writeEvent passes one event on. Resumed reports whether an earlier run has begun the
+// stream: comments and events that the caller already has are then dropped.
+func (r *response) writeEvent(resp *http.Response, e event, resumed bool) error {
+	switch {
+	case r.started && e.id >= 0 && e.id <= r.lastEvent, resumed && e.id < 0 && !e.hasData:
 		return nil
-	}
-	if r.started && r.lastEvent > 0 && e.id > r.lastEvent+1 && r.job.sends > 1 {
+	case resumed && e.id > r.lastEvent+1:
 		return fmt.Errorf("%w: %d after %d", errGap, e.id, r.lastEvent)
+	case resumed && e.id < 0:
+		return errNoID
 	}
 	r.start(resp)
 	if _, err := r.w.Write(e.raw); err != nil {
@@ -139,6 +148,9 @@
 	if e.id >= 0 {
 		r.lastEvent = e.id
 	}
+	if e.id >= 0 || e.hasData {
+		r.events++
+	}
 	return http.NewResponseController(r.w).Flush()
 }
 
