Do not begin a stream anew within a response

A caller would get the first events of a stream twice if it broke off and its events had no ids, or if a target of an idempotent route had answered with a stream (ORDER).

Cause: after a lost attempt, run sent the request to another target whenever the route permits a repeat. It didn't ask whether that target can know after which event to go on: resumeAfter had nothing to tell it without an id, or with the id 0, and only tells it on resumable routes.

Change: once a stream has begun, another attempt needs a resumable route and the id of an event that was passed on. The id 0 counts as one.

--- a/internal/gateway/node/stream_test.go
+++ b/internal/gateway/node/stream_test.go
@@ -138,6 +138,36 @@
 	})
 }
 
+// TestStreamWithoutIDsIsNotResumed guards against events that are passed on twice, since
+// the next target doesn't know after which one to go on.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	b := newTestbed(t)
+	v := b.start("vm-1")
+	v.earnRetries()
+	part := "data: piece\n\n"
+	for path, engine := range map[string]bool{"/stream/a/": true, "/stream/b/": true, "/lookup/": false} {
+		for name, body := range map[string]string{"without ids": part, "with ids": events(1, 1)} {
+			if path == "/stream/a/" && name == "with ids" {
+				continue
+			}
+			t.Run(path+" "+name, func(t *testing.T) {
+				targets := b.apps
+				if engine {
+					targets = b.engines
+				}
+				for _, target := range targets {
+					target.SetResponse(func(run fake.SiteRun) string { return respond(run, "200 OK", sealed+eventType, "cut", body) })
+				}
+				before := runs(targets)
+				got := v.request(path, "r")
+				must.Error(t, got.err)
+				must.Eq(t, body, got.body)
+				must.Eq(t, 1, runs(targets)-before)
+			})
+		}
+	}
+}
+
 // TestStreamCutBeforeFirstEvent guards against a stream that ended with its connection
 // before its first event and is passed on as a whole, empty response.
 func TestStreamCutBeforeFirstEvent(t *testing.T) {
--- a/internal/gateway/relay/response.go
+++ b/internal/gateway/relay/response.go
@@ -100,20 +100,33 @@
 	job *job
 	// started reports whether the header of a stream was sent.
 	started bool
-	// lastEvent is the id of the last event that was passed on; 0 if there is
+	// lastEvent is the id of the last event that was passed on; noEvent if there is
 	// none.
 	lastEvent int64
 	// events is the number of events that were passed on.
 	events int
 }
 
+// noEvent is less than the id of any event.
+const noEvent = -1
+
+func newResponse(w http.ResponseWriter, j *job) *response {
+	return &response{w: w, job: j, lastEvent: noEvent}
+}
+
+// mayContinue reports whether another target may continue the response: nothing was sent
+// yet, or it can tell from an id which events are missing.
+func (r *response) mayContinue() bool {
+	return !r.started || r.job.route.Resumable && r.lastEvent != noEvent
+}
+
 // resumeAfter returns the id of the event after which the stream is resumed, or
 // empty.
 func (r *response) resumeAfter(j *job) string {
 	if !j.route.Resumable {
 		return ""
 	}
-	if r.lastEvent > 0 {
+	if r.lastEvent != noEvent {
 		return strconv.FormatInt(r.lastEvent, 10)
 	}
 	return j.info.LastEvent
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -59,7 +59,7 @@
 // run sends the request until it gets a response or no further attempt is
 // permitted.
 func (h *Handler) run(ctx context.Context, w http.ResponseWriter, j *job) {
-	resp := &response{w: w, job: j}
+	resp := newResponse(w, j)
 	var last outcome = notRun{reason: "no target"}
 	for j.sends < maxSends {
 		if time.Until(j.deadline) < minTimeLeft && j.sends > 0 {
@@ -82,7 +82,7 @@
 			return
 		case lost:
 			j.detail += o.reason + "; "
-			if !j.route.Repeatable() || j.runs >= j.route.MaxAttempts {
+			if !j.route.Repeatable() || j.runs >= j.route.MaxAttempts || !resp.mayContinue() {
 				h.end(ctx, resp, o)
 				return
 			}
