Take over a rollout lease with an odd record

Each VM that takes over the rollout lease would end by itself, and again after its start, if another writer had left a record of it with the last possible term.

Cause: the next term overflowed, which the invariant that terms grow turned into a panic. A length of 0 means a lease without an end elsewhere, and any length was taken from the record, though VMs write only one.

Change: a record after whose term none can follow is corrupt, and is replaced as such. A rollout lease of another length counts as expired once its record has been unchanged for as long as a corrupt one must be.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -80,7 +80,7 @@
 	} else {
 		r = lease.Acquire(ctx, t.opts.Store, lease.Request{
 			Name: leaseName, Self: t.opts.Self, TTL: leaseTTL,
-			HolderGone: func(rec lease.Record) bool { return t.tracker.Expired(rec, t.opts.Clock.Now()) || t.hasYielded(rec) },
+			HolderGone: func(rec lease.Record) bool { return t.expired(rec) || t.hasYielded(rec) },
 		})
 	}
 	switch r := r.(type) {
@@ -104,6 +104,15 @@
 	}
 }
 
+// expired reports whether the lease in a record has expired. VMs write no other length
+// than leaseTTL, so that another one says nothing about the holder.
+func (t *Task) expired(r lease.Record) bool {
+	if r.Lease.TTL != leaseTTL {
+		r.Lease.TTL = corruptTTLs * leaseTTL
+	}
+	return t.tracker.Expired(r, t.opts.Clock.Now())
+}
+
 // replaceCorrupt acquires the lease by overwriting a corrupt record, once the
 // record has been unchanged for so long that the lease of any previous holder has
 // expired and its last order has arrived.
--- a/internal/fleet/rollout/lease_test.go
+++ b/internal/fleet/rollout/lease_test.go
@@ -64,3 +64,34 @@
 		}
 	})
 }
+
+// TestOddLease guards against a lease record of another writer that ends a VM, or after
+// which no VM acquires the lease again.
+func TestOddLease(t *testing.T) {
+	for name, record := range map[string]string{
+		"the last term":     `{"duty":"orders","holder":"x","incarnation":1,"term":9223372036854775807,"length":2000000000}`,
+		"term out of range": `{"duty":"orders","holder":"x","incarnation":1,"term":1e30,"length":2000000000}`,
+		"no length":         `{"duty":"orders","holder":"x","incarnation":1,"term":7,"length":0}`,
+		"a huge length":     `{"duty":"orders","holder":"x","incarnation":1,"term":7,"length":9223372036854775807}`,
+		"an hour":           `{"duty":"orders","holder":"x","incarnation":1,"term":7,"length":3600000000000}`,
+		"negative length":   `{"duty":"orders","holder":"x","incarnation":1,"term":7,"length":-1}`,
+		"another name":      `{"duty":"other","holder":"x","incarnation":1,"term":7,"length":2000000000}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := store.NewMemory()
+				_, ok := s.Put(t.Context(), lease.Key(leaseName), []byte(record), store.MustNotExist).(store.Done)
+				must.True(t, ok)
+				task := newTask("a", s)
+				task.recoverLease(t.Context())
+				deadline := time.Now().Add(20 * time.Second)
+				for !task.mayOrder(t.Context()) {
+					must.True(t, time.Now().Before(deadline), must.Sprint("the lease is not acquired"))
+					time.Sleep(100 * time.Millisecond)
+				}
+				_, term := task.leaseTerm()
+				must.Positive(t, term)
+			})
+		})
+	}
+}
--- a/lease/codec.go
+++ b/lease/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 
 	"github.com/rotisserie/eris"
 )
@@ -32,6 +33,9 @@
 	if l.Term < 0 || l.TTL < 0 {
 		return Lease{}, eris.Errorf("decode lease %q: negative term or length", l.Name)
 	}
+	if l.Term == math.MaxInt64 {
+		return Lease{}, eris.Errorf("decode lease %q: no term can follow %d", l.Name, l.Term)
+	}
 	if l.Holder != "" && l.Term == 0 {
 		return Lease{}, eris.Errorf("decode lease %q: held without a term", l.Name)
 	}
