--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -57,8 +57,7 @@
 		Header: platform.ForwardHeader(j.request.Header, j.forwardOptions(x.choice, x.response.resumeAfter(j))),
 		Body:   j.body,
 		Matches: func(status int, header http.Header) bool {
-			id := platform.ReadResponseInfo(status, header).ID
-			return id == j.info.ID || id == "" && status >= http.StatusBadRequest
+			return platform.ReadResponseInfo(status, header).ID == j.info.ID
 		},
 	}
 	x.result = x.handler.opts.Pool.Do(x.ctx, x.choice.Target.Address, req, !j.route.Repeatable())
@@ -168,8 +167,15 @@
 func (x *exchange) passStream(r conn.Responded) (outcome, placing.Outcome) {
 	j := x.response.job
 	events := newEventReader(r.Response.Body)
+	resumed, before := x.response.started.Load(), x.response.events
 	for {
 		event, err := events.next()
+		if errors.Is(err, io.EOF) && x.response.events == before && (resumed || endsWithConnection(r.Response)) {
+			// A target that has nothing to add can't be told from one that failed.
+			x.broken = endsWithConnection(r.Response)
+			r.Exchange.Abort()
+			return lost{reason: "the stream ended before its first event"}, placing.Failed
+		}
 		if errors.Is(err, io.EOF) {
 			r.Exchange.Finish()
 			x.response.close(r.Response)
@@ -192,7 +198,7 @@
 		if event.weights > 0 {
 			x.handler.opts.Placer.ObserveWeights(x.choice.Target, j.info.Model, event.weights, time.Now())
 		}
-		if err := x.response.writeEvent(r.Response, event); err != nil {
+		if err := x.response.writeEvent(r.Response, event, resumed); err != nil {
 			r.Exchange.Abort()
 			x.cancel()
 			return stopped{err: err}, placing.Inconclusive
--- a/internal/gateway/relay/response.go
+++ b/internal/gateway/relay/response.go
@@ -29,6 +29,7 @@
 	errEventTooLong = errors.New("event is too long")
 	errTruncated    = errors.New("stream ends within an event")
 	errGap          = errors.New("stream skips an event")
+	errNoID         = errors.New("event of a resumed stream has no id")
 )
 
 // An event is one event of a stream, as the target wrote it.
@@ -38,6 +39,8 @@
 	id int64
 	// weights is the version named in the event, or 0.
 	weights int64
+	// hasData reports whether the event has a data field.
+	hasData bool
 }
 
 // An eventReader reads the events of a stream.
@@ -50,6 +53,7 @@
 // next returns the next event. It returns io.EOF only between events.
 func (e *eventReader) next() (event, error) {
 	out := event{id: -1}
+	lineStart := 0
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		out.raw = append(out.raw, line...)
@@ -68,11 +72,12 @@
 		case len(out.raw) > maxEventBytes:
 			return out, errEventTooLong
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(out.raw[lineStart:], "\r\n")
 		if len(text) == 0 {
 			return out, nil
 		}
 		out.parseField(string(text))
+		lineStart = len(out.raw)
 	}
 }
 
@@ -87,6 +92,7 @@
 	if version := platform.EventWeightsVersion(line); version > 0 {
 		e.weights = version
 	}
+	e.hasData = e.hasData || strings.HasPrefix(line, "data")
 }
 
 // A response is what the caller has been sent.
@@ -95,9 +101,26 @@
 	job *job
 	// started reports whether the header of a stream was sent.
 	started atomic.Bool
-	// lastEvent is the id of the last event that was passed on; 0 if there is
+	// lastEvent is the id of the last event that was passed on; noEvent if there is
 	// none.
 	lastEvent atomic.Int64
+	// events is the number of events that were passed on.
+	events int
+}
+
+// noEvent is less than the id of any event.
+const noEvent = -1
+
+func newResponse(w http.ResponseWriter, j *job) *response {
+	r := &response{w: w, job: j}
+	r.lastEvent.Store(noEvent)
+	return r
+}
+
+// mayContinue reports whether another target may continue the response: nothing was sent
+// yet, or it can tell from an id which events are missing.
+func (r *response) mayContinue() bool {
+	return !r.started.Load() || r.job.route.Resumable && r.lastEvent.Load() != noEvent
 }
 
 // resumeAfter returns the id of the event after which the stream is resumed, or
@@ -106,7 +129,7 @@
 	if !j.route.Resumable {
 		return ""
 	}
-	if last := r.lastEvent.Load(); last > 0 {
+	if last := r.lastEvent.Load(); last != noEvent {
 		return strconv.FormatInt(last, 10)
 	}
 	return j.info.LastEvent
@@ -123,14 +146,17 @@
 	_, _ = r.w.Write(body)
 }
 
-// writeEvent passes one event on. Events that the caller already has are dropped.
-func (r *response) writeEvent(resp *http.Response, e event) error {
+// writeEvent passes one event on. Resumed reports whether an earlier run has begun the
+// stream: comments and events that the caller already has are then dropped.
+func (r *response) writeEvent(resp *http.Response, e event, resumed bool) error {
 	last := r.lastEvent.Load()
-	if r.started.Load() && e.id >= 0 && e.id <= last {
+	switch {
+	case r.started.Load() && e.id >= 0 && e.id <= last, resumed && e.id < 0 && !e.hasData:
 		return nil
-	}
-	if r.started.Load() && last > 0 && e.id > last+1 && r.job.sends > 1 {
+	case resumed && e.id > last+1:
 		return fmt.Errorf("%w: %d after %d", errGap, e.id, last)
+	case resumed && e.id < 0:
+		return errNoID
 	}
 	r.start(resp)
 	if _, err := r.w.Write(e.raw); err != nil {
@@ -139,6 +165,9 @@
 	if e.id >= 0 {
 		r.lastEvent.Store(e.id)
 	}
+	if e.id >= 0 || e.hasData {
+		r.events++
+	}
 	return http.NewResponseController(r.w).Flush()
 }
 
@@ -155,6 +184,12 @@
 // close ends a complete stream.
 func (r *response) close(resp *http.Response) { r.start(resp) }
 
+// endsWithConnection reports whether a response has no length, so that its end can't be
+// told from that of a target.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
 func isStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -195,6 +195,9 @@
 	if time.Until(j.deadline) < minTimeLeft {
 		return choice, "the deadline"
 	}
+	if !s.first.response.mayContinue() {
+		return choice, "the stream cannot be resumed"
+	}
 	if _, _, quarantined := h.quarantined(j); quarantined {
 		return choice, "a segment of the prompt is quarantined"
 	}
