--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"time"
@@ -114,6 +115,8 @@
 	t := s.tables[kind]
 	now := time.Now()
 	t.markResponded(now)
+	s.log("msg", "snapshot read", "kind", s.opts.Decoder.Kinds[kind], "at", at, "before", t.at,
+		"objects", len(objects), "notlater", t.countNotLater(objects))
 	s.replace(kind, t, objects, now)
 	t.at, t.listed = max(at, t.at), true
 	t.confirm(start)
@@ -126,6 +129,19 @@
 	s.changed()
 }
 
+// countNotLater returns the number of objects that differ from those in the table
+// although their versions are not higher.
+func (t *table) countNotLater(objects []store.Object) int {
+	n := 0
+	for _, o := range objects {
+		known, ok := t.objects[o.Key]
+		if ok && known.object.Version >= o.Version && !bytes.Equal(known.object.Value, o.Value) {
+			n++
+		}
+	}
+	return n
+}
+
 // replace replaces the table's content with the given objects. The caller holds
 // mu.
 func (s *Source) replace(kind int, t *table, objects []store.Object, now time.Time) {
