Let the stand-in of the object store be restored from a copy

Cause: no test could play a store that comes back from an older copy: the stand-in had one history, and its revisions never went back.

Change: Copy and Restore of fake.SiteStore. Restore goes back to the copy's content, history and revision and raises Store-Era; watches from later revisions get 410; entries of operator and targets are written again after a delay, all else is lost.

--- a/internal/fake/sitestore.go
+++ b/internal/fake/sitestore.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -18,6 +19,7 @@
 	history           []siteChange
 	revision          int64
 	compactedRevision int64
+	era               int64
 	changed           chan struct{}
 	faults            SiteStoreFaults
 	calls             int
@@ -53,7 +55,83 @@
 
 // NewSiteStore returns an empty SiteStore.
 func NewSiteStore() *SiteStore {
-	return &SiteStore{objects: map[string]*siteObject{}, revision: 1, changed: make(chan struct{})}
+	return &SiteStore{objects: map[string]*siteObject{}, revision: 1, era: 1, changed: make(chan struct{})}
+}
+
+// rewrittenKinds are the kinds whose objects the operator and the targets write
+// again after a restore.
+var rewrittenKinds = []string{"config", "servers", "versions"}
+
+// A SiteStoreCopy is the content of a SiteStore at one revision.
+type SiteStoreCopy struct {
+	objects           map[string]*siteObject
+	history           []siteChange
+	revision          int64
+	compactedRevision int64
+}
+
+// Copy returns a copy of the content.
+func (s *SiteStore) Copy() *SiteStoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &SiteStoreCopy{
+		objects: maps.Clone(s.objects), history: slices.Clone(s.history),
+		revision: s.revision, compactedRevision: s.compactedRevision,
+	}
+}
+
+// Restore replaces the content by an earlier copy and starts the next era. Revisions
+// after that of the copy are given out again. What the operator and the targets have
+// written since the copy is written again after delay; all else is lost.
+func (s *SiteStore) Restore(c *SiteStoreCopy, delay time.Duration) {
+	s.mu.Lock()
+	lost := s.objects
+	s.objects, s.history = maps.Clone(c.objects), slices.Clone(c.history)
+	s.revision, s.compactedRevision = c.revision, c.compactedRevision
+	s.era++
+	era := s.era
+	s.notifyWatches()
+	s.mu.Unlock()
+	rewrite := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.era == era {
+			s.rewrite(lost, c.objects)
+		}
+	}
+	if delay == 0 {
+		rewrite()
+		return
+	}
+	time.AfterFunc(delay, rewrite)
+}
+
+// rewrite repeats the changes of the operator and the targets that led from one
+// content to another, unless there were further changes. The caller holds mu.
+func (s *SiteStore) rewrite(lost, restored map[string]*siteObject) {
+	isLost := func(key string, o *siteObject) bool {
+		return slices.Contains(rewrittenKinds, o.kind) && s.objects[key] == restored[key]
+	}
+	for _, key := range slices.Sorted(maps.Keys(lost)) {
+		if o := lost[key]; isLost(key, o) && o != restored[key] {
+			s.put(o.kind, o.Meta.Name, o.Spec)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(restored)) {
+		if o := restored[key]; isLost(key, o) && lost[key] == nil {
+			s.remove(o.kind, o.Meta.Name)
+		}
+	}
+}
+
+// headerEra is the header of all responses that counts how often the store came back
+// from a copy.
+const headerEra = "Store-Era"
+
+// setEra sets the era of a response. The caller holds mu, and has held it since it
+// read what it responds.
+func (s *SiteStore) setEra(w http.ResponseWriter) {
+	w.Header().Set(headerEra, strconv.FormatInt(s.era, 10))
 }
 
 // SetFaults replaces the faults. Waiting watches are aborted, unless f is empty
@@ -135,6 +213,7 @@
 	s.mu.Lock()
 	faults := s.faults
 	s.calls++
+	s.setEra(w)
 	s.mu.Unlock()
 	switch {
 	case faults.Hang:
@@ -160,6 +239,7 @@
 func (s *SiteStore) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.objects[kind+"/"+name]
+	s.setEra(w)
 	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -177,6 +257,7 @@
 		}
 	}
 	revision := s.revision
+	s.setEra(w)
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b *siteObject) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
 	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "at": revision})
@@ -187,14 +268,18 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
-	for {
+	for era := int64(0); ; {
 		s.mu.Lock()
-		events, revision, compacted, faults, changed := s.changesSince(kind, after), s.revision, after < s.compactedRevision, s.faults, s.changed
+		events, revision, faults, changed := s.changesSince(kind, after), s.revision, s.faults, s.changed
+		gone := after < s.compactedRevision || after > s.revision
+		restored := era != 0 && era != s.era
+		era = s.era
+		s.setEra(w)
 		s.mu.Unlock()
-		if faults != (SiteStoreFaults{}) && !faults.DropWriteResponses {
+		if restored || faults != (SiteStoreFaults{}) && !faults.DropWriteResponses {
 			panic(http.ErrAbortHandler)
 		}
-		if compacted {
+		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -240,6 +325,7 @@
 	}
 	s.mu.Lock()
 	status, o := s.apply(r.Method, kind, name, expect, in.Spec)
+	s.setEra(w)
 	s.mu.Unlock()
 	if dropResponse {
 		panic(http.ErrAbortHandler)
