--- a/internal/gateway/node/sitelink_test.go
+++ b/internal/gateway/node/sitelink_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fake"
 )
@@ -34,6 +35,10 @@
 	calls   int
 }
 
+// linkLatency is how long a call takes. It lets virtual time pass if calls are made
+// without a pause.
+const linkLatency = time.Millisecond
+
 // newSiteLink returns a siteLink without faults.
 func newSiteLink(s *fake.SiteStore) *siteLink {
 	return &siteLink{store: s, changed: make(chan struct{})}
@@ -60,6 +65,7 @@
 	l.mu.Lock()
 	l.calls++
 	l.mu.Unlock()
+	time.Sleep(linkLatency)
 	recorder := httptest.NewRecorder()
 	handled := make(chan bool, 1)
 	go func() {
--- a/internal/gateway/node/watchers_test.go
+++ b/internal/gateway/node/watchers_test.go
@@ -43,10 +43,12 @@
 		}
 		time.Sleep(20 * time.Second)
 		synctest.Wait()
+		defer func() {
+			for _, v := range f.vms {
+				v.stop()
+			}
+		}()
 		script(f)
-		for _, v := range f.vms {
-			v.stop()
-		}
 	})
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -24,7 +24,8 @@
 var ErrUnavailable = errors.New("object API unavailable")
 
 // An Object is one value in the object store. Versions increase with every write
-// to any object of the store, and are never reused.
+// to any object of the store, and are never reused, also if the store is restored
+// from an older copy (see Era).
 type Object struct {
 	Key     string
 	Version int64
@@ -41,12 +42,16 @@
 // A Store is the platform's object store. Each method makes one call; a Watch
 // counts as one however long it is open.
 type Store interface {
-	// Get returns one object, ErrNotFound, or an error wrapping ErrUnavailable.
+	// Get returns one object, ErrNotFound, or an error wrapping ErrUnavailable. With
+	// ErrNotFound, the version of the object is that to expect for its creation in
+	// the present era.
 	Get(ctx context.Context, key string) (Object, error)
 	// List returns the objects whose key starts with prefix, sorted by key.
 	List(ctx context.Context, prefix string) ([]Object, error)
 	// Put writes value if the object's version is still expect, or if there is no
-	// object and expect is MustNotExist.
+	// object and expect is MustNotExist or the version that Get returned with
+	// ErrNotFound. Done may report a version of a later era than that of expect: the
+	// store was restored, and what the write replaced is not what the writer knew.
 	Put(ctx context.Context, key string, value []byte, expect int64) WriteResult
 	// Delete removes the object if its version is still expect.
 	Delete(ctx context.Context, key string, expect int64) WriteResult
@@ -63,7 +68,7 @@
 type Done struct{ Version int64 }
 
 // A Conflict is the result of a write that had no effect because the object's
-// version is Current, which is MustNotExist if there is no object.
+// version is Current, whose revision is 0 if there is no object.
 type Conflict struct{ Current int64 }
 
 // A NotSent is the result of a write that provably had no effect: it was not
