End lease terms when the object store is restored

On a restored store two VMs could order engines under one term, or in turn.

Cause: a term is one more than the term in the record. A copy shows the record as it was before the last holders, or none, so terms were given out again. A holder that the copy shows took its lease for unbroken, even if another had acquired it since, and ordered without a delay. A holder that the copy does not show kept its right for the rest of the TTL, while another acquired what the copy showed as free.

Change: a term of an earlier era than its record is at an end: it cannot be renewed or released, and who takes the lease gets the record's version as the term. That is above all terms of earlier eras, and above terms of this era whose record was replaced by a write that had waited for a revision that was given out again. The invariants still name one exact next term. A new holder of the rollout waits for the TTL and the handover delay after a restore, unless it held the lease without interruption; that one takes the new term at once.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // recoverLease checks whether an earlier incarnation of this VM held the lease. If
@@ -77,10 +78,13 @@
 	var r lease.Result
 	if t.tracker.Remaining(now) > 0 {
 		r = lease.Renew(ctx, t.opts.Store, "", t.tracker.Record, nil)
-	} else {
+	}
+	if r == nil || isRestored(r) {
 		r = lease.Acquire(ctx, t.opts.Store, lease.Request{
 			Name: leaseName, Self: t.opts.Self, TTL: leaseTTL,
-			HolderGone: func(rec lease.Record) bool { return t.tracker.Expired(rec, t.opts.Clock.Now()) || t.hasYielded(rec) },
+			HolderGone: func(rec lease.Record) bool {
+				return t.succeeds(rec) || t.hasYielded(rec) || t.tracker.Expired(rec, t.opts.Clock.Now())
+			},
 		})
 	}
 	switch r := r.(type) {
@@ -104,6 +108,25 @@
 	}
 }
 
+// isRestored reports whether a renewal failed because the object store was restored
+// from an older copy.
+func isRestored(r lease.Result) bool {
+	switch r := r.(type) {
+	case lease.Taken:
+		return r.Record.IsRestored()
+	case lease.Free:
+		return r.Record.IsRestored()
+	}
+	return false
+}
+
+// succeeds reports whether the lease of a restored record ended before this VM
+// acquired the lease that it still holds.
+func (t *Task) succeeds(r lease.Record) bool {
+	held, term := t.leaseTerm()
+	return held && t.tracker.Remaining(t.opts.Clock.Now()) > 0 && r.IsRestored() && r.Lease.Term <= term
+}
+
 // replaceCorrupt acquires the lease by overwriting a corrupt record, once the
 // record has been unchanged for so long that the lease of any previous holder has
 // expired and its last order has arrived.
@@ -157,12 +180,22 @@
 func (t *Task) acquired(r lease.Record, previous lease.Lease, started time.Time) {
 	held, term := t.leaseTerm()
 	if !held || term != r.Lease.Term {
-		if r.Lease.Term > 1 && (previous.Holder != t.opts.Self.ID || r.Lease.Term == t.yielded) {
+		now := t.opts.Clock.Now()
+		restored := store.Era(r.Lease.Term) > store.Era(previous.Term)
+		switch {
+		case restored && held && t.tracker.Remaining(now) > 0:
+			// No other VM can have held the lease in the meantime.
+		case restored:
+			// The restored object store does not show a holder that acquired the lease
+			// after the copy was made, and may have renewed it until the restore.
+			t.noOrdersBefore = now.Add(leaseTTL + t.opts.HandoverDelay())
+		case r.Lease.Term > 1 && (previous.Holder != t.opts.Self.ID || r.Lease.Term == t.yielded):
 			// The previous holder may have sent an order just before its lease expired,
 			// and another VM may have acquired the lease after this VM yielded the term.
-			t.noOrdersBefore = t.opts.Clock.Now().Add(t.opts.HandoverDelay())
+			t.noOrdersBefore = now.Add(t.opts.HandoverDelay())
 		}
-		_ = t.opts.Log.Log("msg", "rollout lease acquired", "term", r.Lease.Term, "before", previous.Holder)
+		_ = t.opts.Log.Log("msg", "rollout lease acquired", "term", r.Lease.Term, "before", previous.Holder,
+			"restored", restored, "wait", max(t.noOrdersBefore.Sub(now), 0))
 	}
 	t.tracker.MarkHeld(r, started)
 	t.setLease(true, r.Lease.Term)
--- /dev/null
+++ b/internal/fleet/rollout/restored_test.go
@@ -0,0 +1,99 @@
+package rollout
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/lease"
+	"github.com/baobabdyke/baobabdyke/platform"
+)
+
+// direct calls a handler without a network.
+type direct struct{ handler http.Handler }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	d.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// order waits until a task may send orders and returns its term.
+func order(t *testing.T, task *Task) int64 {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !task.mayOrder(t.Context()) || time.Now().Before(task.noOrdersBefore) {
+		must.True(t, time.Now().Before(deadline), must.Sprint("no order is sent"))
+		time.Sleep(planInterval)
+	}
+	return task.tracker.Record.Lease.Term
+}
+
+// TestNoOrdersOfTwoHoldersAfterRestore guards against orders of two VMs in turn, or
+// under terms that do not increase, when the object store is restored from a copy that
+// does not show the holder of the rollout lease.
+func TestNoOrdersOfTwoHoldersAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.NewSiteStore()
+		objects := func() *platform.Objects { return platform.NewObjectsOver("store", direct{s}) }
+		a, b := newTask("a", objects()), newTask("b", objects())
+		empty := s.Copy()
+		first := order(t, a)
+		byFirst := s.Copy()
+		time.Sleep(5 * time.Second)
+		second := order(t, b)
+		must.Greater(t, first, second)
+
+		// The copy shows a as the holder, and b has been cut off since.
+		last := time.Now()
+		s.Restore(byFirst, 0)
+		third := order(t, a)
+		must.Greater(t, second, third)
+		must.GreaterEq(t, leaseTTL+a.opts.HandoverDelay(), time.Since(last))
+
+		// The copy shows no holder, as seen by a VM that starts again.
+		last = time.Now()
+		s.Restore(empty, 0)
+		b = newTask("b", objects())
+		b.recoverLease(t.Context())
+		fourth := order(t, b)
+		must.Greater(t, third, fourth)
+		must.GreaterEq(t, leaseTTL+b.opts.HandoverDelay(), time.Since(last))
+	})
+}
+
+// TestHolderContinuesAfterRestore guards against a rollout that pauses because the
+// restored object store shows another holder than the one that has held the lease
+// without interruption.
+func TestHolderContinuesAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.NewSiteStore()
+		objects := platform.NewObjectsOver("store", direct{s})
+		empty := s.Copy()
+		other := newTask("b", objects)
+		order(t, other)
+		shown := s.Copy()
+		time.Sleep(5 * time.Second)
+		task := newTask("a", objects)
+		term := order(t, task)
+		for _, older := range []*fake.SiteStoreCopy{s.Copy(), shown, empty} {
+			s.Restore(older, 0)
+			for range 20 {
+				must.True(t, task.mayOrder(t.Context()))
+				must.False(t, time.Now().Before(task.noOrdersBefore))
+				time.Sleep(planInterval)
+			}
+			next := task.tracker.Record.Lease.Term
+			must.Greater(t, term, next)
+			term = next
+			r, err := lease.Read(t.Context(), objects, lease.Key(leaseName), leaseName)
+			must.NoError(t, err)
+			must.Eq(t, "a", r.Lease.Holder)
+		}
+	})
+}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -42,6 +42,10 @@
 // Acquire takes the lease if it is free, held by an earlier incarnation of the
 // same process, or if HolderGone reports true for its record. It returns Held,
 // Taken, NotSent or Unknown.
+//
+// If the object store was restored from an older copy, a holder that the copy does
+// not show may act until its lease expires. The caller must wait for that, unless it
+// was the holder itself without interruption.
 func Acquire(ctx context.Context, s store.Store, r Request) Result {
 	current, err := Read(ctx, s, r.key(), r.Name)
 	if err != nil {
@@ -79,11 +83,17 @@
 // and calls Step again; after an unknown outcome it reads the record and looks for
 // the nonce of the write. If the nonce is not found, the write is repeated with the
 // same nonce and the same expected version, so that it takes effect at most once.
+//
+// A write that took effect in a later era than that of the record it was based on
+// has an outdated term, and Step is called again.
 func update(ctx context.Context, s store.Store, key string, current Record, event func(Record, string) Event) Result {
 	u := writeState{nonce: rand.Text()}
 	for range maxAttempts {
 		if current.Lease.Nonce == u.nonce {
-			return written(current)
+			if !current.IsRestored() {
+				return written(current)
+			}
+			u = writeState{nonce: rand.Text()}
 		}
 		write, ok := Step(current, event(current, u.nonce)).(Write)
 		if !ok {
@@ -91,7 +101,12 @@
 		}
 		switch w := s.Put(ctx, key, Encode(write.Lease), current.Version).(type) {
 		case store.Done:
-			return written(Record{Lease: write.Lease, Version: w.Version})
+			done := Record{Lease: write.Lease, Version: w.Version}
+			if !done.IsRestored() {
+				return written(done)
+			}
+			current, u = done, writeState{nonce: rand.Text()}
+			continue
 		case store.NotSent:
 			return u.failed(w.Err)
 		case store.Unknown:
@@ -157,7 +172,7 @@
 func Read(ctx context.Context, s store.Store, key, name string) (Record, error) {
 	o, err := s.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
-		return NewRecord(name), nil
+		return newRecord(name, o.Version), nil
 	}
 	if err != nil {
 		return Record{}, eris.Wrapf(err, "read lease %s", key)
--- a/lease/corrupt.go
+++ b/lease/corrupt.go
@@ -25,16 +25,23 @@
 
 // Replace takes a lease whose record is corrupt, provided that its object still has
 // the given version. The caller must ensure that the lease of any previous holder
-// has expired and that term is higher than all previous terms. It returns Held,
-// NotSent or Unknown.
+// has expired and that term is higher than all previous terms of the version's era.
+// It returns Held, NotSent or Unknown.
 func Replace(ctx context.Context, s store.Store, r Request, version, term int64) Result {
+	if store.Era(term) < store.Era(version) {
+		term = version
+	}
 	next := Lease{
 		Name: r.Name, Holder: r.Self.ID, Incarnation: r.Self.Incarnation,
 		Term: term, TTL: r.TTL, Nonce: rand.Text(), Data: r.Data,
 	}
 	switch w := s.Put(ctx, r.key(), Encode(next), version).(type) {
 	case store.Done:
-		return Held{Record: Record{Lease: next, Version: w.Version}}
+		held := Record{Lease: next, Version: w.Version}
+		if held.IsRestored() {
+			return Unknown{Err: fmt.Errorf("lease %s: object store restored since version %d", r.key(), version)}
+		}
+		return Held{Record: held}
 	case store.Unknown:
 		return Unknown{Err: w.Err}
 	case store.NotSent:
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -45,12 +45,26 @@
 }
 
 // A Record is a lease and the version of its object. The version of a lease that
-// was never written is store.MustNotExist.
+// was never written is store.MustNotExist, or its equivalent in the store's era.
 type Record struct {
 	Lease   Lease
 	Version int64
 }
 
+// IsRestored reports whether the lease is of an earlier era of the object store than
+// its object. Writes after it may be lost, and terms above it may have been held.
+func (r Record) IsRestored() bool { return store.Era(r.Lease.Term) < store.Era(r.Version) }
+
+// nextTerm returns the term of the next holder. After a restore it is the version of
+// the record, which is above all terms of earlier eras and of takings in this one
+// whose record was overwritten.
+func (r Record) nextTerm() int64 {
+	if r.IsRestored() {
+		return r.Version
+	}
+	return r.Lease.Term + 1
+}
+
 // A Result is the outcome of an Acquire, Renew or Release: Held, Taken, Free,
 // NotSent or Unknown.
 type Result interface{ result() }
@@ -81,6 +95,10 @@
 func (Unknown) result() {}
 
 // NewRecord returns the record of a lease that was never held.
-func NewRecord(name string) Record {
-	return Record{Lease: Lease{Name: name}, Version: store.MustNotExist}
+func NewRecord(name string) Record { return newRecord(name, store.MustNotExist) }
+
+// newRecord returns the record of a lease that does not exist, with the version to
+// expect for its creation.
+func newRecord(name string, version int64) Record {
+	return Record{Lease: Lease{Name: name}, Version: version}
 }
--- a/lease/step.go
+++ b/lease/step.go
@@ -62,48 +62,50 @@
 func Step(r Record, e Event) Effect {
 	switch e := e.(type) {
 	case Take:
-		return take(r.Lease, e)
+		return take(r, e)
 	case Extend:
-		return extend(r.Lease, e)
+		return extend(r, e)
 	case GiveBack:
-		return giveBack(r.Lease, e)
+		return giveBack(r, e)
 	}
 	panic("lease: unknown event")
 }
 
-func take(l Lease, e Take) Effect {
-	if l.HeldBy(e.Self) {
-		return write(l, l, e.Nonce, e.Data)
+func take(r Record, e Take) Effect {
+	l := r.Lease
+	if l.HeldBy(e.Self) && !r.IsRestored() {
+		return write(r, l, e.Nonce, e.Data)
 	}
-	if l.Holder != "" && !e.HolderGone && !restarted(l, e.Self) {
+	if l.Holder != "" && !e.HolderGone && !l.HeldBy(e.Self) && !restarted(l, e.Self) {
 		return Refuse{}
 	}
 	next := l
 	next.Holder = e.Self.ID
 	next.Incarnation = e.Self.Incarnation
 	next.TTL = e.TTL
-	next.Term++
-	return write(l, next, e.Nonce, e.Data)
+	next.Term = r.nextTerm()
+	return write(r, next, e.Nonce, e.Data)
 }
 
-func extend(l Lease, e Extend) Effect {
-	if !l.HeldBy(e.Self) || l.Term != e.Term {
+func extend(r Record, e Extend) Effect {
+	if !r.Lease.HeldBy(e.Self) || r.Lease.Term != e.Term || r.IsRestored() {
 		return Refuse{}
 	}
-	return write(l, l, e.Nonce, e.Data)
+	return write(r, r.Lease, e.Nonce, e.Data)
 }
 
-func giveBack(l Lease, e GiveBack) Effect {
+func giveBack(r Record, e GiveBack) Effect {
+	l := r.Lease
 	if l.Holder == "" {
 		return NoChange{}
 	}
-	if !l.HeldBy(e.Self) || l.Term != e.Term {
+	if !l.HeldBy(e.Self) || l.Term != e.Term || r.IsRestored() {
 		return Refuse{}
 	}
 	next := l
 	next.Holder = ""
 	next.Incarnation = 0
-	return write(l, next, e.Nonce, e.Data)
+	return write(r, next, e.Nonce, e.Data)
 }
 
 // restarted reports whether the holder is an earlier incarnation of this process,
@@ -112,15 +114,17 @@
 	return l.Holder == self.ID && l.Incarnation < self.Incarnation
 }
 
-// write returns the Write that replaces l by next, and asserts its invariants.
-func write(l, next Lease, nonce string, data []byte) Effect {
+// write returns the Write that replaces the record's lease by next, and asserts its
+// invariants.
+func write(r Record, next Lease, nonce string, data []byte) Effect {
+	l := r.Lease
 	next.Nonce = nonce
 	if data != nil {
 		next.Data = data
 	}
 	moved := next.Holder != "" && (next.Holder != l.Holder || next.Incarnation != l.Incarnation)
-	if moved {
-		invariant.Check(next.Term == l.Term+1, "lease-term-grows", "lease %s: term %d after %d", l.Name, next.Term, l.Term)
+	if moved || r.IsRestored() {
+		invariant.Check(next.Term == r.nextTerm(), "lease-term-grows", "lease %s: term %d after %d in version %d", l.Name, next.Term, l.Term, r.Version)
 	} else {
 		invariant.Check(next.Term == l.Term, "lease-term-kept", "lease %s: term %d after %d", l.Name, next.Term, l.Term)
 	}
