Register again if the object store has lost the registration

A VM that starts after a restore could not find the VMs that had registered since the copy, and took an earlier incarnation's address from an older registration.

Cause: a VM registered once a start. The copy lacks what was written after it.

Change: the registrations are read every 6 to 18 s anyway; a VM whose own is missing, or of an earlier start, writes it again and logs `registration lost`.

Conclusion: no call more at rest; a registration is missing for one interval at most. Until then VMs that start find the others by their seeds.

--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -287,12 +287,17 @@
 	Peers      string `json:"peers"`
 }
 
-// register writes this VM's registration once and reads those of all VMs
-// periodically, until ctx ends.
+// register reads the registrations of all VMs periodically, and writes that of this
+// VM whenever it is missing, until ctx ends.
 func (t *Task) register(ctx context.Context) {
 	registered := false
 	for {
-		listed := t.list(ctx)
+		current, listed := t.list(ctx)
+		if registered && listed && !current {
+			// The object store was restored from a copy from before the registration.
+			_ = t.opts.Log.Log("msg", "registration lost")
+			registered = false
+		}
 		if listed && !registered {
 			registered = t.write(ctx)
 		}
@@ -313,11 +318,12 @@
 	return scaled/2 + rand.N(scaled)
 }
 
-// list reads the registered VMs.
-func (t *Task) list(ctx context.Context) bool {
+// list reads the registered VMs. It reports whether that succeeded, and whether this
+// incarnation of this VM, or a later one, is among them.
+func (t *Task) list(ctx context.Context) (registered, ok bool) {
 	objects, err := t.opts.Store.List(ctx, Kind+"/")
 	if err != nil {
-		return false
+		return false, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -327,11 +333,14 @@
 			_ = t.opts.Log.Log("msg", "registration ignored", "object", o.Key, "err", err)
 			continue
 		}
+		if r.VM == t.opts.Self.VM && r.Born >= t.opts.Self.Born {
+			registered = true
+		}
 		t.table.AddRegistered(Entry{
 			VM: r.VM, Born: r.Born, Region: r.Region, DataCentre: r.DataCentre, Callers: r.Callers, Peers: r.Peers,
 		}, time.Now())
 	}
-	return true
+	return registered, true
 }
 
 // write writes this VM's registration, replacing that of an earlier incarnation.
