Keep the newest configuration over an older one in the restored store

A VM that started just after the store had been restored served by an older configuration, until the operator wrote the newer one again.

Cause: a VM takes the configuration of the highest version that the store shows, and positions say which VM has read the store further. After a restore the others had a newer configuration in force than the store, but nothing said so, and what they pulled from each other was the content of the store.

Change: VMs report the version of their configuration with their positions. One that is behind pulls it at once, as an optional field of the pull, and logs `configuration taken from VM`. VMs of the version before ignore the new fields.

Measured: on the code before, TestRestartAfterStoreIsRestored fails ("of 3 VMs are behind"); now it passes with 2, 8 and 18 VMs.

Conclusion: a VM goes to no lower version than one that another VM reports to it before it serves. If no VM is left that knows a newer version, the store's counts.

--- a/internal/fleet/source/confirm.go
+++ b/internal/fleet/source/confirm.go
@@ -100,8 +100,8 @@
 	defer s.mu.Unlock()
 	var out ConfirmResponse
 	now := time.Now()
+	out.Positions = s.positions()
 	for kind, t := range s.tables {
-		out.Positions[kind] = Position{At: t.at, Hash: t.hash}
 		out.AgeMS[kind] = t.age(now).Milliseconds()
 	}
 	return out
@@ -149,9 +149,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	own := s.positions()
 	for kind, t := range s.tables {
 		theirs := resp.Positions[kind]
-		if t.at < theirs.At && t.hash != theirs.Hash {
+		if t.at < theirs.At && t.hash != theirs.Hash || own[kind].Newest < theirs.Newest {
 			continue
 		}
 		t.confirm(sent.Add(-time.Duration(resp.AgeMS[kind]) * time.Millisecond))
--- a/internal/fleet/source/share.go
+++ b/internal/fleet/source/share.go
@@ -17,6 +17,9 @@
 type Position struct {
 	At   int64  `cbor:"1,keyasint"`
 	Hash uint64 `cbor:"2,keyasint"`
+	// Newest is the version of the configuration in force, for the kind Config. It may
+	// be higher than that in the store, if the store was restored from an older copy.
+	Newest int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Positions holds the positions of all kinds.
@@ -26,6 +29,8 @@
 type PullRequest struct {
 	Kind  int   `cbor:"1,keyasint"`
 	After int64 `cbor:"2,keyasint"`
+	// Newest is the version of the configuration in force.
+	Newest int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // A PullResponse is the response to a PullRequest. If Whole is set, Objects lists
@@ -42,32 +47,49 @@
 	// ConfirmedMS is the age of the objects in milliseconds plus one, or 0 if it is
 	// not known.
 	ConfirmedMS int64 `cbor:"6,keyasint,omitempty"`
+	// Newest is the configuration in force, if Objects does not contain it and it is
+	// newer than that of the caller.
+	Newest *store.Object `cbor:"7,keyasint,omitempty"`
 }
 
 // Positions returns the store version up to which this VM has read each kind.
 func (s *Source) Positions() Positions {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.positions()
+}
+
+// positions returns the positions. The caller holds mu.
+func (s *Source) positions() Positions {
 	var p Positions
 	for i, t := range s.tables {
 		p[i] = Position{At: t.at, Hash: t.hash}
 	}
+	p[Config].Newest = s.newest.version()
 	return p
 }
 
 // StaleKinds returns the kinds of which a VM with the given positions has a later
-// and different state.
+// and different state, or a newer configuration.
 func (s *Source) StaleKinds(theirs Positions) []int {
 	own := s.Positions()
 	var stale []int
 	for kind := range kinds {
-		if theirs[kind].At > own[kind].At && theirs[kind].Hash != own[kind].Hash {
+		later := theirs[kind].At > own[kind].At && theirs[kind].Hash != own[kind].Hash
+		if later || theirs[kind].Newest > own[kind].Newest {
 			stale = append(stale, kind)
 		}
 	}
 	return stale
 }
 
+// HasNewerConfig reports whether a VM with the given positions has a newer
+// configuration than this one, although the store does not show it to this VM.
+func (s *Source) HasNewerConfig(theirs Positions) bool {
+	own := s.Positions()
+	return theirs[Config].Newest > own[Config].Newest && theirs[Config].At <= own[Config].At
+}
+
 // Register registers the handler of CallPull.
 func (s *Source) Register(r peer.Registrar) {
 	peer.Handle(r, CallPull, func(_ context.Context, _ string, p PullRequest) (PullResponse, error) {
@@ -92,6 +114,9 @@
 			out.Objects = append(out.Objects, e.object)
 		}
 	}
+	if p.Kind == Config && s.newest.version() > p.Newest && !s.newest.isIn(out.Objects) {
+		out.Newest = &s.newest.object
+	}
 	if out.Whole {
 		return out
 	}
@@ -108,16 +133,23 @@
 func (s *Source) PullFrom(ctx context.Context, c peer.Caller, to peer.Destination, kind int) error {
 	s.mu.Lock()
 	t := s.tables[kind]
-	after := t.at
+	after, newest := t.at, s.newest.version()
 	s.mu.Unlock()
 	var resp PullResponse
 	sent := time.Now()
-	if err := c.Call(ctx, to, CallPull, PullRequest{Kind: kind, After: after}, &resp); err != nil {
+	if err := c.Call(ctx, to, CallPull, PullRequest{Kind: kind, After: after, Newest: newest}, &resp); err != nil {
 		return err
 	}
 	s.mu.Lock()
+	adopted := s.adoptConfig(resp.Newest, to.VM)
 	if resp.At <= t.at || !resp.Whole && t.at != after {
+		if adopted {
+			s.publish()
+		}
 		s.mu.Unlock()
+		if adopted {
+			s.changed()
+		}
 		return nil
 	}
 	s.applyPulled(kind, t, resp)
@@ -133,6 +165,21 @@
 	return nil
 }
 
+// adoptConfig keeps a configuration that another VM has in force, if it is newer than
+// that of this VM, and reports whether it is. The caller holds mu.
+func (s *Source) adoptConfig(o *store.Object, from string) bool {
+	if o == nil {
+		return false
+	}
+	cfg := s.decodeConfig(*o)
+	if cfg == nil || cfg.Version <= s.newest.version() {
+		return false
+	}
+	s.log("msg", "configuration taken from VM", "from", from, "version", cfg.Version, "before", s.newest.version())
+	s.newest = entry{object: *o, config: cfg}
+	return true
+}
+
 // applyPulled applies the objects read from another VM. The caller holds mu.
 func (s *Source) applyPulled(kind int, t *table, resp PullResponse) {
 	now := time.Now()
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -92,6 +92,8 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	tables [kinds]*table
+	// newest holds the newest configuration known, which is in force.
+	newest entry
 	// lastResponse is when the store last responded to this VM.
 	lastResponse time.Time
 	// down reports whether the last read failed, and lastFailure when it did.
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -59,6 +60,21 @@
 	missingSince time.Time
 }
 
+// version returns the version of the configuration, or 0 if there is none.
+func (e entry) version() int64 {
+	if e.config == nil {
+		return 0
+	}
+	return e.config.Version
+}
+
+// isIn reports whether the entry's object is among the given ones.
+func (e entry) isIn(objects []store.Object) bool {
+	return slices.ContainsFunc(objects, func(o store.Object) bool {
+		return o.Key == e.object.Key && o.Version == e.object.Version
+	})
+}
+
 func newTable() *table { return &table{objects: map[string]entry{}, removed: map[string]int64{}} }
 
 // markResponded records that the store has responded to a read of the kind.
@@ -289,14 +305,16 @@
 	}
 }
 
-// newestConfig returns the configuration in the table if its version is higher
-// than that of the configuration in force, which never decreases.
-func (s *Source) newestConfig(newest *site.Config) *site.Config {
+// newestConfig returns the newest configuration known, whose version never decreases,
+// also if the store shows an older one. The caller holds mu.
+func (s *Source) newestConfig(inForce *site.Config) *site.Config {
 	for _, e := range s.tables[Config].objects {
-		if cfg := e.config; cfg != nil && (newest == nil || cfg.Version > newest.Version) {
-			s.log("msg", "configuration in force", "version", cfg.Version, "object", e.object.Version, "routes", len(cfg.Routes), "customers", len(cfg.Customers))
-			newest = cfg
+		if e.version() > s.newest.version() {
+			s.newest = e
 		}
 	}
-	return newest
+	if cfg := s.newest.config; cfg != inForce {
+		s.log("msg", "configuration in force", "version", cfg.Version, "object", s.newest.object.Version, "routes", len(cfg.Routes), "customers", len(cfg.Customers))
+	}
+	return s.newest.config
 }
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/peer"
 )
 
@@ -84,6 +85,7 @@
 		if e.State == roster.Ready {
 			n.peerReady.Store(true)
 		}
+		n.peerConfig.Store(max(n.peerConfig.Load(), e.Marks[source.Config].Newest))
 	}
 	v := n.source.View()
 	for _, e := range entries {
@@ -109,7 +111,7 @@
 	for _, kind := range behind {
 		since, ok := n.pulls.behindSince[kind]
 		switch {
-		case !n.watching.Load() || ok && now.Sub(since) >= pullDelay:
+		case !n.watching.Load() || kind == source.Config && n.source.HasNewerConfig(e.Marks) || ok && now.Sub(since) >= pullDelay:
 			due = append(due, kind)
 			delete(n.pulls.behindSince, kind)
 		case !ok:
--- a/internal/gateway/node/lifecycle.go
+++ b/internal/gateway/node/lifecycle.go
@@ -59,10 +59,12 @@
 }
 
 // awaitPeer waits for the state of a VM that serves, which is more complete than
-// that in the store, for at most peerWait after the start.
+// that in the store, and for the newest configuration that other VMs report, for at
+// most peerWait after the start.
 func (n *Node) awaitPeer(ctx context.Context) {
 	n.roster.Trigger()
-	for time.Since(n.start) < peerWait && !n.peerReady.Load() {
+	isBehind := func() bool { return n.source.Positions()[source.Config].Newest < n.peerConfig.Load() }
+	for time.Since(n.start) < peerWait && (!n.peerReady.Load() || isBehind()) {
 		if !store.Sleep(ctx, peerPoll) {
 			return
 		}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -54,6 +54,8 @@
 	watching atomic.Bool
 	// peerReady reports whether an update of a VM that serves was received.
 	peerReady atomic.Bool
+	// peerConfig is the version of the newest configuration that other VMs report.
+	peerConfig atomic.Int64
 	// stopStart is the start of a planned stop, nil before.
 	stopStart atomic.Pointer[time.Time]
 	ready     atomic.Bool
--- a/internal/gateway/node/restored_test.go
+++ b/internal/gateway/node/restored_test.go
@@ -59,3 +59,37 @@
 		})
 	}
 }
+
+// TestRestartAfterStoreIsRestored guards against a VM that serves by an older
+// configuration because it starts when the store shows that of the copy, while the
+// other VMs know a newer one.
+func TestRestartAfterStoreIsRestored(t *testing.T) {
+	bounds := settings.Bounds{Config: 2 * time.Second, Drain: 2 * time.Second, Weights: 10 * time.Second}
+	for _, size := range []int{2, 8, 18} {
+		for _, outage := range []time.Duration{0, time.Second} {
+			t.Run(fmt.Sprintf("%d VMs, outage %v", size, outage), func(t *testing.T) {
+				runFleet(t, size, bounds, func(f *watchFleet) {
+					older := f.store.Copy()
+					for range 3 {
+						f.configure()
+						time.Sleep(bounds.Config)
+					}
+					f.restore(older, outage, time.Hour)
+					time.Sleep(time.Second)
+					for _, v := range f.vms {
+						v.ready.Store(true)
+					}
+					f.add(size, bounds)
+					started := f.vms[size]
+					<-started.source.Ready()
+					started.awaitPeer(f.ctx)
+					must.Less(t, bounds.Config, time.Since(started.start))
+					f.assertInForce(t, nil)
+					// The older configuration is written again, and nothing else follows.
+					time.Sleep(2 * bounds.Config)
+					f.assertInForce(t, nil)
+				})
+			})
+		}
+	}
+}
--- a/internal/gateway/node/watchers_test.go
+++ b/internal/gateway/node/watchers_test.go
@@ -19,6 +19,8 @@
 // A watchFleet is a fleet of VMs without ports in front of one store, in virtual
 // time.
 type watchFleet struct {
+	// ctx ends with the test, in its virtual time.
+	ctx     context.Context
 	store   *fake.SiteStore
 	network *peer.Memory
 	vms     []*watchVM
@@ -35,11 +37,11 @@
 func runFleet(t *testing.T, size int, bounds settings.Bounds, script func(f *watchFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &watchFleet{store: fake.NewSiteStore(), network: peer.NewMemory()}
+		f := &watchFleet{ctx: t.Context(), store: fake.NewSiteStore(), network: peer.NewMemory()}
 		f.network.SetLatency(func(string, string) time.Duration { return time.Millisecond })
 		f.configure()
 		for i := range size {
-			f.add(t, i, bounds)
+			f.add(i, bounds)
 		}
 		time.Sleep(20 * time.Second)
 		synctest.Wait()
@@ -57,7 +59,7 @@
 	f.store.PutRaw(platform.KindConfig, "main", []byte(fmt.Sprintf(configuration, f.version, 1000, 1000)))
 }
 
-func (f *watchFleet) add(t *testing.T, i int, bounds settings.Bounds) {
+func (f *watchFleet) add(i int, bounds settings.Bounds) {
 	id := fmt.Sprintf("vm-%d", i)
 	address := fmt.Sprintf("10.0.0.%d:1", i+1)
 	s := settings.Settings{VM: id, Region: "r", DataCentre: "z", Gateway: &settings.Gateway{
@@ -66,7 +68,7 @@
 	s.Callers.Address, s.Peers.Address = address, address
 	link := newSiteLink(f.store)
 	network := f.network.Node(id, address)
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(f.ctx)
 	v := &watchVM{Node: newNode(s, log.NewNopLogger(), platform.NewObjectsOver("store", link), network, network), link: link, stop: cancel}
 	f.vms = append(f.vms, v)
 	for _, run := range []func(context.Context) error{v.source.Run, v.roster.Run, v.runWatching} {
