Keep targets that leave out of use when the store shows them ready

Requests could be sent to a target shortly before its exit, since the restored store showed it as ready until it wrote its entry again.

Cause: an entry replaced the one known, whatever the target had announced before. The entry of a copy is of the same start of the target, but older.

Change: a target that is known to leave stays so until an entry of another start (born) arrives, also if its entry was removed in between. `older target entry` logs it.

Measured: on the code before, TestLeavingTargetInRestoredStore fails (the target is not leaving); now it passes.

Conclusion: a VM that was up before the restore uses no such target. One that starts after it knows only what the store shows.

--- /dev/null
+++ b/internal/fleet/source/restored_test.go
@@ -0,0 +1,72 @@
+package source
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/store"
+)
+
+// restore removes or adds objects without a trace in the history, as a store that
+// comes back from an older copy does, and starts the next era. Values of "" remove.
+func (f *feed) restore(objects map[string]string) {
+	f.set(func() {
+		f.at = store.VersionIn(store.Era(f.at)+1, 1)
+		f.history, f.floor = nil, f.at
+		for key, value := range objects {
+			if value == "" {
+				delete(f.objects, key)
+				continue
+			}
+			f.objects[key] = store.Object{Key: key, Version: f.at, Value: []byte(value)}
+		}
+		for key, o := range f.objects {
+			o.Version = f.at
+			f.objects[key] = o
+		}
+	})
+}
+
+// leavingTarget decodes the time of a target's start, followed by "-" if it leaves.
+func leavingTarget(id string, spec []byte) (*site.Target, error) {
+	text, leaving := strings.CutSuffix(string(spec), "-")
+	born, err := strconv.ParseInt(text, 10, 64)
+	return &site.Target{ID: id, Born: born, Leaving: leaving}, err
+}
+
+// TestLeavingTargetInRestoredStore guards against requests to a target that has
+// announced its end, because a restored store shows its entry from before.
+func TestLeavingTargetInRestoredStore(t *testing.T) {
+	d := decoder
+	d.Target = leavingTarget
+	runSourceWith(t, d, func(f *feed, s *Source) {
+		f.put("config/main", "5")
+		f.put("targets/a", "1-")
+		f.put("targets/b", "1-")
+		f.put("targets/c", "1")
+		<-s.Ready()
+		time.Sleep(time.Second)
+		f.remove("targets/b")
+		time.Sleep(time.Second)
+		must.MapNotContainsKey(t, s.View().Targets, "b")
+
+		f.restore(map[string]string{"targets/a": "1", "targets/b": "1"})
+		time.Sleep(3 * time.Second)
+		targets := s.View().Targets
+		must.True(t, targets["a"].Leaving)
+		must.True(t, targets["b"].Leaving)
+		must.False(t, targets["c"].Leaving)
+
+		f.put("targets/a", "2")
+		f.put("targets/b", "2")
+		time.Sleep(time.Second)
+		targets = s.View().Targets
+		must.False(t, targets["a"].Leaving, must.Sprint("a later start of the target"))
+		must.False(t, targets["b"].Leaving)
+	})
+}
--- a/internal/fleet/source/source_test.go
+++ b/internal/fleet/source/source_test.go
@@ -127,10 +127,16 @@
 
 // runSource runs a script against a running source in virtual time.
 func runSource(t *testing.T, script func(f *feed, s *Source)) {
+	t.Helper()
+	runSourceWith(t, decoder, script)
+}
+
+// runSourceWith is runSource with the given decoder.
+func runSourceWith(t *testing.T, d Decoder, script func(f *feed, s *Source)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		f := newFeed()
-		s := New(Options{Feed: f, Decoder: decoder, Log: log.NewNopLogger()})
+		s := New(Options{Feed: f, Decoder: d, Log: log.NewNopLogger()})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
 		go func() { done <- s.Run(ctx) }()
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -47,6 +47,9 @@
 	// removals are not recorded.
 	removed map[string]int64
 	floor   int64
+	// left holds, by key, the targets that were leaving when they were removed. A
+	// restored store may show them again as they were before.
+	left map[string]*site.Target
 }
 
 // An entry is one object with its decoded form. Target and config are nil if the
@@ -75,7 +78,9 @@
 	})
 }
 
-func newTable() *table { return &table{objects: map[string]entry{}, removed: map[string]int64{}} }
+func newTable() *table {
+	return &table{objects: map[string]entry{}, removed: map[string]int64{}, left: map[string]*site.Target{}}
+}
 
 // markResponded records that the store has responded to a read of the kind.
 func (t *table) markResponded(now time.Time) {
@@ -87,6 +92,28 @@
 // maxRemoved is the number of removals that are recorded.
 const maxRemoved = 256
 
+// recordLeft records that a target was removed while it was leaving.
+func (t *table) recordLeft(key string, target *site.Target) {
+	if target == nil || !target.Leaving {
+		return
+	}
+	if len(t.left) >= maxRemoved {
+		clear(t.left)
+	}
+	t.left[key] = target
+}
+
+// isLeaving reports whether the start of a target that an entry describes is known to
+// be leaving.
+func (t *table) isLeaving(key string, target *site.Target) bool {
+	for _, known := range []*site.Target{t.objects[key].target, t.left[key]} {
+		if known != nil && known.Leaving && known.Born == target.Born {
+			return true
+		}
+	}
+	return false
+}
+
 // recordRemoval records the removal of an entry at a version.
 func (t *table) recordRemoval(key string, at int64) {
 	if len(t.removed) >= maxRemoved {
@@ -120,6 +147,7 @@
 		return
 	}
 	if !grace {
+		t.recordLeft(key, e.target)
 		delete(t.objects, key)
 	}
 }
@@ -217,6 +245,10 @@
 	switch kind {
 	case Targets:
 		e.target = s.decodeTarget(o)
+		if e.target != nil && !e.target.Leaving && t.isLeaving(o.Key, e.target) {
+			s.log("msg", "older target entry", "target", e.target.ID, "kept", "leaving")
+			e.target.Leaving = true
+		}
 		s.logTarget(old.target, e.target)
 	case Config:
 		e.config = s.decodeConfig(o)
@@ -263,6 +295,7 @@
 		now := time.Now()
 		for key, e := range t.objects {
 			if !e.missingSince.IsZero() && now.Sub(t.recovered) >= recoveryGrace {
+				t.recordLeft(key, e.target)
 				delete(t.objects, key)
 				s.log("msg", "target removed", "target", key)
 				removed++
