Keep targets that a restored store lacks until they are written again

Requests were refused for lack of targets after a restore that no read had noticed.

Cause: targets whose entries are missing are kept for 1.9 s after an outage. A store that is restored without a failed read counted as up all the time, and the entries that its copy lacks as removed.

`object store restored` logs the eras and what is kept.

Measured: on the code before, TestTargetsAreKeptAfterRestoreWithoutOutage fails (0 of 2 targets); now it passes.

Conclusion: the rule of the platform for entries that an outage removed holds for those that a restore removed.

--- a/internal/fleet/source/restored_test.go
+++ b/internal/fleet/source/restored_test.go
@@ -70,3 +70,23 @@
 		must.False(t, targets["b"].Leaving)
 	})
 }
+
+// TestTargetsAreKeptAfterRestoreWithoutOutage guards against targets that are dropped
+// because a restored store lacks their entries until they have written them again,
+// when no read had failed.
+func TestTargetsAreKeptAfterRestoreWithoutOutage(t *testing.T) {
+	runSource(t, func(f *feed, s *Source) {
+		f.put("config/main", "5")
+		f.put("targets/a", "1")
+		f.put("targets/b", "1")
+		<-s.Ready()
+		time.Sleep(time.Second)
+		f.restore(map[string]string{"targets/a": "", "targets/b": ""})
+		time.Sleep(recoveryGrace - 100*time.Millisecond)
+		must.MapLen(t, 2, s.View().Targets)
+		f.put("targets/a", "1")
+		time.Sleep(recoveryGrace)
+		must.MapContainsKey(t, s.View().Targets, "a")
+		must.MapNotContainsKey(t, s.View().Targets, "b")
+	})
+}
--- a/internal/fleet/source/source_test.go
+++ b/internal/fleet/source/source_test.go
@@ -45,6 +45,9 @@
 	floor   int64
 	down    error
 	silent  bool
+	// latency is how long a call takes, and calls counts them.
+	latency time.Duration
+	calls   int
 }
 
 func newFeed() *feed { return &feed{objects: map[string]store.Object{}, at: 1} }
@@ -75,7 +78,17 @@
 	change()
 }
 
-func (f *feed) Snapshot(_ context.Context, kind string) ([]store.Object, int64, error) {
+// call counts a call and waits for its latency.
+func (f *feed) call(ctx context.Context) {
+	f.mu.Lock()
+	f.calls++
+	latency := f.latency
+	f.mu.Unlock()
+	store.Sleep(ctx, latency)
+}
+
+func (f *feed) Snapshot(ctx context.Context, kind string) ([]store.Object, int64, error) {
+	f.call(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down != nil {
@@ -91,6 +104,7 @@
 }
 
 func (f *feed) Changes(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	f.call(ctx)
 	for end := time.Now().Add(wait); ; {
 		events, at, silent, err := f.since(kind, after)
 		switch {
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -161,6 +161,7 @@
 	t.markResponded(now)
 	s.log("msg", "snapshot read", "kind", s.opts.Decoder.Kinds[kind], "at", at, "before", t.at,
 		"objects", len(objects), "notlater", t.countNotLater(objects))
+	s.noteRestore(kind, t, at, now)
 	s.replace(kind, t, objects, now)
 	t.at, t.listed = max(at, t.at), true
 	t.confirm(start)
@@ -173,6 +174,18 @@
 	s.changed()
 }
 
+// noteRestore records that a state of the given version follows a restore of the
+// store, if its era is later than the table's. Entries that were written after the
+// copy may be missing for a while. The caller holds mu.
+func (s *Source) noteRestore(kind int, t *table, at int64, now time.Time) {
+	if t.at == 0 || store.Era(at) <= store.Era(t.at) {
+		return
+	}
+	t.recovered = now
+	s.log("msg", "object store restored", "kind", s.opts.Decoder.Kinds[kind], "era", store.Era(at), "before", store.Era(t.at),
+		"at", store.Revision(at), "was", store.Revision(t.at), "known", len(t.objects), "config", s.newest.version())
+}
+
 // countNotLater returns the number of objects that differ from those in the table
 // although their versions are not higher.
 func (t *table) countNotLater(objects []store.Object) int {
