--- a/internal/fleet/source/restored_test.go
+++ b/internal/fleet/source/restored_test.go
@@ -90,3 +90,19 @@
 		must.MapNotContainsKey(t, s.View().Targets, "b")
 	})
 }
+
+// TestLateSnapshotIsIgnored guards against a snapshot that arrives after a later state
+// was pulled from another VM and takes its place.
+func TestLateSnapshotIsIgnored(t *testing.T) {
+	s := New(Options{Decoder: decoder})
+	target := func(id string, version int64) store.Object {
+		return store.Object{Key: "targets/" + id, Version: version, Value: []byte("1")}
+	}
+	earlier, later := store.VersionIn(0, 9), store.VersionIn(1, 3)
+	s.applySnapshot(Config, []store.Object{{Key: "config/main", Version: 1, Value: []byte("1")}}, later, time.Now())
+	s.applySnapshot(Targets, []store.Object{target("a", later)}, later, time.Now())
+	s.applySnapshot(Targets, []store.Object{target("b", earlier)}, earlier, time.Now())
+	must.MapContainsKey(t, s.View().Targets, "a")
+	must.MapNotContainsKey(t, s.View().Targets, "b")
+	must.Eq(t, later, s.Positions()[Targets].At)
+}
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -196,14 +196,17 @@
 		if err != nil {
 			return err
 		}
-		s.applySnapshot(kind, objects, at, start)
+		if !s.applySnapshot(kind, objects, at, start) {
+			s.log("msg", "snapshot is older than state", "kind", name, "at", at)
+			return store.ErrHistoryLost
+		}
 		return nil
 	}
 	events, at, err := s.opts.Feed.Changes(ctx, name, after, wait)
 	switch {
 	case errors.Is(err, store.ErrHistoryLost):
 		s.mu.Lock()
-		t.listed = false
+		t.listed = t.listed && t.at != after
 		s.mu.Unlock()
 		s.log("msg", "change history lost", "kind", name, "after", after)
 		return err
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -153,17 +153,22 @@
 }
 
 // applySnapshot replaces the content of a table with the store's objects at a
-// version, which were requested at start.
-func (s *Source) applySnapshot(kind int, objects []store.Object, at int64, start time.Time) {
+// version, which were requested at start. It returns false if the table's state is
+// later, as when it was pulled from another VM in the meantime.
+func (s *Source) applySnapshot(kind int, objects []store.Object, at int64, start time.Time) bool {
 	s.mu.Lock()
 	t := s.tables[kind]
 	now := time.Now()
 	t.markResponded(now)
 	s.log("msg", "snapshot read", "kind", s.opts.Decoder.Kinds[kind], "at", at, "before", t.at,
 		"objects", len(objects), "notlater", t.countNotLater(objects))
+	if at < t.at {
+		s.mu.Unlock()
+		return false
+	}
 	s.noteRestore(kind, t, at, now)
 	s.replace(kind, t, objects, now)
-	t.at, t.listed = max(at, t.at), true
+	t.at, t.listed = at, true
 	t.confirm(start)
 	// Removals before the snapshot are not known.
 	clear(t.removed)
@@ -172,6 +177,7 @@
 	s.publish()
 	s.mu.Unlock()
 	s.changed()
+	return true
 }
 
 // noteRestore records that a state of the given version follows a restore of the
