Back off when the store's history is lost again and again

Measured: on the code before, TestRepeatedLossOfHistoryBacksOff fails (30,003 calls of three kinds in 10 s of virtual time with a latency of 1 ms, 198 allowed); now it passes.

Conclusion: no state of the store makes a VM call it without a pause.

--- a/internal/fleet/source/restored_test.go
+++ b/internal/fleet/source/restored_test.go
@@ -106,3 +106,26 @@
 	must.MapNotContainsKey(t, s.View().Targets, "b")
 	must.Eq(t, later, s.Positions()[Targets].At)
 }
+
+// TestRepeatedLossOfHistoryBacksOff guards against reads without a pause of a store
+// that loses its history again at once.
+func TestRepeatedLossOfHistoryBacksOff(t *testing.T) {
+	runSource(t, func(f *feed, s *Source) {
+		f.put("config/main", "5")
+		<-s.Ready()
+		f.set(func() { f.latency, f.floor = time.Millisecond, store.VersionIn(9, 0) })
+		time.Sleep(5 * time.Second)
+		f.set(func() { f.calls = 0 })
+		time.Sleep(10 * time.Second)
+		calls := 0
+		f.set(func() { calls = f.calls })
+		// A snapshot and its changes for each kind and shortest pause.
+		must.LessEq(t, 2*int(kinds)*int(10*time.Second/(maxRetryDelay/2)), calls)
+
+		f.set(func() { f.floor = 0 })
+		time.Sleep(2 * maxRetryDelay)
+		f.put("config/main", "6")
+		time.Sleep(2 * maxRetryDelay)
+		must.Eq(t, 6, s.View().Config.Version)
+	})
+}
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -158,11 +158,16 @@
 		}
 		err := s.read(ctx, kind, wait)
 		s.recordResult(err)
-		if err == nil || errors.Is(err, store.ErrHistoryLost) {
+		switch losses := s.countLosses(kind); {
+		case err == nil && losses == 0:
 			delay = minRetryDelay
 			continue
+		case err == nil, errors.Is(err, store.ErrHistoryLost) && losses == 1:
+			// A snapshot is read at once after the first loss, and then its changes.
+			continue
+		case !errors.Is(err, store.ErrHistoryLost):
+			s.markFailed(kind)
 		}
-		s.markFailed(kind)
 		store.Sleep(ctx, delay/2+rand.N(delay))
 		delay = min(2*delay, maxRetryDelay)
 	}
@@ -198,7 +203,7 @@
 		}
 		if !s.applySnapshot(kind, objects, at, start) {
 			s.log("msg", "snapshot is older than state", "kind", name, "at", at)
-			return store.ErrHistoryLost
+			return s.loseHistory(kind, at)
 		}
 		return nil
 	}
@@ -208,8 +213,7 @@
 		s.mu.Lock()
 		t.listed = t.listed && t.at != after
 		s.mu.Unlock()
-		s.log("msg", "change history lost", "kind", name, "after", after)
-		return err
+		return s.loseHistory(kind, after)
 	case err != nil:
 		return err
 	}
@@ -220,6 +224,25 @@
 	return nil
 }
 
+// loseHistory records that a read found no changes after a version, or a state that
+// is older than that of this VM, and returns store.ErrHistoryLost.
+func (s *Source) loseHistory(kind int, after int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.tables[kind]
+	t.losses++
+	s.log("msg", "change history lost", "kind", s.opts.Decoder.Kinds[kind], "after", after, "known", t.at, "losses", t.losses)
+	return store.ErrHistoryLost
+}
+
+// countLosses returns how often the history of a kind was lost since the last read
+// that could continue it.
+func (s *Source) countLosses(kind int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tables[kind].losses
+}
+
 // markFailed records that the store did not respond to a read of a kind.
 func (s *Source) markFailed(kind int) {
 	s.mu.Lock()
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -39,6 +39,9 @@
 	selfReading bool
 	// hash identifies the content.
 	hash uint64
+	// losses counts the reads without a usable history since the last one that
+	// returned changes, or that there were none.
+	losses int
 	// failed reports whether the last read of the kind got no response.
 	failed bool
 	// recovered is when the store responded again after an outage.
@@ -232,6 +235,7 @@
 	}
 	now := time.Now()
 	t.markResponded(now)
+	t.losses = 0
 	grace := kind == Targets && now.Sub(t.recovered) < recoveryGrace
 	for _, e := range events {
 		if e.Deleted {
