Count the grace of missing targets from the read, not the pull

A VM that pulled the state of a restored store late kept targets that are gone for up to 1.9 s longer than the VM that had read it.

Cause: each VM started the period when it noticed the new era, although the response of a pull says how long ago the store came back.

Change: only a read of the store starts the period; a pull takes it over.

Measured: on the code before, TestPulledStateAfterRestore fails; now it passes.

Conclusion: an entry that is still missing after the period counts as gone on all VMs.

--- a/internal/fleet/source/restored_test.go
+++ b/internal/fleet/source/restored_test.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"context"
 	"strconv"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/peer"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
@@ -91,6 +93,34 @@
 	})
 }
 
+// TestPulledStateAfterRestore guards against targets that are kept for longer than
+// the VM allows that has read the restored store, because another pulls from it late.
+func TestPulledStateAfterRestore(t *testing.T) {
+	runSource(t, func(f *feed, s *Source) {
+		f.put("config/main", "5")
+		f.put("targets/a", "1")
+		<-s.Ready()
+		time.Sleep(time.Second)
+		network := peer.NewMemory()
+		s.Register(network.Node("s", "s:1"))
+		caller, to := network.Node("p", "p:1"), peer.Destination{VM: "s", Address: "s:1"}
+		early, late := New(Options{Decoder: decoder}), New(Options{Decoder: decoder})
+		pull := func(by *Source) int {
+			for _, kind := range []int{Config, Targets} {
+				must.NoError(t, by.PullFrom(context.Background(), caller, to, kind))
+			}
+			return len(by.View().Targets)
+		}
+		must.Eq(t, 1, pull(early))
+		must.Eq(t, 1, pull(late))
+		f.restore(map[string]string{"targets/a": ""})
+		time.Sleep(time.Second)
+		must.Eq(t, 1, pull(early))
+		time.Sleep(recoveryGrace)
+		must.Eq(t, 0, pull(late))
+	})
+}
+
 // TestLateSnapshotIsIgnored guards against a snapshot that arrives after a later state
 // was pulled from another VM and takes its place.
 func TestLateSnapshotIsIgnored(t *testing.T) {
--- a/internal/fleet/source/share.go
+++ b/internal/fleet/source/share.go
@@ -183,7 +183,7 @@
 // applyPulled applies the objects read from another VM. The caller holds mu.
 func (s *Source) applyPulled(kind int, t *table, resp PullResponse) {
 	now := time.Now()
-	s.noteRestore(kind, t, resp.At, now)
+	s.isRestored(kind, t, resp.At)
 	if recovered := now.Add(-time.Duration(resp.RecoveredMS) * time.Millisecond); recovered.After(t.recovered) {
 		t.recovered = recovered
 	}
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -169,7 +169,10 @@
 		s.mu.Unlock()
 		return false
 	}
-	s.noteRestore(kind, t, at, now)
+	if s.isRestored(kind, t, at) {
+		// Entries that were written after the copy may be missing for a while.
+		t.recovered = now
+	}
 	s.replace(kind, t, objects, now)
 	t.at, t.listed = at, true
 	t.confirm(start)
@@ -183,16 +186,15 @@
 	return true
 }
 
-// noteRestore records that a state of the given version follows a restore of the
-// store, if its era is later than the table's. Entries that were written after the
-// copy may be missing for a while. The caller holds mu.
-func (s *Source) noteRestore(kind int, t *table, at int64, now time.Time) {
+// isRestored reports whether the store was restored between the table's state and one
+// of the given version, and logs it. The caller holds mu.
+func (s *Source) isRestored(kind int, t *table, at int64) bool {
 	if t.at == 0 || store.Era(at) <= store.Era(t.at) {
-		return
+		return false
 	}
-	t.recovered = now
 	s.log("msg", "object store restored", "kind", s.opts.Decoder.Kinds[kind], "era", store.Era(at), "before", store.Era(t.at),
 		"at", store.Revision(at), "was", store.Revision(t.at), "known", len(t.objects), "config", s.newest.version())
+	return true
 }
 
 // countNotLater returns the number of objects that differ from those in the table
