Continue a lease whose right ended while the store was away

Cause: a holder counted as interrupted once its right to act had ended, 4/5 of the TTL after its last write, as it does in most outages. Other VMs acquire the lease no sooner than 11/10 of the TTL after that write.

Change: the holder continues if its last write began less than a TTL ago and it has not yielded.

Measured: on the code before, TestHolderContinuesAfterRestore with an outage up to the end of the right fails; now it passes.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -121,10 +121,18 @@
 }
 
 // succeeds reports whether the lease of a restored record ended before this VM
-// acquired the lease that it still holds.
+// acquired the lease that no other VM has held since.
 func (t *Task) succeeds(r lease.Record) bool {
 	held, term := t.leaseTerm()
-	return held && t.tracker.Remaining(t.opts.Clock.Now()) > 0 && r.IsRestored() && r.Lease.Term <= term
+	return held && t.isUninterrupted(t.opts.Clock.Now()) && r.IsRestored() && r.Lease.Term <= term
+}
+
+// isUninterrupted reports whether no other VM can have acquired the lease before a
+// restore of the object store since this VM wrote it last: the others wait for longer
+// than the TTL. It uses the monotonic or the wall clock, as lease.Tracker does.
+func (t *Task) isUninterrupted(now time.Time) bool {
+	since := max(now.Sub(t.lastHeld), now.Round(0).Sub(t.lastHeld.Round(0)))
+	return since < leaseTTL
 }
 
 // replaceCorrupt acquires the lease by overwriting a corrupt record, once the
@@ -183,8 +191,7 @@
 		now := t.opts.Clock.Now()
 		restored := store.Era(r.Lease.Term) > store.Era(previous.Term)
 		switch {
-		case restored && held && t.tracker.Remaining(now) > 0:
-			// No other VM can have held the lease in the meantime.
+		case restored && held && t.isUninterrupted(now):
 		case restored:
 			// The restored object store does not show a holder that acquired the lease
 			// after the copy was made, and may have renewed it until the restore.
@@ -198,6 +205,7 @@
 			"restored", restored, "wait", max(t.noOrdersBefore.Sub(now), 0))
 	}
 	t.tracker.MarkHeld(r, started)
+	t.lastHeld = started
 	t.setLease(true, r.Lease.Term)
 }
 
--- a/internal/fleet/rollout/restored_test.go
+++ b/internal/fleet/rollout/restored_test.go
@@ -82,6 +82,11 @@
 		task := newTask("a", objects)
 		term := order(t, task)
 		for _, older := range []*fake.SiteStoreCopy{s.Copy(), shown, empty} {
+			// The right to act ends while the store is away, but other VMs cannot have
+			// acquired the lease yet.
+			s.SetFaults(fake.SiteStoreFaults{ErrorStatus: http.StatusBadGateway})
+			time.Sleep(time.Until(task.tracker.ValidUntil))
+			s.SetFaults(fake.SiteStoreFaults{})
 			s.Restore(older, 0)
 			for range 20 {
 				must.True(t, task.mayOrder(t.Context()))
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -88,8 +88,10 @@
 	yielded int64
 
 	// The following fields are used only by the goroutine that calls Run.
-	tracker        lease.Tracker
-	lastClaim      time.Time
+	tracker   lease.Tracker
+	lastClaim time.Time
+	// lastHeld is when the last successful write of the lease began.
+	lastHeld       time.Time
 	noOrdersBefore time.Time
 	planner        *planner
 	// corrupt is the version of a lease record that cannot be decoded, and when
