End the grace of missing targets when another VM confirms the store

Cause: a VM takes its own first read after a failed one for the end of the outage. One that does not poll the store reads it again when it is elected, here 5 s after the return of the store.

Change: a state that another VM confirms for a time after the failed read ends the outage at that time.

Measured: on the code before, TestGraceBeginsWithConfirmation fails (the target is kept); now it passes.

Conclusion: the period begins when the store is back for the fleet. It is not tied to a restore; any outage that ends while a VM does not poll showed it.

--- a/internal/fleet/source/confirm.go
+++ b/internal/fleet/source/confirm.go
@@ -45,11 +45,19 @@
 	maxAge = time.Hour
 )
 
-// confirm records that the table had all changes at a time.
+// confirm records that the table had all changes at a time, and so that the store
+// responded then to some VM.
 func (t *table) confirm(at time.Time) {
 	if at.After(t.confirmed) {
 		t.confirmed = at
 	}
+	if !t.failed || !at.After(t.failedAt) {
+		return
+	}
+	t.failed = false
+	if t.recovered.Before(t.failedAt) {
+		t.recovered = at
+	}
 }
 
 // age returns the time since the table was last known to have all changes.
--- a/internal/fleet/source/confirm_test.go
+++ b/internal/fleet/source/confirm_test.go
@@ -45,3 +45,30 @@
 		must.Between(t, time.Second, follower.Age(Config), 1010*time.Millisecond)
 	})
 }
+
+// TestGraceBeginsWithConfirmation guards against a target that is used for too long
+// after its removal, because the VM takes its first read of the store for the end of
+// an outage that ended before, when another VM confirmed its state.
+func TestGraceBeginsWithConfirmation(t *testing.T) {
+	for after, kept := range map[time.Duration]int{recoveryGrace / 2: 1, recoveryGrace: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			network := peer.NewMemory()
+			watcher, follower := New(Options{Decoder: decoder}), New(Options{Decoder: decoder, Peers: network.Node("f", "f")})
+			watcher.Register(network.Node("w", "w"))
+			target := store.Object{Key: "targets/a", Version: 2, Value: []byte("1")}
+			for _, s := range []*Source{watcher, follower} {
+				s.applySnapshot(Config, []store.Object{{Key: "config/main", Version: 1, Value: []byte("1")}}, 2, time.Now())
+				s.applySnapshot(Targets, []store.Object{target}, 2, time.Now())
+			}
+			follower.markFailed(Targets)
+			time.Sleep(2 * time.Second)
+			watcher.applyEvents(Targets, 2, nil, 2)
+			follower.ask(t.Context(), peer.Destination{VM: "w", Address: "w"}, time.Second)
+
+			time.Sleep(after)
+			target.Version = 3
+			follower.applyEvents(Targets, 2, []store.Event{{Object: target, Deleted: true}}, 3)
+			must.MapLen(t, kept, follower.View().Targets)
+		})
+	}
+}
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -247,7 +247,8 @@
 func (s *Source) markFailed(kind int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tables[kind].failed = true
+	t := s.tables[kind]
+	t.failed, t.failedAt = true, time.Now()
 }
 
 // recordResult records whether the store responds, and logs when that changes.
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -42,8 +42,10 @@
 	// losses counts the reads without a usable history since the last one that
 	// returned changes, or that there were none.
 	losses int
-	// failed reports whether the last read of the kind got no response.
-	failed bool
+	// failed reports whether the store may have been away since the last read of the
+	// kind, which got no response, at failedAt.
+	failed   bool
+	failedAt time.Time
 	// recovered is when the store responded again after an outage.
 	recovered time.Time
 	// removed holds, by key, the versions of removals later than floor. Earlier
