--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -132,7 +132,8 @@
 	var lines bytes.Buffer
 	task := NewTask(Options{Self: entry("vm-1", 1, 0), Store: objects, Log: log.NewLogfmtLogger(&lines)})
 	for range 3 {
-		must.True(t, task.list(t.Context()))
+		_, ok := task.list(t.Context())
+		must.True(t, ok)
 	}
 	must.Len(t, 1, task.Members())
 	must.Eq(t, "10.0.0.2:1", task.Members()[0].Entry.Peers)
--- a/internal/fleet/source/confirm.go
+++ b/internal/fleet/source/confirm.go
@@ -45,11 +45,19 @@
 	maxAge = time.Hour
 )
 
-// confirm records that the table had all changes at a time.
+// confirm records that the table had all changes at a time, and so that the store
+// responded then to some VM.
 func (t *table) confirm(at time.Time) {
 	if at.After(t.confirmed) {
 		t.confirmed = at
 	}
+	if !t.failed || !at.After(t.failedAt) {
+		return
+	}
+	t.failed = false
+	if t.recovered.Before(t.failedAt) {
+		t.recovered = at
+	}
 }
 
 // age returns the time since the table was last known to have all changes.
@@ -100,8 +108,8 @@
 	defer s.mu.Unlock()
 	var out ConfirmResponse
 	now := time.Now()
+	out.Positions = s.positions()
 	for kind, t := range s.tables {
-		out.Positions[kind] = Position{At: t.at, Hash: t.hash}
 		out.AgeMS[kind] = t.age(now).Milliseconds()
 	}
 	return out
@@ -149,9 +157,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	own := s.positions()
 	for kind, t := range s.tables {
 		theirs := resp.Positions[kind]
-		if t.at < theirs.At && t.hash != theirs.Hash {
+		if t.at < theirs.At && t.hash != theirs.Hash || own[kind].Newest < theirs.Newest {
 			continue
 		}
 		t.confirm(sent.Add(-time.Duration(resp.AgeMS[kind]) * time.Millisecond))
--- a/internal/fleet/source/source_test.go
+++ b/internal/fleet/source/source_test.go
@@ -46,6 +46,9 @@
 	floor   int64
 	down    error
 	silent  bool
+	// latency is how long a call takes, and calls counts them.
+	latency time.Duration
+	calls   int
 }
 
 func newFeed() *feed { return &feed{objects: map[string]store.Object{}, at: 1} }
@@ -76,7 +79,17 @@
 	change()
 }
 
-func (f *feed) Snapshot(_ context.Context, kind string) ([]store.Object, int64, error) {
+// call counts a call and waits for its latency.
+func (f *feed) call(ctx context.Context) {
+	f.mu.Lock()
+	f.calls++
+	latency := f.latency
+	f.mu.Unlock()
+	store.Sleep(ctx, latency)
+}
+
+func (f *feed) Snapshot(ctx context.Context, kind string) ([]store.Object, int64, error) {
+	f.call(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down != nil {
@@ -92,6 +105,7 @@
 }
 
 func (f *feed) Changes(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	f.call(ctx)
 	for end := time.Now().Add(wait); ; {
 		events, at, silent, err := f.since(kind, after)
 		switch {
@@ -128,10 +142,16 @@
 
 // runSource runs a script against a running source in virtual time.
 func runSource(t *testing.T, script func(f *feed, s *Source)) {
+	t.Helper()
+	runSourceWith(t, decoder, script)
+}
+
+// runSourceWith is runSource with the given decoder.
+func runSourceWith(t *testing.T, d Decoder, script func(f *feed, s *Source)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		f := newFeed()
-		s := New(Options{Feed: f, Decoder: decoder, Log: log.NewNopLogger()})
+		s := New(Options{Feed: f, Decoder: d, Log: log.NewNopLogger()})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
 		go func() { done <- s.Run(ctx) }()
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -1,8 +1,10 @@
 package source
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,14 +40,22 @@
 	selfReading bool
 	// hash identifies the content.
 	hash uint64
-	// failed reports whether the last read of the kind got no response.
-	failed bool
+	// losses counts the reads without a usable history since the last one that
+	// returned changes, or that there were none.
+	losses int
+	// failed reports whether the store may have been away since the last read of the
+	// kind, which got no response, at failedAt.
+	failed   bool
+	failedAt time.Time
 	// recovered is when the store responded again after an outage.
 	recovered time.Time
 	// removed holds, by key, the versions of removals later than floor. Earlier
 	// removals are not recorded.
 	removed map[string]int64
 	floor   int64
+	// left holds, by key, the targets that were leaving when they were removed. A
+	// restored store may show them again as they were before.
+	left map[string]*site.Target
 }
 
 // An entry is one object with its decoded form. Target and config are nil, and
@@ -62,7 +72,24 @@
 	missingSince time.Time
 }
 
-func newTable() *table { return &table{objects: map[string]entry{}, removed: map[string]int64{}} }
+// version returns the version of the configuration, or 0 if there is none.
+func (e entry) version() int64 {
+	if e.config == nil {
+		return 0
+	}
+	return e.config.Version
+}
+
+// isIn reports whether the entry's object is among the given ones.
+func (e entry) isIn(objects []store.Object) bool {
+	return slices.ContainsFunc(objects, func(o store.Object) bool {
+		return o.Key == e.object.Key && o.Version == e.object.Version
+	})
+}
+
+func newTable() *table {
+	return &table{objects: map[string]entry{}, removed: map[string]int64{}, left: map[string]*site.Target{}}
+}
 
 // markResponded records that the store has responded to a read of the kind.
 func (t *table) markResponded(now time.Time) {
@@ -74,6 +101,28 @@
 // maxRemoved is the number of removals that are recorded.
 const maxRemoved = 256
 
+// recordLeft records that a target was removed while it was leaving.
+func (t *table) recordLeft(key string, target *site.Target) {
+	if target == nil || !target.Leaving {
+		return
+	}
+	if len(t.left) >= maxRemoved {
+		clear(t.left)
+	}
+	t.left[key] = target
+}
+
+// isLeaving reports whether the start of a target that an entry describes is known to
+// be leaving.
+func (t *table) isLeaving(key string, target *site.Target) bool {
+	for _, known := range []*site.Target{t.objects[key].target, t.left[key]} {
+		if known != nil && known.Leaving && known.Born == target.Born {
+			return true
+		}
+	}
+	return false
+}
+
 // recordRemoval records the removal of an entry at a version.
 func (t *table) recordRemoval(key string, at int64) {
 	if len(t.removed) >= maxRemoved {
@@ -107,19 +156,31 @@
 		return
 	}
 	if !grace {
+		t.recordLeft(key, e.target)
 		delete(t.objects, key)
 	}
 }
 
 // applySnapshot replaces the content of a table with the store's objects at a
-// version, which were requested at start.
-func (s *Source) applySnapshot(kind int, objects []store.Object, at int64, start time.Time) {
+// version, which were requested at start. It returns false if the table's state is
+// later, as when it was pulled from another VM in the meantime.
+func (s *Source) applySnapshot(kind int, objects []store.Object, at int64, start time.Time) bool {
 	s.mu.Lock()
 	t := s.tables[kind]
 	now := time.Now()
 	t.markResponded(now)
+	s.log("msg", "snapshot read", "kind", s.opts.Decoder.Kinds[kind], "at", at, "before", t.at,
+		"objects", len(objects), "notlater", t.countNotLater(objects))
+	if at < t.at {
+		s.mu.Unlock()
+		return false
+	}
+	if s.isRestored(kind, t, at) {
+		// Entries that were written after the copy may be missing for a while.
+		t.recovered = now
+	}
 	s.replace(kind, t, objects, now)
-	t.at, t.listed = max(at, t.at), true
+	t.at, t.listed = at, true
 	t.confirm(start)
 	// Removals before the snapshot are not known.
 	clear(t.removed)
@@ -128,6 +189,31 @@
 	s.publish()
 	s.mu.Unlock()
 	s.changed()
+	return true
+}
+
+// isRestored reports whether the store was restored between the table's state and one
+// of the given version, and logs it. The caller holds mu.
+func (s *Source) isRestored(kind int, t *table, at int64) bool {
+	if t.at == 0 || store.Era(at) <= store.Era(t.at) {
+		return false
+	}
+	s.log("msg", "object store restored", "kind", s.opts.Decoder.Kinds[kind], "era", store.Era(at), "before", store.Era(t.at),
+		"at", store.Revision(at), "was", store.Revision(t.at), "known", len(t.objects), "config", s.newest.version())
+	return true
+}
+
+// countNotLater returns the number of objects that differ from those in the table
+// although their versions are not higher.
+func (t *table) countNotLater(objects []store.Object) int {
+	n := 0
+	for _, o := range objects {
+		known, ok := t.objects[o.Key]
+		if ok && known.object.Version >= o.Version && !bytes.Equal(known.object.Value, o.Value) {
+			n++
+		}
+	}
+	return n
 }
 
 // replace replaces the table's content with the given objects. The caller holds
@@ -157,6 +243,7 @@
 	}
 	now := time.Now()
 	t.markResponded(now)
+	t.losses = 0
 	grace := kind == Targets && now.Sub(t.recovered) < recoveryGrace
 	for _, e := range events {
 		if e.Deleted {
@@ -189,6 +276,10 @@
 	switch kind {
 	case Targets:
 		e.target = s.decodeTarget(o)
+		if e.target != nil && !e.target.Leaving && t.isLeaving(o.Key, e.target) {
+			s.log("msg", "older target entry", "target", e.target.ID, "kept", "leaving")
+			e.target.Leaving = true
+		}
 		s.logTarget(old.target, e.target)
 	case Config:
 		e.config = s.decodeConfig(o)
@@ -253,6 +344,7 @@
 		now := time.Now()
 		for key, e := range t.objects {
 			if !e.missingSince.IsZero() && now.Sub(t.recovered) >= recoveryGrace {
+				t.recordLeft(key, e.target)
 				delete(t.objects, key)
 				s.log("msg", "target removed", "target", key)
 				removed++
@@ -295,14 +387,16 @@
 	}
 }
 
-// newestConfig returns the configuration in the table if its version is higher
-// than that of the configuration in force, which never decreases.
-func (s *Source) newestConfig(newest *site.Config) *site.Config {
+// newestConfig returns the newest configuration known, whose version never decreases,
+// also if the store shows an older one. The caller holds mu.
+func (s *Source) newestConfig(inForce *site.Config) *site.Config {
 	for _, e := range s.tables[Config].objects {
-		if cfg := e.config; cfg != nil && (newest == nil || cfg.Version > newest.Version) {
-			s.log("msg", "configuration in force", "version", cfg.Version, "object", e.object.Version, "routes", len(cfg.Routes), "customers", len(cfg.Customers))
-			newest = cfg
+		if e.version() > s.newest.version() {
+			s.newest = e
 		}
 	}
-	return newest
+	if cfg := s.newest.config; cfg != inForce {
+		s.log("msg", "configuration in force", "version", cfg.Version, "object", s.newest.object.Version, "routes", len(cfg.Routes), "customers", len(cfg.Customers))
+	}
+	return s.newest.config
 }
