Return the rollout lease to a holder that is back before any order

The first order of the successor was logged 6.7 s after it had acquired the lease.

Cause: the log lines of a frozen VM appear when it goes on; their own times differ. The holder was frozen from 19.47 to 23.70 s. The successor acquired the lease at 23.74 s, 50 ms after the holder was back, waited the handover delay of 3.5 s and sent two orders 3.61 s after it had acquired the lease, as its turn permits: engines are drained within the wait. At 27.34 s it was frozen itself, for 3.05 s.

Change: while most of its wait is left, a successor that sees the previous holder alive again releases the lease in the store, and names that VM in its lease status. A rollout lease is released for no other reason, so a released record of the term that directly follows a VM's own proves that no other VM has ordered since: that VM, and no other, continues without the delay. If it has not acquired the lease 2 s later, the VM that released it goes on as any other, with a delay of its own.

Measured: TestHolderThatIsBackContinues failed with a pause of 6.9 s after a silence of 4.1 s, and passes for silences of 2 to 9 s, with the check that orders of different VMs are at least the delay apart.

TestLeaseIsNotReturnedForEver covers a VM to which the lease was returned and that does not reach the store; it needs no change to pass.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
@@ -20,6 +21,7 @@
 	}
 	t.tracker.Observe(r, t.opts.Clock.Now())
 	if r.Lease.Holder == t.opts.Self.ID {
+		t.heldTerm = r.Lease.Term
 		t.setLease(true, r.Lease.Term)
 	}
 }
@@ -27,26 +29,29 @@
 // mayOrder acquires or renews the lease if this VM is responsible for the rollout,
 // and reports whether it may send orders.
 func (t *Task) mayOrder(ctx context.Context) bool {
-	if !t.responsible() {
+	now := t.opts.Clock.Now()
+	members := t.opts.Members()
+	if t.awaitsReturn(now) || !t.responsible(members) {
 		return false
 	}
-	now := t.opts.Clock.Now()
 	if t.tracker.Remaining(now) < renewBefore && now.Sub(t.lastClaim) >= claimInterval {
 		t.lastClaim = now
 		t.claim(ctx, now)
 	}
 	now = t.opts.Clock.Now()
+	t.returnLease(ctx, members, now)
 	return t.tracker.Remaining(now) > minRemaining && t.noOrdersBefore.Sub(now) < drainTimeout
 }
 
 // responsible reports whether this VM should send the orders: it holds the lease,
-// or no live VM holds it and this VM's id is the lowest of the ready VMs that
-// have not yielded the term.
-func (t *Task) responsible() bool {
+// or no live VM holds it and it was returned to this VM, or this VM's id is the
+// lowest of the ready VMs that have not yielded the term.
+func (t *Task) responsible(members []roster.Member) bool {
 	now := time.Now()
 	lowest := t.opts.Self.ID
 	held, term := t.leaseTerm()
-	for _, m := range t.opts.Members() {
+	returnedTo := returnedTo(members, now)
+	for _, m := range members {
 		if !m.Alive(now) {
 			continue
 		}
@@ -55,6 +60,9 @@
 		if m.Entry.Duty.Held && (!held || m.Entry.Duty.Term > term) {
 			return false
 		}
+		if m.Entry.VM == returnedTo && !held {
+			return false
+		}
 		if m.Entry.State != roster.Ready {
 			continue
 		}
@@ -62,7 +70,17 @@
 			lowest = min(lowest, m.Entry.VM)
 		}
 	}
-	return held || lowest >= t.opts.Self.ID
+	return held || returnedTo == t.opts.Self.ID || lowest >= t.opts.Self.ID
+}
+
+// returnedTo returns the VM to which a live VM has returned the lease, or "".
+func returnedTo(members []roster.Member, now time.Time) string {
+	for i := range members {
+		if d := &members[i].Entry.Duty; d.ReturnedTo != "" && members[i].Alive(now) {
+			return d.ReturnedTo
+		}
+	}
+	return ""
 }
 
 func (t *Task) leaseTerm() (bool, int64) {
@@ -137,14 +155,60 @@
 	if !held || t.tracker.Remaining(t.opts.Clock.Now()) > 0 {
 		return
 	}
+	t.giveUp(term, "")
+}
+
+// giveUp gives up a term, and returns the lease to a VM unless its id is empty.
+func (t *Task) giveUp(term int64, returnedTo string) {
 	t.tracker.MarkLost()
 	t.mu.Lock()
-	t.held, t.yielded = false, term
+	t.held, t.yielded, t.returnedTo = false, term, returnedTo
 	t.mu.Unlock()
-	_ = t.opts.Log.Log("msg", "rollout lease yielded", "term", term)
+	_ = t.opts.Log.Log("msg", "rollout lease yielded", "term", term, "to", returnedTo)
 	t.opts.OnStatusChange()
 }
 
+// returnLease releases the lease for the VM that held it before, if that VM is up again
+// and this one is yet to wait for most of the HandoverDelay. Since this VM has sent no
+// order, the other continues without a delay.
+func (t *Task) returnLease(ctx context.Context, members []roster.Member, now time.Time) {
+	if t.replaced.Holder == "" || t.tracker.Remaining(now) <= 0 || t.noOrdersBefore.Sub(now) < drainTimeout {
+		return
+	}
+	i := slices.IndexFunc(members, func(m roster.Member) bool {
+		holder := lease.Holder{ID: m.Entry.VM, Incarnation: uint64(m.Entry.Born)}
+		return t.replaced.HeldBy(holder) && m.Alive(time.Now()) && m.Entry.State == roster.Ready && m.Entry.Duty.Yielded < t.replaced.Term
+	})
+	if i < 0 {
+		return
+	}
+	t.replaced = lease.Lease{}
+	switch r := lease.Release(ctx, t.opts.Store, "", t.tracker.Record, nil).(type) {
+	case lease.Free, lease.Unknown:
+		t.returnedAt = now
+		t.giveUp(t.heldTerm, members[i].Entry.VM)
+	case lease.Taken:
+		t.lost(r.Record)
+	}
+}
+
+// awaitsReturn reports whether this VM has returned the lease and leaves it to the
+// other VM to acquire it.
+func (t *Task) awaitsReturn(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.returnedTo != "" && now.Sub(t.returnedAt) > returnTimeout {
+		t.returnedTo = ""
+	}
+	return t.returnedTo != ""
+}
+
+// isReturned reports whether a lease was released without an order, directly after this
+// VM's own. A lease is released for no other reason.
+func (t *Task) isReturned(l lease.Lease) bool {
+	return l.Holder == "" && l.Term > 1 && l.Term == t.heldTerm+1
+}
+
 // hasYielded reports whether the holder of a record has announced that it sends
 // no more orders under its term.
 func (t *Task) hasYielded(r lease.Record) bool {
@@ -160,13 +224,19 @@
 func (t *Task) acquired(r lease.Record, previous lease.Lease, started time.Time) {
 	held, term := t.leaseTerm()
 	if !held || term != r.Lease.Term {
-		if r.Lease.Term > 1 && (previous.Holder != t.opts.Self.ID || r.Lease.Term == t.yielded) {
+		returned := t.isReturned(previous)
+		t.replaced = lease.Lease{}
+		if previous.Holder != t.opts.Self.ID && r.Lease.Term == previous.Term+1 && !returned {
+			t.replaced = previous
+		}
+		if !returned && r.Lease.Term > 1 && (previous.Holder != t.opts.Self.ID || r.Lease.Term == t.yielded) {
 			// The previous holder may have sent an order just before its lease expired,
 			// and another VM may have acquired the lease after this VM yielded the term.
 			t.noOrdersBefore = t.opts.Clock.Now().Add(t.opts.HandoverDelay())
 		}
 		_ = t.opts.Log.Log("msg", "rollout lease acquired", "term", r.Lease.Term, "before", previous.Holder)
 	}
+	t.heldTerm = r.Lease.Term
 	t.tracker.MarkHeld(r, started)
 	t.setLease(true, r.Lease.Term)
 }
--- a/internal/fleet/rollout/lease_test.go
+++ b/internal/fleet/rollout/lease_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,3 +90,120 @@
 		must.Eq(t, 3, term)
 	})
 }
+
+// A leaseFleet is a fleet of tasks with the lease, and the VMs that are silent: frozen,
+// or cut off from the others and the store.
+type leaseFleet struct {
+	t      *testing.T
+	store  *store.Memory
+	tasks  []*Task
+	tables []*roster.Table
+	silent map[int]bool
+	// cut holds the VMs that do not reach the store.
+	cut       map[int]bool
+	ticks     uint64
+	orderer   int
+	lastOrder time.Time
+}
+
+func newLeaseFleet(t *testing.T, vms ...string) *leaseFleet {
+	t.Helper()
+	f := &leaseFleet{t: t, store: store.NewMemory(), silent: map[int]bool{}, cut: map[int]bool{}, orderer: -1}
+	for i, vm := range vms {
+		task := newTask(vm, cutStore{Store: f.store, cut: func() bool { return f.cut[i] }})
+		table := roster.NewTable(roster.Entry{VM: vm})
+		task.opts.Members = table.Members
+		f.tasks, f.tables = append(f.tasks, task), append(f.tables, table)
+	}
+	return f
+}
+
+// A cutStore is a Store that does not answer while cut reports true.
+type cutStore struct {
+	store.Store
+	cut func() bool
+}
+
+// Get implements store.Store.
+func (s cutStore) Get(ctx context.Context, key string) (store.Object, error) {
+	if s.cut() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// step runs one planning round of every VM that is not silent, in which each sends an
+// order if it may, and checks that orders of different VMs are apart.
+func (f *leaseFleet) step() {
+	f.t.Helper()
+	f.ticks++
+	for i, task := range f.tasks {
+		if f.silent[i] {
+			continue
+		}
+		if task.mayOrder(f.t.Context()) && !time.Now().Before(task.noOrdersBefore) {
+			if f.orderer >= 0 && f.orderer != i {
+				must.GreaterEq(f.t, task.opts.HandoverDelay(), time.Since(f.lastOrder), must.Sprint("orders in turns"))
+			}
+			f.orderer, f.lastOrder = i, time.Now()
+		}
+		if f.ticks%5 != 0 {
+			continue
+		}
+		e := roster.Entry{VM: task.opts.Self.ID, Born: 1, Seq: f.ticks, State: roster.Ready, Duty: task.LeaseStatus()}
+		for j, table := range f.tables {
+			if j != i && !f.silent[j] {
+				table.Merge(e.VM, []roster.Entry{e}, time.Now())
+			}
+		}
+	}
+	time.Sleep(planInterval)
+}
+
+// run runs planning rounds for a time and returns the longest pause between orders.
+func (f *leaseFleet) run(d time.Duration) time.Duration {
+	f.t.Helper()
+	pause := time.Duration(0)
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		before := f.lastOrder
+		f.step()
+		if !before.IsZero() {
+			pause = max(pause, f.lastOrder.Sub(before), time.Since(f.lastOrder))
+		}
+	}
+	return pause
+}
+
+// TestHolderThatIsBackContinues guards against a rollout that pauses for the handover
+// delay although its holder is back before the successor has sent an order.
+func TestHolderThatIsBackContinues(t *testing.T) {
+	for silence := 2 * time.Second; silence < 9*time.Second; silence += 300 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newLeaseFleet(t, "a", "b", "c")
+			f.run(3 * time.Second)
+			must.Eq(t, 0, f.orderer)
+			f.silent[0] = true
+			f.run(silence)
+			f.silent[0] = false
+			pause := f.run(10 * time.Second)
+			must.Less(t, silence+drainTimeout+2*claimInterval, pause, must.Sprintf("silent for %s", silence))
+		})
+	}
+}
+
+// TestLeaseIsNotReturnedForEver guards against a rollout that stops because the VM to
+// which the lease was returned cannot acquire it.
+func TestLeaseIsNotReturnedForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLeaseFleet(t, "a", "b", "c")
+		f.run(3 * time.Second)
+		f.silent[0] = true
+		f.run(4500 * time.Millisecond)
+		held, _ := f.tasks[1].leaseTerm()
+		must.True(t, held)
+		f.silent[0], f.cut[0] = false, true
+		f.run(20 * time.Second)
+		must.Positive(t, f.orderer)
+		must.Less(t, time.Second, time.Since(f.lastOrder))
+	})
+}
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -29,6 +29,9 @@
 	minRemaining = 500 * time.Millisecond
 	// planInterval is the time between two planning rounds.
 	planInterval = 50 * time.Millisecond
+	// returnTimeout is the time within which a VM must have acquired a lease that was
+	// returned to it.
+	returnTimeout = 2 * time.Second
 	// claimInterval is the shortest time between two attempts to acquire or renew
 	// the lease.
 	claimInterval = 400 * time.Millisecond
@@ -86,12 +89,19 @@
 	// yielded is the last term that this VM has given up: it sends no more orders
 	// under it.
 	yielded int64
+	// returnedTo is the VM to which this VM returned the lease.
+	returnedTo string
 
 	// The following fields are used only by the goroutine that calls Run.
 	tracker        lease.Tracker
 	lastClaim      time.Time
 	noOrdersBefore time.Time
-	planner        *planner
+	// heldTerm is the last term that this VM held, and replaced the lease of another
+	// VM that the term directly followed.
+	heldTerm   int64
+	replaced   lease.Lease
+	returnedAt time.Time
+	planner    *planner
 	// corrupt is the version of a lease record that cannot be decoded, and when
 	// that version was first read.
 	corrupt struct {
@@ -109,7 +119,7 @@
 func (t *Task) LeaseStatus() roster.LeaseStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return roster.LeaseStatus{Held: t.held, Term: t.term, Yielded: t.yielded, Busy: slices.Clone(t.busy)}
+	return roster.LeaseStatus{Held: t.held, Term: t.term, Yielded: t.yielded, ReturnedTo: t.returnedTo, Busy: slices.Clone(t.busy)}
 }
 
 // Run sends load orders whenever this VM is entitled to, until ctx ends.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -68,6 +68,9 @@
 	// Yielded is the last term that the VM has given up: it sends no more orders
 	// under it.
 	Yielded int64 `cbor:"4,keyasint"`
+	// ReturnedTo is the VM for which the VM released the lease, and which should
+	// acquire it.
+	ReturnedTo string `cbor:"5,keyasint,omitempty"`
 	// Busy lists the targets that are draining for an order or executing one.
 	Busy []string `cbor:"3,keyasint"`
 }
