Pass over a VM without the store when the rollout lease has no holder

Seen: by a test. With the lease returned to a VM that then did not reach the store, no VM sent any order again.

Cause: if no live VM holds the lease, the VM with the lowest id takes it. A holder that the store does not answer yields, but a VM that does not hold the lease had no way to say so: all others waited for it as long as it was alive and ready. It is the same without a return, after the holder has ended.

Change: a VM whose claim the store does not answer announces the current term as yielded also if it does not hold it, so that the next VM claims. What was announced is withdrawn as soon as the VM holds the lease.

Measured: TestVMWithoutStoreIsPassedOver and TestLeaseIsNotReturnedForEver failed, with no order for 10 s and 20 s, and pass.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -148,14 +148,30 @@
 	_ = t.opts.Log.Log("msg", "corrupt rollout lease record not replaced", "version", version, "outcome", fmt.Sprintf("%T", r))
 }
 
-// yield announces to other VMs that this one sends no more orders under its term.
-// It does so once the lease has expired and the store does not respond to this VM.
+// yield announces to other VMs that this one sends no more orders under its term, or
+// that it does not take over from the holder of a term. It does so if the store does not
+// respond to this VM, once its own lease has expired.
 func (t *Task) yield() {
 	held, term := t.leaseTerm()
-	if !held || t.tracker.Remaining(t.opts.Clock.Now()) > 0 {
-		return
+	switch {
+	case t.tracker.Remaining(t.opts.Clock.Now()) > 0:
+	case held:
+		t.giveUp(term, "")
+	default:
+		t.passOn(max(term, 1))
+	}
+}
+
+// passOn leaves it to other VMs to take over from the holder of a term.
+func (t *Task) passOn(term int64) {
+	t.mu.Lock()
+	changed := t.yielded < term
+	t.yielded = max(t.yielded, term)
+	t.mu.Unlock()
+	if changed {
+		_ = t.opts.Log.Log("msg", "rollout lease left to other VMs", "term", term)
+		t.opts.OnStatusChange()
 	}
-	t.giveUp(term, "")
 }
 
 // giveUp gives up a term, and returns the lease to a VM unless its id is empty.
@@ -254,6 +270,9 @@
 	t.mu.Lock()
 	changed := t.held != held || t.term != term
 	t.held, t.term = held, term
+	if held {
+		t.yielded = 0
+	}
 	t.mu.Unlock()
 	if changed {
 		t.opts.OnStatusChange()
--- a/internal/fleet/rollout/lease_test.go
+++ b/internal/fleet/rollout/lease_test.go
@@ -191,6 +191,25 @@
 	}
 }
 
+// TestVMWithoutStoreIsPassedOver guards against a rollout for which every VM waits for
+// one that does not reach the store.
+func TestVMWithoutStoreIsPassedOver(t *testing.T) {
+	for _, holder := range []int{-1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newLeaseFleet(t, "a", "b", "c")
+			if holder >= 0 {
+				f.silent[0], f.silent[1] = true, true
+				f.run(3 * time.Second)
+				must.Eq(t, holder, f.orderer)
+				f.silent = map[int]bool{holder: true}
+			}
+			f.cut[0] = true
+			f.run(10 * time.Second)
+			must.Eq(t, 1, f.orderer)
+		})
+	}
+}
+
 // TestLeaseIsNotReturnedForEver guards against a rollout that stops because the VM to
 // which the lease was returned cannot acquire it.
 func TestLeaseIsNotReturnedForEver(t *testing.T) {
@@ -199,9 +218,12 @@
 		f.run(3 * time.Second)
 		f.silent[0] = true
 		f.run(4500 * time.Millisecond)
-		held, _ := f.tasks[1].leaseTerm()
-		must.True(t, held)
-		f.silent[0], f.cut[0] = false, true
+		f.silent[0] = false
+		for f.tasks[1].LeaseStatus().ReturnedTo != "a" {
+			must.Less(t, uint64(200), f.ticks, must.Sprint("the lease is not returned"))
+			f.step()
+		}
+		f.cut[0] = true
 		f.run(20 * time.Second)
 		must.Positive(t, f.orderer)
 		must.Less(t, time.Second, time.Since(f.lastOrder))
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -86,8 +86,8 @@
 	busy []string
 	held bool
 	term int64
-	// yielded is the last term that this VM has given up: it sends no more orders
-	// under it.
+	// yielded is the last term that this VM has given up, or does not take over from:
+	// it sends no more orders under it.
 	yielded int64
 	// returnedTo is the VM to which this VM returned the lease.
 	returnedTo string
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -65,8 +65,8 @@
 type LeaseStatus struct {
 	Held bool  `cbor:"1,keyasint"`
 	Term int64 `cbor:"2,keyasint"`
-	// Yielded is the last term that the VM has given up: it sends no more orders
-	// under it.
+	// Yielded is the last term that the VM has given up, or does not take over from:
+	// it sends no more orders under it.
 	Yielded int64 `cbor:"4,keyasint"`
 	// ReturnedTo is the VM for which the VM released the lease, and which should
 	// acquire it.
