--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
@@ -21,6 +22,7 @@
 	}
 	t.tracker.Observe(r, t.opts.Clock.Now())
 	if r.Lease.Holder == t.opts.Self.ID {
+		t.heldTerm = r.Lease.Term
 		t.setLease(true, r.Lease.Term)
 	}
 }
@@ -28,26 +30,29 @@
 // mayOrder acquires or renews the lease if this VM is responsible for the rollout,
 // and reports whether it may send orders.
 func (t *Task) mayOrder(ctx context.Context) bool {
-	if !t.responsible() {
+	now := t.opts.Clock.Now()
+	members := t.opts.Members()
+	if t.awaitsReturn(now) || !t.responsible(members) {
 		return false
 	}
-	now := t.opts.Clock.Now()
 	if t.tracker.Remaining(now) < renewBefore && now.Sub(t.lastClaim) >= claimInterval {
 		t.lastClaim = now
 		t.claim(ctx, now)
 	}
 	now = t.opts.Clock.Now()
+	t.returnLease(ctx, members, now)
 	return t.tracker.Remaining(now) > minRemaining && t.noOrdersBefore.Sub(now) < drainTimeout
 }
 
 // responsible reports whether this VM should send the orders: it holds the lease,
-// or no live VM holds it and this VM's id is the lowest of the ready VMs that
-// have not yielded the term.
-func (t *Task) responsible() bool {
+// or no live VM holds it and it was returned to this VM, or this VM's id is the
+// lowest of the ready VMs that have not yielded the term.
+func (t *Task) responsible(members []roster.Member) bool {
 	now := time.Now()
 	lowest := t.opts.Self.ID
 	held, term := t.leaseTerm()
-	for _, m := range t.opts.Members() {
+	returnedTo := returnedTo(members, now)
+	for _, m := range members {
 		if !m.Alive(now) {
 			continue
 		}
@@ -56,6 +61,9 @@
 		if m.Entry.Duty.Held && (!held || m.Entry.Duty.Term > term) {
 			return false
 		}
+		if m.Entry.VM == returnedTo && !held {
+			return false
+		}
 		if m.Entry.State != roster.Ready {
 			continue
 		}
@@ -63,7 +71,17 @@
 			lowest = min(lowest, m.Entry.VM)
 		}
 	}
-	return held || lowest >= t.opts.Self.ID
+	return held || returnedTo == t.opts.Self.ID || lowest >= t.opts.Self.ID
+}
+
+// returnedTo returns the VM to which a live VM has returned the lease, or "".
+func returnedTo(members []roster.Member, now time.Time) string {
+	for i := range members {
+		if d := &members[i].Entry.Duty; d.ReturnedTo != "" && members[i].Alive(now) {
+			return d.ReturnedTo
+		}
+	}
+	return ""
 }
 
 func (t *Task) leaseTerm() (bool, int64) {
@@ -168,21 +186,83 @@
 	_ = t.opts.Log.Log("msg", "corrupt rollout lease record not replaced", "version", version, "outcome", fmt.Sprintf("%T", r))
 }
 
-// yield announces to other VMs that this one sends no more orders under its term.
-// It does so once the lease has expired and the store does not respond to this VM.
+// yield announces to other VMs that this one sends no more orders under its term, or
+// that it does not take over from the holder of a term. It does so if the store does not
+// respond to this VM, once its own lease has expired.
 func (t *Task) yield() {
 	held, term := t.leaseTerm()
-	if !held || t.tracker.Remaining(t.opts.Clock.Now()) > 0 {
-		return
+	switch {
+	case t.tracker.Remaining(t.opts.Clock.Now()) > 0:
+	case held:
+		t.giveUp(term, "")
+	default:
+		t.passOn(max(term, 1))
 	}
+}
+
+// passOn leaves it to other VMs to take over from the holder of a term.
+func (t *Task) passOn(term int64) {
+	t.mu.Lock()
+	changed := t.yielded < term
+	t.yielded = max(t.yielded, term)
+	t.mu.Unlock()
+	if changed {
+		_ = t.opts.Log.Log("msg", "rollout lease left to other VMs", "term", term)
+		t.opts.OnStatusChange()
+	}
+}
+
+// giveUp gives up a term, and returns the lease to a VM unless its id is empty.
+func (t *Task) giveUp(term int64, returnedTo string) {
 	t.tracker.MarkLost()
 	t.mu.Lock()
-	t.held, t.yielded = false, term
+	t.held, t.yielded, t.returnedTo = false, term, returnedTo
 	t.mu.Unlock()
-	_ = t.opts.Log.Log("msg", "rollout lease yielded", "term", term)
+	_ = t.opts.Log.Log("msg", "rollout lease yielded", "term", term, "to", returnedTo)
 	t.opts.OnStatusChange()
 }
 
+// returnLease releases the lease for the VM that held it before, if that VM is up again
+// and this one is yet to wait for most of the HandoverDelay. Since this VM has sent no
+// order, the other continues without a delay.
+func (t *Task) returnLease(ctx context.Context, members []roster.Member, now time.Time) {
+	if t.replaced.Holder == "" || t.tracker.Remaining(now) <= 0 || t.noOrdersBefore.Sub(now) < drainTimeout {
+		return
+	}
+	i := slices.IndexFunc(members, func(m roster.Member) bool {
+		holder := lease.Holder{ID: m.Entry.VM, Incarnation: uint64(m.Entry.Born)}
+		return t.replaced.HeldBy(holder) && m.Alive(time.Now()) && m.Entry.State == roster.Ready && m.Entry.Duty.Yielded < t.replaced.Term
+	})
+	if i < 0 {
+		return
+	}
+	t.replaced = lease.Lease{}
+	switch r := lease.Release(ctx, t.opts.Store, "", t.tracker.Record, nil).(type) {
+	case lease.Free, lease.Unknown:
+		t.returnedAt = now
+		t.giveUp(t.heldTerm, members[i].Entry.VM)
+	case lease.Taken:
+		t.lost(r.Record)
+	}
+}
+
+// awaitsReturn reports whether this VM has returned the lease and leaves it to the
+// other VM to acquire it.
+func (t *Task) awaitsReturn(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.returnedTo != "" && now.Sub(t.returnedAt) > returnTimeout {
+		t.returnedTo = ""
+	}
+	return t.returnedTo != ""
+}
+
+// isReturned reports whether a lease was released without an order, directly after this
+// VM's own. A lease is released for no other reason.
+func (t *Task) isReturned(l lease.Lease) bool {
+	return l.Holder == "" && l.Term > 1 && l.Term == t.heldTerm+1
+}
+
 // hasYielded reports whether the holder of a record has announced that it sends
 // no more orders under its term.
 func (t *Task) hasYielded(r lease.Record) bool {
@@ -200,8 +280,14 @@
 	if !held || term != r.Lease.Term {
 		now := t.opts.Clock.Now()
 		restored := store.Era(r.Lease.Term) > store.Era(previous.Term)
+		// A released record of a restored store proves nothing about later terms.
+		returned := !restored && t.isReturned(previous)
+		t.replaced = lease.Lease{}
+		if previous.Holder != t.opts.Self.ID && r.Lease.Term == previous.Term+1 && !returned {
+			t.replaced = previous
+		}
 		switch {
-		case restored && held && t.isUninterrupted(now):
+		case restored && held && t.isUninterrupted(now), returned:
 		case restored:
 			// The restored object store does not show a holder that acquired the lease
 			// after the copy was made, and may have renewed it until the restore.
@@ -214,6 +300,7 @@
 		_ = t.opts.Log.Log("msg", "rollout lease acquired", "term", r.Lease.Term, "before", previous.Holder,
 			"restored", restored, "wait", max(t.noOrdersBefore.Sub(now), 0))
 	}
+	t.heldTerm = r.Lease.Term
 	t.tracker.MarkHeld(r, started)
 	t.lastHeld = started
 	t.setLease(true, r.Lease.Term)
@@ -232,6 +319,9 @@
 	t.mu.Lock()
 	changed := t.held != held || t.term != term
 	t.held, t.term = held, term
+	if held {
+		t.yielded = 0
+	}
 	t.mu.Unlock()
 	if changed {
 		t.opts.OnStatusChange()
