Serve open connections until the end of a planned stop

Callers would get neither an answer nor a refusal for a request that is the first on its connection and arrives while a stopping VM waits for the last requests of others.

Cause: http.Server.Shutdown closes a connection on which it reads a request after it has begun, without an answer. It was called as soon as no further connections were accepted.

Change: the VM closes its port and idle connections, and serves the others until they are closed or the grace period is nearly over. Shutdown comes last.

Measured: TestStopAnswersNewConnections before: "unexpected EOF" in place of a response; it passes now, as do TestStopAnswersRunningRequests and TestFleet, with -race -cpu 1 too.

Conclusion: what a stopping VM reads it answers, as long as its process runs.

--- a/internal/gateway/node/lifecycle.go
+++ b/internal/gateway/node/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	stdlog "log"
+	"net"
 	"net/http"
 	"time"
 
@@ -86,7 +87,7 @@
 // stop performs a planned stop: the VM is no longer named in directory responses,
 // serves the requests that still arrive, and ends when none has arrived for
 // idleStopTime or the grace period is over. Then it aborts the requests that still run.
-func (n *Node) stop(taskCtx context.Context, callers *http.Server, abort context.CancelCauseFunc) {
+func (n *Node) stop(taskCtx context.Context, callers *http.Server, listener net.Listener, abort context.CancelCauseFunc) {
 	start := time.Now()
 	n.stopStart.Store(&start)
 	n.leaving.Store(true)
@@ -99,17 +100,39 @@
 	}
 	ctx, cancel := context.WithDeadline(taskCtx, start.Add(grace-exitMargin))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		_ = n.log.Log("msg", "running requests aborted", "err", err, "running", n.inFlight.Load())
+	n.drain(ctx, callers, listener)
+	if n.openConns.Load() > 0 {
+		_ = n.log.Log("msg", "running requests aborted", "connections", n.openConns.Load(), "running", n.inFlight.Load())
 		abort(relay.ErrStopping)
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(taskCtx), abortTime)
-		defer cancel()
-		_ = callers.Shutdown(ctx)
 	}
+	ctx, cancel = context.WithTimeout(context.WithoutCancel(taskCtx), abortTime)
+	defer cancel()
+	_ = callers.Shutdown(ctx)
 	n.transition(n.lifecycle.Stop)
 	_ = n.log.Log("msg", "stop", "after", time.Since(start))
 }
 
+// drain accepts no further connections and serves the open ones until they are closed or
+// ctx ends. Unlike http.Server.Shutdown, it answers a request on a connection that has
+// not carried one before.
+func (n *Node) drain(ctx context.Context, callers *http.Server, listener net.Listener) {
+	_ = listener.Close()
+	callers.SetKeepAlivesEnabled(false)
+	for n.openConns.Load() > 0 && store.Sleep(ctx, stopPoll) {
+	}
+}
+
+// trackConns counts the open connections of callers.
+func (n *Node) trackConns(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		n.openConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.openConns.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
 // stopBy returns when running requests are aborted; zero unless the VM is about
 // to stop.
 func (n *Node) stopBy() time.Time {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -61,6 +61,8 @@
 	stopStart atomic.Pointer[time.Time]
 	ready     atomic.Bool
 	inFlight  atomic.Int64
+	// openConns is the number of open connections of callers.
+	openConns atomic.Int64
 	// lastRequest is when the latest request arrived, as the time since start.
 	lastRequest atomic.Int64
 	start       time.Time
@@ -299,7 +301,7 @@
 	}
 	g.Go(func() error {
 		n.runLifecycle(ctx, taskCtx)
-		n.stop(taskCtx, callers, abort)
+		n.stop(taskCtx, callers, listeners.callers, abort)
 		cancel()
 		listeners.Close()
 		return nil
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -79,6 +79,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          serverLog(n.log),
+		ConnState:         n.trackConns,
 	}
 }
 
--- a/internal/gateway/node/standby_test.go
+++ b/internal/gateway/node/standby_test.go
@@ -249,3 +249,34 @@
 	must.Eq(t, http.StatusBadGateway, (<-results).status)
 	must.Eq(t, 1, other.Rejections())
 }
+
+// TestStopAnswersNewConnections guards against a planned stop that closes a connection
+// whose first request arrives while the last requests of others still run.
+func TestStopAnswersNewConnections(t *testing.T) {
+	b := newTestbed(t)
+	setModes(b.apps, fake.SiteHang)
+	v := b.start("vm-1")
+	v.ready()
+	var d net.Dialer
+	c, err := d.DialContext(t.Context(), "tcp", v.settings.Callers.Address)
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	results := make(chan result, 1)
+	go func() { results <- v.request("/commit/", "r", "Baobabdyke-Deadline-Ms", "2500") }()
+	eventually(t, func() bool { return runs(b.apps) == 1 })
+	v.stop()
+	eventually(t, func() bool {
+		refused, err := d.DialContext(t.Context(), "tcp", v.settings.Callers.Address)
+		if err == nil {
+			_ = refused.Close()
+		}
+		return err != nil
+	})
+	_, err = io.WriteString(c, "GET /lookup/ HTTP/1.1\r\nHost: h\r\nBaobabdyke-Request-Id: r2\r\nBaobabdyke-Credential: key\r\n\r\n")
+	must.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	_ = resp.Body.Close()
+	must.True(t, resp.Close)
+	must.NoError(t, (<-results).err)
+}
