Replace a lease record whose term is of a later era

Cause: a record is known to be restored by the era of its term, which is the upper bits of a version. A term that another writer chose may seem to be of any era. The restored record then counts as one of the present era: the next holder takes the term after it, as the one before the restore had, and waits for neither it nor a holder that the copy does not show. Terms just below 2^63 lead to a term that is corrupt itself.

Change: a record whose next term is of a later era than its object is corrupt, and is replaced as such. The system's own terms are below the version of their record, but for the step of a replacement.

Measured: go test -race -cpu 1 ./internal/fleet/rollout on the code before: TestOddTermInRestoredStore fails ("expected >" with the term of era 7); now it passes, as do ./lease, ./limit and ./internal/fleet/rollout.

Conclusion: terms that VMs read are of no later era than the store, so that a restore is recognised by them.

--- a/internal/fleet/rollout/restored_test.go
+++ b/internal/fleet/rollout/restored_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fake"
 	"github.com/baobabdyke/baobabdyke/lease"
 	"github.com/baobabdyke/baobabdyke/platform"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // direct calls a handler without a network.
@@ -102,3 +104,26 @@
 		}
 	})
 }
+
+// TestOddTermInRestoredStore guards against two holders with one fencing token, or a
+// lower one after a higher one, because the term of a record of another writer seems to
+// be of a later era.
+func TestOddTermInRestoredStore(t *testing.T) {
+	for _, odd := range []int64{store.VersionIn(0, store.MaxRevision), store.VersionIn(7, 1), math.MaxInt64 - 1} {
+		synctest.Test(t, func(t *testing.T) {
+			s := fake.NewSiteStore()
+			objects := func() *platform.Objects { return platform.NewObjectsOver("store", direct{s}) }
+			record := lease.Encode(lease.Lease{Name: leaseName, Holder: "x", Incarnation: 1, Term: odd, TTL: leaseTTL, Nonce: "n"})
+			_, ok := objects().Put(t.Context(), lease.Key(leaseName), record, store.MustNotExist).(store.Done)
+			must.True(t, ok)
+			shown := s.Copy()
+			term := int64(0)
+			for _, vm := range []string{"a", "b", "c"} {
+				next := order(t, newTask(vm, objects()))
+				must.Greater(t, term, next, must.Sprintf("odd term %d", odd))
+				term = next
+				s.Restore(shown, 0)
+			}
+		})
+	}
+}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -181,5 +181,9 @@
 	if err != nil {
 		return Record{}, &CorruptError{Version: o.Version, Err: err}
 	}
+	if store.Era(l.Term+1) > store.Era(o.Version) {
+		// The terms that follow could not be told from those of later eras.
+		return Record{}, &CorruptError{Version: o.Version, Err: eris.Errorf("term %d is of a later era", l.Term)}
+	}
 	return Record{Lease: l, Version: o.Version}, nil
 }
