Remember a leaving target whose entry was replaced

Requests could be sent to a target that had announced its end, if another writer had replaced its entry, or a later start of it had, before the object store was restored from a copy that shows it ready (DRAIN).

Cause: a leaving target is remembered in its entry, and beside it once the entry is removed. An entry that replaces it took the memory along.

Change: a leaving target is also remembered when its entry is replaced by one that describes no target to use, or another start.

Measured: go test -race -cpu 1 ./internal/fleet/source on the code before: TestReplacedEntryOfLeavingTarget fails with the odd entry, and with only the first half of the change with the later start; now it passes, as do the package's other tests.

Conclusion: only an entry of a start that is not known to leave makes a target usable.

--- a/internal/fleet/source/restored_test.go
+++ b/internal/fleet/source/restored_test.go
@@ -159,3 +159,28 @@
 		must.Eq(t, 6, s.View().Config.Version)
 	})
 }
+
+// TestReplacedEntryOfLeavingTarget guards against requests to a target that has announced
+// its end, because a restored store shows it after its entry was replaced by that of
+// another writer or of its next start.
+func TestReplacedEntryOfLeavingTarget(t *testing.T) {
+	for _, replacement := range []string{"odd", "2"} {
+		d := decoder
+		d.Target = leavingTarget
+		runSourceWith(t, d, func(f *feed, s *Source) {
+			f.put("config/main", "5")
+			f.put("targets/a", "1-")
+			<-s.Ready()
+			time.Sleep(time.Second)
+			f.put("targets/a", replacement)
+			time.Sleep(time.Second)
+			f.restore(map[string]string{"targets/a": "1"})
+			time.Sleep(time.Second)
+			a := s.View().Targets["a"]
+			f.put("targets/a", "2")
+			time.Sleep(time.Second)
+			must.True(t, a.Leaving, must.Sprint(replacement))
+			must.False(t, s.View().Targets["a"].Leaving)
+		})
+	}
+}
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -280,6 +280,9 @@
 			s.log("msg", "older target entry", "target", e.target.ID, "kept", "leaving")
 			e.target.Leaving = true
 		}
+		if e.target == nil || old.target != nil && old.target.Born != e.target.Born {
+			t.recordLeft(o.Key, old.target)
+		}
 		s.logTarget(old.target, e.target)
 	case Config:
 		e.config = s.decodeConfig(o)
