Count the wait of a new rollout holder from the restore

The first rollout after a restore of the object store began 5.5 s late, however long ago the restore was, and engines kept superseded weights for so long.

Cause: a record of an earlier era says that a holder may be missing from it, and the new holder waits for the TTL and the handover delay from when it reads the record. It did not ask how long ago the store was restored. The lease is written only during rollouts, so that the record is of an earlier era until the next one.

Change: the wait counts from when this VM learned of the restore. A holder that the copy does not show wrote the lease before that for the last time. It counts from now as before if the record's version is later than the one learned then, since a late write may have replaced a holder of this era, or if the store was restored again.

Conclusion: only a rollout within 5.5 s after a restore may wait.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -92,7 +92,7 @@
 
 // claim acquires or renews the lease.
 func (t *Task) claim(ctx context.Context, now time.Time) {
-	previous := t.tracker.Record.Lease
+	previous := t.tracker.Record
 	var r lease.Result
 	if t.tracker.Remaining(now) > 0 {
 		r = lease.Renew(ctx, t.opts.Store, "", t.tracker.Record, nil)
@@ -101,7 +101,7 @@
 		r = lease.Acquire(ctx, t.opts.Store, lease.Request{
 			Name: leaseName, Self: t.opts.Self, TTL: leaseTTL,
 			HolderGone: func(rec lease.Record) bool {
-				previous = rec.Lease
+				previous = rec
 				return t.succeeds(rec) || t.hasYielded(rec) || t.expired(rec)
 			},
 		})
@@ -180,7 +180,7 @@
 	}
 	r := lease.Replace(ctx, t.opts.Store, lease.Request{Name: leaseName, Self: t.opts.Self, TTL: leaseTTL}, version, term+corruptTermStep)
 	if held, ok := r.(lease.Held); ok {
-		t.acquired(held.Record, lease.Lease{}, now)
+		t.acquired(held.Record, lease.Record{Version: version}, now)
 		return
 	}
 	_ = t.opts.Log.Log("msg", "corrupt rollout lease record not replaced", "version", version, "outcome", fmt.Sprintf("%T", r))
@@ -274,30 +274,43 @@
 	return false
 }
 
+// unchangedSince returns a time after the last restore of the object store since which a
+// record that was replaced just now is known not to have changed.
+func (t *Task) unchangedSince(replaced lease.Record, now time.Time) time.Time {
+	if t.opts.LastRestore == nil {
+		return now
+	}
+	seen, age := t.opts.LastRestore()
+	if store.Era(seen) != store.Era(replaced.Version) || replaced.Version > seen {
+		return now
+	}
+	return now.Add(-age)
+}
+
 // acquired records that this VM holds the lease by a write that began at started.
-func (t *Task) acquired(r lease.Record, previous lease.Lease, started time.Time) {
+func (t *Task) acquired(r lease.Record, previous lease.Record, started time.Time) {
 	held, term := t.leaseTerm()
 	if !held || term != r.Lease.Term {
 		now := t.opts.Clock.Now()
-		restored := store.Era(r.Lease.Term) > store.Era(previous.Term)
+		restored := store.Era(r.Lease.Term) > store.Era(previous.Lease.Term)
 		// A released record of a restored store proves nothing about later terms.
-		returned := !restored && t.isReturned(previous)
+		returned := !restored && t.isReturned(previous.Lease)
 		t.replaced = lease.Lease{}
-		if previous.Holder != t.opts.Self.ID && r.Lease.Term == previous.Term+1 && !returned {
-			t.replaced = previous
+		if previous.Lease.Holder != t.opts.Self.ID && r.Lease.Term == previous.Lease.Term+1 && !returned {
+			t.replaced = previous.Lease
 		}
 		switch {
 		case restored && held && t.isUninterrupted(now), returned:
 		case restored:
 			// The restored object store does not show a holder that acquired the lease
 			// after the copy was made, and may have renewed it until the restore.
-			t.noOrdersBefore = now.Add(leaseTTL + t.opts.HandoverDelay())
-		case r.Lease.Term > 1 && (previous.Holder != t.opts.Self.ID || r.Lease.Term == t.yielded):
+			t.noOrdersBefore = t.unchangedSince(previous, now).Add(leaseTTL + t.opts.HandoverDelay())
+		case r.Lease.Term > 1 && (previous.Lease.Holder != t.opts.Self.ID || r.Lease.Term == t.yielded):
 			// The previous holder may have sent an order just before its lease expired,
 			// and another VM may have acquired the lease after this VM yielded the term.
 			t.noOrdersBefore = now.Add(t.opts.HandoverDelay())
 		}
-		_ = t.opts.Log.Log("msg", "rollout lease acquired", "term", r.Lease.Term, "before", previous.Holder,
+		_ = t.opts.Log.Log("msg", "rollout lease acquired", "term", r.Lease.Term, "before", previous.Lease.Holder,
 			"restored", restored, "wait", max(t.noOrdersBefore.Sub(now), 0))
 	}
 	t.heldTerm = r.Lease.Term
--- a/internal/fleet/rollout/restored_test.go
+++ b/internal/fleet/rollout/restored_test.go
@@ -127,3 +127,48 @@
 		})
 	}
 }
+
+// TestRolloutLongAfterRestore guards against a rollout that waits for a holder whose lease
+// ended long before, because the store was restored in between, and against one that does
+// not wait although the record may have changed since.
+func TestRolloutLongAfterRestore(t *testing.T) {
+	for name, c := range map[string]struct {
+		shown             bool
+		learned           time.Duration
+		restored, changed bool
+		want              time.Duration
+	}{
+		"a record from before":    {shown: true, learned: 10 * time.Second, want: 0},
+		"no record":               {learned: 10 * time.Second, want: 0},
+		"learned late":            {shown: true, learned: 2 * time.Second, want: 3 * time.Second},
+		"restored again":          {shown: true, learned: 10 * time.Second, restored: true, want: 5 * time.Second},
+		"a late write in between": {shown: true, learned: 10 * time.Second, changed: true, want: 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := fake.NewSiteStore()
+				objects := platform.NewObjectsOver("store", direct{s})
+				if c.shown {
+					r := lease.Acquire(t.Context(), objects, lease.Request{Name: leaseName, Self: lease.Holder{ID: "a"}, TTL: leaseTTL})
+					must.True(t, r.(lease.Held).Record.Lease.Term > 0)
+				}
+				s.Restore(s.Copy(), 0)
+				_, seen, err := objects.Snapshot(t.Context(), platform.KindConfig)
+				must.NoError(t, err)
+				learned := time.Now()
+				if c.restored {
+					s.Restore(s.Copy(), 0)
+				}
+				if c.changed {
+					s.Put("lease", leaseName, lease.Lease{Name: leaseName, Holder: "a", Term: 1, TTL: leaseTTL, Nonce: "late"})
+				}
+				time.Sleep(c.learned)
+				task := newTask("a", objects)
+				task.opts.LastRestore = func() (int64, time.Duration) { return seen, time.Since(learned) }
+				start := time.Now()
+				order(t, task)
+				must.Between(t, c.want, time.Since(start), c.want+planInterval)
+			})
+		})
+	}
+}
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -61,7 +61,10 @@
 	// first order of the next.
 	HandoverDelay func() time.Duration
 	View          func() *source.View
-	Members       func() []roster.Member
+	// LastRestore returns a version that the object store had after its last restore,
+	// and how long ago this VM learned of it. Nil means that this is not known.
+	LastRestore func() (version int64, age time.Duration)
+	Members     func() []roster.Member
 	// Version and Running return the version of a model on an engine and the
 	// number of requests running on the engine, as known to this VM.
 	Version func(t *site.Target, model string) int64
--- a/internal/fleet/source/restored_test.go
+++ b/internal/fleet/source/restored_test.go
@@ -184,3 +184,22 @@
 		})
 	}
 }
+
+// TestLastRestore guards against a restore that counts as older than it is, because each
+// kind and each pull shows it again.
+func TestLastRestore(t *testing.T) {
+	runSource(t, func(f *feed, s *Source) {
+		f.put("config/main", "5")
+		f.put("targets/a", "1")
+		<-s.Ready()
+		version, _ := s.LastRestore()
+		must.Zero(t, version)
+		for era := int64(1); era <= 2; era++ {
+			f.restore(nil)
+			time.Sleep(5 * time.Second)
+			version, age := s.LastRestore()
+			must.Eq(t, store.VersionIn(era, 1), version)
+			must.Between(t, 4900*time.Millisecond, age, 5*time.Second)
+		}
+	})
+}
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -94,6 +94,10 @@
 	tables [kinds]*table
 	// newest holds the newest configuration known, which is in force.
 	newest entry
+	// restored is the first version of the store's latest era that was known to this
+	// VM, from the time restoredAt on.
+	restored   int64
+	restoredAt time.Time
 	// lastResponse is when the store last responded to this VM.
 	lastResponse time.Time
 	// down reports whether the last read failed, and lastFailure when it did.
@@ -117,6 +121,14 @@
 // Ready is closed once a configuration and a list of targets are known.
 func (s *Source) Ready() <-chan struct{} { return s.ready }
 
+// LastRestore returns a version that the store had after its last restore, and how long
+// ago this VM learned of it. The version is 0 if the store was never restored.
+func (s *Source) LastRestore() (version int64, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restored, time.Since(s.restoredAt)
+}
+
 // LastStoreResponse returns when the store last responded to this VM.
 func (s *Source) LastStoreResponse() time.Time {
 	s.mu.Lock()
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -193,8 +193,11 @@
 }
 
 // isRestored reports whether the store was restored between the table's state and one
-// of the given version, and logs it. The caller holds mu.
+// of the given version, and records and logs it. The caller holds mu.
 func (s *Source) isRestored(kind int, t *table, at int64) bool {
+	if store.Era(at) > store.Era(s.restored) {
+		s.restored, s.restoredAt = at, time.Now()
+	}
 	if t.at == 0 || store.Era(at) <= store.Era(t.at) {
 		return false
 	}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -202,6 +202,7 @@
 		Log:           n.log,
 		HandoverDelay: func() time.Duration { return n.bounds().Quiet + quietMargin },
 		View:          n.source.View,
+		LastRestore:   n.source.LastRestore,
 		Members:       n.roster.Members,
 		Version:       n.placer.Version,
 		Running:       func(t *site.Target) int { return n.placer.Running(t, time.Now()) },
