Wait again if a rollout holder restarts within its wait

A VM that was started again while it waited for the orders of the holder before it sent its own at once, so that engines could get orders of two VMs in turn (ONE).

Cause: the time before which a holder sends no orders was in its memory only. Its next incarnation continues under the lease without a wait, which is right only if the holder had sent orders. After a restore the window is wide, since a VM that the copy shows as the holder acquires the lease at once, while another may hold it.

Change: a VM acquires the lease with the data "waiting" and clears it with the first renewal after the wait. An incarnation that finds it waits like a new holder.

Conclusion: the wait outlasts the process. A holder that has sent orders still continues at once after its restart.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -95,11 +95,15 @@
 	previous := t.tracker.Record
 	var r lease.Result
 	if t.tracker.Remaining(now) > 0 {
-		r = lease.Renew(ctx, t.opts.Store, "", t.tracker.Record, nil)
+		var data []byte
+		if !now.Before(t.noOrdersBefore) {
+			data = []byte{}
+		}
+		r = lease.Renew(ctx, t.opts.Store, "", t.tracker.Record, data)
 	}
 	if r == nil || isRestored(r) {
 		r = lease.Acquire(ctx, t.opts.Store, lease.Request{
-			Name: leaseName, Self: t.opts.Self, TTL: leaseTTL,
+			Name: leaseName, Self: t.opts.Self, TTL: leaseTTL, Data: []byte(waiting),
 			HolderGone: func(rec lease.Record) bool {
 				previous = rec
 				return t.succeeds(rec) || t.hasYielded(rec) || t.expired(rec)
@@ -178,7 +182,7 @@
 	for _, m := range t.opts.Members() {
 		term = max(term, m.Entry.Duty.Term)
 	}
-	r := lease.Replace(ctx, t.opts.Store, lease.Request{Name: leaseName, Self: t.opts.Self, TTL: leaseTTL}, version, term+corruptTermStep)
+	r := lease.Replace(ctx, t.opts.Store, lease.Request{Name: leaseName, Self: t.opts.Self, TTL: leaseTTL, Data: []byte(waiting)}, version, term+corruptTermStep)
 	if held, ok := r.(lease.Held); ok {
 		t.acquired(held.Record, lease.Record{Version: version}, now)
 		return
@@ -287,6 +291,12 @@
 	return now.Add(-age)
 }
 
+// isWaiting reports whether an earlier incarnation of this VM holds a lease and may
+// still have had to wait for the orders of the holder before.
+func (t *Task) isWaiting(l lease.Lease) bool {
+	return l.Holder == t.opts.Self.ID && l.Incarnation != t.opts.Self.Incarnation && string(l.Data) == waiting
+}
+
 // acquired records that this VM holds the lease by a write that began at started.
 func (t *Task) acquired(r lease.Record, previous lease.Record, started time.Time) {
 	held, term := t.leaseTerm()
@@ -301,7 +311,7 @@
 		}
 		switch {
 		case restored && held && t.isUninterrupted(now), returned:
-		case restored:
+		case restored, t.isWaiting(previous.Lease):
 			// The restored object store does not show a holder that acquired the lease
 			// after the copy was made, and may have renewed it until the restore.
 			t.noOrdersBefore = t.unchangedSince(previous, now).Add(leaseTTL + t.opts.HandoverDelay())
--- a/internal/fleet/rollout/restored_test.go
+++ b/internal/fleet/rollout/restored_test.go
@@ -172,3 +172,48 @@
 		})
 	}
 }
+
+// TestRestartWithinWait guards against orders of two VMs in turn, because a VM that has
+// taken over the rollout lease is started again before it has waited for the orders of
+// the holder before.
+func TestRestartWithinWait(t *testing.T) {
+	for name, restored := range map[string]bool{"taken over": false, "not shown by the copy": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := fake.NewSiteStore()
+				objects := platform.NewObjectsOver("store", direct{s})
+				a, b := newTask("a", objects), newTask("b", objects)
+				order(t, a)
+				shown := s.Copy()
+				time.Sleep(5 * time.Second)
+				second := order(t, b)
+				validUntil := b.tracker.ValidUntil
+				if restored {
+					s.Restore(shown, 0)
+				}
+				for a.tracker.Record.Lease.Term <= second {
+					a.mayOrder(t.Context())
+					time.Sleep(planInterval)
+				}
+				time.Sleep(500 * time.Millisecond)
+				a = newTask("a", objects)
+				a.opts.Self.Incarnation, a.tracker.Self.Incarnation = 2, 2
+				a.recoverLease(t.Context())
+				order(t, a)
+				must.GreaterEq(t, a.opts.HandoverDelay(), time.Since(validUntil))
+
+				// A holder that has sent orders continues at once.
+				time.Sleep(claimInterval)
+				for range 20 {
+					must.True(t, a.mayOrder(t.Context()))
+					time.Sleep(planInterval)
+				}
+				a = newTask("a", objects)
+				a.opts.Self.Incarnation, a.tracker.Self.Incarnation = 3, 3
+				a.recoverLease(t.Context())
+				must.True(t, a.mayOrder(t.Context()))
+				must.False(t, time.Now().Before(a.noOrdersBefore))
+			})
+		})
+	}
+}
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -19,6 +19,9 @@
 const (
 	// leaseName is the name of the lease in the object store.
 	leaseName = "orders"
+	// waiting is the data of the lease until its holder renews it with the right to send
+	// orders.
+	waiting = "waiting"
 	// leaseTTL is the time to live of the lease. It is short since a rollout
 	// takes seconds.
 	leaseTTL = 2 * time.Second
