--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -19,6 +19,9 @@
 const (
 	// leaseName is the name of the lease in the object store.
 	leaseName = "orders"
+	// waiting is the data of the lease until its holder renews it with the right to send
+	// orders.
+	waiting = "waiting"
 	// leaseTTL is the time to live of the lease. It is short since a rollout
 	// takes seconds.
 	leaseTTL = 2 * time.Second
@@ -61,7 +64,10 @@
 	// first order of the next.
 	HandoverDelay func() time.Duration
 	View          func() *source.View
-	Members       func() []roster.Member
+	// LastRestore returns a version that the object store had after its last restore,
+	// and how long ago this VM learned of it. Nil means that this is not known.
+	LastRestore func() (version int64, age time.Duration)
+	Members     func() []roster.Member
 	// Version and Running return the version of a model on an engine and the
 	// number of requests running on the engine, as known to this VM.
 	Version func(t *site.Target, model string) int64
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -193,8 +193,11 @@
 }
 
 // isRestored reports whether the store was restored between the table's state and one
-// of the given version, and logs it. The caller holds mu.
+// of the given version, and records and logs it. The caller holds mu.
 func (s *Source) isRestored(kind int, t *table, at int64) bool {
+	if store.Era(at) > store.Era(s.restored) {
+		s.restored, s.restoredAt = at, time.Now()
+	}
 	if t.at == 0 || store.Era(at) <= store.Era(t.at) {
 		return false
 	}
@@ -280,6 +283,9 @@
 			s.log("msg", "older target entry", "target", e.target.ID, "kept", "leaving")
 			e.target.Leaving = true
 		}
+		if e.target == nil || old.target != nil && old.target.Born != e.target.Born {
+			t.recordLeft(o.Key, old.target)
+		}
 		s.logTarget(old.target, e.target)
 	case Config:
 		e.config = s.decodeConfig(o)
