Let the calls of a test fleet end before its bubble does

Seen: two of ten runs of the package's tests beside each other ended with "deadlock: main bubble goroutine has exited but blocked goroutines remain" in TestRestartAfterStoreIsRestored.

Cause: virtual time stands still once the test function has returned. A call of the store that was in its 1 ms of latency then (added with that test), or a pull between VMs, never ended. Whether one is under way depends on the jitter of the polls.

Change: a test fleet is stopped, and time passes for as long as a pull may take, before the function returns. No check is changed.

Measured: 96 runs of two of the tests on eight processes, with -race -cpu 1: pass.

Conclusion: a fault of the test fleet, not of the VMs.

--- a/internal/gateway/node/watchers_test.go
+++ b/internal/gateway/node/watchers_test.go
@@ -49,6 +49,9 @@
 			for _, v := range f.vms {
 				v.stop()
 			}
+			// Time stands still once the test function has returned, so that calls that
+			// are under way would never end.
+			time.Sleep(largePullTimeout)
 		}()
 		script(f)
 	})
