Log connections that a planned stop leaves open

Cause: found in the read-through. The result of the last Shutdown was dropped, so that the log did not say that connections were still open when the process ended.

Measured: TestStop* and TestFleet pass.

--- a/internal/gateway/node/lifecycle.go
+++ b/internal/gateway/node/lifecycle.go
@@ -107,7 +107,9 @@
 	}
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(taskCtx), abortTime)
 	defer cancel()
-	_ = callers.Shutdown(ctx)
+	if err := callers.Shutdown(ctx); err != nil {
+		_ = n.log.Log("msg", "connections closed", "err", err, "connections", n.openConns.Load(), "running", n.inFlight.Load())
+	}
 	n.transition(n.lifecycle.Stop)
 	_ = n.log.Log("msg", "stop", "after", time.Since(start))
 }
