Pass on no event of a target that has been replaced

Cause: a silent target that is replaced may have sent events that the VM had received but not read yet. They were passed on until the read failed, although the other target had been asked to go on from the event before them, or to begin anew.

Change: once the target is replaced, the next event read ends its attempt.

Conclusion: what the caller has when the other target is asked is what it has when that target begins.

--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -192,7 +192,11 @@
 			}
 			return lost{reason: reason}, placing.Failed
 		}
-		x.standby.hold()
+		if x.standby.hold() {
+			x.broken = true
+			r.Exchange.Abort()
+			return lost{reason: "the stream fell silent"}, placing.Failed
+		}
 		x.handler.opts.Placer.RecordActivity(x.choice, time.Now())
 		x.markFirst()
 		if event.weights > 0 {
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -75,18 +75,20 @@
 }
 
 // hold is progress, but the target does not count as silent until release is called:
-// nothing is read from it while the caller does not accept an event.
-func (s *standby) hold() {
+// nothing is read from it while the caller does not accept an event. It reports whether
+// the target has been replaced already, so that nothing more of it may be passed on.
+func (s *standby) hold() (replaced bool) {
 	if s == nil {
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.next != nil {
-		return
+		return true
 	}
 	s.cancelTrials()
 	s.held = true
+	return false
 }
 
 // release ends a hold.
