Decode the header of a target's response once

Cause: found in the read-through. The header of each response was decoded up to four times: to attribute it, for the target's notices, and where the response is judged.

Change: the exchange keeps what was decoded when the response was attributed.

Measured: go test ./internal/gateway/relay, and the tests of node that concern requests, streams, refusals, notices and stops, with -race -cpu 1: pass. Lint and vet are clean.

Conclusion: behaviour stays as it is.

--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -28,6 +28,8 @@
 	requestCtx, ctx context.Context
 	cancel          context.CancelFunc
 	result          conn.Result
+	// info is decoded from the header of the response.
+	info platform.ResponseInfo
 	// gotFirst reports whether the first event or the whole response has
 	// arrived.
 	gotFirst bool
@@ -57,13 +59,13 @@
 		Header: platform.ForwardHeader(j.request.Header, j.forwardOptions(x.choice, x.response.resumeAfter(j))),
 		Body:   j.body,
 		Matches: func(status int, header http.Header) bool {
-			return platform.ReadResponseInfo(status, header).ID == j.info.ID
+			x.info = platform.ReadResponseInfo(status, header)
+			return x.info.ID == j.info.ID
 		},
 	}
 	x.result = x.handler.opts.Pool.Do(x.ctx, x.choice.Target.Address, req, !j.route.Repeatable())
-	if r, ok := x.result.(conn.Responded); ok {
-		info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header)
-		x.handler.opts.OnNotice(x.choice.Target.Incarnation(), info.Notice, j.info.ID)
+	if _, ok := x.result.(conn.Responded); ok {
+		x.handler.opts.OnNotice(x.choice.Target.Incarnation(), x.info.Notice, j.info.ID)
 	}
 }
 
@@ -82,13 +84,12 @@
 
 // pass relays the target's response to the caller.
 func (x *exchange) pass(r conn.Responded) (outcome, placing.Outcome) {
-	j := x.response.job
-	info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header)
+	j, info := x.response.job, x.info
 	if x.handler.opts.Placer.ObserveWeights(x.choice.Target, j.info.Model, info.WeightsVersion, time.Now()) {
 		j.weights = info.WeightsVersion
 	}
 	if info.NotRun {
-		return x.handleNotRun(r, info)
+		return x.handleNotRun(r)
 	}
 	j.runs++
 	success := r.Response.StatusCode < http.StatusMultipleChoices
@@ -103,7 +104,7 @@
 }
 
 // handleNotRun handles a response that reports that the request was not run.
-func (x *exchange) handleNotRun(r conn.Responded, info platform.ResponseInfo) (outcome, placing.Outcome) {
+func (x *exchange) handleNotRun(r conn.Responded) (outcome, placing.Outcome) {
 	if _, err := r.Exchange.ReadBody(maxResponseBytes); err != nil {
 		r.Exchange.Abort()
 	} else {
@@ -111,7 +112,7 @@
 	}
 	if r.Response.StatusCode == http.StatusMisdirectedRequest {
 		x.handler.opts.Placer.RecordMismatch(x.choice, x.response.job.info.Model, time.Now())
-		return notRun{reason: "misdirected at " + info.Target, arrived: true}, placing.Inconclusive
+		return notRun{reason: "misdirected at " + x.info.Target, arrived: true}, placing.Inconclusive
 	}
 	return notRun{reason: "rejected with " + r.Response.Status, arrived: true}, placing.Rejected
 }
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -212,16 +212,15 @@
 }
 
 // usable reports whether the response is neither a rejection nor a server error.
-func usable(r conn.Responded) bool {
-	status := r.Response.StatusCode
-	return status < http.StatusInternalServerError && !platform.ReadResponseInfo(status, r.Response.Header).NotRun
+func (x *exchange) usable(r conn.Responded) bool {
+	return r.Response.StatusCode < http.StatusInternalServerError && !x.info.NotRun
 }
 
 // complete passes the response on, if the target has responded.
 func (x *exchange) complete() (outcome, placing.Outcome) {
 	h, j := x.handler, x.response.job
 	if r, ok := x.result.(conn.Responded); ok {
-		if usable(r) {
+		if x.usable(r) {
 			x.standby.progress()
 		}
 		j.received++
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -7,7 +7,6 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
-	"github.com/baobabdyke/baobabdyke/platform"
 )
 
 // standbyRetry is the time between two checks of whether a silent target can be
@@ -258,8 +257,7 @@
 	if !ok || x.ctx.Err() != nil {
 		return false
 	}
-	info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header)
-	return r.Response.StatusCode < 300 && info.Sealed && !info.Encoded && !info.NotRun &&
+	return r.Response.StatusCode < 300 && x.info.Sealed && !x.info.Encoded && !x.info.NotRun &&
 		(isStream(r.Response) || !x.response.started.Load())
 }
 
@@ -288,8 +286,8 @@
 		}
 		return o, placing.Failed
 	case conn.Responded:
-		if info := platform.ReadResponseInfo(r.Response.StatusCode, r.Response.Header); info.NotRun {
-			return x.handleNotRun(r, info)
+		if x.info.NotRun {
+			return x.handleNotRun(r)
 		}
 		end := placing.Failed
 		if x.answers() {
