Say why a registration is ignored, and bound logged errors in one place

Cause: found in the read-through. A registration under the name of another VM was logged with err=<nil>, and the bound of logged errors stood in roster and in source.

Change: decodeRegistration returns an error that names the reason; logline.ErrorText bounds the text for both packages.

Measured: go test ./internal/fleet/roster ./internal/fleet/source ./internal/logs/... and TestOddEntriesStopNoVM with -race -cpu 1: pass. Lint and vet are clean.

Conclusion: which registrations are ignored stays as it is.

--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
 	"github.com/baobabdyke/baobabdyke/peer"
 	"github.com/baobabdyke/baobabdyke/store"
 )
@@ -43,8 +44,6 @@
 	listInterval = 12 * time.Second
 	// maxListFactor bounds the factor by which listInterval grows in a large fleet.
 	maxListFactor = 4.0
-	// maxErrorText bounds the text of a logged error, since it may quote an object.
-	maxErrorText = 200
 )
 
 // An Exchange is the request and the response of CallExchange.
@@ -333,11 +332,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, o := range objects {
-		var r registration
-		if err := json.Unmarshal(o.Value, &r); err != nil || r.VM == "" || Kind+"/"+r.VM != o.Key || r.Peers == "" {
+		r, err := decodeRegistration(o)
+		if err != nil {
 			if t.ignored[o.Key] != o.Version {
 				t.ignored[o.Key] = o.Version
-				_ = t.opts.Log.Log("msg", "registration ignored", "object", o.Key, "err", fmt.Sprintf("%.*v", maxErrorText, err))
+				_ = t.opts.Log.Log("msg", "registration ignored", "object", o.Key, "err", logline.ErrorText(err))
 			}
 			continue
 		}
@@ -351,6 +350,21 @@
 	return registered, true
 }
 
+// decodeRegistration decodes the registration in an object.
+func decodeRegistration(o store.Object) (registration, error) {
+	var r registration
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return r, err
+	}
+	switch {
+	case Kind+"/"+r.VM != o.Key:
+		return r, fmt.Errorf("registration of VM %q under the name of another one", r.VM)
+	case r.VM == "" || r.Peers == "":
+		return r, errors.New("registration without a VM or its address")
+	}
+	return r, nil
+}
+
 // write writes this VM's registration, replacing that of an earlier incarnation.
 func (t *Task) write(ctx context.Context) bool {
 	key := Kind + "/" + t.opts.Self.VM
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
@@ -323,11 +323,8 @@
 	return model, version
 }
 
-// maxErrorText bounds the text of a logged error, since it may quote the object.
-const maxErrorText = 200
-
 func (s *Source) logIgnored(msg string, o store.Object, err error) {
-	s.log("msg", msg, "err", fmt.Sprintf("%.*v", maxErrorText, err), "version", o.Version)
+	s.log("msg", msg, "err", logline.ErrorText(err), "version", o.Version)
 }
 
 // logTarget logs that a target was added or began to leave.
