--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -83,6 +83,7 @@
 	eventInterval time.Duration
 	connections   int
 	received      int
+	working       int
 	header        http.Header
 	// rejections counts the requests that were not run in mode SiteReject.
 	rejections int
@@ -142,6 +143,13 @@
 	return t.received
 }
 
+// Working returns the number of requests that were run and have not ended.
+func (t *SiteTarget) Working() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.working
+}
+
 // Silence makes the target send nothing of an answer until Resume is called. It still
 // accepts connections and requests.
 func (t *SiteTarget) Silence() {
@@ -295,8 +303,10 @@
 	run := SiteRun{ID: r.Header.Get("Baobabdyke-Request-Id"), Method: r.Method, Path: r.RequestURI, Header: r.Header, Body: body}
 	t.mu.Lock()
 	t.runs = append(t.runs, run)
+	t.working++
 	response := t.response
 	t.mu.Unlock()
+	defer t.endRun()
 	if response != nil {
 		_, _ = io.WriteString(c, response(run))
 		return false
@@ -304,6 +314,13 @@
 	return t.respond(c, mode, run)
 }
 
+// endRun records that a request has ended.
+func (t *SiteTarget) endRun() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.working--
+}
+
 // reject responds that the request was not run.
 func (t *SiteTarget) reject(c net.Conn, echo string) bool {
 	text := func(echo string) string {
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -44,6 +44,8 @@
 	version int
 	// retries are the limits of the retry budget of VMs that are started.
 	retries settings.Retries
+	// callers replaces the callers' port of VMs that are started, unless it is nil.
+	callers func(net.Listener) net.Listener
 }
 
 func newTestbed(t *testing.T) *testbed {
@@ -143,6 +145,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l, s, err := Listen(ctx, s)
 	must.NoError(b.t, err)
+	if b.callers != nil {
+		l.callers = b.callers(l.callers)
+	}
 	v := &testVM{Node: New(s, log.NewLogfmtLogger(to)), t: b.t, stop: cancel, done: make(chan error, 1)}
 	go func() { v.done <- v.Run(ctx, l) }()
 	b.t.Cleanup(func() {
