Send no request whose caller has already left

Cause: a VM that is short of processor time reads requests late. Callers that are not served leave after a second or less, so that the end of the connection waits behind the request. net/http begins to watch for it when the body has been read, in a goroutine of its own; a handler that sends on a kept connection is faster. Nothing asked again between two attempts either.

Change: the connection of each caller is carried in the request's context. A target's connection whose request was cancelled while it was dialled is not written to.

Conclusion: whether a caller is there is asked of the socket at the moment of the send, not of a goroutine that may not have run yet.

--- a/internal/gateway/conn/pool.go
+++ b/internal/gateway/conn/pool.go
@@ -85,7 +85,12 @@
 		}
 	}
 	p.dials.Add(1)
-	return dial(ctx, address)
+	c, err := dial(ctx, address)
+	if err == nil && ctx.Err() != nil {
+		c.Close()
+		return nil, ctx.Err()
+	}
+	return c, err
 }
 
 func (p *Pool) takeIdle(address string, now time.Time) *Conn {
--- /dev/null
+++ b/internal/gateway/disconnect/disconnect.go
@@ -0,0 +1,79 @@
+// Package disconnect detects callers that have left: they have closed their connection, or
+// their end of it.
+//
+// An HTTP server notices that only while it reads from the connection, which it does not do
+// while a request is on its way from the socket to its handler.
+package disconnect
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrLeft is the cause with which the context of a request is cancelled when its caller
+// has left.
+var ErrLeft = errors.New("connection closed by the caller")
+
+// A Listener is a listener whose connections are of type *Conn.
+type Listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c)
+}
+
+// A Conn is the connection of a caller.
+type Conn struct {
+	net.Conn
+	raw syscall.RawConn
+}
+
+func newConn(c net.Conn) (*Conn, error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return &Conn{Conn: c}, nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return &Conn{Conn: c, raw: raw}, nil
+}
+
+// HasLeft reports whether the caller has closed its end of the connection, even if there
+// are bytes before the end that have not been read.
+func (c *Conn) HasLeft() bool {
+	if c == nil || c.raw == nil {
+		return false
+	}
+	left := false
+	err := c.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		left = err == nil && n > 0
+	})
+	return left || errors.Is(err, net.ErrClosed)
+}
+
+type contextKey struct{}
+
+// WithConn returns a context that carries the connection of a caller, for the field
+// ConnContext of an http.Server.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// FromContext returns the connection on which a request has arrived, or nil if it is not
+// known.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(contextKey{}).(*Conn)
+	return c
+}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/relay"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
@@ -296,7 +297,7 @@
 		g.Go(func() error { return run(taskCtx) })
 	}
 	g.Go(func() error { return n.server.Serve(taskCtx, listeners.peers) })
-	g.Go(func() error { return serve(callers, listeners.callers) })
+	g.Go(func() error { return serve(callers, disconnect.Listener{Listener: listeners.callers}) })
 	for _, l := range n.sideServers(listeners) {
 		g.Go(func() error { return serve(l.server, l.listener) })
 	}
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -14,6 +14,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
@@ -74,6 +75,7 @@
 func (n *Node) callerServer(ctx context.Context) *http.Server {
 	return &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnContext:       disconnect.WithConn,
 		Handler:           alice.New(n.trackRequests).Then(n.relay),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -18,6 +18,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
 	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
@@ -89,8 +90,11 @@
 
 // A job is the state of one caller's request.
 type job struct {
-	info     platform.RequestInfo
-	request  *http.Request
+	info    platform.RequestInfo
+	request *http.Request
+	// conn is the caller's connection, and leave cancels the request's context.
+	conn     *disconnect.Conn
+	leave    context.CancelCauseFunc
 	body     []byte
 	view     *source.View
 	route    *site.Route
@@ -134,7 +138,12 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{info: platform.ReadRequestInfo(r.Header), request: r, view: h.opts.View(), start: time.Now(), level: -1}
+	requestCtx, leave := context.WithCancelCause(r.Context())
+	defer leave(nil)
+	j := &job{
+		info: platform.ReadRequestInfo(r.Header), request: r.WithContext(requestCtx), view: h.opts.View(), start: time.Now(), level: -1,
+		conn: disconnect.FromContext(requestCtx), leave: leave,
+	}
 	j.stopBy = h.opts.StopBy()
 	if !j.stopBy.IsZero() {
 		w.Header().Set("Connection", "close")
@@ -143,7 +152,7 @@
 		h.fail(w, j, f)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	ctx, cancel := context.WithDeadline(requestCtx, j.deadline)
 	defer cancel()
 	h.run(ctx, w, j)
 }
@@ -162,6 +171,9 @@
 	if f := j.readBody(w, limit); f != nil {
 		return f
 	}
+	if j.callerHasLeft() {
+		return callerGone{disconnect.ErrLeft}
+	}
 	if j.info.ID == "" {
 		return rejection{http.StatusBadRequest, "the request has no id"}
 	}
@@ -224,6 +236,15 @@
 	return nil
 }
 
+// callerHasLeft reports whether the caller has left, and cancels the request if so.
+func (j *job) callerHasLeft() bool {
+	if !j.conn.HasLeft() {
+		return false
+	}
+	j.leave(disconnect.ErrLeft)
+	return true
+}
+
 // authorise finds the route, the customer and the service of the request.
 func (h *Handler) authorise(j *job, cfg *site.Config) failure {
 	j.route = cfg.Match(j.request.Host, j.path())
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -196,6 +196,9 @@
 	if time.Until(j.deadline) < minTimeLeft {
 		return choice, "the deadline"
 	}
+	if j.callerHasLeft() {
+		return choice, "the caller has left"
+	}
 	if !s.first.response.mayContinue() {
 		return choice, "the stream cannot be resumed"
 	}
