Notice callers that leave behind bytes that nobody reads

Cause: net/http watches for the end of a caller's connection with one pending read. A byte behind the request, an empty line or a second request, completes that read, and a buffer that is full starts none. From then on nothing notices that the caller leaves: the target works on until the request's deadline.

Change: requests whose connection has no read pending are polled for the end of it ten times a second, and cancelled. Other requests cost nothing more.

Conclusion: every running request has either a pending read or the poll.

--- a/internal/gateway/disconnect/disconnect.go
+++ b/internal/gateway/disconnect/disconnect.go
@@ -1,14 +1,16 @@
 // Package disconnect detects callers that have left: they have closed their connection, or
 // their end of it.
 //
-// An HTTP server notices that only while it reads from the connection, which it does not do
-// while a request is on its way from the socket to its handler.
+// An HTTP server notices that only while it reads from the connection. It does not read
+// while a request is on its way from the socket to its handler, nor while bytes behind the
+// request wait to be read.
 package disconnect
 
 import (
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -34,6 +36,8 @@
 type Conn struct {
 	net.Conn
 	raw syscall.RawConn
+	// reading reports whether a Read is in progress. It returns when the caller leaves.
+	reading atomic.Bool
 }
 
 func newConn(c net.Conn) (*Conn, error) {
@@ -48,6 +52,13 @@
 	return &Conn{Conn: c, raw: raw}, nil
 }
 
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
+	return c.Conn.Read(p)
+}
+
 // HasLeft reports whether the caller has closed its end of the connection, even if there
 // are bytes before the end that have not been read.
 func (c *Conn) HasLeft() bool {
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -79,6 +79,8 @@
 // A Handler serves callers' requests. It implements http.Handler.
 type Handler struct {
 	opts Options
+	// watch cancels the requests of callers that leave.
+	watch disconnect.Watch
 	// successLog selects the successful requests that are logged.
 	successLog logline.Sampler
 }
@@ -144,6 +146,7 @@
 		info: platform.ReadRequestInfo(r.Header), request: r.WithContext(requestCtx), view: h.opts.View(), start: time.Now(), level: -1,
 		conn: disconnect.FromContext(requestCtx), leave: leave,
 	}
+	defer h.watch.Add(j.conn, leave)()
 	j.stopBy = h.opts.StopBy()
 	if !j.stopBy.IsZero() {
 		w.Header().Set("Connection", "close")
