Keep the requests of all VMs within the limit of a target

Callers saw: nothing.

The targets' other statements about further requests concern one VM; this one needs the VMs to agree.

Change: the new package throttle. VMs exchange what they have read in their updates. Any attempt is charged when it begins: first ones, repeats, standby ones. A request is refused at once, with the time until the next token, if nothing else is left.

Conclusion: the sum is bounded by who has shares, not by what each VM sends, so that it does not grow with the fleet.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/throttle"
 )
 
 // A State is the lifecycle state of a VM.
@@ -113,6 +114,8 @@
 	Watch StoreWatch `cbor:"16,keyasint"`
 	// Suspects lists prompt segments that seem to crash engines.
 	Suspects []quarantine.Report `cbor:"17,keyasint,omitempty"`
+	// Limits lists the limits that the VM has read from the responses of targets.
+	Limits []throttle.Report `cbor:"18,keyasint,omitempty"`
 }
 
 // isNewer reports whether e is a later update of the same VM than o.
--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -151,6 +151,16 @@
 	// Pause is how long the target wants no requests from this VM; 0 if it states
 	// none.
 	Pause time.Duration
+	Limit Limit
+}
+
+// A Limit is the rate of requests that a target accepts from all VMs together, if it
+// states one.
+type Limit struct {
+	Stated bool
+	// Valid reports whether the stated limit can be read.
+	Valid     bool
+	PerSecond float64
 }
 
 // BuildIndex builds the look-up tables of the configuration. It must be called once
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -28,6 +28,7 @@
 	e.Reads = n.placer.RecentlySent(time.Now())
 	e.Watch = n.storeWatch()
 	e.Suspects = n.quarantine.Reports(time.Now())
+	e.Limits = n.limits.Reports(time.Now())
 	e.Duty = n.orders.LeaseStatus()
 }
 
@@ -94,14 +95,33 @@
 		n.quota.UpdatePeer(e.VM, e.Born, e.Spent)
 		n.quarantine.Merge(e.Suspects, now)
 		n.placer.ApplyUpdate(e, v, now)
+		for _, target := range n.limits.Merge(e.VM, e.Limits, now) {
+			n.logLimit(target, e.VM, "", now)
+		}
 		if e.VM == from {
 			n.pullNewer(e, now)
 		}
 	}
 	n.refreshBusy(now)
+	n.shareLimits(now)
 	n.updateWatching(now)
 }
 
+// shareLimits updates the VMs among which the limits of targets are divided: those that
+// serve.
+func (n *Node) shareLimits(now time.Time) {
+	var vms []string
+	if n.ready.Load() && !n.leaving.Load() {
+		vms = append(vms, n.settings.VM)
+	}
+	for _, m := range n.roster.Members() {
+		if m.Entry.State == roster.Ready && m.Alive(now) {
+			vms = append(vms, m.Entry.VM)
+		}
+	}
+	n.limits.SetVMs(vms, now)
+}
+
 // pullNewer pulls the kinds from a VM in which it is ahead of this one.
 func (n *Node) pullNewer(e roster.Entry, now time.Time) {
 	behind := n.source.StaleKinds(e.Marks)
@@ -155,10 +175,18 @@
 	n.roster.Trigger()
 }
 
-// recordNotice processes what a target states about further requests. The request id
-// is empty unless a caller's request got the response.
-func (n *Node) recordNotice(target site.Incarnation, notice site.Notice, requestID string) {
+// recordNotice processes what a target states about further requests in the response to
+// a request that was sent at the given time. The request id is empty unless it is a
+// caller's request.
+func (n *Node) recordNotice(target site.Incarnation, notice site.Notice, requestID string, sent time.Time) {
 	now := time.Now()
+	// Only the response to a caller's request shows that a limit has ended.
+	if requestID != "" || notice.Limit.Stated {
+		if n.limits.Record(target, notice.Limit, sent, now) {
+			n.logLimit(target, "", requestID, now)
+			n.roster.Trigger()
+		}
+	}
 	leaves, pauses := n.placer.RecordNotice(target, notice, now)
 	if leaves {
 		_ = n.log.Log("msg", "target says that it leaves", "target", target.ID, "born", target.Born, "id", requestID)
@@ -166,12 +194,22 @@
 	if !pauses {
 		return
 	}
-	if ok, leftOut := n.pauseLog.Allow(now); ok {
+	if ok, leftOut := n.noticeLog.Allow(now); ok {
 		_ = n.log.Log("msg", "target asks for a pause", "target", target.ID, "born", target.Born, "id", requestID,
 			"seconds", notice.Pause.Seconds(), "leftout", leftOut)
 	}
 }
 
+// logLimit logs a changed limit of a target, which this VM has read from the response to
+// a request or another VM has reported.
+func (n *Node) logLimit(target site.Incarnation, from, requestID string, now time.Time) {
+	if ok, leftOut := n.noticeLog.Allow(now); ok {
+		perSecond, share := n.limits.Limit(target)
+		_ = n.log.Log("msg", "limit of target changed", "target", target.ID, "born", target.Born, "from", from, "id", requestID,
+			"limit", perSecond, "share", share, "leftout", leftOut)
+	}
+}
+
 func (n *Node) leaseChanged() {
 	n.refreshBusy(time.Now())
 	n.roster.Trigger()
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/throttle"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
@@ -73,20 +74,22 @@
 	quota  *quota.Limiter
 	// quarantine holds the prompt segments that crash engines.
 	quarantine *quarantine.List
-	placer     *placing.Placer
-	pool       *conn.Pool
-	orders     *rollout.Task
-	relay      *relay.Handler
-	metrics    *relay.Metrics
-	// pauseLog selects the pauses that are logged.
-	pauseLog logline.Sampler
-	budget   *retry.Budget
-	index    *caches.Index
-	feeds    *caches.Reader
-	prober   *prober
-	server   *peer.Server
-	client   peer.Caller
-	pulls    pullState
+	// limits holds the rates of requests that targets accept.
+	limits  *throttle.Table
+	placer  *placing.Placer
+	pool    *conn.Pool
+	orders  *rollout.Task
+	relay   *relay.Handler
+	metrics *relay.Metrics
+	// noticeLog selects the pauses and limits that are logged.
+	noticeLog logline.Sampler
+	budget    *retry.Budget
+	index     *caches.Index
+	feeds     *caches.Reader
+	prober    *prober
+	server    *peer.Server
+	client    peer.Caller
+	pulls     pullState
 }
 
 // New returns a Node that uses the addresses in its settings.
@@ -103,16 +106,17 @@
 // newNode returns a Node that calls other VMs with client and registers its own
 // handlers with registrar.
 func newNode(s settings.Settings, logger log.Logger, objects Objects, client peer.Caller, registrar peer.Registrar) *Node {
-	index := caches.NewIndex()
+	index, limits := caches.NewIndex(), throttle.NewTable(s.VM)
 	n := &Node{
 		settings:  s,
 		log:       logger,
 		client:    client,
 		clock:     store.BootClock{},
 		start:     time.Now(),
-		pauseLog:  logline.Sampler{PerSecond: loggedPauses},
+		noticeLog: logline.Sampler{PerSecond: loggedNotices},
 		lifecycle: vm.NewLifecycle(nil),
-		placer:    placing.New(s.DataCentre, s.Gateway.Bounds.Weights, index),
+		placer:    placing.New(s.DataCentre, s.Gateway.Bounds.Weights, index, limits),
+		limits:    limits,
 		index:     index,
 		pool:      conn.NewPool(),
 		metrics:   relay.NewMetrics(),
@@ -152,9 +156,10 @@
 	// idle time that operators announce, so that callers close connections
 	// first.
 	idleTimeout = 3 * time.Minute
-	// loggedPauses is the number of pauses of targets that are logged per second.
-	loggedPauses = 20
-	// sweepPeriod is the time between two checks for idle connections.
+	// loggedNotices is the number of pauses and limits of targets that are logged per
+	// second.
+	loggedNotices = 20
+	// sweepPeriod is the time between two checks for idle connections and silent VMs.
 	sweepPeriod = time.Second
 )
 
@@ -178,7 +183,7 @@
 		Bounds:        n.sourceBounds,
 	})
 	engines := platform.NewEngines()
-	onNotice := func(engine site.Incarnation, notice site.Notice) { n.recordNotice(engine, notice, "") }
+	onNotice := func(engine site.Incarnation, notice site.Notice) { n.recordNotice(engine, notice, "", time.Now()) }
 	n.feeds = caches.NewReader(caches.Options{
 		Feed: engines, Index: n.index, View: n.source.View, Log: n.log, Leaving: n.placer.Leaving,
 		PauseLeft: func(engine site.Incarnation) time.Duration { return n.placer.PauseLeft(engine, time.Now()) },
@@ -321,10 +326,12 @@
 	return nil
 }
 
-// sweep closes idle connections to targets.
+// sweep closes idle connections to targets, and notices VMs that have gone although no
+// update arrives.
 func (n *Node) sweep(ctx context.Context) error {
 	for store.Sleep(ctx, sweepPeriod) {
 		n.pool.Sweep(time.Now())
+		n.shareLimits(time.Now())
 	}
 	n.pool.Close()
 	return nil
--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -56,7 +56,7 @@
 		if t.Service != r.Service || t.Leaving || contains(r.Tried, t.ID) {
 			continue
 		}
-		if target := t.Incarnation(); p.leaving(target) || p.pauseLeft(target, now) > 0 {
+		if target := t.Incarnation(); p.leaving(target) || p.wait(target, now) > 0 {
 			continue
 		}
 		state := p.state(t, now)
--- a/internal/gateway/placing/notice.go
+++ b/internal/gateway/placing/notice.go
@@ -63,10 +63,10 @@
 	return p.pauseLeft(target, now)
 }
 
-// ServicePauseLeft returns the time until the first target of a service may be sent
-// requests again if all of them, except those that leave, have asked for a pause, and
-// otherwise 0.
-func (p *Placer) ServicePauseLeft(v *source.View, service string, now time.Time) time.Duration {
+// ServiceWait returns the time until the first target of a service may be sent requests
+// again if all of them, except those that leave, have asked for a pause or are at their
+// limits, and otherwise 0.
+func (p *Placer) ServiceWait(v *source.View, service string, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	shortest := time.Duration(0)
@@ -74,7 +74,7 @@
 		if t.Service != service || t.Leaving || p.leaving(t.Incarnation()) {
 			continue
 		}
-		left := p.pauseLeft(t.Incarnation(), now)
+		left := p.wait(t.Incarnation(), now)
 		if left == 0 {
 			return 0
 		}
@@ -85,6 +85,11 @@
 	return shortest
 }
 
+// wait returns the time until a target may be sent a request.
+func (p *Placer) wait(target site.Incarnation, now time.Time) time.Duration {
+	return max(p.pauseLeft(target, now), p.limits.Wait(target, now))
+}
+
 func (p *Placer) leaving(target site.Incarnation) bool {
 	s, ok := p.notices[target]
 	return ok && s.leaving
@@ -110,4 +115,8 @@
 			delete(p.notices, target)
 		}
 	}
+	p.limits.Prune(func(target site.Incarnation) bool {
+		t, ok := v.Targets[target.ID]
+		return ok && t.Born == target.Born
+	}, now)
 }
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -15,6 +15,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/throttle"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 )
 
@@ -185,8 +186,10 @@
 	states map[string]*targetState
 	// notices are what targets have stated about further requests.
 	notices map[site.Incarnation]*noticeState
-	peers   map[string]peerState
-	busy    map[string]bool
+	// limits are the rates of requests that targets accept.
+	limits *throttle.Table
+	peers  map[string]peerState
+	busy   map[string]bool
 	// peerTotals are the loads of all other VMs as of totalledAt; totalsDirty
 	// reports whether an update arrived since then.
 	peerTotals  map[string]peerTotal
@@ -237,9 +240,9 @@
 
 // New returns a Placer for a VM in a data centre. Weights that were superseded
 // more than maxWeightsAge ago, less a margin for updates that reach this VM late,
-// are not used.
-func New(dataCentre string, maxWeightsAge time.Duration, index *caches.Index) *Placer {
-	return &Placer{dataCentre: dataCentre, index: index, maxWeightsAge: maxWeightsAge - weightsLagMargin, states: map[string]*targetState{}, notices: map[site.Incarnation]*noticeState{}, peers: map[string]peerState{}, busy: map[string]bool{}, holders: newHolders(), sendRates: map[uint64]sendRate{}}
+// are not used. Targets get requests within their limits only.
+func New(dataCentre string, maxWeightsAge time.Duration, index *caches.Index, limits *throttle.Table) *Placer {
+	return &Placer{dataCentre: dataCentre, index: index, limits: limits, maxWeightsAge: maxWeightsAge - weightsLagMargin, states: map[string]*targetState{}, notices: map[site.Incarnation]*noticeState{}, peers: map[string]peerState{}, busy: map[string]bool{}, holders: newHolders(), sendRates: map[uint64]sendRate{}}
 }
 
 // SetMaxWeightsAge changes the age up to which superseded weights are used.
--- a/internal/gateway/placing/state.go
+++ b/internal/gateway/placing/state.go
@@ -45,6 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.holders.recordSent(c, prefixes, now)
+	p.limits.Spend(c.Target.Incarnation(), now)
 	s := p.state(c.Target, now)
 	s.running++
 	s.addPending(c, c.MissingTokens)
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -65,7 +65,7 @@
 	}
 	x.result = x.handler.opts.Pool.Do(x.ctx, x.choice.Target.Address, req, !j.route.Repeatable())
 	if _, ok := x.result.(conn.Responded); ok {
-		x.handler.opts.OnNotice(x.choice.Target.Incarnation(), x.info.Notice, j.info.ID)
+		x.handler.opts.OnNotice(x.choice.Target.Incarnation(), x.info.Notice, j.info.ID, x.sentAt)
 	}
 }
 
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -69,8 +69,8 @@
 	// about to stop.
 	StopBy func() time.Time
 	// OnNotice is called with what a target states about further requests in the
-	// response to a request.
-	OnNotice func(target site.Incarnation, n site.Notice, requestID string)
+	// response to a request that was sent at the given time.
+	OnNotice func(target site.Incarnation, n site.Notice, requestID string, sent time.Time)
 	// Suspect is called with targets that accepted no connection.
 	Suspect func(t *site.Target)
 	Metrics *Metrics
