--- a/internal/fake/sitetarget.go
+++ b/internal/fake/sitetarget.go
@@ -94,6 +94,8 @@
 	rejection string
 	anonymous bool
 	response  func(SiteRun) string
+	// reset reports whether connections are reset rather than closed after response.
+	reset bool
 }
 
 // NewSiteTarget returns a SiteTarget in mode SiteNormal whose streams have
@@ -202,6 +204,14 @@
 	t.response = f
 }
 
+// SetReset sets whether the connection is reset, rather than closed, after a response of
+// SetResponse.
+func (t *SiteTarget) SetReset(reset bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reset = reset
+}
+
 // Runs returns the requests that were run.
 func (t *SiteTarget) Runs() []SiteRun {
 	t.mu.Lock()
@@ -304,11 +314,14 @@
 	t.mu.Lock()
 	t.runs = append(t.runs, run)
 	t.working++
-	response := t.response
+	response, reset := t.response, t.reset
 	t.mu.Unlock()
 	defer t.endRun()
 	if response != nil {
 		_, _ = io.WriteString(c, response(run))
+		if tcp, ok := c.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0)
+		}
 		return false
 	}
 	return t.respond(c, mode, run)
