Send nothing late in a planned stop that may outlast it

Callers saw, with another operator: requests that came late in the grace of a stopping machine were passed on and cut at the end of it, among them ones that may not be repeated (LOST).

Cause: three ways to the same here. Whether a request may outlast the VM was decided by the time at which its header had arrived, and not at all if the stop began later: the body may arrive near the end. Attempts after a rejection were not checked. And requests without an earlier deadline were accepted until 4.9 s before the end of the stop, which is 2.7 s after its beginning with a grace of 8 s, but 15 s with one of 20 s.

Change: the check is made when the body has been read and before an attempt that follows a rejection, with the times in force then. Requests that may outlast the VM are accepted for 2.7 s after the beginning of a stop at most, whatever the grace. They are refused with when to return; nothing of them has run.

Measured: TestRequestIsSentAtTheEndOfAStop, -race -cpu 1: both cases failed before (504 instead of 503, and the request was sent), pass now.

Conclusion: after 2.7 s nothing is passed on whose own deadline is not before the end.

--- a/internal/gateway/node/lifecycle.go
+++ b/internal/gateway/node/lifecycle.go
@@ -31,6 +31,11 @@
 	// serves; peerPoll is how often it checks.
 	peerWait = 600 * time.Millisecond
 	peerPoll = 20 * time.Millisecond
+	// longRun is the time before the end of a stopping VM from which it accepts
+	// only requests whose own deadline is earlier, and maxAccept the time after the
+	// beginning of the stop. Callers that have heard of the stop use another VM by then.
+	longRun   = 4900 * time.Millisecond
+	maxAccept = 2700 * time.Millisecond
 	// stopPoll is how often a stopping VM checks its running requests.
 	stopPoll = 50 * time.Millisecond
 	// maxStaleFraction is the part of the revocation bound for which the
@@ -135,14 +140,18 @@
 	}
 }
 
-// stopBy returns when running requests are aborted; zero unless the VM is about
-// to stop.
-func (n *Node) stopBy() time.Time {
+// stopTimes returns the times of the planned stop; zero unless the VM is about to stop.
+func (n *Node) stopTimes() relay.Stop {
 	start := n.stopStart.Load()
 	if start == nil {
-		return time.Time{}
+		return relay.Stop{}
 	}
-	return start.Add(n.bounds().Grace - exitMargin)
+	by := start.Add(n.bounds().Grace - exitMargin)
+	acceptUntil := by.Add(-longRun)
+	if latest := start.Add(maxAccept); latest.Before(acceptUntil) {
+		acceptUntil = latest
+	}
+	return relay.Stop{By: by, AcceptUntil: acceptUntil}
 }
 
 // idle reports whether no request is running and none has arrived for
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -280,7 +280,7 @@
 		VMs:        n.roster.Count,
 		Fresh:      n.fresh,
 
-		StopBy:   n.stopBy,
+		Stop:     n.stopTimes,
 		OnNotice: n.recordNotice,
 		Suspect:  n.prober.suspect,
 		Metrics:  n.metrics,
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -27,6 +27,7 @@
  "routes":[
   {"name":"lookup","host":"h","prefix":"/lookup/","kind":"idempotent","timeoutMs":3000,"goalMs":100,"maxAttempts":2,"service":"app"},
   {"name":"commit","host":"h","prefix":"/commit/","kind":"non_idempotent","timeoutMs":3000,"goalMs":100,"maxAttempts":1,"service":"app"},
+  {"name":"post","host":"h","prefix":"/post/","kind":"non_idempotent","timeoutMs":60000,"goalMs":100,"maxAttempts":1,"service":"app"},
   {"name":"chat","host":"h","prefix":"/stream/a/","kind":"streaming","timeoutMs":8000,"goalMs":300,"maxAttempts":2,"resumable":true,"service":"llm"},
   {"name":"verdict","host":"h","prefix":"/stream/b/","kind":"streaming","timeoutMs":3000,"goalMs":300,"maxAttempts":1,"service":"llm"},
   {"name":"open","host":"h","prefix":"/open/","kind":"idempotent","public":true,"timeoutMs":3000,"maxAttempts":2,"service":"app"}],
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -33,9 +33,6 @@
 	defaultBodyBytes = 8 << 20
 	// busyRetry is the Retry-After for requests that no target can run now.
 	busyRetry = 400 * time.Millisecond
-	// longRun is the time before the end of a stopping VM from which it accepts
-	// only requests whose own deadline is earlier.
-	longRun = 4900 * time.Millisecond
 	// stopRetry is the Retry-After of a stopping VM; the repeated request goes
 	// to another VM.
 	stopRetry = 20 * time.Millisecond
@@ -65,9 +62,8 @@
 	// recent update from the store or from other VMs may have missed the
 	// withdrawal of a key.
 	Fresh func() bool
-	// StopBy returns when the VM aborts running requests; zero unless it is
-	// about to stop.
-	StopBy func() time.Time
+	// Stop returns the times of a planned stop; zero unless the VM is about to stop.
+	Stop func() Stop
 	// OnNotice is called with what a target states about further requests in the
 	// response to a request that was sent at the given time.
 	OnNotice func(target site.Incarnation, n site.Notice, requestID string, sent time.Time)
@@ -76,6 +72,14 @@
 	Metrics *Metrics
 }
 
+// Stop holds the times of a planned stop.
+type Stop struct {
+	// By is when the VM aborts running requests.
+	By time.Time
+	// AcceptUntil is until when it accepts requests whose deadline is later than that.
+	AcceptUntil time.Time
+}
+
 // A Handler serves callers' requests. It implements http.Handler.
 type Handler struct {
 	opts Options
@@ -105,7 +109,6 @@
 	engine   bool
 	start    time.Time
 	deadline time.Time
-	stopBy   time.Time
 	cost     float64
 	prefixes []placing.Prefix
 	// shared are the ids of the prompt's segments that other prompts may share.
@@ -147,10 +150,7 @@
 		conn: disconnect.FromContext(requestCtx), leave: leave,
 	}
 	defer h.watch.Add(j.conn, leave)()
-	j.stopBy = h.opts.StopBy()
-	if !j.stopBy.IsZero() {
-		w.Header().Set("Connection", "close")
-	}
+	h.announceStop(w)
 	if f := h.admit(w, j); f != nil {
 		h.fail(w, j, f)
 		return
@@ -174,6 +174,8 @@
 	if f := j.readBody(w, limit); f != nil {
 		return f
 	}
+	// The body may have taken long to arrive.
+	h.announceStop(w)
 	if j.callerHasLeft() {
 		return callerGone{disconnect.ErrLeft}
 	}
@@ -184,7 +186,7 @@
 		return f
 	}
 	j.setDeadline()
-	if j.tooLate() {
+	if h.mayOutlast(j) {
 		return refusal{http.StatusServiceUnavailable, "this VM is about to stop", stopRetry}
 	}
 	j.describe()
@@ -215,9 +217,19 @@
 
 func (h *Handler) log(keyvals ...any) { _ = h.opts.Log.Log(keyvals...) }
 
-// tooLate reports whether the VM may stop before the request has ended.
-func (j *job) tooLate() bool {
-	return !j.stopBy.IsZero() && j.deadline.After(j.stopBy) && j.start.Add(longRun).After(j.stopBy)
+// announceStop makes the caller use another VM for its next request if this one is about
+// to stop.
+func (h *Handler) announceStop(w http.ResponseWriter) {
+	if !h.opts.Stop().By.IsZero() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// mayOutlast reports whether the request, if it is sent now, may run for longer than the
+// VM.
+func (h *Handler) mayOutlast(j *job) bool {
+	stop := h.opts.Stop()
+	return !stop.By.IsZero() && j.deadline.After(stop.By) && time.Now().After(stop.AcceptUntil)
 }
 
 func (j *job) readBody(w http.ResponseWriter, limit int64) failure {
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -104,6 +104,8 @@
 		return placing.Choice{}, false
 	case j.sends > 0 && j.callerHasLeft():
 		return placing.Choice{}, false
+	case j.sends > 0 && j.runs == 0 && h.mayOutlast(j):
+		return placing.Choice{}, false
 	case j.sends > 0 && h.checkQuarantine(j) != nil:
 		return placing.Choice{}, false
 	}
