Watch callers in a middleware

Cause: found in the read-through. The parts that notice that a caller has left stood in the relay handler, where no other server can use them.

Change: the watch is a middleware of the callers' server, and whether a caller has left is asked of the request's context. No change in behaviour.

Conclusion: the server of the chat interface can use the same.

--- a/internal/gateway/disconnect/disconnect.go
+++ b/internal/gateway/disconnect/disconnect.go
@@ -62,7 +62,7 @@
 // HasLeft reports whether the caller has closed its end of the connection, even if there
 // are bytes before the end that have not been read.
 func (c *Conn) HasLeft() bool {
-	if c == nil || c.raw == nil {
+	if c.raw == nil {
 		return false
 	}
 	left := false
@@ -74,17 +74,10 @@
 	return left || errors.Is(err, net.ErrClosed)
 }
 
-type contextKey struct{}
+type connKey struct{}
 
 // WithConn returns a context that carries the connection of a caller, for the field
 // ConnContext of an http.Server.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, contextKey{}, c)
-}
-
-// FromContext returns the connection on which a request has arrived, or nil if it is not
-// known.
-func FromContext(ctx context.Context) *Conn {
-	c, _ := ctx.Value(contextKey{}).(*Conn)
-	return c
+	return context.WithValue(ctx, connKey{}, c)
 }
--- a/internal/gateway/disconnect/watch.go
+++ b/internal/gateway/disconnect/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -16,19 +17,44 @@
 	timer    *time.Timer
 }
 
-// A request is a running request that is being watched.
+// A request is a running request.
 type request struct {
 	conn   *Conn
 	cancel context.CancelCauseFunc
 }
 
-// Add calls cancel with ErrLeft if the caller leaves before the returned function is
-// called.
-func (w *Watch) Add(c *Conn, cancel context.CancelCauseFunc) (remove func()) {
-	if c == nil || c.raw == nil {
-		return func() {}
+type requestKey struct{}
+
+// HasLeft reports whether the caller of a request has left, and cancels the request if so.
+// The context is that of a request that a Watch serves.
+func HasLeft(ctx context.Context) bool {
+	r, ok := ctx.Value(requestKey{}).(*request)
+	if !ok || !r.conn.HasLeft() {
+		return false
 	}
-	r := &request{c, cancel}
+	r.cancel(ErrLeft)
+	return true
+}
+
+// Handler returns a handler whose requests are cancelled with ErrLeft when their callers
+// leave. It needs the connections of a Listener and the context of WithConn.
+func (w *Watch) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, in *http.Request) {
+		c, ok := in.Context().Value(connKey{}).(*Conn)
+		if !ok || c.raw == nil {
+			next.ServeHTTP(rw, in)
+			return
+		}
+		ctx, cancel := context.WithCancelCause(in.Context())
+		defer cancel(nil)
+		r := &request{c, cancel}
+		w.add(r)
+		defer w.remove(r)
+		next.ServeHTTP(rw, in.WithContext(context.WithValue(ctx, requestKey{}, r)))
+	})
+}
+
+func (w *Watch) add(r *request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.requests) == 0 {
@@ -36,7 +62,6 @@
 		w.timer = time.AfterFunc(watchPeriod, w.check)
 	}
 	w.requests[r] = struct{}{}
-	return func() { w.remove(r) }
 }
 
 func (w *Watch) remove(r *request) {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -75,11 +75,13 @@
 	// quarantine holds the prompt segments that crash engines.
 	quarantine *quarantine.List
 	// limits holds the rates of requests that targets accept.
-	limits  *throttle.Table
-	placer  *placing.Placer
-	pool    *conn.Pool
-	orders  *rollout.Task
-	relay   *relay.Handler
+	limits *throttle.Table
+	placer *placing.Placer
+	pool   *conn.Pool
+	orders *rollout.Task
+	relay  *relay.Handler
+	// watch cancels the requests of callers that leave.
+	watch   disconnect.Watch
 	metrics *relay.Metrics
 	// noticeLog selects the pauses and limits that are logged.
 	noticeLog logline.Sampler
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -76,7 +76,7 @@
 	return &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 		ConnContext:       disconnect.WithConn,
-		Handler:           alice.New(n.trackRequests).Then(n.relay),
+		Handler:           alice.New(n.trackRequests, n.watch.Handler).Then(n.relay),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -83,8 +83,6 @@
 // A Handler serves callers' requests. It implements http.Handler.
 type Handler struct {
 	opts Options
-	// watch cancels the requests of callers that leave.
-	watch disconnect.Watch
 	// successLog selects the successful requests that are logged.
 	successLog logline.Sampler
 }
@@ -96,11 +94,8 @@
 
 // A job is the state of one caller's request.
 type job struct {
-	info    platform.RequestInfo
-	request *http.Request
-	// conn is the caller's connection, and leave cancels the request's context.
-	conn     *disconnect.Conn
-	leave    context.CancelCauseFunc
+	info     platform.RequestInfo
+	request  *http.Request
 	body     []byte
 	view     *source.View
 	route    *site.Route
@@ -143,19 +138,13 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	requestCtx, leave := context.WithCancelCause(r.Context())
-	defer leave(nil)
-	j := &job{
-		info: platform.ReadRequestInfo(r.Header), request: r.WithContext(requestCtx), view: h.opts.View(), start: time.Now(), level: -1,
-		conn: disconnect.FromContext(requestCtx), leave: leave,
-	}
-	defer h.watch.Add(j.conn, leave)()
+	j := &job{info: platform.ReadRequestInfo(r.Header), request: r, view: h.opts.View(), start: time.Now(), level: -1}
 	h.announceStop(w)
 	if f := h.admit(w, j); f != nil {
 		h.fail(w, j, f)
 		return
 	}
-	ctx, cancel := context.WithDeadline(requestCtx, j.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	h.run(ctx, w, j)
 }
@@ -176,7 +165,7 @@
 	}
 	// The body may have taken long to arrive.
 	h.announceStop(w)
-	if j.callerHasLeft() {
+	if disconnect.HasLeft(j.request.Context()) {
 		return callerGone{disconnect.ErrLeft}
 	}
 	if j.info.ID == "" {
@@ -251,15 +240,6 @@
 	return nil
 }
 
-// callerHasLeft reports whether the caller has left, and cancels the request if so.
-func (j *job) callerHasLeft() bool {
-	if !j.conn.HasLeft() {
-		return false
-	}
-	j.leave(disconnect.ErrLeft)
-	return true
-}
-
 // authorise finds the route, the customer and the service of the request.
 func (h *Handler) authorise(j *job, cfg *site.Config) failure {
 	j.route = cfg.Match(j.request.Host, j.path())
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
@@ -102,7 +103,7 @@
 		return placing.Choice{}, false
 	case j.sends > 0 && time.Until(j.deadline) < minTimeLeft:
 		return placing.Choice{}, false
-	case j.sends > 0 && j.callerHasLeft():
+	case j.sends > 0 && disconnect.HasLeft(j.request.Context()):
 		return placing.Choice{}, false
 	case j.sends > 0 && j.runs == 0 && h.mayOutlast(j):
 		return placing.Choice{}, false
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 )
 
@@ -196,7 +197,7 @@
 	if time.Until(j.deadline) < minTimeLeft {
 		return choice, "the deadline"
 	}
-	if j.callerHasLeft() {
+	if disconnect.HasLeft(j.request.Context()) {
 		return choice, "the caller has left"
 	}
 	if !s.first.response.mayContinue() {
