Run no chat request whose caller left in the queue

Callers saw: nothing. In the chat interface a request whose caller had left while it waited in the queue was run.

Change: the callers' server of the daemon has the watch of the gateway, and whether the caller has left is asked when the queue has admitted the request, before a claim is made.

Conclusion: what has not been claimed or sent is not run for a caller that has gone.

--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -11,6 +11,7 @@
 	"github.com/baobabdyke/baobabdyke/config"
 	"github.com/baobabdyke/baobabdyke/customer"
 	"github.com/baobabdyke/baobabdyke/dispatch"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/limit"
 	"github.com/baobabdyke/baobabdyke/prefix"
 	"github.com/baobabdyke/baobabdyke/queue"
@@ -72,6 +73,12 @@
 		h.refuse(w, r, failure)
 		return
 	}
+	if disconnect.HasLeft(r.Context()) {
+		release(0, false)
+		used = limit.Cost{}
+		h.refuse(w, r, notRunFailure(http.StatusServiceUnavailable, CodeUnavailable, "the caller has left", 0))
+		return
+	}
 	outcome := h.run(w, r, job)
 	release(outcome.firstByte, outcome.failed)
 	used = outcome.used
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/baobabdyke/baobabdyke/dispatch"
 	"github.com/baobabdyke/baobabdyke/entry"
 	"github.com/baobabdyke/baobabdyke/internal/caller"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/limit"
 	"github.com/baobabdyke/baobabdyke/order"
@@ -73,6 +74,8 @@
 	runner    *dispatch.Runner
 	orders    *order.Task
 	callers   *caller.Handler
+	// watch cancels the requests of callers that leave.
+	watch disconnect.Watch
 
 	operatorHandler http.Handler
 	drain           chan struct{}
@@ -101,7 +104,7 @@
 	}
 	callers := v.callerServer()
 	operators := v.operatorServer()
-	g.Go(func() error { return serveHTTP(callers, l.Caller) })
+	g.Go(func() error { return serveHTTP(callers, disconnect.Listener{Listener: l.Caller}) })
 	g.Go(func() error { return serveHTTP(operators, l.Operator) })
 	g.Go(func() error {
 		defer cancelTasks()
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/operator"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 )
@@ -19,7 +20,8 @@
 // since responses may be streams; each write has its own deadline.
 func (v *VM) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           v.callers,
+		Handler:           v.watch.Handler(v.callers),
+		ConnContext:       disconnect.WithConn,
 		ReadHeaderTimeout: settings.DefaultHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    v.settings.Callers.MaxHeaderBytes,
