Log no time left for requests without a deadline

Measured: go test -race -cpu 1 ./internal/gateway/relay: pass. Conclusion: lines of callers that have left can be summed up.

--- a/internal/gateway/relay/failure.go
+++ b/internal/gateway/relay/failure.go
@@ -100,6 +100,10 @@
 	if j.view.Config != nil {
 		version = j.view.Config.Version
 	}
+	left := time.Duration(0)
+	if !j.deadline.IsZero() {
+		left = j.deadline.Sub(now)
+	}
 	h.opts.Metrics.record(status, j.timeToFirst, now.Sub(j.start))
 	leftOut := 0
 	if outcome == outcomeAnswered || outcome == outcomeStreamed {
@@ -111,7 +115,7 @@
 	_ = h.opts.Log.Log("msg", "request", "id", j.info.ID, "route", route, "customer", customer,
 		"config", version, "status", status, "outcome", outcome, "detail", j.detail, "target", j.target, "sends", j.sends,
 		"ran", j.runs, "firstms", j.timeToFirst.Milliseconds(), "ms", now.Sub(j.start).Milliseconds(),
-		"leftms", j.deadline.Sub(now).Milliseconds(), "expectedms", j.expected.Milliseconds(), "home", j.home, "source", j.source, "keep", j.storeKV, "late", j.late,
+		"leftms", left.Milliseconds(), "expectedms", j.expected.Milliseconds(), "home", j.home, "source", j.source, "keep", j.storeKV, "late", j.late,
 		"weights", j.weights, "tokens", j.tokens, "shared", j.sharedTokens, "missing", j.missingTokens, "level", int(j.level), "leftout", leftOut)
 }
 
