Reject no request by a configuration that may be stale

Cause: a VM that hears of changes late does not know that, and rejects for good what it doesn't know. It does know how long its configuration has been unconfirmed, but used that for its own reads of the store only.

Change: while the configuration has been unconfirmed for three quarters of its bound, an unknown key or route is refused with 503 and when to return, as a VM without a configuration does, instead of 401 or 404.

Conclusion: a rejection is final, so it needs a configuration that is known to be recent.

--- a/internal/gateway/node/lifecycle.go
+++ b/internal/gateway/node/lifecycle.go
@@ -41,6 +41,10 @@
 	// maxStaleFraction is the part of the revocation bound for which the
 	// configuration may be unconfirmed before a withdrawal may have been missed.
 	maxStaleFraction = 0.6
+	// maxUnconfirmedFraction is the part of the bound of the configuration for which it
+	// may be unconfirmed and still reject requests. Without faults it is confirmed every
+	// half of the bound.
+	maxUnconfirmedFraction = 0.75
 )
 
 // serverLog returns a logger that writes the errors of an HTTP server to the log.
@@ -167,3 +171,10 @@
 	b := n.bounds()
 	return !b.Strict || n.source.Age(source.Config) < time.Duration(maxStaleFraction*float64(b.Revoke))
 }
+
+// upToDate reports whether the configuration was confirmed recently, so that a request that
+// it does not permit may be rejected.
+func (n *Node) upToDate() bool {
+	bound := n.bounds().Config
+	return bound == 0 || n.source.Age(source.Config) < time.Duration(maxUnconfirmedFraction*float64(bound))
+}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -281,6 +281,7 @@
 		Log:        n.log,
 		VMs:        n.roster.Count,
 		Fresh:      n.fresh,
+		UpToDate:   n.upToDate,
 
 		Stop:     n.stopTimes,
 		OnNotice: n.recordNotice,
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -62,6 +62,9 @@
 	// recent update from the store or from other VMs may have missed the
 	// withdrawal of a key.
 	Fresh func() bool
+	// UpToDate reports whether the configuration was confirmed so recently that requests
+	// which it does not permit may be rejected.
+	UpToDate func() bool
 	// Stop returns the times of a planned stop; zero unless the VM is about to stop.
 	Stop func() Stop
 	// OnNotice is called with what a target states about further requests in the
@@ -244,12 +247,12 @@
 func (h *Handler) authorise(j *job, cfg *site.Config) failure {
 	j.route = cfg.Match(j.request.Host, j.path())
 	if j.route == nil {
-		return rejection{http.StatusNotFound, "no route matches the host and path"}
+		return h.reject(http.StatusNotFound, "no route matches the host and path")
 	}
 	if len(cfg.Customers) > 0 {
 		j.customer = cfg.CustomerByKey(j.info.Key)
 		if j.customer == nil && !j.route.Public {
-			return rejection{http.StatusUnauthorized, "the key is not known"}
+			return h.reject(http.StatusUnauthorized, "the key is not known")
 		}
 		if !j.route.Public && !h.opts.Fresh() {
 			return refusal{http.StatusServiceUnavailable, "this VM may have missed the withdrawal of a key", busyRetry}
@@ -261,6 +264,15 @@
 	return nil
 }
 
+// reject rejects a request that the configuration does not permit, unless this VM may have
+// missed a newer one that does.
+func (h *Handler) reject(code int, text string) failure {
+	if !h.opts.UpToDate() {
+		return refusal{http.StatusServiceUnavailable, text + ", but this VM may have missed a change", busyRetry}
+	}
+	return rejection{code, text}
+}
+
 // path returns the path without the query.
 func (j *job) path() string {
 	path, _, _ := strings.Cut(j.request.RequestURI, "?")
