Keep a limit when the VM that reported it restarts

Cause: found in the read-through. A VM that heard of a limit from another VM forgot it with the first update of that VM that did not repeat it, as after a restart; it would then send without one until its own next response. A limit too large for an int was converted to one, whose result differs by processor: all of it was one VM's share on x86-64.

Change: reports that are not repeated stay until the limit ends or the target is gone. The number of shares is bounded before it is converted. The timer of the watch is reused.

Measured: TestLimitOfOneVM, "a limit outlasts the restart": failed before, passes now; "a huge limit" passed on arm64 before as well. go test -race -cpu 1 ./internal/fleet/throttle ./internal/gateway/disconnect: pass.

Conclusion: a limit ends only when a response says so.

--- a/internal/fleet/throttle/throttle.go
+++ b/internal/fleet/throttle/throttle.go
@@ -3,8 +3,8 @@
 //
 // The VMs agree on a limit by exchanging what each of them has read from the target's
 // responses. A few of them, chosen by rendezvous hashing, have a share of it, and the others
-// send the target nothing. Shares are never smaller than the target's limit or one request
-// per second, so that they can be used in a fleet of any size.
+// send the target nothing. No share is smaller than one request per second, unless the limit
+// is, so that shares can be used in a fleet of any size.
 package throttle
 
 import (
@@ -114,14 +114,11 @@
 	return s.perSecond != before
 }
 
-// Merge replaces the reports of another VM. It returns the targets whose limits have
-// changed.
+// Merge adds the reports of another VM. Those that it does not repeat stay, since it may
+// have been restarted. It returns the targets whose limits have changed.
 func (t *Table) Merge(vm string, reports []Report, now time.Time) []site.Incarnation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.targets {
-		delete(s.peers, vm)
-	}
 	var changed []site.Incarnation
 	for _, r := range reports {
 		target := site.Incarnation{ID: r.Target, Born: r.Born}
@@ -287,7 +284,7 @@
 	if perSecond == 0 {
 		return 0
 	}
-	shares := max(1, min(int(perSecond/minShare), len(t.vms)))
+	shares := max(1, int(min(perSecond/minShare, float64(len(t.vms)))))
 	own, listed, ahead := rank(t.self, target), false, 0
 	for _, vm := range t.vms {
 		switch {
--- a/internal/fleet/throttle/throttle_test.go
+++ b/internal/fleet/throttle/throttle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -248,6 +249,20 @@
 	t.Run("another incarnation has no limit", func(t *testing.T) {
 		must.Eq(t, 0, start().Wait(site.Incarnation{ID: target.ID, Born: 2}, at(1)))
 	})
+	t.Run("a limit outlasts the restart of the VM that reported it", func(t *testing.T) {
+		table := NewTable("vm-0")
+		must.Eq(t, []site.Incarnation{target}, table.Merge("vm-1", []Report{{Target: target.ID, Born: target.Born, PerSecond: 2}}, at(1)))
+		must.SliceEmpty(t, table.Merge("vm-1", nil, at(2)))
+		table.SetVMs([]string{"vm-0", "vm-1"}, at(2))
+		must.Eq(t, 2, limitOf(table))
+	})
+	t.Run("a huge limit is divided among all VMs", func(t *testing.T) {
+		table := NewTable("vm-0")
+		table.SetVMs([]string{"vm-0", "vm-1"}, at(0))
+		table.Record(target, stated(math.MaxFloat64), at(0), at(1))
+		_, share := table.Limit(target)
+		must.Eq(t, math.MaxFloat64/2, share)
+	})
 	t.Run("a VM that does not serve has no share", func(t *testing.T) {
 		table := start()
 		table.SetVMs([]string{"vm-1"}, at(1))
--- a/internal/gateway/disconnect/watch.go
+++ b/internal/gateway/disconnect/watch.go
@@ -57,9 +57,12 @@
 func (w *Watch) add(r *request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.requests) == 0 {
+	switch {
+	case w.timer == nil:
 		w.requests = map[*request]struct{}{}
 		w.timer = time.AfterFunc(watchPeriod, w.check)
+	case len(w.requests) == 0:
+		w.timer.Reset(watchPeriod)
 	}
 	w.requests[r] = struct{}{}
 }
