Test that running attempts end when their caller leaves

Cause: of the states in which a caller can leave, three had no test: beside a silent target with a standby attempt, while a long body is written to a target that does not read it, and in a stream whose events the caller does not read.

Conclusion: in these states the target's connection is closed at once.

--- a/internal/gateway/node/disconnect_test.go
+++ b/internal/gateway/node/disconnect_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -136,6 +137,86 @@
 	return r
 }
 
+// TestAttemptOutlastsItsCaller guards against attempts that a VM does not end when their
+// caller leaves.
+func TestAttemptOutlastsItsCaller(t *testing.T) {
+	t.Run("a standby attempt", func(t *testing.T) {
+		b := newTestbed(t)
+		setModes(b.apps, fake.SiteHang)
+		v := b.start("vm-1")
+		v.ready()
+		c := v.dial()
+		_, err := io.WriteString(c, rawRequest("/lookup/", "r", 0))
+		must.NoError(t, err)
+		eventually(t, func() bool { return b.working() == 2 })
+		must.NoError(t, c.Close())
+		eventually(t, func() bool { return b.working() == 0 && v.logged("r") != "" })
+		must.StrContains(t, v.logged("r"), `outcome="the caller has left`)
+	})
+	t.Run("a body that the target does not read", func(t *testing.T) {
+		const bodyBytes = 8 << 20
+		b := newTestbed(t)
+		b.store.Remove("servers", "app-0")
+		b.store.Remove("servers", "app-1")
+		started, left, read := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+		b.rawListener("app", "slow", func(c net.Conn) {
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			close(started)
+			<-left
+			_, err = io.Copy(io.Discard, r.Body)
+			read <- err
+		})
+		v := b.start("vm-1")
+		v.ready()
+		eventually(t, func() bool { return len(v.source.View().Targets) == 3 })
+		c := v.dial()
+		_, err := io.WriteString(c, rawRequest("/commit/", "r", bodyBytes))
+		must.NoError(t, err)
+		<-started
+		must.NoError(t, c.Close())
+		eventually(t, func() bool { return v.logged("r") != "" })
+		close(left)
+		must.Error(t, <-read)
+	})
+	t.Run("a stream that the caller does not read", func(t *testing.T) {
+		b := newTestbed(t)
+		b.store.Remove("servers", "llm-0")
+		b.store.Remove("servers", "llm-1")
+		var sent atomic.Int64
+		ended := make(chan struct{})
+		b.rawTarget("long", func(c net.Conn, r *http.Request) {
+			if r.RequestURI != "/stream/b/" {
+				return
+			}
+			defer close(ended)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: r\r\nBaobabdyke-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n")
+			for i := 1; ; i++ {
+				if _, err := fmt.Fprintf(c, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 4000)); err != nil {
+					return
+				}
+				sent.Add(1)
+			}
+		})
+		v := b.start("vm-1")
+		v.ready()
+		eventually(t, func() bool { return len(v.source.View().Targets) == 3 })
+		c := v.dial()
+		_, err := io.WriteString(c, rawRequest("/stream/b/", "r", 0))
+		must.NoError(t, err)
+		last := int64(0)
+		eventually(t, func() bool {
+			before := last
+			last = sent.Load()
+			return last > 0 && last == before
+		})
+		must.NoError(t, c.Close())
+		<-ended
+	})
+}
+
 // logged returns the log line of a request, or the empty string if there is none.
 func (v *testVM) logged(id string) string {
 	for line := range strings.Lines(v.log.String()) {
--- a/internal/gateway/node/standby_test.go
+++ b/internal/gateway/node/standby_test.go
@@ -47,6 +47,19 @@
 
 // rawTarget registers an engine whose responses are written by respond.
 func (b *testbed) rawTarget(id string, respond func(c net.Conn, r *http.Request)) {
+	b.t.Helper()
+	b.rawListener("llm", id, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		respond(c, r)
+	})
+}
+
+// rawListener registers a target whose connections are served by serve.
+func (b *testbed) rawListener(service, id string, serve func(c net.Conn)) {
 	b.t.Helper()
 	var lc net.ListenConfig
 	l, err := lc.Listen(b.t.Context(), "tcp", "127.0.0.1:0")
@@ -60,16 +73,11 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				respond(c, r)
+				serve(c)
 			}()
 		}
 	}()
-	b.list("llm", id, l.Addr().String(), "ready")
+	b.list(service, id, l.Addr().String(), "ready")
 }
 
 // TestStalledRejectionStallsNoStream guards against a stream that stops because the
