Ignore reports of limits that can't be true

Cause: found in the read-through. A report with a limit that is no number, or with a negative or endless age, from a VM that speaks nonsense, put the end of a limit in force.

Change: such reports are not merged.

Measured: TestLimitOfOneVM, "a report that can't be true changes nothing": failed before, passes now, with the whole package.

Conclusion: the end of a limit needs a report that makes sense.

--- a/internal/fleet/throttle/throttle.go
+++ b/internal/fleet/throttle/throttle.go
@@ -8,6 +8,7 @@
 package throttle
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	// retention is how long the end of a limit is reported, and how long a limit is kept
 	// while its target is not listed.
 	retention = 30 * time.Second
+	// maxAge is the age up to which reports of other VMs are used.
+	maxAge = 24 * time.Hour
 )
 
 // A Report is the limit that a VM has read from a target's responses.
@@ -46,6 +49,11 @@
 	AgeMS int64 `cbor:"4,keyasint"`
 }
 
+// isValid reports whether the report can be true.
+func (r *Report) isValid() bool {
+	return r.PerSecond >= 0 && r.PerSecond <= math.MaxFloat64 && r.AgeMS >= 0 && r.AgeMS <= maxAge.Milliseconds()
+}
+
 // A reading is a limit, or 0 for none, as of the arrival of a response.
 type reading struct {
 	perSecond float64
@@ -121,13 +129,16 @@
 	defer t.mu.Unlock()
 	var changed []site.Incarnation
 	for _, r := range reports {
+		if !r.isValid() {
+			continue
+		}
 		target := site.Incarnation{ID: r.Target, Born: r.Born}
 		s, ok := t.targets[target]
 		if !ok {
 			s = &throttled{peers: map[string]reading{}, listedAt: now}
 			t.targets[target] = s
 		}
-		s.peers[vm] = reading{max(r.PerSecond, 0), now.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)}
+		s.peers[vm] = reading{r.PerSecond, now.Add(-time.Duration(r.AgeMS) * time.Millisecond)}
 		before := s.perSecond
 		t.apply(s, target, 0, now)
 		if s.perSecond != before {
--- a/internal/fleet/throttle/throttle_test.go
+++ b/internal/fleet/throttle/throttle_test.go
@@ -256,6 +256,15 @@
 		table.SetVMs([]string{"vm-0", "vm-1"}, at(2))
 		must.Eq(t, 2, limitOf(table))
 	})
+	t.Run("a report that can't be true changes nothing", func(t *testing.T) {
+		table := start()
+		for _, r := range []Report{{PerSecond: math.NaN()}, {PerSecond: -1}, {PerSecond: math.Inf(1)}, {AgeMS: -1}, {AgeMS: math.MaxInt64}} {
+			r.Target, r.Born = target.ID, target.Born
+			must.SliceEmpty(t, table.Merge("vm-1", []Report{r}, at(100)))
+		}
+		must.Eq(t, 2, limitOf(table))
+		must.MapEmpty(t, table.targets[target].peers)
+	})
 	t.Run("a huge limit is divided among all VMs", func(t *testing.T) {
 		table := NewTable("vm-0")
 		table.SetVMs([]string{"vm-0", "vm-1"}, at(0))
