Watch only connections that have a socket

A connection without a socket was wrapped all the same, so that its missing socket was asked for in two places, and the type was exported for nobody.

Change: the listener passes such a connection on as it is; the type and its method are not exported. No change in behaviour.

Conclusion: a watched connection always has a socket.

--- a/internal/gateway/disconnect/disconnect.go
+++ b/internal/gateway/disconnect/disconnect.go
@@ -20,7 +20,7 @@
 // has left.
 var ErrLeft = errors.New("connection closed by the caller")
 
-// A Listener is a listener whose connections are of type *Conn.
+// A Listener is a listener whose connections can be watched, if they have a socket.
 type Listener struct{ net.Listener }
 
 // Accept implements net.Listener.
@@ -29,42 +29,35 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c)
-}
-
-// A Conn is the connection of a caller.
-type Conn struct {
-	net.Conn
-	raw syscall.RawConn
-	// reading reports whether a Read is in progress. It returns when the caller leaves.
-	reading atomic.Bool
-}
-
-func newConn(c net.Conn) (*Conn, error) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return &Conn{Conn: c}, nil
+		return c, nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
-	return &Conn{Conn: c, raw: raw}, nil
+	return &conn{Conn: c, raw: raw}, nil
+}
+
+// A conn is the connection of a caller.
+type conn struct {
+	net.Conn
+	raw syscall.RawConn
+	// reading reports whether a Read is in progress. It returns when the caller leaves.
+	reading atomic.Bool
 }
 
 // Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
 	return c.Conn.Read(p)
 }
 
-// HasLeft reports whether the caller has closed its end of the connection, even if there
+// hasLeft reports whether the caller has closed its end of the connection, even if there
 // are bytes before the end that have not been read.
-func (c *Conn) HasLeft() bool {
-	if c.raw == nil {
-		return false
-	}
+func (c *conn) hasLeft() bool {
 	left := false
 	err := c.raw.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
--- a/internal/gateway/disconnect/watch.go
+++ b/internal/gateway/disconnect/watch.go
@@ -19,7 +19,7 @@
 
 // A request is a running request.
 type request struct {
-	conn   *Conn
+	conn   *conn
 	cancel context.CancelCauseFunc
 }
 
@@ -29,7 +29,7 @@
 // The context is that of a request that a Watch serves.
 func HasLeft(ctx context.Context) bool {
 	r, ok := ctx.Value(requestKey{}).(*request)
-	if !ok || !r.conn.HasLeft() {
+	if !ok || !r.conn.hasLeft() {
 		return false
 	}
 	r.cancel(ErrLeft)
@@ -40,8 +40,8 @@
 // leave. It needs the connections of a Listener and the context of WithConn.
 func (w *Watch) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, in *http.Request) {
-		c, ok := in.Context().Value(connKey{}).(*Conn)
-		if !ok || c.raw == nil {
+		c, ok := in.Context().Value(connKey{}).(*conn)
+		if !ok {
 			next.ServeHTTP(rw, in)
 			return
 		}
@@ -84,7 +84,7 @@
 		return
 	}
 	for r := range w.requests {
-		if !r.conn.reading.Load() && r.conn.HasLeft() {
+		if !r.conn.reading.Load() && r.conn.hasLeft() {
 			r.cancel(ErrLeft)
 		}
 	}
