Quarantine a request that crashes its targets

Cause: evidence was kept for shared prompt segments only. A request that callers repeat under other ids has no part of its own that was remembered, its segments are cleared by each answer to another request that contains them, and losses after the first event, and those of plain services, were not recorded.

Change: losses are counted for the whole request (method, host, path, model, prompt, body) as well as for the segments, also for plain services and within a stream. A loss is blamed on the request before its segments, which need a loss of another request. Repeats that are lost count each. A loss is disproved when the target answers a request that it had before. Single losses are told for a minute; a quarantine that begins by a report is passed on at once.

Conclusion: the same request is the only thing that its losses have in common, and its answers are the only ones that clear it.

--- a/internal/fleet/quarantine/quarantine.go
+++ b/internal/fleet/quarantine/quarantine.go
@@ -1,18 +1,25 @@
-// Package quarantine finds prompt segments that crash the engines which answer
-// them, and keeps them from further engines.
+// Package quarantine finds contents of requests that crash the targets which answer
+// them, and keeps them from further targets. Contents are the shared segments of
+// prompts and whole requests, which callers repeat under other ids.
 //
-// An engine that crashes loses all its requests, so one loss says little about one
-// segment. A segment is quarantined when several engines were lost, one after the
+// A target that crashes loses all its requests, so one loss says little about one
+// content. A content is quarantined when several targets were lost, one after the
 // other, with unanswered requests that contain it, and none of its requests was
-// answered in between. Segments in the same prompts share these losses: they are
-// blamed on the one that was answered least recently. VMs share what they observe,
-// since each of them sees only some of the losses.
+// answered in between. Contents of the same requests share these losses: they are
+// blamed on the one that was answered least recently, and on a whole request rather
+// than on its segments. VMs share what they observe, since each of them sees only some
+// of the losses.
+//
+// A target that answers a request which it had before a loss has not crashed, so that
+// the loss does not count.
 package quarantine
 
 import (
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,8 +59,23 @@
 	maxReportedLosses = 8
 	// maxSegmentBytes is the length of the longest segment id that is remembered.
 	maxSegmentBytes = 64
+	// reportTime is how long after a loss other VMs are told of it if nothing is
+	// quarantined for it. It bounds the updates after a crash, which leaves a loss for
+	// each request that the target had.
+	reportTime = time.Minute
+	// crashSlack is how long after a loss bytes that the target sent before it may
+	// still arrive.
+	crashSlack = 500 * time.Millisecond
 )
 
+// requestPrefix distinguishes whole requests from segments, whose ids contain no colon.
+const requestPrefix = "request:"
+
+// Request returns the content that stands for a whole request with the given hash.
+func Request(hash uint64) string { return requestPrefix + strconv.FormatUint(hash, 36) }
+
+func isRequest(content string) bool { return strings.HasPrefix(content, requestPrefix) }
+
 // A Report is what a VM knows of one segment.
 type Report struct {
 	Segment string `cbor:"1,keyasint"`
@@ -71,6 +93,11 @@
 	Answering bool `cbor:"2,keyasint,omitempty"`
 	// AgeMS is the time since the loss in milliseconds.
 	AgeMS int64 `cbor:"3,keyasint"`
+	// Disproved reports whether the engine had not crashed.
+	Disproved bool `cbor:"4,keyasint,omitempty"`
+	// Repeated reports whether the request had been sent after an earlier loss of it, so
+	// that the two have no common cause but the request.
+	Repeated bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Engine returns the identity of an incarnation of an engine for a Loss.
@@ -105,6 +132,19 @@
 	answering bool
 	// own reports whether this VM has lost a request itself.
 	own bool
+	// disproved reports whether the target went on after the loss.
+	disproved bool
+	// repeated reports whether the request had been sent after an earlier loss of it.
+	repeated bool
+}
+
+// A Circumstance says how a target was lost with a request.
+type Circumstance struct {
+	// Answering reports whether the target had sent the header of its response, but no
+	// event.
+	Answering bool
+	// Repeated reports whether the request was sent after an earlier loss of it.
+	Repeated bool
 }
 
 // NewList returns an empty List.
@@ -113,27 +153,24 @@
 }
 
 // RecordLoss records that an engine was lost with an unanswered request that
-// contains the given segments.
-func (l *List) RecordLoss(segments []string, engine uint64, answering bool, now time.Time) {
+// has the given contents.
+func (l *List) RecordLoss(segments []string, engine uint64, c Circumstance, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, segment := range segments {
-		l.add(segment, engine, loss{at: now, answering: answering, own: true})
+		l.add(segment, engine, loss{at: now, answering: c.Answering, repeated: c.Repeated && isRequest(segment), own: true})
 	}
 	l.judge(now)
 }
 
-// RecordAnswer records that an engine has answered a request that contains the
-// given segments, so that none of them crashes engines.
+// RecordAnswer records that an engine has answered a request that has the given
+// contents, so that none of them crashes engines.
 func (l *List) RecordAnswer(segments []string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed := false
 	for _, segment := range segments {
-		if len(l.answered) >= maxAnswered {
-			clear(l.answered)
-		}
-		l.answered[segment] = now
+		l.remember(segment, now)
 		changed = l.answer(segment, now) || changed
 	}
 	if changed {
@@ -141,6 +178,41 @@
 	}
 }
 
+// remember keeps the time of an answer to a request with a segment. Whole requests are
+// too many, and few come again. The caller holds mu.
+func (l *List) remember(content string, now time.Time) {
+	if isRequest(content) {
+		return
+	}
+	if len(l.answered) >= maxAnswered {
+		clear(l.answered)
+	}
+	l.answered[content] = now
+}
+
+// RecordAlive records that an engine has sent something in response to a request that
+// was sent to it at the given time, so that no loss in between was a crash.
+func (l *List) RecordAlive(engine uint64, sent, now time.Time) {
+	if l.count.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := false
+	for _, s := range l.suspects {
+		// Only the time of an own loss is exact.
+		lost, ok := s.losses[engine]
+		if ok && lost.own && !lost.disproved && sent.Before(lost.at) && now.Sub(lost.at) > crashSlack {
+			lost.disproved = true
+			s.losses[engine] = lost
+			changed = true
+		}
+	}
+	if changed {
+		l.judge(now)
+	}
+}
+
 // Quarantined returns the segment of a request that is quarantined and the time until
 // the end of that, or false if there is none.
 func (l *List) Quarantined(segments []string, now time.Time) (segment string, left time.Duration, ok bool) {
@@ -157,10 +229,11 @@
 	return "", 0, false
 }
 
-// Merge adds what another VM reports.
-func (l *List) Merge(reports []Report, now time.Time) {
+// Merge adds what another VM reports. It reports whether a quarantine has begun, which
+// other VMs should hear of soon.
+func (l *List) Merge(reports []Report, now time.Time) (began bool) {
 	if len(reports) == 0 {
-		return
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -168,19 +241,18 @@
 	for _, r := range reports {
 		for _, reported := range r.Losses {
 			if age := time.Duration(reported.AgeMS) * time.Millisecond; age < evidenceTime/2 {
-				changed = l.add(r.Segment, reported.Engine, loss{at: now.Add(-age), answering: reported.Answering}) || changed
+				changed = l.add(r.Segment, reported.Engine, loss{at: now.Add(-age), answering: reported.Answering, disproved: reported.Disproved, repeated: reported.Repeated}) || changed
 			}
 		}
 		if r.AnsweredMS > 0 {
 			changed = l.answer(r.Segment, now.Add(-time.Duration(r.AnsweredMS)*time.Millisecond)) || changed
 		}
 	}
-	if changed {
-		l.judge(now)
-	}
+	return changed && l.judge(now)
 }
 
-// Reports returns what other VMs are told: the segments with the most losses first.
+// Reports returns what other VMs are told: the contents with the most losses first, and
+// of these the ones with the latest.
 func (l *List) Reports(now time.Time) []Report {
 	if l.count.Load() == 0 {
 		return nil
@@ -188,25 +260,49 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	segments := slices.SortedFunc(maps.Keys(l.suspects), func(a, b string) int {
-		return cmp.Or(cmp.Compare(len(l.suspects[b].losses), len(l.suspects[a].losses)), cmp.Compare(a, b))
+	var told []*suspect
+	for _, s := range l.suspects {
+		if s.isNews(now) {
+			told = append(told, s)
+		}
+	}
+	slices.SortFunc(told, func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(len(b.losses), len(a.losses)), b.lastLoss().Compare(a.lastLoss()), cmp.Compare(a.segment, b.segment))
 	})
 	var out []Report
-	for _, segment := range segments[:min(len(segments), maxReports)] {
-		s := l.suspects[segment]
-		r := Report{Segment: segment}
+	for _, s := range told[:min(len(told), maxReports)] {
+		r := Report{Segment: s.segment}
 		if !s.answeredAt.IsZero() {
 			r.AnsweredMS = now.Sub(s.answeredAt).Milliseconds() + 1
 		}
 		for _, engine := range s.reportedLosses() {
 			lost := s.losses[engine]
-			r.Losses = append(r.Losses, Loss{Engine: engine, Answering: lost.answering, AgeMS: now.Sub(lost.at).Milliseconds()})
+			r.Losses = append(r.Losses, Loss{
+				Engine: engine, Answering: lost.answering, AgeMS: now.Sub(lost.at).Milliseconds(), Disproved: lost.disproved, Repeated: lost.repeated,
+			})
 		}
 		out = append(out, r)
 	}
 	return out
 }
 
+// isNews reports whether other VMs are told of a content: it is quarantined, or the last
+// loss or answer is recent.
+func (s *suspect) isNews(now time.Time) bool {
+	return now.Before(s.until) || now.Sub(s.lastLoss()) < reportTime || now.Sub(s.answeredAt) < answeredTime
+}
+
+// lastLoss returns the time of the last loss; zero if there is none.
+func (s *suspect) lastLoss() time.Time {
+	var last time.Time
+	for _, lost := range s.losses {
+		if lost.at.After(last) {
+			last = lost.at
+		}
+	}
+	return last
+}
+
 // reportedLosses returns the engines of the losses that other VMs are told: this VM's
 // own first, of which it may be the only witness, and the newest first.
 func (s *suspect) reportedLosses() []uint64 {
@@ -242,6 +338,8 @@
 	case repeated:
 		lost.answering = lost.answering || known.answering
 		lost.own = lost.own || known.own
+		lost.disproved = lost.disproved || known.disproved
+		lost.repeated = lost.repeated || known.repeated
 		if known.at.Before(lost.at) {
 			lost.at = known.at
 		}
@@ -279,14 +377,16 @@
 	return len(s.losses) < before
 }
 
-// judge starts, extends and ends quarantines. A loss is blamed on a quarantined
-// segment rather than on one that was answered more recently. The caller holds mu.
-func (l *List) judge(now time.Time) {
+// judge starts, extends and ends quarantines, and reports whether one has begun. A loss
+// is blamed on a quarantined content rather than on one that was answered more recently,
+// and on a whole request rather than on a segment that was answered no more recently.
+// The caller holds mu.
+func (l *List) judge(now time.Time) (began bool) {
 	l.count.Store(int64(len(l.suspects)))
 	ordered := slices.SortedFunc(maps.Values(l.suspects), func(a, b *suspect) int {
-		return a.answeredAt.Compare(b.answeredAt)
+		return cmp.Or(a.answeredAt.Compare(b.answeredAt), compareBool(isRequest(b.segment), isRequest(a.segment)))
 	})
-	blamed := map[uint64]time.Time{}
+	blamed := map[uint64]blame{}
 	for _, s := range ordered {
 		weight, last := s.weigh(blamed)
 		until := last.Add(quarantineTime)
@@ -294,37 +394,72 @@
 		switch {
 		case weight < threshold:
 			if quarantined {
-				_ = l.log.Log("msg", "prompt segment released", "segment", s.segment, "losses", len(s.losses), "weight", weight)
+				_ = l.log.Log("msg", s.noun()+" released", "segment", s.segment, "losses", len(s.losses), "weight", weight)
 			}
 			s.until = time.Time{}
 			continue
 		case !quarantined && now.Before(until):
-			_ = l.log.Log("msg", "prompt segment quarantined", "segment", s.segment, "losses", len(s.losses), "weight", weight, "for", until.Sub(now))
+			began = true
+			_ = l.log.Log("msg", s.noun()+" quarantined", "segment", s.segment, "losses", len(s.losses), "weight", weight, "for", until.Sub(now))
 		}
 		s.until = until
 		for engine := range s.losses {
 			if _, ok := blamed[engine]; !ok {
-				blamed[engine] = s.answeredAt
+				blamed[engine] = blame{s.answeredAt, isRequest(s.segment)}
 			}
 		}
 	}
+	return began
+}
+
+// noun names a content in the log.
+func (s *suspect) noun() string {
+	if isRequest(s.segment) {
+		return "request"
+	}
+	return "prompt segment"
 }
 
-// weigh returns the weight of the losses that are not blamed on a segment that was
-// answered less recently, and the time of the last one. Losses at about the same
-// time count once.
-func (s *suspect) weigh(blamed map[uint64]time.Time) (weight float64, last time.Time) {
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// A blame is what a loss is blamed on: when that was last answered, and whether it is a
+// whole request.
+type blame struct {
+	answeredAt time.Time
+	request    bool
+}
+
+// weigh returns the weight of the losses that are not blamed on a content that was
+// answered less recently, and the time of the last one. Losses at about the same time
+// count once, except for those of repeated requests. If all losses are blamed on whole requests, none of them tells anything
+// about a segment of these.
+func (s *suspect) weigh(blamed map[uint64]blame) (weight float64, last time.Time) {
 	var own []loss
+	others := isRequest(s.segment)
 	for engine, lost := range s.losses {
-		if answeredAt, ok := blamed[engine]; !ok || !answeredAt.Before(s.answeredAt) {
-			own = append(own, lost)
+		b, ok := blamed[engine]
+		if lost.disproved || ok && b.answeredAt.Before(s.answeredAt) {
+			continue
 		}
+		own = append(own, lost)
+		others = others || !ok || !b.request
+	}
+	if !others {
+		return 0, last
 	}
 	slices.SortFunc(own, func(a, b loss) int { return a.at.Compare(b.at) })
 	var start time.Time
 	counted := 0.0
 	for _, lost := range own {
-		if lost.at.Sub(start) >= simultaneous {
+		if lost.at.Sub(start) >= simultaneous || lost.repeated {
 			start, counted = lost.at, 0
 		}
 		value := queuedWeight
@@ -351,17 +486,14 @@
 	l.count.Store(int64(len(l.suspects)))
 }
 
-// makeRoom drops the suspect with the fewest losses if there are too many. The
-// caller holds mu.
+// makeRoom drops the suspect with the fewest losses, and of these the one with the
+// earliest, if there are too many. The caller holds mu.
 func (l *List) makeRoom() {
 	if len(l.suspects) < maxSuspects {
 		return
 	}
-	least := ""
-	for segment, s := range l.suspects {
-		if least == "" || len(s.losses) < len(l.suspects[least].losses) {
-			least = segment
-		}
-	}
-	delete(l.suspects, least)
+	least := slices.MinFunc(slices.Collect(maps.Values(l.suspects)), func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(len(a.losses), len(b.losses)), a.lastLoss().Compare(b.lastLoss()), cmp.Compare(a.segment, b.segment))
+	})
+	delete(l.suspects, least.segment)
 }
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -91,9 +91,10 @@
 		n.peerConfig.Store(max(n.peerConfig.Load(), e.Marks[source.Config].Newest))
 	}
 	v := n.source.View()
+	quarantined := false
 	for _, e := range entries {
 		n.quota.UpdatePeer(e.VM, e.Born, e.Spent)
-		n.quarantine.Merge(e.Suspects, now)
+		quarantined = n.quarantine.Merge(e.Suspects, now) || quarantined
 		n.placer.ApplyUpdate(e, v, now)
 		for _, target := range n.limits.Merge(e.VM, e.Limits, now) {
 			n.logLimit(target, e.VM, "", now)
@@ -102,6 +103,10 @@
 			n.pullNewer(e, now)
 		}
 	}
+	if quarantined {
+		// In a large fleet the next regular updates would come seconds later.
+		n.roster.Trigger()
+	}
 	n.refreshBusy(now)
 	n.shareLimits(now)
 	n.updateWatching(now)
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/platform"
@@ -127,7 +128,7 @@
 		return lost{reason: "the answer broke off: " + err.Error()}, placing.Failed
 	}
 	r.Exchange.Finish()
-	x.markFirst()
+	x.markWhole()
 	end := placing.Served
 	if r.Response.StatusCode >= http.StatusInternalServerError {
 		end = placing.Failed
@@ -159,9 +160,21 @@
 		j.timeToFirst = time.Since(j.start)
 	}
 	x.handler.opts.Placer.FirstToken(x.choice, time.Since(x.sentAt), time.Now())
-	if j.engine {
-		x.handler.opts.Quarantine.RecordAnswer(j.shared, time.Now())
-	}
+	x.recordAlive()
+	x.handler.opts.Quarantine.RecordAnswer(j.shared, time.Now())
+}
+
+// recordAlive records that the target has not crashed since the request was sent.
+func (x *exchange) recordAlive() {
+	t := x.choice.Target
+	x.handler.opts.Quarantine.RecordAlive(quarantine.Engine(t.ID, t.Born), x.sentAt, time.Now())
+}
+
+// markWhole records that the whole response has arrived.
+func (x *exchange) markWhole() {
+	x.markFirst()
+	x.recordAlive()
+	x.handler.opts.Quarantine.RecordAnswer(x.response.job.contents, time.Now())
 }
 
 // passStream relays events as they arrive.
@@ -180,7 +193,7 @@
 		if errors.Is(err, io.EOF) {
 			r.Exchange.Finish()
 			x.response.close(r.Response)
-			x.markFirst()
+			x.markWhole()
 			x.handler.finish(j, r.Response.StatusCode, outcomeStreamed)
 			return delivered{}, placing.Served
 		}
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -48,8 +48,8 @@
 type Options struct {
 	View  func() *source.View
 	Quota *quota.Limiter
-	// Quarantine holds the prompt segments that crash engines, and OnSuspect is
-	// called when this VM has added to it.
+	// Quarantine holds the requests and prompt segments that crash targets, and
+	// OnSuspect is called when this VM has added to it.
 	Quarantine *quarantine.List
 	OnSuspect  func()
 	Placer     *placing.Placer
@@ -109,9 +109,11 @@
 	deadline time.Time
 	cost     float64
 	prefixes []placing.Prefix
-	// shared are the ids of the prompt's segments that other prompts may share.
-	shared []string
-	cache  string
+	// shared are the ids of the prompt's segments that other prompts may share, and
+	// contents are these and the whole request, for the quarantine.
+	shared   []string
+	contents []string
+	cache    string
 	// cacheTokens is the capacity of the KV cache store, engineTokens that of
 	// one engine.
 	cacheTokens  int
@@ -120,10 +122,12 @@
 	tokens       int
 
 	// The fields below record the progress of the request.
-	tried       []string
-	sends       int
-	runs        int
-	received    int
+	tried    []string
+	sends    int
+	runs     int
+	received int
+	// losses counts the targets that were lost with the request.
+	losses      int
 	timeToFirst time.Duration
 	target      string
 	level       float64
@@ -188,23 +192,21 @@
 	return h.charge(j)
 }
 
-// checkQuarantine refuses a request whose prompt contains a quarantined segment.
+// checkQuarantine refuses a request that is quarantined, by itself or for a segment of its
+// prompt.
 func (h *Handler) checkQuarantine(j *job) failure {
-	segment, left, quarantined := h.quarantined(j)
+	content, left, quarantined := h.quarantined(j)
 	if !quarantined {
 		return nil
 	}
-	j.detail += "segment " + segment + " is quarantined; "
-	return refusal{http.StatusServiceUnavailable, "a segment of the prompt crashes engines", left}
+	j.detail += content + " is quarantined; "
+	return refusal{http.StatusServiceUnavailable, "the request or a segment of its prompt crashes targets", left}
 }
 
-// quarantined returns a quarantined segment of the prompt and the time that is left of
+// quarantined returns a quarantined content of the request and the time that is left of
 // its quarantine, if there is one.
-func (h *Handler) quarantined(j *job) (segment string, left time.Duration, ok bool) {
-	if !j.engine {
-		return "", 0, false
-	}
-	return h.opts.Quarantine.Quarantined(j.shared, time.Now())
+func (h *Handler) quarantined(j *job) (content string, left time.Duration, ok bool) {
+	return h.opts.Quarantine.Quarantined(j.contents, time.Now())
 }
 
 func (h *Handler) log(keyvals ...any) { _ = h.opts.Log.Log(keyvals...) }
@@ -317,7 +319,13 @@
 	if j.customer != nil && j.customer.Isolated {
 		_, _ = hash.WriteString("@" + j.customer.Name)
 	}
+	whole := xxhash.New()
+	for _, part := range []string{j.request.Method, j.request.Host, j.request.RequestURI, info.Model} {
+		_, _ = whole.WriteString(part + "\n")
+	}
+	_, _ = whole.Write(j.body)
 	for i, segment := range info.Segments {
+		_, _ = whole.WriteString("/" + segment.ID)
 		j.tokens += segment.Tokens
 		if i < len(info.Segments)-1 {
 			j.sharedTokens += segment.Tokens
@@ -326,6 +334,8 @@
 			j.prefixes = append(j.prefixes, placing.Prefix{Hash: hash.Sum64(), Segment: segment.ID, Tokens: j.sharedTokens})
 		}
 	}
+	j.contents = append(j.contents, quarantine.Request(whole.Sum64()))
+	j.contents = append(j.contents, j.shared...)
 	j.tokens = max(j.tokens, info.PromptTokens)
 	if s := j.view.Config.Services[j.service]; j.engine {
 		j.engineTokens = s.Engine.CapacityTokens
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -233,15 +233,15 @@
 		switch {
 		case x.broken && x.replaced.Load():
 			end = placing.Inconclusive
-		case x.broken && !x.gotFirst:
-			h.recordLoss(x.requestCtx, j, x.choice, true)
+		case x.broken:
+			h.recordLoss(x, true)
 		}
 		return o, end
 	}
 	o, end := x.unanswered()
 	j.count(o)
 	if _, ok := o.(lost); ok && !x.replaced.Load() {
-		h.recordLoss(x.requestCtx, j, x.choice, false)
+		h.recordLoss(x, false)
 	}
 	return o, end
 }
@@ -259,16 +259,24 @@
 	}
 }
 
-// recordLoss records that an engine closed its connection without an answer, unless
-// the caller has left or the deadline has passed. Answering reports whether the header
-// of the response had arrived.
-func (h *Handler) recordLoss(ctx context.Context, j *job, c placing.Choice, answering bool) {
-	if !j.engine || ctx.Err() != nil {
+// recordLoss records that a target closed its connection without a whole answer, unless
+// the caller has left or the deadline has passed. Answering reports whether the header of
+// the response had arrived. After the first event the loss tells nothing about the
+// segments of the prompt, which the target had read by then.
+func (h *Handler) recordLoss(x *exchange, answering bool) {
+	if x.requestCtx.Err() != nil {
 		return
 	}
-	_ = h.opts.Log.Log("msg", "engine lost before its answer", "id", j.info.ID, "target", c.Target.ID, "answering", answering,
-		"segments", strings.Join(j.shared, ","))
-	h.opts.Quarantine.RecordLoss(j.shared, quarantine.Engine(c.Target.ID, c.Target.Born), answering, time.Now())
+	j, target := x.response.job, x.choice.Target
+	contents := j.contents
+	if x.gotFirst {
+		contents = contents[:1]
+	}
+	_ = h.opts.Log.Log("msg", "engine lost before its answer", "id", j.info.ID, "target", target.ID, "answering", answering,
+		"first", x.gotFirst, "request", contents[0], "segments", strings.Join(j.shared, ","))
+	h.opts.Quarantine.RecordLoss(contents, quarantine.Engine(target.ID, target.Born),
+		quarantine.Circumstance{Answering: answering && !x.gotFirst, Repeated: j.losses > 0}, time.Now())
+	j.losses++
 	h.opts.OnSuspect()
 }
 
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -204,7 +204,7 @@
 		return choice, "the stream cannot be resumed"
 	}
 	if _, _, quarantined := h.quarantined(j); quarantined {
-		return choice, "a segment of the prompt is quarantined"
+		return choice, "the request or a segment of its prompt is quarantined"
 	}
 	s.request.TimeLeft = time.Until(j.deadline)
 	choice, ok := h.opts.Placer.Choose(h.opts.View(), s.request, now)
