Bound the memory that answers of other processes take

Cause: http.ReadResponse reads a header without a bound, other clients kept up to 10 MB of header and 8 MB of body each, and nothing bounded all answers together. A faulty target, alone or beside others, could end a VM by its memory, and with it the requests of all its callers.

Change: 32 KB for a header with all that comes before it; a budget for answers above 64 KB, set by gateway.answers, one for targets and one for the store; a body with too long a length fails before it is read. Such an answer fails the request, counts as a failure of its target, is logged when it begins and ends, and is not taken for a crash. NewPool, NewEngines and NewObjects take the budget.

Conclusion: what one answer may take doesn't depend on its sender, and what all may take depends on the VM's memory only; sound answers are shorter than what is free of the budget.

--- a/internal/fleet/quarantine/quarantine.go
+++ b/internal/fleet/quarantine/quarantine.go
@@ -74,7 +74,8 @@
 // Request returns the content that stands for a whole request with the given hash.
 func Request(hash uint64) string { return requestPrefix + strconv.FormatUint(hash, 36) }
 
-func isRequest(content string) bool { return strings.HasPrefix(content, requestPrefix) }
+// IsRequest reports whether a content stands for a whole request.
+func IsRequest(content string) bool { return strings.HasPrefix(content, requestPrefix) }
 
 // A Report is what a VM knows of one segment.
 type Report struct {
@@ -158,7 +159,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, segment := range segments {
-		l.add(segment, engine, loss{at: now, answering: c.Answering, repeated: c.Repeated && isRequest(segment), own: true})
+		l.add(segment, engine, loss{at: now, answering: c.Answering, repeated: c.Repeated && IsRequest(segment), own: true})
 	}
 	l.judge(now)
 }
@@ -181,7 +182,7 @@
 // remember keeps the time of an answer to a request with a segment. Whole requests are
 // too many, and few come again. The caller holds mu.
 func (l *List) remember(content string, now time.Time) {
-	if isRequest(content) {
+	if IsRequest(content) {
 		return
 	}
 	if len(l.answered) >= maxAnswered {
@@ -384,7 +385,7 @@
 func (l *List) judge(now time.Time) (began bool) {
 	l.count.Store(int64(len(l.suspects)))
 	ordered := slices.SortedFunc(maps.Values(l.suspects), func(a, b *suspect) int {
-		return cmp.Or(a.answeredAt.Compare(b.answeredAt), compareBool(isRequest(b.segment), isRequest(a.segment)))
+		return cmp.Or(a.answeredAt.Compare(b.answeredAt), compareBool(IsRequest(b.segment), IsRequest(a.segment)))
 	})
 	blamed := map[uint64]blame{}
 	for _, s := range ordered {
@@ -405,7 +406,7 @@
 		s.until = until
 		for engine := range s.losses {
 			if _, ok := blamed[engine]; !ok {
-				blamed[engine] = blame{s.answeredAt, isRequest(s.segment)}
+				blamed[engine] = blame{s.answeredAt, IsRequest(s.segment)}
 			}
 		}
 	}
@@ -414,7 +415,7 @@
 
 // noun names a content in the log.
 func (s *suspect) noun() string {
-	if isRequest(s.segment) {
+	if IsRequest(s.segment) {
 		return "request"
 	}
 	return "prompt segment"
@@ -443,7 +444,7 @@
 // about a segment of these.
 func (s *suspect) weigh(blamed map[uint64]blame) (weight float64, last time.Time) {
 	var own []loss
-	others := isRequest(s.segment)
+	others := IsRequest(s.segment)
 	for engine, lost := range s.losses {
 		b, ok := blamed[engine]
 		if lost.disproved || ok && b.answeredAt.Before(s.answeredAt) {
--- a/internal/gateway/conn/conn.go
+++ b/internal/gateway/conn/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 )
 
 const (
@@ -27,6 +30,17 @@
 	maxStrays = 2
 )
 
+const (
+	// maxHeadBytes bounds the header of a response together with those of responses and
+	// informational responses before it. Those of sound targets take less than a
+	// kilobyte.
+	maxHeadBytes = 32 << 10
+	// freeHeadBytes is what of a header may be read before it counts against the
+	// budget, with headFactor times the rest of it: the text and what is decoded of it.
+	freeHeadBytes = 4 << 10
+	headFactor    = 2
+)
+
 var errStray = errors.New("answer belongs to another request")
 
 // A Request is one request to a target.
@@ -45,6 +59,7 @@
 type Conn struct {
 	net    net.Conn
 	raw    syscall.RawConn
+	source *source
 	reader *bufio.Reader
 	// idleSince is when the connection became idle, and idleTimeout how long it
 	// may remain idle.
@@ -53,13 +68,14 @@
 }
 
 // dial opens a connection.
-func dial(ctx context.Context, address string) (*Conn, error) {
+func dial(ctx context.Context, address string, budget *intake.Budget) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	conn := &Conn{net: c, reader: bufio.NewReaderSize(c, readBuffer)}
+	src := &source{conn: c, budget: budget}
+	conn := &Conn{net: c, source: src, reader: bufio.NewReaderSize(src, readBuffer)}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		conn.raw, err = tcp.SyscallConn()
 		if err != nil {
@@ -97,6 +113,49 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
+// A source reads a connection and bounds what is read of it while a header is expected.
+type source struct {
+	conn   net.Conn
+	budget *intake.Budget
+	// inHead reports whether a header is being read, and read is what was read of it.
+	inHead bool
+	read   int
+	// held is what is reserved of the budget for a long header.
+	held int64
+}
+
+// beginHead starts the reading of a header.
+func (s *source) beginHead() { s.inHead, s.read = true, 0 }
+
+// endHead ends it.
+func (s *source) endHead() { s.inHead = false }
+
+// release returns what a header has reserved.
+func (s *source) release() {
+	s.budget.Release(s.held)
+	s.held = 0
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	if !s.inHead {
+		return s.conn.Read(p)
+	}
+	if s.read >= maxHeadBytes {
+		return 0, fmt.Errorf("header: %w: over %d bytes", intake.ErrTooLong, maxHeadBytes)
+	}
+	if s.read >= freeHeadBytes && s.held == 0 {
+		const more = headFactor * (maxHeadBytes - freeHeadBytes)
+		if !s.budget.Reserve(more) {
+			return 0, fmt.Errorf("header: %w", intake.ErrNoRoom)
+		}
+		s.held = more
+	}
+	n, err := s.conn.Read(p[:min(len(p), maxHeadBytes-s.read)])
+	s.read += n
+	return n, err
+}
+
 // write writes the request. A long body is written in the background, because a
 // target may respond before it has read the body. The channel receives the result
 // of the write.
@@ -124,6 +183,8 @@
 // are skipped.
 func (c *Conn) readResponse(r Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
+	c.source.beginHead()
+	defer c.source.endHead()
 	for range maxStrays + 1 {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
@@ -135,9 +196,11 @@
 		if r.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
+		c.source.endHead()
 		if err := skipBody(r, resp); err != nil {
 			return nil, errors.Join(errStray, err)
 		}
+		c.source.beginHead()
 	}
 	return nil, errStray
 }
@@ -152,7 +215,7 @@
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes+1))
 	if err == nil && n > maxStrayBytes {
-		return errTooLong
+		return intake.ErrTooLong
 	}
 	return err
 }
--- a/internal/gateway/conn/conn_test.go
+++ b/internal/gateway/conn/conn_test.go
@@ -44,13 +44,14 @@
 	body, err := r.Exchange.ReadBody(1 << 10)
 	must.NoError(t, err)
 	r.Exchange.Finish()
-	return string(body)
+	defer body.Release()
+	return string(body.Data)
 }
 
 func TestReuse(t *testing.T) {
 	target := fake.NewSiteTarget("i-1", 3)
 	address := start(t, target)
-	p := NewPool()
+	p := NewPool(nil)
 	t.Cleanup(p.Close)
 	for range 5 {
 		must.Eq(t, "answer of i-1 to a", exchange(t, p, address, "a"))
@@ -75,13 +76,13 @@
 	t.Run("a late response to another request is skipped", func(t *testing.T) {
 		target := fake.NewSiteTarget("i-1", 3)
 		target.QueueModes(fake.SiteStrayResponse)
-		address, p := start(t, target), NewPool()
+		address, p := start(t, target), NewPool(nil)
 		must.Eq(t, "answer of i-1 to a", exchange(t, p, address, "a"))
 	})
 	t.Run("a second response closes the connection", func(t *testing.T) {
 		target := fake.NewSiteTarget("i-1", 3)
 		target.QueueModes(fake.SiteExtraResponse)
-		address, p := start(t, target), NewPool()
+		address, p := start(t, target), NewPool(nil)
 		exchange(t, p, address, "a")
 		// The extra response may still be in transit; its id prevents a mix-up
 		// in either case.
@@ -90,7 +91,7 @@
 	t.Run("a response without a length closes the connection", func(t *testing.T) {
 		target := fake.NewSiteTarget("i-1", 3)
 		target.QueueModes(fake.SiteUnframed)
-		address, p := start(t, target), NewPool()
+		address, p := start(t, target), NewPool(nil)
 		must.Eq(t, "answer of i-1 to a", exchange(t, p, address, "a"))
 		exchange(t, p, address, "b")
 		must.Eq(t, 2, target.Connections())
@@ -98,7 +99,7 @@
 	t.Run("a response before the end of the body makes only the connection unusable", func(t *testing.T) {
 		target := fake.NewSiteTarget("i-1", 3)
 		target.QueueModes(fake.SiteEarlyResponse)
-		address, p := start(t, target), NewPool()
+		address, p := start(t, target), NewPool(nil)
 		r, ok := p.Do(t.Context(), address, request("a", bytes.Repeat([]byte("x"), 4<<20)), false).(Responded)
 		must.True(t, ok)
 		must.Eq(t, http.StatusServiceUnavailable, r.Response.StatusCode)
@@ -110,14 +111,14 @@
 		t.Run(name+" results in Lost", func(t *testing.T) {
 			target := fake.NewSiteTarget("i-1", 3)
 			target.SetMode(mode)
-			_, ok := NewPool().Do(t.Context(), start(t, target), request("a", nil), false).(Lost)
+			_, ok := NewPool(nil).Do(t.Context(), start(t, target), request("a", nil), false).(Lost)
 			must.True(t, ok)
 		})
 	}
 	t.Run("a truncated body is an error", func(t *testing.T) {
 		target := fake.NewSiteTarget("i-1", 3)
 		target.SetMode(fake.SiteTruncated)
-		r, ok := NewPool().Do(t.Context(), start(t, target), request("a", nil), false).(Responded)
+		r, ok := NewPool(nil).Do(t.Context(), start(t, target), request("a", nil), false).(Responded)
 		must.True(t, ok)
 		_, err := r.Exchange.ReadBody(1 << 10)
 		must.Error(t, err)
@@ -164,7 +165,7 @@
 				address := script(t, c.responses)
 				r := request("own", bytes.Repeat([]byte("x"), size))
 				r.Method = c.method
-				p := NewPool()
+				p := NewPool(nil)
 				t.Cleanup(p.Close)
 				switch got := p.Do(t.Context(), address, r, false).(type) {
 				case Lost:
@@ -173,7 +174,7 @@
 					must.False(t, c.lost)
 					body, err := got.Exchange.ReadBody(1 << 10)
 					must.NoError(t, err)
-					must.Eq(t, "own", string(body))
+					must.Eq(t, "own", string(body.Data))
 					got.Exchange.Finish()
 				default:
 					t.Fatalf("the request was not sent: %v", got)
@@ -209,13 +210,13 @@
 
 func TestUnsent(t *testing.T) {
 	t.Run("a refused connection", func(t *testing.T) {
-		_, ok := NewPool().Do(t.Context(), "127.0.0.1:1", request("a", nil), true).(Unsent)
+		_, ok := NewPool(nil).Do(t.Context(), "127.0.0.1:1", request("a", nil), true).(Unsent)
 		must.True(t, ok)
 	})
 	t.Run("a cancelled context", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		_, ok := NewPool().Do(ctx, "127.0.0.1:1", request("a", nil), true).(Unsent)
+		_, ok := NewPool(nil).Do(ctx, "127.0.0.1:1", request("a", nil), true).(Unsent)
 		must.True(t, ok)
 	})
 }
@@ -226,6 +227,6 @@
 	address := start(t, target)
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, ok := NewPool().Do(ctx, address, request("a", nil), false).(Lost)
+	_, ok := NewPool(nil).Do(ctx, address, request("a", nil), false).(Lost)
 	must.True(t, ok)
 }
--- /dev/null
+++ b/internal/gateway/conn/endless_test.go
@@ -0,0 +1,177 @@
+package conn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
+)
+
+// endlessBytes is what an endless target sends at most, so that a test ends that reads it
+// all. unreadBytes is what the sockets of both sides hold at most of it.
+const (
+	endlessBytes = 96 << 20
+	unreadBytes  = 16 << 20
+)
+
+const endlessHead = "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: a\r\n"
+
+// An endless is a target that sends the beginning of a response and then the same text
+// again and again. It returns the number of bytes that it could send.
+type endless struct {
+	begin, again string
+	sent         atomic.Int64
+}
+
+func (e *endless) serve(t *testing.T) (address string) {
+	t.Helper()
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	text := []byte(strings.Repeat(e.again, 32<<10/len(e.again)+1))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, e.begin)
+				for e.sent.Load() < endlessBytes {
+					n, err := c.Write(text)
+					e.sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+var endlessAnswers = map[string]struct{ begin, again string }{
+	"status line":             {"", "HTTP/1.1 200 "},
+	"bytes that are no head":  {"", "\x00\x01"},
+	"header line":             {endlessHead + "X: ", "x"},
+	"header lines":            {endlessHead, "X: y\r\n"},
+	"informational responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	"informational header":    {"HTTP/1.1 103 Early Hints\r\n", "Link: x\r\n"},
+	"chunk extension":         {endlessHead + "Transfer-Encoding: chunked\r\n\r\n", "4;x=y"},
+	"chunk extensions":        {endlessHead + "Transfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 2000) + "\r\ny\r\n"},
+	"chunks":                  {endlessHead + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+	"trailers":                {endlessHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	"trailer":                 {endlessHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "x"},
+	"body with a length":      {endlessHead + "Content-Length: 1000000000000\r\n\r\n", "body"},
+	"body without a length":   {endlessHead + "\r\n", "body"},
+	"response to another":     {"HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: b\r\nContent-Length: 1000000000\r\n\r\n", "body"},
+	"responses to others":     {"", "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: b\r\nContent-Length: 4\r\n\r\nbody"},
+}
+
+// TestEndlessAnswer guards against a target that sends bytes without an end, in a header
+// or in a body, all of which are read and kept.
+func TestEndlessAnswer(t *testing.T) {
+	for name, c := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			e := &endless{begin: c.begin, again: c.again}
+			budget := intake.NewBudget(8 << 20)
+			p := NewPool(budget)
+			switch r := p.Do(t.Context(), e.serve(t), request("a", nil), true).(type) {
+			case Responded:
+				_, err := r.Exchange.ReadBody(4 << 20)
+				must.Error(t, err)
+				r.Exchange.Abort()
+			case Lost:
+				must.Error(t, r.Err)
+			default:
+				t.Fatalf("the request was not sent: %v", r)
+			}
+			must.Less(t, unreadBytes, e.sent.Load())
+			must.Eq(t, 0, budget.Used())
+		})
+	}
+}
+
+// TestEndlessAnswersBesideSoundOnes guards against a VM whose memory is filled by the
+// answers of many faulty targets at once, so that the requests of all its callers end
+// with it.
+func TestEndlessAnswersBesideSoundOnes(t *testing.T) {
+	const (
+		answers = 50
+		limit   = 48 << 20
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(limit))
+	p := NewPool(intake.NewBudget(limit / 8))
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var faulty []*endless
+	for _, c := range endlessAnswers {
+		faulty = append(faulty, &endless{begin: c.begin, again: c.again})
+	}
+	var addresses []string
+	for _, e := range faulty {
+		addresses = append(addresses, e.serve(t))
+	}
+	sound := &endless{begin: endlessHead + "Content-Length: 40000\r\n\r\n" + strings.Repeat("x", 40000), again: " "}
+	soundAddress := sound.serve(t)
+
+	var peak atomic.Uint64
+	done := make(chan struct{})
+	var sampler sync.WaitGroup
+	sampler.Go(func() {
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			peak.Store(max(peak.Load(), m.HeapInuse))
+			select {
+			case <-done:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	})
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Go(func() {
+			if r, ok := p.Do(ctx, addresses[i%len(addresses)], request("a", nil), true).(Responded); ok {
+				if body, err := r.Exchange.ReadBody(4 << 20); err == nil {
+					defer body.Release()
+				}
+				r.Exchange.Abort()
+			}
+		})
+		wg.Go(func() {
+			r, ok := p.Do(ctx, soundAddress, request("a", nil), true).(Responded)
+			if !ok {
+				t.Error("no response of a sound target")
+				return
+			}
+			body, err := r.Exchange.ReadBody(4 << 20)
+			if err != nil || len(body.Data) != 40000 {
+				t.Errorf("no body of a sound target: %v", err)
+			}
+			r.Exchange.Abort()
+		})
+	}
+	wg.Wait()
+	close(done)
+	sampler.Wait()
+	must.LessEq(t, limit, peak.Load())
+}
--- a/internal/gateway/conn/pool.go
+++ b/internal/gateway/conn/pool.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 )
 
 const (
@@ -23,14 +25,20 @@
 
 // A Pool keeps idle connections to targets by address.
 type Pool struct {
+	// budget bounds the memory that responses take.
+	budget *intake.Budget
+
 	mu   sync.Mutex
 	idle map[string][]*Conn
 
 	dials, reuses, failures atomic.Int64
 }
 
-// NewPool returns a Pool without connections.
-func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+// NewPool returns a Pool without connections, with the budget for responses.
+func NewPool(budget *intake.Budget) *Pool { return &Pool{budget: budget, idle: map[string][]*Conn{}} }
+
+// Budget returns the budget for responses.
+func (p *Pool) Budget() *intake.Budget { return p.budget }
 
 // A Result is the outcome of a request: Unsent, Lost or Responded.
 type Result interface{ result() }
@@ -85,7 +93,7 @@
 		}
 	}
 	p.dials.Add(1)
-	c, err := dial(ctx, address)
+	c, err := dial(ctx, address, p.budget)
 	if err == nil && ctx.Err() != nil {
 		c.Close()
 		return nil, ctx.Err()
@@ -164,7 +172,7 @@
 // that failed accepts connections again.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	p.dials.Add(1)
-	c, err := dial(ctx, address)
+	c, err := dial(ctx, address, p.budget)
 	if err != nil {
 		return err
 	}
@@ -195,6 +203,7 @@
 // Abort closes the connection, which makes the target abort the request.
 func (e *Exchange) Abort() {
 	e.stop()
+	e.conn.source.release()
 	e.conn.Close()
 }
 
@@ -202,6 +211,7 @@
 // kept if both sides allow that and the request was written completely.
 func (e *Exchange) Finish() {
 	alive := e.stop()
+	e.conn.source.release()
 	unwritten := true
 	select {
 	case err := <-e.written:
@@ -227,21 +237,15 @@
 	e.pool.put(e.address, e.conn)
 }
 
-// ReadBody reads a whole body of at most limit bytes. A truncated body is an
-// error.
-func (e *Exchange) ReadBody(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(e.resp.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errTooLong
+// ReadBody reads a whole body of at most limit bytes. A truncated body is an error, and
+// so is one that the budget has no room for. The body must be released.
+func (e *Exchange) ReadBody(limit int64) (*intake.Body, error) {
+	if e.resp.ContentLength > limit && e.resp.Request.Method != http.MethodHead {
+		return nil, fmt.Errorf("%w: %d bytes, at most %d", intake.ErrTooLong, e.resp.ContentLength, limit)
 	}
-	return body, nil
+	return e.pool.budget.Read(e.resp.Body, limit)
 }
 
-var errTooLong = errors.New("answer is longer than permitted")
-
 func chunked(resp *http.Response) bool {
 	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/relay"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
@@ -78,8 +79,11 @@
 	limits *throttle.Table
 	placer *placing.Placer
 	pool   *conn.Pool
-	orders *rollout.Task
-	relay  *relay.Handler
+	// storeAnswers is the budget for answers of the object store, apart from that for
+	// answers of targets, which faulty targets may fill.
+	storeAnswers *intake.Budget
+	orders       *rollout.Task
+	relay        *relay.Handler
 	// watch cancels the requests of callers that leave.
 	watch   disconnect.Watch
 	metrics *relay.Metrics
@@ -100,7 +104,9 @@
 	client := peer.NewClient(peer.ClientOptions{Self: s.VM, Log: logger})
 	server := peer.NewServer(peer.ServerOptions{Self: s.VM, Log: logger})
 	metrics.Set(s.VM+".peers", expvar.Func(client.Dump))
-	n := newNode(s, logger, platform.NewObjects(s.Platform.Address), client, server)
+	answers := intake.NewBudget(s.Gateway.AnswerBytes())
+	n := newNode(s, logger, platform.NewObjects(s.Platform.Address, answers), client, server)
+	n.storeAnswers = answers
 	n.server = server
 	return n
 }
@@ -120,7 +126,7 @@
 		placer:    placing.New(s.DataCentre, s.Gateway.Bounds.Weights, index, limits),
 		limits:    limits,
 		index:     index,
-		pool:      conn.NewPool(),
+		pool:      conn.NewPool(intake.NewBudget(s.Gateway.AnswerBytes())),
 		metrics:   relay.NewMetrics(),
 	}
 	n.gateway.Store(s.Gateway)
@@ -184,7 +190,7 @@
 		Peers:         n.client,
 		Bounds:        n.sourceBounds,
 	})
-	engines := platform.NewEngines()
+	engines := platform.NewEngines(n.pool.Budget())
 	onNotice := func(engine site.Incarnation, notice site.Notice) { n.recordNotice(engine, notice, "", time.Now()) }
 	n.feeds = caches.NewReader(caches.Options{
 		Feed: engines, Index: n.index, View: n.source.View, Log: n.log, Leaving: n.placer.Leaving,
@@ -242,11 +248,16 @@
 	return bounds
 }
 
-// limitMemory sets the garbage collector's memory limit.
+// limitMemory sets the garbage collector's memory limit and the budgets for answers.
 func (n *Node) limitMemory() {
 	if memory := n.gateway.Load().MemoryMB; memory > 0 {
 		debug.SetMemoryLimit(memory << 20 / memoryDivisor)
 	}
+	answers := n.gateway.Load().AnswerBytes()
+	n.pool.Budget().SetLimit(answers)
+	if n.storeAnswers != nil {
+		n.storeAnswers.SetLimit(answers)
+	}
 }
 
 // Reload applies changed settings: seeds, memory and bounds. Ports and the VM's
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
@@ -18,6 +19,10 @@
 // complete.
 const maxResponseBytes = 4 << 20
 
+// maxRejectionBytes bounds the body of a response that reports that the request was not
+// run. It is not passed on.
+const maxRejectionBytes = intake.Free
+
 // An exchange is one attempt and its response.
 type exchange struct {
 	handler  *Handler
@@ -106,9 +111,10 @@
 
 // handleNotRun handles a response that reports that the request was not run.
 func (x *exchange) handleNotRun(r conn.Responded) (outcome, placing.Outcome) {
-	if _, err := r.Exchange.ReadBody(maxResponseBytes); err != nil {
+	if body, err := r.Exchange.ReadBody(maxRejectionBytes); err != nil {
 		r.Exchange.Abort()
 	} else {
+		body.Release()
 		r.Exchange.Finish()
 	}
 	if r.Response.StatusCode == http.StatusMisdirectedRequest {
@@ -123,10 +129,11 @@
 	j := x.response.job
 	body, err := r.Exchange.ReadBody(maxResponseBytes)
 	if err != nil {
-		x.broken = true
+		x.fail(err)
 		r.Exchange.Abort()
 		return lost{reason: "the answer broke off: " + err.Error()}, placing.Failed
 	}
+	defer body.Release()
 	r.Exchange.Finish()
 	x.markWhole()
 	end := placing.Served
@@ -139,7 +146,7 @@
 	if x.response.started.Load() {
 		return lost{reason: "no stream but " + r.Response.Status}, end
 	}
-	x.response.writePlain(r.Response, body)
+	x.response.writePlain(r.Response, body.Data)
 	x.handler.finish(j, r.Response.StatusCode, outcomeAnswered)
 	return delivered{}, end
 }
@@ -149,6 +156,13 @@
 	return time.Until(j.deadline) > max(2*minTimeLeft, time.Since(j.start)/2)
 }
 
+// fail records why a response can't be read on.
+func (x *exchange) fail(err error) {
+	if x.broken = isBreak(err) || x.replaced.Load(); !x.broken {
+		x.recordNoAnswer(err)
+	}
+}
+
 // markFirst records the time of the first event or the whole response.
 func (x *exchange) markFirst() {
 	if x.gotFirst {
@@ -173,6 +187,7 @@
 // markWhole records that the whole response has arrived.
 func (x *exchange) markWhole() {
 	x.markFirst()
+	x.recordAnswer()
 	x.recordAlive()
 	x.handler.opts.Quarantine.RecordAnswer(x.response.job.contents, time.Now())
 }
@@ -180,7 +195,8 @@
 // passStream relays events as they arrive.
 func (x *exchange) passStream(r conn.Responded) (outcome, placing.Outcome) {
 	j := x.response.job
-	events := newEventReader(r.Response.Body)
+	events := newEventReader(r.Response.Body, x.handler.opts.Pool.Budget())
+	defer events.release()
 	resumed, before := x.response.started.Load(), x.response.events
 	for {
 		event, err := events.next()
@@ -198,7 +214,7 @@
 			return delivered{}, placing.Served
 		}
 		if err != nil {
-			x.broken = true
+			x.fail(err)
 			r.Exchange.Abort()
 			reason := "the stream broke off: " + err.Error()
 			if x.replaced.Load() {
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -88,6 +88,7 @@
 	opts Options
 	// successLog selects the successful requests that are logged.
 	successLog logline.Sampler
+	faulty     faultyTargets
 }
 
 // NewHandler returns a Handler.
@@ -199,8 +200,12 @@
 	if !quarantined {
 		return nil
 	}
-	j.detail += content + " is quarantined; "
-	return refusal{http.StatusServiceUnavailable, "the request or a segment of its prompt crashes targets", left}
+	if quarantine.IsRequest(content) {
+		j.detail += content + " is quarantined; "
+		return refusal{http.StatusServiceUnavailable, "the request crashes targets", left}
+	}
+	j.detail += "segment " + content + " is quarantined; "
+	return refusal{http.StatusServiceUnavailable, "a segment of the prompt crashes engines", left}
 }
 
 // quarantined returns a quarantined content of the request and the time that is left of
--- a/internal/gateway/relay/response.go
+++ b/internal/gateway/relay/response.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
 
@@ -26,10 +27,9 @@
 )
 
 var (
-	errEventTooLong = errors.New("event is too long")
-	errTruncated    = errors.New("stream ends within an event")
-	errGap          = errors.New("stream skips an event")
-	errNoID         = errors.New("event of a resumed stream has no id")
+	errTruncated = errors.New("stream ends within an event")
+	errGap       = errors.New("stream skips an event")
+	errNoID      = errors.New("event of a resumed stream has no id")
 )
 
 // An event is one event of a stream, as the target wrote it.
@@ -44,14 +44,41 @@
 }
 
 // An eventReader reads the events of a stream.
-type eventReader struct{ reader *bufio.Reader }
+type eventReader struct {
+	reader *bufio.Reader
+	budget *intake.Budget
+	// held is what the last event takes of the budget.
+	held int64
+}
+
+func newEventReader(r io.Reader, budget *intake.Budget) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, streamBuffer), budget: budget}
+}
+
+// release returns what the last event takes of the budget.
+func (e *eventReader) release() {
+	e.budget.Release(e.held)
+	e.held = 0
+}
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, streamBuffer)}
+// check returns an error if an event of the given size may not be read on.
+func (e *eventReader) check(size int) error {
+	if size > maxEventBytes {
+		return fmt.Errorf("event: %w: over %d bytes", intake.ErrTooLong, maxEventBytes)
+	}
+	if size > intake.Free && e.held == 0 {
+		if !e.budget.Reserve(maxEventBytes) {
+			return fmt.Errorf("event: %w", intake.ErrNoRoom)
+		}
+		e.held = maxEventBytes
+	}
+	return nil
 }
 
-// next returns the next event. It returns io.EOF only between events.
+// next returns the next event, which is valid until it is called again. It returns io.EOF
+// only between events.
 func (e *eventReader) next() (event, error) {
+	e.release()
 	out := event{id: -1}
 	lineStart := 0
 	for {
@@ -63,14 +90,15 @@
 		case errors.Is(err, io.EOF):
 			return out, errTruncated
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(out.raw) > maxEventBytes {
-				return out, errEventTooLong
+			if err := e.check(len(out.raw)); err != nil {
+				return out, err
 			}
 			continue
 		case err != nil:
 			return out, err
-		case len(out.raw) > maxEventBytes:
-			return out, errEventTooLong
+		}
+		if err := e.check(len(out.raw)); err != nil {
+			return out, err
 		}
 		text := bytes.TrimRight(out.raw[lineStart:], "\r\n")
 		if len(text) == 0 {
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -240,8 +240,12 @@
 	}
 	o, end := x.unanswered()
 	j.count(o)
-	if _, ok := o.(lost); ok && !x.replaced.Load() {
-		h.recordLoss(x, false)
+	if r, ok := x.result.(conn.Lost); ok && !x.replaced.Load() {
+		if isBreak(r.Err) {
+			h.recordLoss(x, false)
+		} else {
+			x.recordNoAnswer(r.Err)
+		}
 	}
 	return o, end
 }
--- a/internal/gateway/relay/standby_test.go
+++ b/internal/gateway/relay/standby_test.go
@@ -28,13 +28,13 @@
 	t.Cleanup(func() { _ = l.Close() })
 	go fake.NewSiteTarget("i-1", 3).Serve(l)
 	request := conn.Request{Method: http.MethodPost, Path: "/stream/a/", Host: "h", Header: http.Header{}, Matches: func(int, http.Header) bool { return true }}
-	r, ok := conn.NewPool().Do(t.Context(), l.Addr().String(), request, true).(conn.Responded)
+	r, ok := conn.NewPool(nil).Do(t.Context(), l.Addr().String(), request, true).(conn.Responded)
 	must.True(t, ok)
 
 	w := httptest.NewRecorder()
 	j := &job{route: &site.Route{Resumable: true}, view: &source.View{}, request: httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/stream/a/", nil)}
 	x := &exchange{
-		handler:    NewHandler(Options{Placer: placing.New("z", time.Second, caches.NewIndex(), throttle.NewTable("vm")), Metrics: NewMetrics(), Log: log.NewNopLogger()}),
+		handler:    NewHandler(Options{Pool: conn.NewPool(nil), Placer: placing.New("z", time.Second, caches.NewIndex(), throttle.NewTable("vm")), Metrics: NewMetrics(), Log: log.NewNopLogger()}),
 		response:   newResponse(w, j),
 		choice:     placing.Choice{Target: &site.Target{ID: "i-1"}},
 		requestCtx: t.Context(),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,26 @@
 	DefaultCallsPerSecond = 50
 )
 
+const (
+	// answersDivisor divides the memory of a process to get that for answers. The
+	// garbage collector's limit is half of the memory, and answers of targets and of the
+	// platform together take a quarter of that at most.
+	answersDivisor = 16
+	// defaultAnswers is the memory for answers of a process without a limit.
+	defaultAnswers = 64 << 20
+)
+
+// AnswerBytes returns what answers may take of the memory, in bytes.
+func (g *Gateway) AnswerBytes() int64 {
+	switch {
+	case g.AnswersMB > 0:
+		return g.AnswersMB << 20
+	case g.MemoryMB > 0:
+		return g.MemoryMB << 20 / answersDivisor
+	}
+	return defaultAnswers
+}
+
 // A Settings is the settings file of one process. Addresses are IP:port.
 type Settings struct {
 	VM         string    `yaml:"vm"`
@@ -118,8 +138,11 @@
 	// Seeds lists the peer addresses of other VMs. They may be stale.
 	Seeds []string `yaml:"seeds,omitempty"`
 	// MemoryMB is the memory limit of the process in MB; 0 means no limit.
-	MemoryMB int64  `yaml:"memory,omitempty"`
-	Bounds   Bounds `yaml:"bounds,omitempty"`
+	MemoryMB int64 `yaml:"memory,omitempty"`
+	// AnswersMB is what answers of targets, and once more those of the platform, may
+	// take of the memory beyond 64 KB each; 0 means a sixteenth of MemoryMB.
+	AnswersMB int64  `yaml:"answers,omitempty"`
+	Bounds    Bounds `yaml:"bounds,omitempty"`
 }
 
 // Bounds holds the time limits and retry limits that the operator requires of the
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -44,6 +44,8 @@
 		address("gateway.directory", g.DirectoryAddress),
 		distinct("gateway.ready", g.ReadyAddress, s.Callers.Address),
 		{g.MemoryMB >= 0, "gateway.memory", "is negative", "MB, 0 for no bound"},
+		{g.AnswersMB >= 0, "gateway.answers", "is negative", "MB, 0 for a sixteenth of gateway.memory"},
+		{g.MemoryMB == 0 || g.AnswersMB <= g.MemoryMB/4, "gateway.answers", "is more than a quarter of gateway.memory", "MB, a quarter of gateway.memory at most"},
 		positive("gateway.bounds.grace", int64(g.Bounds.Grace)),
 		positive("gateway.bounds.ttl", int64(g.Bounds.TTL)),
 		positive("gateway.bounds.quiet", int64(g.Bounds.Quiet)),
--- a/store/httpclient.go
+++ b/store/httpclient.go
@@ -17,6 +17,8 @@
 const (
 	// maxResponseBytes is the size of the largest response to a call.
 	maxResponseBytes = 256 << 20
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 32 << 10
 	// maxIdleConnections is the maximum number of idle connections to the
 	// platform.
 	maxIdleConnections = 8
@@ -40,7 +42,7 @@
 	}
 	transport := o.Transport
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
+		transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxHeaderBytes}
 	}
 	client := &http.Client{
 		Transport:     transport,
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -80,17 +80,22 @@
 	}
 }
 
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 32 << 10
+
 func newTransport(newConns bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		DisableKeepAlives:   newConns,
-		MaxIdleConnsPerHost: idleConns,
-		IdleConnTimeout:     controlTimeout,
-		Protocols:           protocols,
+		DialContext:        dialer.DialContext,
+		DisableCompression: true,
+		// Headers of sound targets take less than a kilobyte.
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableKeepAlives:      newConns,
+		MaxIdleConnsPerHost:    idleConns,
+		IdleConnTimeout:        controlTimeout,
+		Protocols:              protocols,
 	}
 }
 
