Keep the list of VMs instead of copying and sorting it

Cause: each use of the list of other VMs copied all entries and sorted them by id, five times a second and four times for each exchange, and looked at all pairs of VMs for a reused address.

Change: members are replaced rather than changed and shared; the sorted list is kept until a VM comes or goes; the rank of a VM is computed once.

Conclusion: the list changes with exchanges, not with its uses.

--- a/internal/fleet/rollout/lease.go
+++ b/internal/fleet/rollout/lease.go
@@ -47,7 +47,7 @@
 // responsible reports whether this VM should send the orders: it holds the lease,
 // or no live VM holds it and it was returned to this VM, or this VM's id is the
 // lowest of the ready VMs that have not yielded the term.
-func (t *Task) responsible(members []roster.Member) bool {
+func (t *Task) responsible(members []*roster.Member) bool {
 	now := time.Now()
 	lowest := t.opts.Self.ID
 	held, term := t.leaseTerm()
@@ -75,7 +75,7 @@
 }
 
 // returnedTo returns the VM to which a live VM has returned the lease, or "".
-func returnedTo(members []roster.Member, now time.Time) string {
+func returnedTo(members []*roster.Member, now time.Time) string {
 	for i := range members {
 		if d := &members[i].Entry.Duty; d.ReturnedTo != "" && members[i].Alive(now) {
 			return d.ReturnedTo
@@ -229,11 +229,11 @@
 // returnLease releases the lease for the VM that held it before, if that VM is up again
 // and this one is yet to wait for most of the HandoverDelay. Since this VM has sent no
 // order, the other continues without a delay.
-func (t *Task) returnLease(ctx context.Context, members []roster.Member, now time.Time) {
+func (t *Task) returnLease(ctx context.Context, members []*roster.Member, now time.Time) {
 	if t.replaced.Holder == "" || t.tracker.Remaining(now) <= 0 || t.noOrdersBefore.Sub(now) < drainTimeout {
 		return
 	}
-	i := slices.IndexFunc(members, func(m roster.Member) bool {
+	i := slices.IndexFunc(members, func(m *roster.Member) bool {
 		holder := lease.Holder{ID: m.Entry.VM, Incarnation: uint64(m.Entry.Born)}
 		return t.replaced.HeldBy(holder) && m.Alive(time.Now()) && m.Entry.State == roster.Ready && m.Entry.Duty.Yielded < t.replaced.Term
 	})
--- a/internal/fleet/rollout/lease_test.go
+++ b/internal/fleet/rollout/lease_test.go
@@ -16,11 +16,11 @@
 )
 
 // newTask returns a Task that can only acquire the lease.
-func newTask(vm string, s store.Store, members ...roster.Member) *Task {
+func newTask(vm string, s store.Store, members ...*roster.Member) *Task {
 	return NewTask(Options{
 		Self: lease.Holder{ID: vm, Incarnation: 1}, Store: s, Clock: store.SystemClock{}, Log: log.NewNopLogger(),
 		HandoverDelay:  func() time.Duration { return 3 * time.Second },
-		Members:        func() []roster.Member { return members },
+		Members:        func() []*roster.Member { return members },
 		OnStatusChange: func() {},
 		Leaving:        func(site.Incarnation) bool { return false },
 		Paused:         func(site.Incarnation) bool { return false },
@@ -36,7 +36,7 @@
 		s := store.NewMemory()
 		put, ok := s.Put(t.Context(), lease.Key(leaseName), []byte(`{"duty": 7}`), store.MustNotExist).(store.Done)
 		must.True(t, ok)
-		other := roster.Member{Entry: roster.Entry{VM: "b", Duty: roster.LeaseStatus{Term: 41}}}
+		other := &roster.Member{Entry: roster.Entry{VM: "b", Duty: roster.LeaseStatus{Term: 41}}}
 		task := newTask("a", s, other)
 		task.recoverLease(t.Context())
 
@@ -77,7 +77,7 @@
 		s := store.NewMemory()
 		var other roster.Member
 		first, second := newTask("a", s), newTask("b", s)
-		first.opts.Members = func() []roster.Member { return []roster.Member{other} }
+		first.opts.Members = func() []*roster.Member { return []*roster.Member{&other} }
 		must.True(t, first.mayOrder(t.Context()))
 		for range 10 {
 			time.Sleep(claimInterval)
--- a/internal/fleet/rollout/task.go
+++ b/internal/fleet/rollout/task.go
@@ -67,7 +67,7 @@
 	// LastRestore returns a version that the object store had after its last restore,
 	// and how long ago this VM learned of it. Nil means that this is not known.
 	LastRestore func() (version int64, age time.Duration)
-	Members     func() []roster.Member
+	Members     func() []*roster.Member
 	// Version and Running return the version of a model on an engine and the
 	// number of requests running on the engine, as known to this VM.
 	Version func(t *site.Target, model string) int64
--- a/internal/fleet/rollout/task_test.go
+++ b/internal/fleet/rollout/task_test.go
@@ -73,7 +73,7 @@
 		task := newTask("a", store.NewMemory())
 		task.opts.Engines = f
 		task.opts.View = func() *source.View { return v }
-		task.opts.Members = func() []roster.Member { return nil }
+		task.opts.Members = func() []*roster.Member { return nil }
 		task.opts.Version = func(target *site.Target, _ string) int64 { return f.version(target.ID) }
 		task.opts.Running = func(target *site.Target) int {
 			if target.ID == "i-0" {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -3,10 +3,13 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/throttle"
@@ -144,7 +147,8 @@
 	removeTimeout = 60 * time.Second
 )
 
-// A Member is another VM with its latest known entry.
+// A Member is another VM with its latest known entry. It is replaced rather than changed,
+// so that it may be shared.
 type Member struct {
 	Entry Entry
 	// Heard is when the last new entry of the VM arrived, from itself or through
@@ -152,8 +156,21 @@
 	Heard time.Time
 	// aliveTimeout is how long after Heard the VM counts as alive.
 	aliveTimeout time.Duration
+	// rank orders VMs at random, alike on all VMs.
+	rank uint64
+}
+
+// newMember returns a Member.
+func newMember(e Entry, heard time.Time, aliveTimeout time.Duration) *Member {
+	return &Member{Entry: e, Heard: heard, aliveTimeout: aliveTimeout, rank: Rank(e.VM)}
 }
 
+// Rank returns the place of a VM in an order of VMs at random that is the same on all VMs.
+func Rank(vm string) uint64 { return xxhash.Sum64String(vm) }
+
+// Rank returns the place of the VM in the order of Rank.
+func (m *Member) Rank() uint64 { return m.rank }
+
 // Alive reports whether a new entry of the VM arrived recently.
 func (m *Member) Alive(now time.Time) bool { return now.Sub(m.Heard) < m.aliveTimeout }
 
@@ -186,6 +203,11 @@
 type Table struct {
 	self    Entry
 	members map[string]*Member
+	// sorted holds the members by id; nil if it has to be built anew, and outdated if
+	// some of them were replaced since. It is replaced rather than changed, since Members
+	// returns it.
+	sorted   []*Member
+	outdated bool
 	// delivered holds, by peer, the latest version of each VM's entry that the peer is
 	// known to have.
 	delivered map[string]map[string]version
@@ -211,7 +233,7 @@
 	if m, ok := t.members[e.VM]; ok && m.Entry.Born >= e.Born {
 		return
 	}
-	t.members[e.VM] = &Member{Entry: e, Heard: now.Add(-baseAliveTimeout), aliveTimeout: baseAliveTimeout}
+	t.set(newMember(e, now.Add(-baseAliveTimeout), baseAliveTimeout))
 }
 
 // Merge adds the entries that a peer sent and returns those that were new.
@@ -235,7 +257,7 @@
 		if ok && !restarted && !e.isNewer(&m.Entry) {
 			continue
 		}
-		t.members[e.VM] = &Member{Entry: e, Heard: now, aliveTimeout: t.aliveTimeout()}
+		t.set(newMember(e, now, t.aliveTimeout()))
 		fresh = append(fresh, e)
 	}
 	return fresh
@@ -349,41 +371,48 @@
 	}
 }
 
-// Members returns the other VMs in the table, sorted by id.
-func (t *Table) Members() []Member {
-	out := make([]Member, 0, len(t.members))
-	for _, m := range t.members {
-		out = append(out, *m)
+// set adds a member or replaces it.
+func (t *Table) set(m *Member) {
+	if _, ok := t.members[m.Entry.VM]; !ok {
+		t.sorted = nil
 	}
-	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Entry.VM, b.Entry.VM) })
-	return out
+	t.members[m.Entry.VM] = m
+	t.outdated = true
+}
+
+// Members returns the other VMs in the table, sorted by id. The slice must not be changed.
+func (t *Table) Members() []*Member {
+	switch {
+	case t.sorted != nil && t.outdated:
+		current := make([]*Member, len(t.sorted))
+		for i, m := range t.sorted {
+			current[i] = t.members[m.Entry.VM]
+		}
+		t.sorted = current
+	case t.sorted == nil:
+		t.sorted = slices.SortedFunc(maps.Values(t.members), func(a, b *Member) int { return strings.Compare(a.Entry.VM, b.Entry.VM) })
+	}
+	t.outdated = false
+	return t.sorted
 }
 
 // RemoveGone removes VMs that have been silent for removeTimeout, and silent ones
 // whose address another VM now uses. It returns their ids.
 func (t *Table) RemoveGone(now time.Time) []string {
 	var removed []string
+	used := map[string]bool{t.self.Peers: true}
+	for _, m := range t.members {
+		if m.Alive(now) {
+			used[m.Entry.Peers] = true
+		}
+	}
 	for vm, m := range t.members {
-		if now.Sub(m.Heard) > removeTimeout || t.replaced(m, now) {
+		if now.Sub(m.Heard) > removeTimeout || !m.Alive(now) && used[m.Entry.Peers] {
 			delete(t.members, vm)
 			delete(t.delivered, vm)
 			removed = append(removed, vm)
+			t.sorted = nil
 		}
 	}
 	return removed
 }
-
-func (t *Table) replaced(old *Member, now time.Time) bool {
-	if old.Alive(now) {
-		return false
-	}
-	if old.Entry.Peers == t.self.Peers {
-		return true
-	}
-	for _, m := range t.members {
-		if m != old && m.Alive(now) && m.Entry.Peers == old.Entry.Peers {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// Members returns the other VMs in the table.
-func (t *Task) Members() []Member {
+// Members returns the other VMs in the table, sorted by id. The slice must not be changed.
+func (t *Task) Members() []*Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.table.Members()
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -166,7 +166,7 @@
 	v := n.source.View()
 	dump := struct {
 		State    string
-		Members  []roster.Member
+		Members  []*roster.Member
 		Marks    any
 		Targets  any
 		Names    []source.Announcement
--- a/internal/gateway/node/watchers.go
+++ b/internal/gateway/node/watchers.go
@@ -5,8 +5,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/peer"
@@ -52,17 +50,17 @@
 
 // shouldWatch reports whether a VM polls the store for the others: if it ranks among
 // the first of those to which the store responds.
-func shouldWatch(self roster.Entry, members []roster.Member, now time.Time) bool {
+func shouldWatch(self roster.Entry, members []*roster.Member, now time.Time) bool {
 	if self.Watch.Failing {
 		return false
 	}
-	before := func(vm string) bool {
-		a, b := xxhash.Sum64String(vm), xxhash.Sum64String(self.VM)
-		return cmp.Or(cmp.Compare(a, b), cmp.Compare(vm, self.VM)) < 0
+	own := roster.Rank(self.VM)
+	before := func(m *roster.Member) bool {
+		return cmp.Or(cmp.Compare(m.Rank(), own), cmp.Compare(m.Entry.VM, self.VM)) < 0
 	}
 	rank := 0
 	for _, m := range members {
-		if m.Alive(now) && m.Entry.State != roster.Leaving && !m.Entry.Watch.Failing && before(m.Entry.VM) {
+		if m.Alive(now) && m.Entry.State != roster.Leaving && !m.Entry.Watch.Failing && before(m) {
 			rank++
 		}
 	}
@@ -70,7 +68,7 @@
 }
 
 // watcherAddresses returns the VMs that poll the store and to which it responds.
-func watcherAddresses(members []roster.Member, now time.Time) []peer.Destination {
+func watcherAddresses(members []*roster.Member, now time.Time) []peer.Destination {
 	var out []peer.Destination
 	for _, m := range members {
 		if m.Alive(now) && m.Entry.Watch.Reads && !m.Entry.Watch.Failing {
