Send the updates of a large fleet through relays

Cause: pairs drawn at random took longer for an update than a VM counted as alive for, from some 100 VMs on: at 195 a VM saw 17 to 64 of 194 others, so that callers were directed to a few VMs and limits were divided for silent ones. The last update of a lost VM made it count as alive wherever it arrived late.

Change: two relays in each data centre, known by an order of the ids; a VM pulls from one of its own; relays compare digests; a change is pushed without one, to neighbours and one foreign relay. Updates carry their age. A VM counts as alive for 2.5 update intervals, or as before if that is longer.

Conclusion: an update needs three rounds whatever the size of the fleet, and reaches each VM once.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -119,6 +119,10 @@
 	Suspects []quarantine.Report `cbor:"17,keyasint,omitempty"`
 	// Limits lists the limits that the VM has read from the responses of targets.
 	Limits []throttle.Report `cbor:"18,keyasint,omitempty"`
+	// AgeMS is the age of the update in milliseconds when another VM passes it on. Without
+	// it, the last update of a lost VM would make that count as alive wherever it arrives
+	// late.
+	AgeMS int64 `cbor:"19,keyasint,omitempty"`
 }
 
 // isNewer reports whether e is a later update of the same VM than o.
@@ -151,8 +155,8 @@
 // so that it may be shared.
 type Member struct {
 	Entry Entry
-	// Heard is when the last new entry of the VM arrived, from itself or through
-	// another VM.
+	// Heard is when the VM sent its last entry that has arrived, from itself or through
+	// another VM; after the time on the way.
 	Heard time.Time
 	// aliveTimeout is how long after Heard the VM counts as alive.
 	aliveTimeout time.Duration
@@ -178,14 +182,23 @@
 // of the given size than in a small one.
 func intervalFactor(vms int) float64 { return max(1, float64(vms)/SmallFleetSize) }
 
-// aliveTimeout returns how long a VM counts as alive after its last update.
+// aliveTimeout returns how long a VM counts as alive after its last update. Callers are
+// directed to VMs that count as alive, so it is as short as updates of a large fleet permit:
+// an update is up to one interval old, and takes three rounds to cross two relays and to
+// reach the VMs that use the second.
 func (t *Table) aliveTimeout() time.Duration {
-	return time.Duration(float64(baseAliveTimeout) * min(intervalFactor(len(t.members)+1), maxAliveFactor))
+	return max(time.Duration(float64(baseAliveTimeout)*min(intervalFactor(len(t.members)+1), maxAliveFactor)),
+		time.Duration(aliveIntervals*float64(t.Interval())))
 }
 
-// maxAliveFactor bounds the factor by which VMs count as alive for longer in a
-// large fleet, since callers are directed to VMs that count as alive.
-const maxAliveFactor = 2.0
+const (
+	// maxAliveFactor bounds the factor by which VMs count as alive for longer than in a
+	// small fleet where aliveIntervals does not ask for more.
+	maxAliveFactor = 2.0
+	// aliveIntervals is the least number of intervals for which VMs count as alive: one
+	// for the update, 3/roundsPerUpdate for its way, and half of one for a lost round.
+	aliveIntervals = 2.5
+)
 
 // Interval returns the time between two updates of this VM.
 func (t *Table) Interval() time.Duration {
@@ -238,26 +251,35 @@
 
 // Merge adds the entries that a peer sent and returns those that were new.
 func (t *Table) Merge(from string, entries []Entry, now time.Time) []Entry {
-	known := t.deliveredVersions(from)
+	known := t.delivered[from]
+	if known == nil && !t.Large() {
+		known = t.deliveredVersions(from)
+	}
 	fresh := entries[:0:0]
 	for _, e := range entries {
 		if e.VM == "" {
 			continue
 		}
-		if v := (version{e.Born, e.Seq}); known[e.VM].less(v) {
+		if v := (version{e.Born, e.Seq}); known != nil && known[e.VM].less(v) {
 			known[e.VM] = v
 		}
 		if e.VM == t.self.VM {
 			continue
 		}
 		m, ok := t.members[e.VM]
+		if ok && e.Born != m.Entry.Born {
+			// Its present incarnation has received nothing yet.
+			delete(t.delivered, e.VM)
+		}
 		// The wall clock may have jumped back between two starts of a VM, so
 		// another incarnation of a silent VM counts as newer whatever its Born is.
 		restarted := ok && e.Born != m.Entry.Born && !m.Alive(now)
 		if ok && !restarted && !e.isNewer(&m.Entry) {
 			continue
 		}
-		t.set(newMember(e, now, t.aliveTimeout()))
+		heard := now.Add(-time.Duration(max(e.AgeMS, 0)) * time.Millisecond)
+		e.AgeMS = 0
+		t.set(newMember(e, heard, t.aliveTimeout()))
 		fresh = append(fresh, e)
 	}
 	return fresh
@@ -283,21 +305,24 @@
 func (t *Table) EntriesFor(peer string, now time.Time) []Entry {
 	known := t.deliveredVersions(peer)
 	out := []Entry{}
-	add := func(e *Entry) {
-		v := version{e.Born, e.Seq}
-		if known[e.VM].less(v) {
-			out = append(out, *e)
-		}
+	if known[t.self.VM].less(version{t.self.Born, t.self.Seq}) {
+		out = append(out, t.self)
 	}
-	add(&t.self)
 	for vm, m := range t.members {
-		if vm != peer && m.Alive(now) {
-			add(&m.Entry)
+		if vm != peer && m.Alive(now) && known[vm].less(version{m.Entry.Born, m.Entry.Seq}) {
+			out = append(out, m.aged(now))
 		}
 	}
 	return out
 }
 
+// aged returns the entry as it is passed on now.
+func (m *Member) aged(now time.Time) Entry {
+	e := m.Entry
+	e.AgeMS = max(now.Sub(m.Heard).Milliseconds(), 0)
+	return e
+}
+
 // An EntryVersion identifies one update of a given VM.
 type EntryVersion struct {
 	VM   string `cbor:"1,keyasint"`
@@ -323,16 +348,12 @@
 	for _, v := range digest {
 		theirs[v.VM] = version{v.Born, v.Seq}
 	}
-	appendMissing := func(e *Entry) {
-		own := version{e.Born, e.Seq}
-		if theirs[e.VM].less(own) {
-			entries = append(entries, *e)
-		}
+	if theirs[t.self.VM].less(version{t.self.Born, t.self.Seq}) {
+		entries = append(entries, t.self)
 	}
-	appendMissing(&t.self)
-	for _, m := range t.members {
-		if m.Alive(now) {
-			appendMissing(&m.Entry)
+	for vm, m := range t.members {
+		if m.Alive(now) && theirs[vm].less(version{m.Entry.Born, m.Entry.Seq}) {
+			entries = append(entries, m.aged(now))
 		}
 	}
 	for _, v := range digest {
@@ -345,13 +366,13 @@
 }
 
 // EntriesOf returns the entries of the given VMs.
-func (t *Table) EntriesOf(vms []string) []Entry {
+func (t *Table) EntriesOf(vms []string, now time.Time) []Entry {
 	var out []Entry
 	for _, vm := range vms {
 		if vm == t.self.VM {
 			out = append(out, t.self)
 		} else if m, ok := t.members[vm]; ok {
-			out = append(out, m.Entry)
+			out = append(out, m.aged(now))
 		}
 	}
 	return out
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -59,7 +59,7 @@
 	if a.Large() {
 		back, want := b.Diff(a.Digest(now), now)
 		a.Merge(nameB, back, now)
-		out := a.EntriesOf(want)
+		out := a.EntriesOf(want, now)
 		b.Merge(nameA, out, now)
 		return len(out) + len(back)
 	}
--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -54,6 +54,8 @@
 	// at the sender.
 	Digest []EntryVersion `cbor:"2,keyasint,omitempty"`
 	Want   []string       `cbor:"3,keyasint,omitempty"`
+	// Pull requests the entries that the receiver has not sent to the sender yet.
+	Pull bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Options are the parameters of a Task.
@@ -79,13 +81,15 @@
 	mu    sync.Mutex
 	table *Table
 	alive map[string]bool
+	// failedUntil is until when a relay that did not respond is not used.
+	failedUntil map[string]time.Time
 	// ignored holds, by key, the versions of registrations that could not be decoded.
 	ignored map[string]int64
 }
 
 // NewTask returns a Task whose table contains only this VM.
 func NewTask(o Options) *Task {
-	return &Task{opts: o, trigger: make(chan struct{}, 1), table: NewTable(o.Self), alive: map[string]bool{}, ignored: map[string]int64{}}
+	return &Task{opts: o, trigger: make(chan struct{}, 1), table: NewTable(o.Self), alive: map[string]bool{}, failedUntil: map[string]time.Time{}, ignored: map[string]int64{}}
 }
 
 // Register registers the handler of CallExchange.
@@ -98,7 +102,7 @@
 			entries, want := t.table.Diff(in.Digest, time.Now())
 			return Exchange{Entries: entries, Want: want}, nil
 		}
-		if t.table.Large() {
+		if t.table.Large() && !in.Pull {
 			return Exchange{}, nil
 		}
 		out := t.table.EntriesFor(from, time.Now())
@@ -131,28 +135,54 @@
 	defer timer.Stop()
 	last := time.Now()
 	for round := 0; ; round++ {
-		n := fanout
+		urgent := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
 		case <-t.trigger:
-			n = urgentFanout
+			urgent = true
 			store.Sleep(ctx, t.minRoundInterval()-time.Since(last))
 		}
 		last = time.Now()
-		t.round(ctx, round, n)
-		timer.Reset(t.interval())
+		switch {
+		case !t.isLarge():
+			t.round(ctx, round, urgent)
+		case urgent:
+			t.push(ctx)
+		default:
+			t.relayRound(ctx, round)
+		}
+		t.logLiveness()
+		timer.Reset(t.roundInterval())
 	}
 }
 
-// interval returns the time until the next round.
-func (t *Task) interval() time.Duration {
+// isLarge reports whether the fleet is large.
+func (t *Task) isLarge() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Large()
+}
+
+// roundInterval returns the time until the next round.
+func (t *Task) roundInterval() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.table.Large() {
+		return max(t.table.Interval()/roundsPerUpdate, minRelayInterval)
+	}
 	return t.table.Interval()
 }
 
+// updateInterval returns the time between two updates of this VM's entry.
+func (t *Task) updateInterval() time.Duration {
+	if t.isLarge() {
+		return roundsPerUpdate * t.roundInterval()
+	}
+	return t.roundInterval()
+}
+
 // minRoundInterval returns the shortest time between two rounds.
 func (t *Task) minRoundInterval() time.Duration {
 	return min(time.Duration(float64(baseRoundInterval)*intervalFactor(t.Count())), maxRoundInterval)
@@ -165,8 +195,12 @@
 	return len(t.table.members) + 1
 }
 
-// round exchanges entries with a few VMs.
-func (t *Task) round(ctx context.Context, round, n int) {
+// round exchanges entries with a few VMs of a small fleet.
+func (t *Task) round(ctx context.Context, round int, urgent bool) {
+	n := fanout
+	if urgent {
+		n = urgentFanout
+	}
 	t.mu.Lock()
 	t.table.UpdateSelf(t.opts.Describe)
 	peers := t.choosePeers(round, n)
@@ -174,7 +208,6 @@
 	for _, d := range peers {
 		go t.exchange(ctx, d)
 	}
-	t.logLiveness()
 }
 
 // choosePeers selects the VMs to contact in a round. The caller holds mu.
@@ -211,16 +244,8 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	t.mu.Lock()
-	large := t.table.Large()
-	out := []Entry{}
-	if !large {
-		out = t.table.EntriesFor(to.VM, time.Now())
-	}
+	out := t.table.EntriesFor(to.VM, time.Now())
 	t.mu.Unlock()
-	if large {
-		t.exchangeDigest(ctx, to)
-		return
-	}
 	var in Exchange
 	if err := t.opts.Peers.Call(ctx, to, CallExchange, Exchange{Entries: out}, &in); err != nil {
 		return
@@ -235,6 +260,8 @@
 
 // exchangeDigest exchanges entries with a VM after comparing digests.
 func (t *Task) exchangeDigest(ctx context.Context, to peer.Destination) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
 	t.mu.Lock()
 	digest := t.table.Digest(time.Now())
 	t.mu.Unlock()
@@ -247,10 +274,10 @@
 		return
 	}
 	t.mu.Lock()
-	out := t.table.EntriesOf(in.Want)
+	out := t.table.EntriesOf(in.Want, time.Now())
 	t.mu.Unlock()
 	// Entries that are lost here are sent again in a later round.
-	_ = t.opts.Peers.Call(ctx, to, CallExchange, Exchange{Entries: out}, &in)
+	_ = t.opts.Peers.Call(ctx, to, CallExchange, Exchange{Entries: out}, &Exchange{})
 }
 
 // merge merges entries into the table and calls OnUpdate with the new ones.
--- a/internal/gateway/node/control_bench_test.go
+++ b/internal/gateway/node/control_bench_test.go
@@ -143,4 +143,3 @@
 		}
 	}
 }
-
