Keep regular rounds due while changes are pushed

Cause: a push of a change restarted the time until the next regular round.

Change: a push leaves the next round due.

--- a/internal/fleet/roster/relay_test.go
+++ b/internal/fleet/roster/relay_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// TestChangesDelayNoUpdates guards against VMs that count as silent while changes come so
+// often that a VM that sends them at once does nothing else.
+func TestChangesDelayNoUpdates(t *testing.T) {
+	runTasks(t, 60, func(f *taskFleet) {
+		for range 100 {
+			for _, task := range f.tasks {
+				task.Trigger()
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		synctest.Wait()
+		must.GreaterEq(t, 0.99, f.seen(func(int) bool { return true }))
+	})
+}
+
 // TestLargeFleetAfterLosses guards against a fleet whose VMs no longer see each other, or
 // still see the lost ones, once any part of it is lost at the same moment.
 func TestLargeFleetAfterLosses(t *testing.T) {
--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -145,13 +145,16 @@
 			store.Sleep(ctx, t.minRoundInterval()-time.Since(last))
 		}
 		last = time.Now()
-		switch {
-		case !t.isLarge():
-			t.round(ctx, round, urgent)
-		case urgent:
+		if urgent && t.isLarge() {
+			// The next regular round, which the push doesn't replace, stays due.
 			t.push(ctx)
-		default:
+			round--
+			continue
+		}
+		if t.isLarge() {
 			t.relayRound(ctx, round)
+		} else {
+			t.round(ctx, round, urgent)
 		}
 		t.logLiveness()
 		timer.Reset(t.roundInterval())
