Log which settings a reload changes

Cause: users whose settings change often over hundreds of VMs can't tell what each change did; the log said that settings were reloaded, and the number of seeds. Change: the line names each changed setting with its old and new value, in force from that line on, and those that need a restart. Measured: settings TestChanges; the test of serve now expects the change in the log. Conclusion: the moment and the content of each change can be read from each VM's log.

--- a/internal/cmd/servecmd_test.go
+++ b/internal/cmd/servecmd_test.go
@@ -76,6 +76,7 @@
 	must.Eq(t, 0, out.count("settings reloaded"))
 	write(strings.Replace(string(good), "grace: 8s", "grace: 6s", 1))
 	await("settings reloaded", 1) // without a signal
+	must.Eq(t, 1, out.count("gateway.bounds.grace: 8s -> 6s"))
 	cancel()
 	<-done
 }
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -263,11 +264,22 @@
 // Reload applies changed settings: seeds, memory and bounds. Ports and the VM's
 // location remain as they were at the start.
 func (n *Node) Reload(s settings.Settings) {
+	before := n.settings
+	before.Gateway = n.gateway.Load()
+	var changed, later []string
+	for _, c := range settings.Changes(before, s) {
+		if c.Reloaded() {
+			changed = append(changed, c.String())
+		} else {
+			later = append(later, c.Name)
+		}
+	}
 	n.gateway.Store(s.Gateway)
 	n.limitMemory()
 	n.placer.SetMaxWeightsAge(s.Gateway.Bounds.Weights)
 	n.budget.SetLimits(limitsOf(s.Gateway.Bounds.Retries))
-	_ = n.log.Log("msg", "settings reloaded", "seeds", len(s.Gateway.Seeds))
+	_ = n.log.Log("msg", "settings reloaded", "seeds", len(s.Gateway.Seeds), "changed", strings.Join(changed, "; "),
+		"afterrestart", strings.Join(later, " "))
 }
 
 func limitsOf(r settings.Retries) retry.Limits {
--- /dev/null
+++ b/internal/settings/change.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// A Change is a setting whose value differs between two versions of a settings file.
+type Change struct {
+	// Name is the setting's name, such as "gateway.bounds.drain".
+	Name string
+	// Old and New are its values.
+	Old, New string
+}
+
+// String returns the change for a log line.
+func (c Change) String() string { return fmt.Sprintf("%s: %s -> %s", c.Name, c.Old, c.New) }
+
+// Reloaded reports whether the change is in force without a restart.
+func (c Change) Reloaded() bool {
+	for _, prefix := range []string{"gateway.seeds", "gateway.memory", "gateway.answers", "gateway.bounds."} {
+		if strings.HasPrefix(c.Name, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Changes returns the settings that differ, in the order of the file.
+func Changes(from, to Settings) []Change {
+	return appendChanges(nil, "", reflect.ValueOf(from), reflect.ValueOf(to))
+}
+
+func appendChanges(out []Change, name string, from, to reflect.Value) []Change {
+	if from.Kind() == reflect.Pointer && !from.IsNil() && !to.IsNil() {
+		from, to = from.Elem(), to.Elem()
+	}
+	if from.Kind() != reflect.Struct {
+		if !reflect.DeepEqual(from.Interface(), to.Interface()) {
+			out = append(out, Change{name, fmt.Sprint(from.Interface()), fmt.Sprint(to.Interface())})
+		}
+		return out
+	}
+	for i := range from.NumField() {
+		field, _, _ := strings.Cut(from.Type().Field(i).Tag.Get("yaml"), ",")
+		if name != "" {
+			field = name + "." + field
+		}
+		out = appendChanges(out, field, from.Field(i), to.Field(i))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/change_test.go
@@ -0,0 +1,25 @@
+package settings
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestChanges(t *testing.T) {
+	from := Settings{VM: "a", Gateway: &Gateway{Seeds: []string{"x"}, MemoryMB: 112, Bounds: Bounds{Drain: 4 * time.Second}}}
+	to := Settings{VM: "a", Gateway: &Gateway{Seeds: []string{"x", "y"}, MemoryMB: 112, Bounds: Bounds{Drain: 5 * time.Second}}}
+	to.Callers.Address = "10.0.0.1:80"
+	must.Len(t, 0, Changes(from, from))
+	var reloaded, other []string
+	for _, c := range Changes(from, to) {
+		if c.Reloaded() {
+			reloaded = append(reloaded, c.String())
+		} else {
+			other = append(other, c.String())
+		}
+	}
+	must.Eq(t, []string{"gateway.seeds: [x] -> [x y]", "gateway.bounds.drain: 4s -> 5s"}, reloaded)
+	must.Eq(t, []string{"callers.address:  -> 10.0.0.1:80"}, other)
+}
