Divide limits of a large fleet by what VMs admit

Cause: from some 90 VMs on, updates are more than 1.4 s apart, and a VM that is not heard of for 0.7 s counted with its equal share: a customer's level was too low while it kept to its rate, and all VMs admitted at the same moments once it did not. Each admission also looked at all VMs.

Change: in such fleets others are assumed to go on admitting what they have lately; while the fleet is asked for over 1.1 times a rate, each VM admits its share alone, by chance where a request costs more. VMs tell what they refuse. The sums are kept by customer. Smaller fleets are as before.

--- /dev/null
+++ b/internal/fleet/quota/large_test.go
@@ -0,0 +1,141 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A largeLoad is a customer's traffic at a large fleet whose VMs pass on their updates
+// through relays.
+type largeLoad struct {
+	vms int
+	// interval is the time between two updates of a VM, and way the longest time that one
+	// takes to another VM.
+	interval, way time.Duration
+	rate, burst   float64
+	// asked is what the customer asks for, as a share of its rate, in requests of the
+	// given cost.
+	asked, cost float64
+	// split is the part of the fleet that can't reach the other part from splitFrom on for
+	// splitFor.
+	split               float64
+	splitFrom, splitFor time.Duration
+}
+
+// play plays the load for a time and returns what was admitted, and the share of the
+// requests that were refused.
+func (d largeLoad) play(seed uint64, period time.Duration) (admitted []admission, refused float64) {
+	const step = 20 * time.Millisecond
+	r := rand.New(rand.NewPCG(seed, 1))
+	c := customerOf(d.rate, d.burst)
+	f := newFleet(d.vms, c)
+	type update struct {
+		from           int
+		spent, refused map[string]float64
+	}
+	due := map[int64]map[int][]update{}
+	phase := make([]time.Duration, d.vms)
+	for i := range phase {
+		phase[i] = time.Duration(r.Int64N(int64(d.interval)))
+		f.states[i].random = r.Float64
+	}
+	asked, denied := 0, 0
+	credit := 0.0
+	for n := int64(0); time.Duration(n)*step < period; n++ {
+		at := time.Duration(n) * step
+		f.now = epoch.Add(at)
+		split := at >= d.splitFrom && at < d.splitFrom+d.splitFor
+		part := func(i int) bool { return float64(i) < d.split*float64(d.vms) }
+		for i := range f.states {
+			if (at+phase[i])%d.interval >= step {
+				continue
+			}
+			spent, refused := f.states[i].Spent(), f.states[i].Refused(f.now)
+			for j := range f.states {
+				if i == j || split && part(i) != part(j) {
+					continue
+				}
+				arrives := n + 1 + int64(r.Float64()*float64(d.way/step))
+				if due[arrives] == nil {
+					due[arrives] = map[int][]update{}
+				}
+				due[arrives][j] = append(due[arrives][j], update{i, spent, refused})
+			}
+		}
+		for j, updates := range due[n] {
+			for _, u := range updates {
+				f.states[j].UpdatePeer(name(u.from), 1, u.spent, u.refused, f.now)
+			}
+		}
+		delete(due, n)
+		// The buckets fill for a while before the traffic begins.
+		if at < period/4 {
+			continue
+		}
+		for credit += d.asked * d.rate * step.Seconds() * 2 * r.Float64(); credit >= d.cost; credit -= d.cost {
+			asked++
+			if f.states[r.IntN(d.vms)].Admit(c, d.cost, f.now).Admitted {
+				admitted = append(admitted, admission{f.now, d.cost})
+			} else {
+				denied++
+			}
+		}
+	}
+	return admitted, float64(denied) / float64(max(asked, 1))
+}
+
+// TestLargeFleetServesRate guards against refusals of a customer that keeps to its rate,
+// because updates of a large fleet are older than a VM may be before it counts as
+// spending its share.
+func TestLargeFleetServesRate(t *testing.T) {
+	for _, d := range []largeLoad{
+		{vms: 77, interval: 1200 * time.Millisecond, way: 1200 * time.Millisecond, rate: 32000, burst: 38000, asked: 0.8, cost: 1500},
+		{vms: 195, interval: 3050 * time.Millisecond, way: 3 * time.Second, rate: 32000, burst: 116000, asked: 0.8, cost: 1500},
+		{vms: 195, interval: 3050 * time.Millisecond, way: 3 * time.Second, rate: 32000, burst: 32000, asked: 0.6, cost: 1500},
+	} {
+		t.Run(fmt.Sprintf("%d VMs, burst %.0f", d.vms, d.burst), func(t *testing.T) {
+			_, refused := d.play(1, 40*time.Second)
+			t.Logf("%.4f refused", refused)
+			must.LessEq(t, 0.01, refused)
+		})
+	}
+}
+
+// TestLargeFleetKeepsLimit checks the bound on admissions beyond the limit in a large
+// fleet, connected and split: the rule of the users' machines, (rate × 8 s + burst) × 1.1 +
+// 110,000 tokens in any 8 s.
+func TestLargeFleetKeepsLimit(t *testing.T) {
+	for name, d := range map[string]largeLoad{
+		"connected":     {},
+		"long prompts":  {rate: 108_000, burst: 390_000, cost: 9190},
+		"split in half": {split: 0.5, splitFrom: 14 * time.Second, splitFor: 12 * time.Second},
+		"a fifth apart": {split: 0.2, splitFrom: 14 * time.Second, splitFor: 12 * time.Second},
+	} {
+		for _, asked := range []float64{1.5, 4, 8} {
+			t.Run(fmt.Sprintf("%s, asks for %.1f of its rate", name, asked), func(t *testing.T) {
+				d := d
+				d.vms, d.interval, d.way = 195, 3050*time.Millisecond, 3*time.Second
+				if d.asked = asked; d.rate == 0 {
+					d.rate, d.burst, d.cost = 32000, 116000, 4000
+				}
+				all, _ := d.play(1, 36*time.Second)
+				window, limit := 8*time.Second, (d.rate*8+d.burst)*1.1+110_000
+				sum, from, most := 0.0, 0, 0.0
+				for _, a := range all {
+					sum += a.cost
+					for a.at.Sub(all[from].at) > window {
+						sum -= all[from].cost
+						from++
+					}
+					most = max(most, sum)
+				}
+				t.Logf("%.0f of %.0f", most, limit)
+				must.LessEq(t, limit, most)
+			})
+		}
+	}
+}
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -14,6 +14,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
@@ -65,6 +66,14 @@
 	// follows allowancePeriod after allowanceStart.
 	allowance      float64
 	allowanceStart time.Time
+
+	// The fields below are used in a large fleet. assumedRate is what the other VMs are
+	// assumed to admit a second, and refusedRate what they refuse.
+	assumedRate, refusedRate float64
+	// own is what this VM admits and refuses, and lastStrict the last decision by its share
+	// alone.
+	own        flow
+	lastStrict time.Time
 }
 
 // A peer holds the admissions of another VM as last reported.
@@ -77,6 +86,11 @@
 	// assumed holds the amounts that the VM is assumed to have admitted since its
 	// last update, by customer.
 	assumed map[string]float64
+	// flows holds what the VM admits and refuses, by customer, in a large fleet.
+	flows map[string]*flow
+	// lost reports whether the VM has been silent for so long in a large fleet that it is
+	// assumed to admit its share at least.
+	lost bool
 }
 
 // A State is one VM's state of the limits of all customers. It is not safe for
@@ -86,13 +100,17 @@
 	buckets map[string]*bucket
 	peers   map[string]*peer
 	spent   map[string]float64
+	// refused holds the amounts that were refused since the start, by customer.
+	refused map[string]float64
+	// random returns a number from 0 to 1.
+	random func() float64
 	// lastUpdate is when the last update of any other VM arrived.
 	lastUpdate time.Time
 }
 
 // NewState returns the State of a VM that starts now.
 func NewState(now time.Time) *State {
-	return &State{buckets: map[string]*bucket{}, peers: map[string]*peer{}, spent: map[string]float64{}, lastUpdate: now}
+	return &State{buckets: map[string]*bucket{}, peers: map[string]*peer{}, spent: map[string]float64{}, refused: map[string]float64{}, random: rand.Float64, lastUpdate: now}
 }
 
 // Spent returns the amounts that this VM has admitted since it started, by
@@ -115,8 +133,12 @@
 	// A request that costs more than the burst is admitted if the bucket is full,
 	// and makes its level negative.
 	need := min(cost, 0.95*b.burst)
+	if s.large() && s.isOverLimit(b) {
+		return s.admitShare(c, b, cost, need, now)
+	}
 	s.renewAllowance(b, now)
 	if b.level < need || b.share < 0 && (b.level < scarceFraction*b.burst || b.allowance <= 0) {
+		s.refused[c.Name] += cost
 		return Decision{RetryAfter: s.retryAfter(b, need), Level: b.level}
 	}
 	b.level -= cost
@@ -198,10 +220,14 @@
 	b.lastRefill = now
 	share := b.rate * dt / float64(s.vmCount())
 	gain := b.rate * dt
-	for _, p := range s.peers {
-		if p.silent(now) {
-			p.assumed[name] += share
-			gain -= share
+	if s.large() {
+		gain -= b.assumedRate * dt
+	} else {
+		for _, p := range s.peers {
+			if p.silent(now) {
+				p.assumed[name] += share
+				gain -= share
+			}
 		}
 	}
 	if len(s.peers) > 0 && now.Sub(s.lastUpdate) > expiryTimeout-expiryMargin {
@@ -217,7 +243,7 @@
 func (p *peer) silent(now time.Time) bool { return now.Sub(p.lastUpdate) > silentTimeout }
 
 // UpdatePeer records the amounts that another VM has admitted since it started.
-func (s *State) UpdatePeer(vm string, born int64, spent map[string]float64, now time.Time) {
+func (s *State) UpdatePeer(vm string, born int64, spent, refused map[string]float64, now time.Time) {
 	s.lastUpdate = now
 	p, ok := s.peers[vm]
 	if !ok {
@@ -235,6 +261,10 @@
 	if p.born != born {
 		p.born, p.reported = born, map[string]float64{}
 	}
+	if s.large() {
+		s.updateFlows(p, spent, refused, now)
+		return
+	}
 	p.lastUpdate = now
 	for name, n := range spent {
 		if b, ok := s.buckets[name]; ok {
@@ -259,7 +289,9 @@
 func (s *State) RemoveExpired(now time.Time) {
 	for vm, p := range s.peers {
 		if now.Sub(p.lastUpdate) > expiryTimeout {
+			s.forgetFlows(p, now)
 			delete(s.peers, vm)
 		}
 	}
+	s.assumeLost(now)
 }
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -34,7 +34,7 @@
 		s.AddCustomers([]site.Customer{*c}, epoch)
 		for j := range f.states {
 			if i != j {
-				s.UpdatePeer(name(j), 1, nil, epoch)
+				s.UpdatePeer(name(j), 1, nil, nil, epoch)
 			}
 		}
 	}
@@ -48,7 +48,7 @@
 	for i := range f.states {
 		for j, to := range f.states {
 			if i != j && !f.partitioned[i] && !f.partitioned[j] {
-				to.UpdatePeer(name(i), 1, f.states[i].Spent(), f.now)
+				to.UpdatePeer(name(i), 1, f.states[i].Spent(), f.states[i].Refused(f.now), f.now)
 			}
 		}
 	}
@@ -172,7 +172,7 @@
 		s.AddCustomers([]site.Customer{*c}, epoch)
 		s.AddPeer("vm-2", 1, epoch)
 		now := epoch.Add(time.Second)
-		s.UpdatePeer("vm-2", 1, map[string]float64{"c": 1e6}, now)
+		s.UpdatePeer("vm-2", 1, map[string]float64{"c": 1e6}, nil, now)
 		must.True(t, s.Admit(c, 400, now.Add(time.Second)).Admitted)
 	})
 	t.Run("a refund restores the cost", func(t *testing.T) {
--- a/internal/fleet/quota/task.go
+++ b/internal/fleet/quota/task.go
@@ -42,10 +42,10 @@
 }
 
 // UpdatePeer records the amounts that another VM has admitted since it started.
-func (l *Limiter) UpdatePeer(vm string, born int64, spent map[string]float64) {
+func (l *Limiter) UpdatePeer(vm string, born int64, spent, refused map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state.UpdatePeer(vm, born, spent, l.clock.Now())
+	l.state.UpdatePeer(vm, born, spent, refused, l.clock.Now())
 }
 
 // AddPeer makes a VM that is known but silent share the limits.
@@ -63,3 +63,10 @@
 	l.state.RemoveExpired(l.clock.Now())
 	return l.state.Spent()
 }
+
+// Refused returns the amounts that this VM has refused since it started, by customer.
+func (l *Limiter) Refused() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Refused(l.clock.Now())
+}
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -21,7 +21,7 @@
 		e.State = roster.Leaving
 	}
 	e.Marks = n.source.Positions()
-	e.Spent = n.quota.Spent()
+	e.Spent, e.Refused = n.quota.Spent(), n.quota.Refused()
 	e.Loads, e.Loaded = n.placer.Loads(time.Now())
 	n.placer.PruneNotices(n.source.View(), time.Now())
 	e.Names = n.source.Announcements(time.Now())
@@ -93,7 +93,7 @@
 	v := n.source.View()
 	quarantined := false
 	for _, e := range entries {
-		n.quota.UpdatePeer(e.VM, e.Born, e.Spent)
+		n.quota.UpdatePeer(e.VM, e.Born, e.Spent, e.Refused)
 		quarantined = n.quarantine.Merge(e.Suspects, now) || quarantined
 		n.placer.ApplyUpdate(e, v, now)
 		for _, target := range n.limits.Merge(e.VM, e.Limits, now) {
