Compare digests with relays of earlier builds

Cause: a relay of an earlier build answers a pull with nothing, so that VMs of this build would have got updates by the repairs only while a large fleet is upgraded. A VM that had gone stayed among the relays that did not respond. Change: an empty answer to a pull is followed by a comparison of digests; VMs that are removed are forgotten there as well.

--- a/internal/fleet/roster/relay.go
+++ b/internal/fleet/roster/relay.go
@@ -151,7 +151,13 @@
 		delete(t.failedUntil, from.VM)
 	}
 	t.mu.Unlock()
-	if err == nil {
+	switch {
+	case err != nil:
+	case len(in.Entries) == 0:
+		// There is hardly ever nothing new, unless the relay is of a build that does not
+		// know this request.
+		t.exchangeDigest(ctx, from)
+	default:
 		t.merge(from.VM, in.Entries)
 	}
 }
--- a/internal/fleet/roster/relay_test.go
+++ b/internal/fleet/roster/relay_test.go
@@ -209,3 +209,23 @@
 		})
 	}
 }
+
+// TestRelayOfEarlierBuild guards against a VM that learns nothing, during an upgrade, from a
+// relay that doesn't know the request.
+func TestRelayOfEarlierBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peer.NewMemory()
+		task := NewTask(Options{Self: entry("new", 1, 1), Peers: network.Node("new", "10.0.0.1:1"), Log: log.NewNopLogger()})
+		earlier := NewTable(entry("old", 1, 1))
+		earlier.Merge("other", []Entry{entry("other", 1, 1)}, time.Now())
+		peer.Handle(network.Node("old", "10.0.0.2:1"), CallExchange, func(_ context.Context, _ string, in Exchange) (Exchange, error) {
+			if in.Digest == nil {
+				return Exchange{}, nil
+			}
+			entries, want := earlier.Diff(in.Digest, time.Now())
+			return Exchange{Entries: entries, Want: want}, nil
+		})
+		task.pull(t.Context(), peer.Destination{VM: "old", Address: "10.0.0.2:1"})
+		must.Len(t, 2, task.Members())
+	})
+}
--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -300,6 +300,7 @@
 	now := time.Now()
 	for _, vm := range t.table.RemoveGone(now) {
 		delete(t.alive, vm)
+		delete(t.failedUntil, vm)
 	}
 	for vm, m := range t.table.members {
 		alive := m.Alive(now)
