Forget flows of limits when a fleet grows small

While a fleet of more than 90 VMs is smaller for a time, nothing is taken from the buckets for flows, but what the flows would have taken was returned once it was large again, so that the buckets filled at once. Change: flows begin anew when the fleet grows large or small. Conclusion: only what was taken is returned.

--- a/internal/fleet/quota/large.go
+++ b/internal/fleet/quota/large.go
@@ -44,6 +44,21 @@
 // share for more than half of the time.
 func (s *State) large() bool { return s.allowancePeriod() > 2*silentTimeout }
 
+// resize forgets the flows when the fleet grows large or small: meanwhile nothing was taken
+// from the buckets for them, so that nothing may be returned.
+func (s *State) resize() {
+	if s.wasLarge == s.large() {
+		return
+	}
+	s.wasLarge = s.large()
+	for _, p := range s.peers {
+		p.flows, p.lost = nil, false
+	}
+	for _, b := range s.buckets {
+		b.assumedRate, b.refusedRate, b.own = 0, 0, flow{}
+	}
+}
+
 // isOverLimit reports whether the fleet is asked for more than a customer's rate.
 func (s *State) isOverLimit(b *bucket) bool {
 	asked := b.assumedRate + b.own.spentRate + firstTries*(b.refusedRate+b.own.refusedRate)
--- a/internal/fleet/quota/large_test.go
+++ b/internal/fleet/quota/large_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 )
 
 // A largeLoad is a customer's traffic at a large fleet whose VMs pass on their updates
@@ -139,3 +141,35 @@
 		}
 	}
 }
+
+// TestFleetThatGrowsLargeAgain guards against a bucket that fills at once because a fleet that
+// was large before gets back what it never took for the others.
+func TestFleetThatGrowsLargeAgain(t *testing.T) {
+	c := customerOf(1000, 100_000)
+	now := epoch
+	s := NewState(now)
+	s.AddCustomers([]site.Customer{*c}, now)
+	spent := map[string]float64{}
+	update := func(vms int) {
+		for i := range vms {
+			spent[name(i)] += 10
+			s.UpdatePeer(name(i), 1, map[string]float64{"c": spent[name(i)]}, nil, now)
+		}
+		s.RemoveExpired(now)
+	}
+	play := func(vms, seconds int) {
+		for range seconds {
+			now = now.Add(time.Second)
+			update(vms)
+		}
+	}
+	play(100, 20)
+	must.True(t, s.large())
+	play(20, 60)
+	must.False(t, s.large())
+	before := s.bucket(c, now).level
+	play(100, 2)
+	must.True(t, s.large())
+	// The others spend as much as the rate.
+	must.LessEq(t, before+3*c.Rate, s.bucket(c, now).level)
+}
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -102,6 +102,8 @@
 	spent   map[string]float64
 	// refused holds the amounts that were refused since the start, by customer.
 	refused map[string]float64
+	// wasLarge reports whether the fleet was large at the last event.
+	wasLarge bool
 	// random returns a number from 0 to 1.
 	random func() float64
 	// lastUpdate is when the last update of any other VM arrived.
@@ -129,6 +131,7 @@
 		s.spent[c.Name] += cost
 		return Decision{Admitted: true}
 	}
+	s.resize()
 	b := s.bucket(c, now)
 	// A request that costs more than the burst is admitted if the bucket is full,
 	// and makes its level negative.
@@ -261,6 +264,7 @@
 	if p.born != born {
 		p.born, p.reported = born, map[string]float64{}
 	}
+	s.resize()
 	if s.large() {
 		s.updateFlows(p, spent, refused, now)
 		return
@@ -293,5 +297,6 @@
 			delete(s.peers, vm)
 		}
 	}
+	s.resize()
 	s.assumeLost(now)
 }
