Use what the project already had

A test wrote rawListener of its own package again, two tests had the same endless server, and the control benchmark repeated virtual.Run. A job kept the segments of its prompt twice, the node asked for a budget that has no limit by itself, and the quarantine had a comparison of its own for booleans. Comments and parameters still said segment where whole requests are meant as well.

Change: the test calls rawListener; fake.Endless serves both packages; the benchmark runs playFleet by virtual.Run; shared segments are derived from a job's contents; SetLimit of a nil Budget does nothing; the order of contents is a method; the hash of a VM's id is computed once a round; names and comments. No check, bound or behaviour is changed.

Conclusion: less code for the same.

--- a/internal/fleet/quarantine/quarantine.go
+++ b/internal/fleet/quarantine/quarantine.go
@@ -77,8 +77,9 @@
 // IsRequest reports whether a content stands for a whole request.
 func IsRequest(content string) bool { return strings.HasPrefix(content, requestPrefix) }
 
-// A Report is what a VM knows of one segment.
+// A Report is what a VM knows of one content.
 type Report struct {
+	// Segment is the content: a segment's id, or what Request returns.
 	Segment string `cbor:"1,keyasint"`
 	Losses  []Loss `cbor:"2,keyasint,omitempty"`
 	// AnsweredMS is the time since a request with the segment was last answered, in
@@ -155,24 +156,24 @@
 
 // RecordLoss records that an engine was lost with an unanswered request that
 // has the given contents.
-func (l *List) RecordLoss(segments []string, engine uint64, c Circumstance, now time.Time) {
+func (l *List) RecordLoss(contents []string, engine uint64, c Circumstance, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, segment := range segments {
-		l.add(segment, engine, loss{at: now, answering: c.Answering, repeated: c.Repeated && IsRequest(segment), own: true})
+	for _, content := range contents {
+		l.add(content, engine, loss{at: now, answering: c.Answering, repeated: c.Repeated && IsRequest(content), own: true})
 	}
 	l.judge(now)
 }
 
 // RecordAnswer records that an engine has answered a request that has the given
 // contents, so that none of them crashes engines.
-func (l *List) RecordAnswer(segments []string, now time.Time) {
+func (l *List) RecordAnswer(contents []string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed := false
-	for _, segment := range segments {
-		l.remember(segment, now)
-		changed = l.answer(segment, now) || changed
+	for _, content := range contents {
+		l.remember(content, now)
+		changed = l.answer(content, now) || changed
 	}
 	if changed {
 		l.judge(now)
@@ -214,17 +215,17 @@
 	}
 }
 
-// Quarantined returns the segment of a request that is quarantined and the time until
+// Quarantined returns the content of a request that is quarantined and the time until
 // the end of that, or false if there is none.
-func (l *List) Quarantined(segments []string, now time.Time) (segment string, left time.Duration, ok bool) {
+func (l *List) Quarantined(contents []string, now time.Time) (content string, left time.Duration, ok bool) {
 	if l.count.Load() == 0 {
 		return "", 0, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, segment := range segments {
-		if s, ok := l.suspects[segment]; ok && now.Before(s.until) {
-			return segment, s.until.Sub(now), true
+	for _, content := range contents {
+		if s, ok := l.suspects[content]; ok && now.Before(s.until) {
+			return content, s.until.Sub(now), true
 		}
 	}
 	return "", 0, false
@@ -242,7 +243,9 @@
 	for _, r := range reports {
 		for _, reported := range r.Losses {
 			if age := time.Duration(reported.AgeMS) * time.Millisecond; age < evidenceTime/2 {
-				changed = l.add(r.Segment, reported.Engine, loss{at: now.Add(-age), answering: reported.Answering, disproved: reported.Disproved, repeated: reported.Repeated}) || changed
+				changed = l.add(r.Segment, reported.Engine, loss{
+					at: now.Add(-age), answering: reported.Answering, disproved: reported.Disproved, repeated: reported.Repeated,
+				}) || changed
 			}
 		}
 		if r.AnsweredMS > 0 {
@@ -385,7 +388,7 @@
 func (l *List) judge(now time.Time) (began bool) {
 	l.count.Store(int64(len(l.suspects)))
 	ordered := slices.SortedFunc(maps.Values(l.suspects), func(a, b *suspect) int {
-		return cmp.Or(a.answeredAt.Compare(b.answeredAt), compareBool(IsRequest(b.segment), IsRequest(a.segment)))
+		return cmp.Or(a.answeredAt.Compare(b.answeredAt), cmp.Compare(a.breadth(), b.breadth()))
 	})
 	blamed := map[uint64]blame{}
 	for _, s := range ordered {
@@ -421,14 +424,12 @@
 	return "prompt segment"
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
+// breadth orders contents by how many requests they stand for: one or several.
+func (s *suspect) breadth() int {
+	if IsRequest(s.segment) {
 		return 1
 	}
-	return -1
+	return 2
 }
 
 // A blame is what a loss is blamed on: when that was last answered, and whether it is a
@@ -440,8 +441,8 @@
 
 // weigh returns the weight of the losses that are not blamed on a content that was
 // answered less recently, and the time of the last one. Losses at about the same time
-// count once, except for those of repeated requests. If all losses are blamed on whole requests, none of them tells anything
-// about a segment of these.
+// count once, except for those of repeated requests. If all losses are blamed on whole
+// requests, none of them tells anything about a segment of these.
 func (s *suspect) weigh(blamed map[uint64]blame) (weight float64, last time.Time) {
 	var own []loss
 	others := IsRequest(s.segment)
--- a/internal/fleet/quota/large.go
+++ b/internal/fleet/quota/large.go
@@ -69,9 +69,9 @@
 // since the last decision is admitted with such a chance that the share is kept on
 // average.
 func (s *State) admitShare(c *site.Customer, b *bucket, cost, need float64, now time.Time) Decision {
-	accrued := b.rate / float64(s.vmCount()) * now.Sub(b.lastStrict).Seconds()
+	accrued := b.rate / float64(s.vmCount()) * now.Sub(b.lastByShare).Seconds()
 	accrued = min(accrued, max(cost, b.burst/float64(s.vmCount())))
-	b.lastStrict = now
+	b.lastByShare = now
 	if b.level < need || accrued < cost && s.random() >= accrued/cost {
 		s.refused[c.Name] += cost
 		wait := time.Duration(cost / b.rate * float64(s.vmCount()) * float64(time.Second))
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -70,10 +70,10 @@
 	// The fields below are used in a large fleet. assumedRate is what the other VMs are
 	// assumed to admit a second, and refusedRate what they refuse.
 	assumedRate, refusedRate float64
-	// own is what this VM admits and refuses, and lastStrict the last decision by its share
+	// own is what this VM admits and refuses, and lastByShare the last decision by its share
 	// alone.
-	own        flow
-	lastStrict time.Time
+	own         flow
+	lastByShare time.Time
 }
 
 // A peer holds the admissions of another VM as last reported.
--- a/internal/fleet/roster/relay.go
+++ b/internal/fleet/roster/relay.go
@@ -107,7 +107,8 @@
 		}
 	}
 	// The VMs of a data centre divide themselves among its relays.
-	slices.SortFunc(local, func(a, b relay) int { return cmp.Compare(a.rank^Rank(self.VM), b.rank^Rank(self.VM)) })
+	rank := Rank(self.VM)
+	slices.SortFunc(local, func(a, b relay) int { return cmp.Compare(a.rank^rank, b.rank^rank) })
 	peers := t.choosePeers(round, 0)
 	switch {
 	case isRelay && len(others) > 0:
--- a/internal/fleet/roster/relay_test.go
+++ b/internal/fleet/roster/relay_test.go
@@ -35,11 +35,9 @@
 func (c countingCaller) Call(ctx context.Context, to peer.Destination, call string, req, resp any) error {
 	err := c.Caller.Call(ctx, to, call, req, resp)
 	if err == nil {
-		var j int
-		_, _ = fmt.Sscanf(to.VM, "vm-%d", &j)
 		n := int64(len(req.(Exchange).Entries) + len(resp.(*Exchange).Entries))
 		c.fleet.sent.Add(n)
-		if dataCentre(c.from) != dataCentre(j) {
+		if dataCentre(c.from) != dataCentre(indexOf(to.VM)) {
 			c.fleet.crossed.Add(n)
 		}
 	}
@@ -51,6 +49,12 @@
 // dataCentre returns the data centre of a VM of a taskFleet.
 func dataCentre(i int) string { return fmt.Sprint("dc-", i%testDataCentres) }
 
+// indexOf returns the index of a VM of a taskFleet.
+func indexOf(vm string) (i int) {
+	_, _ = fmt.Sscanf(vm, "vm-%d", &i)
+	return i
+}
+
 // runTasks runs a script against a fleet that has run for a while.
 func runTasks(t *testing.T, size int, script func(f *taskFleet)) {
 	t.Helper()
@@ -90,9 +94,7 @@
 			continue
 		}
 		for _, m := range task.Members() {
-			var j int
-			_, _ = fmt.Sscanf(m.Entry.VM, "vm-%d", &j)
-			if running(j) && m.Alive(now) {
+			if running(indexOf(m.Entry.VM)) && m.Alive(now) {
 				seen++
 			}
 		}
@@ -179,9 +181,7 @@
 						continue
 					}
 					for _, m := range task.Members() {
-						var j int
-						_, _ = fmt.Sscanf(m.Entry.VM, "vm-%d", &j)
-						must.True(t, runs(j) || !m.Alive(now))
+						must.True(t, runs(indexOf(m.Entry.VM)) || !m.Alive(now))
 					}
 				}
 			})
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -119,12 +119,12 @@
 	Suspects []quarantine.Report `cbor:"17,keyasint,omitempty"`
 	// Limits lists the limits that the VM has read from the responses of targets.
 	Limits []throttle.Report `cbor:"18,keyasint,omitempty"`
-	// Refused holds the amounts that the VM has refused since its start, by customer.
-	Refused map[string]float64 `cbor:"20,keyasint,omitempty"`
 	// AgeMS is the age of the update in milliseconds when another VM passes it on. Without
 	// it, the last update of a lost VM would make that count as alive wherever it arrives
 	// late.
 	AgeMS int64 `cbor:"19,keyasint,omitempty"`
+	// Refused holds the amounts that the VM has refused since its start, by customer.
+	Refused map[string]float64 `cbor:"20,keyasint,omitempty"`
 }
 
 // isNewer reports whether e is a later update of the same VM than o.
--- a/internal/gateway/conn/endless_test.go
+++ b/internal/gateway/conn/endless_test.go
@@ -1,11 +1,8 @@
 package conn
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -16,54 +13,23 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/baobabdyke/baobabdyke/internal/fake"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 )
 
-// endlessBytes is what an endless target sends at most, so that a test ends that reads it
-// all. unreadBytes is what the sockets of both sides hold at most of it.
-const (
-	endlessBytes = 96 << 20
-	unreadBytes  = 16 << 20
-)
+// unreadBytes is what the sockets of both sides hold at most of an endless answer.
+const unreadBytes = 16 << 20
 
 const endlessHead = "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: a\r\n"
 
-// An endless is a target that sends the beginning of a response and then the same text
-// again and again. It returns the number of bytes that it could send.
-type endless struct {
-	begin, again string
-	sent         atomic.Int64
-}
-
-func (e *endless) serve(t *testing.T) (address string) {
+// serveEndless serves an endless target and returns its address.
+func serveEndless(t *testing.T, e *fake.Endless) string {
 	t.Helper()
 	var lc net.ListenConfig
 	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	text := []byte(strings.Repeat(e.again, 32<<10/len(e.again)+1))
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, e.begin)
-				for e.sent.Load() < endlessBytes {
-					n, err := c.Write(text)
-					e.sent.Add(int64(n))
-					if err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
+	go e.Serve(l)
 	return l.Addr().String()
 }
 
@@ -90,10 +56,10 @@
 func TestEndlessAnswer(t *testing.T) {
 	for name, c := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
-			e := &endless{begin: c.begin, again: c.again}
+			e := &fake.Endless{Begin: c.begin, Again: c.again}
 			budget := intake.NewBudget(8 << 20)
 			p := NewPool(budget)
-			switch r := p.Do(t.Context(), e.serve(t), request("a", nil), true).(type) {
+			switch r := p.Do(t.Context(), serveEndless(t, e), request("a", nil), true).(type) {
 			case Responded:
 				_, err := r.Exchange.ReadBody(4 << 20)
 				must.Error(t, err)
@@ -103,7 +69,7 @@
 			default:
 				t.Fatalf("the request was not sent: %v", r)
 			}
-			must.Less(t, unreadBytes, e.sent.Load())
+			must.Less(t, unreadBytes, e.Sent())
 			must.Eq(t, 0, budget.Used())
 		})
 	}
@@ -121,16 +87,12 @@
 	p := NewPool(intake.NewBudget(limit / 8))
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	var faulty []*endless
-	for _, c := range endlessAnswers {
-		faulty = append(faulty, &endless{begin: c.begin, again: c.again})
-	}
 	var addresses []string
-	for _, e := range faulty {
-		addresses = append(addresses, e.serve(t))
+	for _, c := range endlessAnswers {
+		addresses = append(addresses, serveEndless(t, &fake.Endless{Begin: c.begin, Again: c.again}))
 	}
-	sound := &endless{begin: endlessHead + "Content-Length: 40000\r\n\r\n" + strings.Repeat("x", 40000), again: " "}
-	soundAddress := sound.serve(t)
+	sound := &fake.Endless{Begin: endlessHead + "Content-Length: 40000\r\n\r\n" + strings.Repeat("x", 40000), Again: " "}
+	soundAddress := serveEndless(t, sound)
 	// Dialling is bounded in time, which a busy machine may take for itself, so the
 	// connections to sound targets are open before.
 	for range maxIdlePerTarget {
--- a/internal/gateway/intake/intake.go
+++ b/internal/gateway/intake/intake.go
@@ -38,8 +38,13 @@
 	return b
 }
 
-// SetLimit changes the number of bytes. What is reserved remains so.
-func (b *Budget) SetLimit(limit int64) { b.limit.Store(limit) }
+// SetLimit changes the number of bytes. What is reserved remains so, and a nil Budget has
+// no limit still.
+func (b *Budget) SetLimit(limit int64) {
+	if b != nil {
+		b.limit.Store(limit)
+	}
+}
 
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() int64 { return b.used.Load() }
--- a/internal/gateway/node/control_bench_test.go
+++ b/internal/gateway/node/control_bench_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
+	"github.com/baobabdyke/baobabdyke/internal/virtual"
 	"github.com/baobabdyke/baobabdyke/peer"
 )
 
@@ -94,52 +95,50 @@
 				name += "/busy"
 			}
 			b.Run(name, func(b *testing.B) {
-				all := func(string, string) (bool, error) { return true, nil }
-				measure := func(t *testing.T) {
-					runFleet(t, size, bounds, func(f *watchFleet) {
-						f.listEngines()
-						ctx, cancel := context.WithCancel(f.ctx)
-						defer time.Sleep(5 * time.Second)
-						defer cancel()
-						if busy {
-							for i, v := range f.vms {
-								go v.serve(ctx, uint64(i))
-							}
-						}
-						time.Sleep(30 * time.Second)
-						synctest.Wait()
-						cpu, before := controlTime(b), f.traffic()
-						var mem, after runtime.MemStats
-						runtime.ReadMemStats(&mem)
-						time.Sleep(controlPeriod)
-						synctest.Wait()
-						runtime.ReadMemStats(&after)
-						t := f.traffic()
-						members := 0
-						for _, v := range f.vms {
-							for _, m := range v.roster.Members() {
-								if m.Alive(time.Now()) {
-									members++
-								}
-							}
-						}
-						b.ReportMetric(float64(members)/float64(size), "alive")
-						per := 1 / controlPeriod.Seconds() / float64(size)
-						b.ReportMetric(float64((controlTime(b)-cpu).Microseconds())/1000*per, "ms/s/VM")
-						b.ReportMetric(float64(t.Calls-before.Calls)*per, "calls/s/VM")
-						b.ReportMetric(float64(t.Sent-before.Sent)*per, "B/s/VM")
-						b.ReportMetric(float64(after.Mallocs-mem.Mallocs)*per, "allocs/s/VM")
-						b.ReportMetric(float64(after.HeapInuse)/float64(size)/1024, "KB/VM")
-					})
-				}
 				for range b.N {
-					test := testing.InternalTest{Name: b.Name(), F: measure}
-					if !testing.RunTests(all, []testing.InternalTest{test}) {
-						b.Fatal("run failed")
-					}
+					virtual.Run(b, func() {
+						playFleet(context.Background(), size, bounds, func(f *watchFleet) { f.measure(b, busy) })
+					})
 				}
 				b.ReportMetric(0, "ns/op")
 			})
 		}
 	}
 }
+
+// measure reports what control costs the VMs of a fleet.
+func (f *watchFleet) measure(b *testing.B, busy bool) {
+	f.listEngines()
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer time.Sleep(5 * time.Second)
+	defer cancel()
+	if busy {
+		for i, v := range f.vms {
+			go v.serve(ctx, uint64(i))
+		}
+	}
+	time.Sleep(30 * time.Second)
+	synctest.Wait()
+	cpu, before := controlTime(b), f.traffic()
+	var mem, after runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	time.Sleep(controlPeriod)
+	synctest.Wait()
+	runtime.ReadMemStats(&after)
+	t := f.traffic()
+	members := 0
+	for _, v := range f.vms {
+		for _, m := range v.roster.Members() {
+			if m.Alive(time.Now()) {
+				members++
+			}
+		}
+	}
+	b.ReportMetric(float64(members)/float64(len(f.vms)), "alive")
+	per := 1 / controlPeriod.Seconds() / float64(len(f.vms))
+	b.ReportMetric(float64((controlTime(b)-cpu).Microseconds())/1000*per, "ms/s/VM")
+	b.ReportMetric(float64(t.Calls-before.Calls)*per, "calls/s/VM")
+	b.ReportMetric(float64(t.Sent-before.Sent)*per, "B/s/VM")
+	b.ReportMetric(float64(after.Mallocs-mem.Mallocs)*per, "allocs/s/VM")
+	b.ReportMetric(float64(after.HeapInuse)/float64(len(f.vms))/1024, "KB/VM")
+}
--- a/internal/gateway/node/drip_test.go
+++ b/internal/gateway/node/drip_test.go
@@ -17,43 +17,29 @@
 // pause between them, again and again if it is endless.
 func (b *testbed) drip(pause time.Duration, endless bool, parts ...string) {
 	b.t.Helper()
-	var lc net.ListenConfig
-	l, err := lc.Listen(b.t.Context(), "tcp", "127.0.0.1:0")
-	must.NoError(b.t, err)
-	b.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: %s\r\n%s%sTransfer-Encoding: chunked\r\n\r\n",
-					r.Header.Get("Baobabdyke-Request-Id"), sealed, eventType)
-				for err == nil {
-					for _, part := range parts {
-						time.Sleep(pause)
-						if _, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(part), part); err != nil {
-							return
-						}
-					}
-					if !endless {
-						_, _ = io.WriteString(c, "0\r\n\r\n")
-						return
-					}
-				}
-			}()
-		}
-	}()
 	for _, engine := range b.engines {
 		b.store.Remove("servers", engine.ID)
 	}
-	b.list("llm", "drip", l.Addr().String(), "ready")
+	b.rawListener("llm", "drip", func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: %s\r\n%s%sTransfer-Encoding: chunked\r\n\r\n",
+			r.Header.Get("Baobabdyke-Request-Id"), sealed, eventType)
+		for err == nil {
+			for _, part := range parts {
+				time.Sleep(pause)
+				if _, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(part), part); err != nil {
+					return
+				}
+			}
+			if !endless {
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+				return
+			}
+		}
+	})
 }
 
 // TestDrippingStream guards against slow but sound streams that are cut, and against
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -256,9 +256,7 @@
 	}
 	answers := n.gateway.Load().AnswerBytes()
 	n.pool.Budget().SetLimit(answers)
-	if n.storeAnswers != nil {
-		n.storeAnswers.SetLimit(answers)
-	}
+	n.storeAnswers.SetLimit(answers)
 }
 
 // Reload applies changed settings: seeds, memory and bounds. Ports and the VM's
--- a/internal/gateway/node/watchers_test.go
+++ b/internal/gateway/node/watchers_test.go
@@ -36,25 +36,28 @@
 // runFleet runs a script against a fleet whose VMs have found each other.
 func runFleet(t *testing.T, size int, bounds settings.Bounds, script func(f *watchFleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		f := &watchFleet{ctx: t.Context(), store: fake.NewSiteStore(), network: peer.NewMemory()}
-		f.network.SetLatency(func(string, string) time.Duration { return time.Millisecond })
-		f.configure()
-		for i := range size {
-			f.add(i, bounds)
+	synctest.Test(t, func(t *testing.T) { playFleet(t.Context(), size, bounds, script) })
+}
+
+// playFleet is runFleet in virtual time that has begun.
+func playFleet(ctx context.Context, size int, bounds settings.Bounds, script func(f *watchFleet)) {
+	f := &watchFleet{ctx: ctx, store: fake.NewSiteStore(), network: peer.NewMemory()}
+	f.network.SetLatency(func(string, string) time.Duration { return time.Millisecond })
+	f.configure()
+	for i := range size {
+		f.add(i, bounds)
+	}
+	time.Sleep(20 * time.Second)
+	synctest.Wait()
+	defer func() {
+		for _, v := range f.vms {
+			v.stop()
 		}
-		time.Sleep(20 * time.Second)
-		synctest.Wait()
-		defer func() {
-			for _, v := range f.vms {
-				v.stop()
-			}
-			// Time stands still once the test function has returned, so that calls that
-			// are under way would never end.
-			time.Sleep(largePullTimeout)
-		}()
-		script(f)
-	})
+		// Time stands still once the test function has returned, so that calls that
+		// are under way would never end.
+		time.Sleep(largePullTimeout)
+	}()
+	script(f)
 }
 
 func (f *watchFleet) configure() {
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -175,7 +175,7 @@
 	}
 	x.handler.opts.Placer.FirstToken(x.choice, time.Since(x.sentAt), time.Now())
 	x.recordAlive()
-	x.handler.opts.Quarantine.RecordAnswer(j.shared, time.Now())
+	x.handler.opts.Quarantine.RecordAnswer(j.shared(), time.Now())
 }
 
 // recordAlive records that the target has not crashed since the request was sent.
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -110,9 +110,8 @@
 	deadline time.Time
 	cost     float64
 	prefixes []placing.Prefix
-	// shared are the ids of the prompt's segments that other prompts may share, and
-	// contents are these and the whole request, for the quarantine.
-	shared   []string
+	// contents are the whole request and the ids of the prompt's segments that other
+	// prompts may share, for the quarantine.
 	contents []string
 	cache    string
 	// cacheTokens is the capacity of the KV cache store, engineTokens that of
@@ -329,18 +328,18 @@
 		_, _ = whole.WriteString(part + "\n")
 	}
 	_, _ = whole.Write(j.body)
+	j.contents = []string{""}
 	for i, segment := range info.Segments {
 		_, _ = whole.WriteString("/" + segment.ID)
 		j.tokens += segment.Tokens
 		if i < len(info.Segments)-1 {
 			j.sharedTokens += segment.Tokens
-			j.shared = append(j.shared, segment.ID)
+			j.contents = append(j.contents, segment.ID)
 			_, _ = hash.WriteString("/" + segment.ID)
 			j.prefixes = append(j.prefixes, placing.Prefix{Hash: hash.Sum64(), Segment: segment.ID, Tokens: j.sharedTokens})
 		}
 	}
-	j.contents = append(j.contents, quarantine.Request(whole.Sum64()))
-	j.contents = append(j.contents, j.shared...)
+	j.contents[0] = quarantine.Request(whole.Sum64())
 	j.tokens = max(j.tokens, info.PromptTokens)
 	if s := j.view.Config.Services[j.service]; j.engine {
 		j.engineTokens = s.Engine.CapacityTokens
@@ -350,6 +349,9 @@
 	}
 }
 
+// shared returns the ids of the prompt's segments that other prompts may share.
+func (j *job) shared() []string { return j.contents[1:] }
+
 // charge enforces the customer's limit.
 func (h *Handler) charge(j *job) failure {
 	c := j.customer
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -277,7 +277,7 @@
 		contents = contents[:1]
 	}
 	_ = h.opts.Log.Log("msg", "engine lost before its answer", "id", j.info.ID, "target", target.ID, "answering", answering,
-		"first", x.gotFirst, "request", contents[0], "segments", strings.Join(j.shared, ","))
+		"first", x.gotFirst, "request", contents[0], "segments", strings.Join(j.shared(), ","))
 	h.opts.Quarantine.RecordLoss(contents, quarantine.Engine(target.ID, target.Born),
 		quarantine.Circumstance{Answering: answering && !x.gotFirst, Repeated: j.losses > 0}, time.Now())
 	j.losses++
