Pull from a VM that is ahead without waiting for its next update

Trace: a VM that polls the store itself does not pull at the first update that shows it to be behind, but at the first update of the same VM that arrives 150 ms later or more, so that its own read may come first. Until all updates went through relays, such an update followed within 250 ms; now one VM's own updates arrive directly up to a second and more apart, and the wait of 600 ms for the state of others ends before. Ruled out: that no update arrived (three did, the first at 252 ms, with the right version).

Change: The pull is due 150 ms after the first such update, by a timer that asks again whether the VM is still behind.

Why it works: what is decided is whether the own read caught up in time, which needs no further message.

--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -127,7 +127,8 @@
 	n.limits.SetVMs(vms, now)
 }
 
-// pullNewer pulls the kinds from a VM in which it is ahead of this one.
+// pullNewer pulls the kinds from a VM in which it is ahead of this one. A VM that polls
+// the store gives its own read pullDelay to catch up.
 func (n *Node) pullNewer(e roster.Entry, now time.Time) {
 	behind := n.source.StaleKinds(e.Marks)
 	n.pulls.mu.Lock()
@@ -143,6 +144,8 @@
 			delete(n.pulls.behindSince, kind)
 		case !ok:
 			n.pulls.behindSince[kind] = now
+			// The next update of that VM may be seconds away.
+			time.AfterFunc(pullDelay, func() { n.pullNewer(e, time.Now()) })
 		}
 	}
 	if len(behind) == 0 {
--- a/internal/gateway/node/watchers_test.go
+++ b/internal/gateway/node/watchers_test.go
@@ -66,6 +66,14 @@
 }
 
 func (f *watchFleet) add(i int, bounds settings.Bounds) {
+	v, ctx := f.newVM(i, bounds)
+	for _, run := range []func(context.Context) error{v.source.Run, v.roster.Run, v.runWatching} {
+		go func() { _ = run(ctx) }()
+	}
+}
+
+// newVM adds a VM whose tasks have not started, and returns the context for them.
+func (f *watchFleet) newVM(i int, bounds settings.Bounds) (*watchVM, context.Context) {
 	id := fmt.Sprintf("vm-%d", i)
 	address := fmt.Sprintf("10.0.0.%d:1", i+1)
 	s := settings.Settings{VM: id, Region: "r", DataCentre: "z", Gateway: &settings.Gateway{
@@ -77,9 +85,7 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	v := &watchVM{Node: newNode(s, log.NewNopLogger(), platform.NewObjectsOver("store", link), network, network), link: link, stop: cancel}
 	f.vms = append(f.vms, v)
-	for _, run := range []func(context.Context) error{v.source.Run, v.roster.Run, v.runWatching} {
-		go func() { _ = run(ctx) }()
-	}
+	return v, ctx
 }
 
 // watchers returns the VMs that poll the store.
