Keep limits of large fleets by totals that relays add up

Cause: each VM counted what others admit by their updates, which are 2 s old at 62 VMs and up to 6 s at 195, while a VM gets less than one request of a customer in that time. Ruled out: more frequent updates (three times the bytes), asking a relay before each request.

Change: fleet/tally: VMs report what they have admitted to a relay of their data centre every 0.4 s, relays exchange sums, and return the amount of the fleet.

Why it works: a total is one number for the whole fleet at the age of three short calls, and amounts since a start can be lost or repeated without harm.

--- a/internal/fleet/quota/large.go
+++ b/internal/fleet/quota/large.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"time"
-
-	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 )
 
 // In a large fleet, updates are seconds old, and a VM gets so few requests of a customer
@@ -65,22 +63,27 @@
 	return asked > overFraction*b.rate
 }
 
-// admitShare admits this VM's share of the rate. A request that costs more than the share
-// since the last decision is admitted with such a chance that the share is kept on
-// average.
-func (s *State) admitShare(c *site.Customer, b *bucket, cost, need float64, now time.Time) Decision {
+// admitShare admits this VM's share of the rate.
+func (s *State) admitShare(name string, b *bucket, cost, need float64, now time.Time) Decision {
+	if took := s.takeShare(b, cost, now); !took || b.level < need {
+		return s.refuse(name, cost, min(max(s.shareWait(b, cost), s.retryAfter(b, need)), maxRetryAfter), b.level)
+	}
+	return s.admit(name, b, cost, b.level)
+}
+
+// takeShare reports whether a request is within this VM's share of the rate since the last
+// such decision. A request that costs more is within it with such a chance that the share is
+// kept on average.
+func (s *State) takeShare(b *bucket, cost float64, now time.Time) bool {
 	accrued := b.rate / float64(s.vmCount()) * now.Sub(b.lastByShare).Seconds()
 	accrued = min(accrued, max(cost, b.burst/float64(s.vmCount())))
 	b.lastByShare = now
-	if b.level < need || accrued < cost && s.random() >= accrued/cost {
-		s.refused[c.Name] += cost
-		wait := time.Duration(cost / b.rate * float64(s.vmCount()) * float64(time.Second))
-		return Decision{RetryAfter: min(max(wait, s.retryAfter(b, need)), maxRetryAfter), Level: b.level}
-	}
-	b.level -= cost
-	b.share -= cost
-	s.spent[c.Name] += cost
-	return Decision{Admitted: true, Level: b.level}
+	return accrued >= cost || s.random() < accrued/cost
+}
+
+// shareWait returns the time in which this VM's share of the rate is worth the cost.
+func (s *State) shareWait(b *bucket, cost float64) time.Duration {
+	return min(time.Duration(cost/b.rate*float64(s.vmCount())*float64(time.Second)), maxRetryAfter)
 }
 
 // advance updates the rates of a flow with the amounts up to a time.
--- a/internal/fleet/quota/large_test.go
+++ b/internal/fleet/quota/large_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/tally"
 )
 
 // A largeLoad is a customer's traffic at a large fleet whose VMs pass on their updates
@@ -26,6 +27,60 @@
 	// splitFor.
 	split               float64
 	splitFrom, splitFor time.Duration
+	// noTotals leaves VMs without relays for totals, as while those are of a build that
+	// does not know them.
+	noTotals bool
+}
+
+// source names what VMs know of what the others admit.
+func (d largeLoad) source() string {
+	if d.noTotals {
+		return "by updates alone"
+	}
+	return "by totals"
+}
+
+// relayed are the VMs of a fleet that report to relays, of which each has a block of them.
+type relayed struct {
+	tallies []*tally.Tally
+	vms     int
+}
+
+const testRelays = 10
+
+func newRelayed(vms int) *relayed {
+	r := &relayed{vms: vms}
+	for range testRelays {
+		r.tallies = append(r.tallies, tally.NewTally(1))
+	}
+	return r
+}
+
+// relay returns the VM that is a relay.
+func (r *relayed) relay(group int) int { return (group*r.vms + testRelays - 1) / testRelays }
+
+// tick lets the VMs report whose time it is. Those that can't reach their relay report
+// nothing.
+func (r *relayed) tick(f *fleet, n int64, step time.Duration, reaches func(i, j int) bool) {
+	periods := int64(tally.Period / step)
+	for i := range f.states {
+		group := i * testRelays / r.vms
+		relay := r.relay(group)
+		if (n+int64(i)*7)%periods != 0 || !reaches(i, relay) {
+			continue
+		}
+		own := f.states[i].Report()
+		own.Born = 1
+		t := r.tallies[group]
+		t.Record(name(i), own, f.now)
+		for other, u := range r.tallies {
+			if i == relay && other != group && reaches(i, r.relay(other)) {
+				u.Record(name(i), t.Group(f.now), f.now)
+				t.Record(name(r.relay(other)), u.Group(f.now), f.now)
+			}
+		}
+		f.states[i].UpdateTotals(name(relay), t.Fleet(f.now), own, f.now, f.now)
+	}
 }
 
 // play plays the load for a time and returns what was admitted, and the share of the
@@ -39,6 +94,7 @@
 		from           int
 		spent, refused map[string]float64
 	}
+	relays := newRelayed(d.vms)
 	due := map[int64]map[int][]update{}
 	phase := make([]time.Duration, d.vms)
 	for i := range phase {
@@ -68,6 +124,9 @@
 				due[arrives][j] = append(due[arrives][j], update{i, spent, refused})
 			}
 		}
+		if !d.noTotals {
+			relays.tick(f, n, step, func(i, j int) bool { return !split || part(i) == part(j) })
+		}
 		for j, updates := range due[n] {
 			for _, u := range updates {
 				f.states[j].UpdatePeer(name(u.from), 1, u.spent, u.refused, f.now)
@@ -99,11 +158,13 @@
 		{vms: 195, interval: 3050 * time.Millisecond, way: 3 * time.Second, rate: 32000, burst: 116000, asked: 0.8, cost: 1500},
 		{vms: 195, interval: 3050 * time.Millisecond, way: 3 * time.Second, rate: 32000, burst: 32000, asked: 0.6, cost: 1500},
 	} {
-		t.Run(fmt.Sprintf("%d VMs, burst %.0f", d.vms, d.burst), func(t *testing.T) {
-			_, refused := d.play(1, 40*time.Second)
-			t.Logf("%.4f refused", refused)
-			must.LessEq(t, 0.01, refused)
-		})
+		for _, d.noTotals = range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d VMs, burst %.0f, %s", d.vms, d.burst, d.source()), func(t *testing.T) {
+				_, refused := d.play(1, 40*time.Second)
+				t.Logf("%.4f refused", refused)
+				must.LessEq(t, 0.01, refused)
+			})
+		}
 	}
 }
 
@@ -117,29 +178,35 @@
 		"split in half": {split: 0.5, splitFrom: 14 * time.Second, splitFor: 12 * time.Second},
 		"a fifth apart": {split: 0.2, splitFrom: 14 * time.Second, splitFor: 12 * time.Second},
 	} {
-		for _, asked := range []float64{1.5, 4, 8} {
-			t.Run(fmt.Sprintf("%s, asks for %.1f of its rate", name, asked), func(t *testing.T) {
-				d := d
-				d.vms, d.interval, d.way = 195, 3050*time.Millisecond, 3*time.Second
-				if d.asked = asked; d.rate == 0 {
-					d.rate, d.burst, d.cost = 32000, 116000, 4000
-				}
-				all, _ := d.play(1, 36*time.Second)
-				window, limit := 8*time.Second, (d.rate*8+d.burst)*1.1+110_000
-				sum, from, most := 0.0, 0, 0.0
-				for _, a := range all {
-					sum += a.cost
-					for a.at.Sub(all[from].at) > window {
-						sum -= all[from].cost
-						from++
-					}
-					most = max(most, sum)
-				}
-				t.Logf("%.0f of %.0f", most, limit)
-				must.LessEq(t, limit, most)
-			})
+		d.vms, d.interval, d.way = 195, 3050*time.Millisecond, 3*time.Second
+		if d.rate == 0 {
+			d.rate, d.burst, d.cost = 32000, 116000, 4000
+		}
+		for _, d.noTotals = range []bool{false, true} {
+			for _, d.asked = range []float64{1.5, 4, 8} {
+				t.Run(fmt.Sprintf("%s, asks for %.1f of its rate, %s", name, d.asked, d.source()), func(t *testing.T) {
+					d.assertKeepsLimit(t)
+				})
+			}
+		}
+	}
+}
+
+// assertKeepsLimit plays the load and checks what is admitted in any 8 s.
+func (d largeLoad) assertKeepsLimit(t *testing.T) {
+	all, _ := d.play(1, 36*time.Second)
+	window, limit := 8*time.Second, (d.rate*8+d.burst)*1.1+110_000
+	sum, from, most := 0.0, 0, 0.0
+	for _, a := range all {
+		sum += a.cost
+		for a.at.Sub(all[from].at) > window {
+			sum -= all[from].cost
+			from++
 		}
+		most = max(most, sum)
 	}
+	t.Logf("%.0f of %.0f", most, limit)
+	must.LessEq(t, limit, most)
 }
 
 // TestFleetThatGrowsLargeAgain guards against a bucket that fills at once because a fleet that
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -41,7 +41,8 @@
 	// driftReserve is the fraction of the rate that is not granted, to allow for
 	// clocks that run at different speeds.
 	driftReserve = 0.01
-	// maxRetryAfter bounds the time after which a refused caller may retry.
+	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may retry.
+	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
 )
 
@@ -74,6 +75,14 @@
 	// alone.
 	own         flow
 	lastByShare time.Time
+	// fleetLevel is the level by the totals of the fleet. The last of them is total, if one
+	// was counted, and contains reported of this VM. scarce is whether the bucket was nearly
+	// empty by it.
+	fleetLevel float64
+	counted    bool
+	total      int64
+	reported   float64
+	scarce     bool
 }
 
 // A peer holds the admissions of another VM as last reported.
@@ -104,6 +113,8 @@
 	refused map[string]float64
 	// wasLarge reports whether the fleet was large at the last event.
 	wasLarge bool
+	// totals is where the totals of the fleet come from.
+	totals totals
 	// random returns a number from 0 to 1.
 	random func() float64
 	// lastUpdate is when the last update of any other VM arrived.
@@ -136,19 +147,32 @@
 	// A request that costs more than the burst is admitted if the bucket is full,
 	// and makes its level negative.
 	need := min(cost, 0.95*b.burst)
-	if s.large() && s.isOverLimit(b) {
-		return s.admitShare(c, b, cost, need, now)
+	switch {
+	case s.UsesTotals() && s.knowsTotals(now):
+		return s.admitByTotals(c.Name, b, cost, need, now)
+	case s.large() && s.isOverLimit(b):
+		return s.admitShare(c.Name, b, cost, need, now)
 	}
 	s.renewAllowance(b, now)
 	if b.level < need || b.share < 0 && (b.level < scarceFraction*b.burst || b.allowance <= 0) {
-		s.refused[c.Name] += cost
-		return Decision{RetryAfter: s.retryAfter(b, need), Level: b.level}
+		return s.refuse(c.Name, cost, s.retryAfter(b, need), b.level)
 	}
+	return s.admit(c.Name, b, cost, b.level)
+}
+
+// admit takes a request's cost from the bucket, whose level is given.
+func (s *State) admit(name string, b *bucket, cost, level float64) Decision {
 	b.level -= cost
 	b.share -= cost
 	b.allowance -= cost
-	s.spent[c.Name] += cost
-	return Decision{Admitted: true, Level: b.level}
+	s.spent[name] += cost
+	return Decision{Admitted: true, Level: level - cost}
+}
+
+// refuse takes note of a refused request.
+func (s *State) refuse(name string, cost float64, after time.Duration, level float64) Decision {
+	s.refused[name] += cost
+	return Decision{RetryAfter: after, Level: level}
 }
 
 // renewAllowance sets a new allowance once the period of the last one is over.
@@ -192,7 +216,7 @@
 		missing = max(missing, -b.share*float64(s.vmCount()))
 	}
 	after := time.Duration(missing / b.rate * float64(time.Second))
-	return min(max(after, 50*time.Millisecond), maxRetryAfter)
+	return min(max(after, minRetryAfter), maxRetryAfter)
 }
 
 // bucket returns a customer's bucket, refilled up to now.
@@ -208,6 +232,7 @@
 	if b.rate != rate || b.burst != c.Burst {
 		b.rate, b.burst = rate, c.Burst
 		b.level = min(b.level, b.burst)
+		b.fleetLevel = min(b.fleetLevel, b.burst)
 	}
 	s.refill(c.Name, b, now)
 	return b
@@ -237,6 +262,7 @@
 		gain = 0
 	}
 	b.level = min(b.burst, b.level+gain)
+	b.fleetLevel = min(b.burst+s.spent[name]-b.reported, b.fleetLevel+b.rate*dt*s.knownShare())
 	b.share = min(b.burst/float64(s.vmCount()), b.share+share)
 }
 
--- a/internal/fleet/quota/task.go
+++ b/internal/fleet/quota/task.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/tally"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
@@ -70,3 +72,25 @@
 	defer l.mu.Unlock()
 	return l.state.Refused(l.clock.Now())
 }
+
+// UsesTotals reports whether the fleet is so large that totals come sooner than updates.
+func (l *Limiter) UsesTotals() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.UsesTotals()
+}
+
+// Report returns what this VM has admitted since it started.
+func (l *Limiter) Report() tally.Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Report()
+}
+
+// UpdateTotals applies the totals that a relay returned for a report that this VM sent at
+// the given time.
+func (l *Limiter) UpdateTotals(relay string, total, reported tally.Report, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.UpdateTotals(relay, total, reported, sent, l.clock.Now())
+}
--- /dev/null
+++ b/internal/fleet/quota/totals_test.go
@@ -0,0 +1,121 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/tally"
+)
+
+// A totalsVM is one VM of a fleet of 100 that gets totals from relays.
+type totalsVM struct {
+	*State
+	customer *site.Customer
+	now      time.Time
+	total    map[string]int64
+}
+
+// newTotalsVM returns a VM whose buckets, of a rate of 1,000 and a burst of 10,000, are
+// full.
+func newTotalsVM() *totalsVM {
+	v := &totalsVM{State: NewState(epoch), customer: customerOf(1000, 10_000), now: epoch, total: map[string]int64{}}
+	v.AddCustomers([]site.Customer{*v.customer}, v.now)
+	for i := range 99 {
+		v.UpdatePeer(name(i), 1, nil, nil, v.now)
+	}
+	for range 40 {
+		v.exchange("relay", 0)
+	}
+	return v
+}
+
+// exchange lets a period pass and gets the totals of a relay, by which the others have
+// admitted an amount.
+func (v *totalsVM) exchange(relay string, others int64) {
+	v.now = v.now.Add(tally.Period)
+	for i := range 99 {
+		v.UpdatePeer(name(i), 1, nil, nil, v.now)
+	}
+	own := v.Report()
+	v.total[relay] += others
+	v.UpdateTotals(relay, tally.Report{Born: 1, Spent: map[string]int64{"c": v.total[relay] + own.Spent["c"]}, VMs: 100}, own, v.now, v.now)
+}
+
+func (v *totalsVM) level() float64 { return v.levelByTotals("c", v.bucket(v.customer, v.now)) }
+
+// TestLevelByTotals checks what a VM believes about a customer's bucket.
+func TestLevelByTotals(t *testing.T) {
+	// refill is what the bucket gains in a period.
+	const refill = 1000 * 0.4 * (1 - driftReserve)
+	for _, c := range []struct {
+		name string
+		play func(v *totalsVM)
+		want float64
+	}{
+		{"full", func(*totalsVM) {}, 10_000},
+		{"amount of the others", func(v *totalsVM) { v.exchange("relay", 4000) }, 10_000 - 4000},
+		{"own amount counts at once", func(v *totalsVM) { v.Admit(v.customer, 3000, v.now) }, 7000},
+		{"own amount counts once", func(v *totalsVM) {
+			v.Admit(v.customer, 3000, v.now)
+			v.exchange("relay", 0)
+		}, 7000 + refill},
+		{"refund", func(v *totalsVM) {
+			v.Admit(v.customer, 3000, v.now)
+			v.Refund(v.customer, 3000)
+		}, 10_000},
+		{"another relay, whose total says nothing of the time before", func(v *totalsVM) {
+			v.exchange("relay", 5000)
+			v.exchange("another", 70_000)
+		}, 5000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := newTotalsVM()
+			c.play(v)
+			must.InDelta(t, c.want, v.level(), 1)
+		})
+	}
+}
+
+// TestTotalsFromBeforePauseAreOld guards against a VM that was paused and admits requests by
+// totals that it had asked for before.
+func TestTotalsFromBeforePauseAreOld(t *testing.T) {
+	v := newTotalsVM()
+	sent, own := v.now, v.Report()
+	v.now = v.now.Add(5 * time.Second)
+	v.UpdateTotals("relay", tally.Report{Born: 1, Spent: v.total, VMs: 100}, own, sent, v.now)
+	must.False(t, v.knowsTotals(v.now))
+	v.exchange("relay", 0)
+	must.True(t, v.knowsTotals(v.now))
+}
+
+// TestNewCustomerOfOldRelay guards against a customer that is refused for minutes on a VM
+// that learns of it late, since what it has spent before counts at once.
+func TestNewCustomerOfOldRelay(t *testing.T) {
+	v := newTotalsVM()
+	v.total["late"] = 1_000_000
+	late := &site.Customer{Name: "late", Rate: 1000, Burst: 10_000, ByTokens: true}
+	v.bucket(late, v.now)
+	for range 30 {
+		v.now = v.now.Add(tally.Period)
+		own := v.Report()
+		v.UpdateTotals("relay", tally.Report{Born: 1, Spent: map[string]int64{"late": 1_000_000}, VMs: 100}, own, v.now, v.now)
+	}
+	must.True(t, v.Admit(late, 500, v.now).Admitted)
+}
+
+// TestCutOffGroupHasItsShareOfRate checks that VMs whose totals contain half of the fleet
+// get half of the rate, since the other half may be alive beyond a cut.
+func TestCutOffGroupHasItsShareOfRate(t *testing.T) {
+	v := newTotalsVM()
+	v.exchange("relay", 10_000)
+	before := v.level()
+	for range 10 {
+		v.now = v.now.Add(tally.Period)
+		v.UpdateTotals("relay", tally.Report{Born: 1, Spent: map[string]int64{"c": v.total["relay"]}, VMs: 50}, v.Report(), v.now, v.now)
+	}
+	// The first period passes before the cut is known.
+	must.InDelta(t, before+400+9*200, v.level(), 30)
+}
--- a/internal/fleet/roster/relay.go
+++ b/internal/fleet/roster/relay.go
@@ -91,16 +91,50 @@
 // chooseRelay returns the relay from which to pull, unless this VM is a relay itself, and
 // VMs with which to compare digests. The caller holds mu.
 func (t *Task) chooseRelay(round int, now time.Time) (pulled *peer.Destination, compared []peer.Destination) {
+	r := t.usedRelays(now)
+	peers := t.choosePeers(round, 0)
+	switch {
+	case r.Self && len(r.Others) > 0:
+		peers = append(peers, r.Others[rand.IntN(len(r.Others))])
+	case !r.Self && len(r.Local) > 0:
+		pulled = &r.Local[0]
+	default:
+		peers = append(peers, t.choosePeers(1, 1)...)
+	}
+	if neighbours := t.neighbours(now); !r.Self && round%repairRounds == repairRounds-1 && len(neighbours) > 0 {
+		peers = append(peers, neighbours[rand.IntN(len(neighbours))])
+	}
+	return pulled, peers
+}
+
+// Relays are the relays of a large fleet as a VM uses them, without those that did not
+// respond to it lately.
+type Relays struct {
+	// Local holds the other relays of its data centre, the one to use first, and Others
+	// those of all data centres.
+	Local, Others []peer.Destination
+	// Self reports whether the VM is a relay.
+	Self bool
+}
+
+// Relays returns the relays that this VM uses.
+func (t *Task) Relays() Relays {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.usedRelays(time.Now())
+}
+
+// usedRelays is Relays for a caller that holds mu.
+func (t *Task) usedRelays(now time.Time) (out Relays) {
 	self := &t.table.self
-	var others, local []relay
-	isRelay := false
+	var local []relay
 	for _, r := range t.relays(now) {
 		switch {
 		case r.VM == self.VM:
-			isRelay = true
+			out.Self = true
 		case now.Before(t.failedUntil[r.VM]):
 		default:
-			others = append(others, r)
+			out.Others = append(out.Others, r.Destination)
 			if r.dataCentre == self.DataCentre {
 				local = append(local, r)
 			}
@@ -109,19 +143,10 @@
 	// The VMs of a data centre divide themselves among its relays.
 	rank := Rank(self.VM)
 	slices.SortFunc(local, func(a, b relay) int { return cmp.Compare(a.rank^rank, b.rank^rank) })
-	peers := t.choosePeers(round, 0)
-	switch {
-	case isRelay && len(others) > 0:
-		peers = append(peers, others[rand.IntN(len(others))].Destination)
-	case !isRelay && len(local) > 0:
-		pulled = &local[0].Destination
-	default:
-		peers = append(peers, t.choosePeers(1, 1)...)
-	}
-	if neighbours := t.neighbours(now); !isRelay && round%repairRounds == repairRounds-1 && len(neighbours) > 0 {
-		peers = append(peers, neighbours[rand.IntN(len(neighbours))])
+	for _, r := range local {
+		out.Local = append(out.Local, r.Destination)
 	}
-	return pulled, peers
+	return out
 }
 
 // neighbours returns the other live VMs of this VM's data centre. The caller holds mu.
--- /dev/null
+++ b/internal/fleet/tally/tally_test.go
@@ -0,0 +1,74 @@
+package tally
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// report returns what a VM has admitted of one customer.
+func report(born, spent int64) Report {
+	return Report{Born: born, Spent: map[string]int64{"c": spent}}
+}
+
+// TestAmountsCountOnce checks that what a VM admits is in the total of the fleet once,
+// whichever relays it reports to and whoever starts again.
+func TestAmountsCountOnce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(a, b *Tally)
+		want int64
+	}{
+		{"growing amount", func(a, _ *Tally) {
+			a.Record("vm", report(1, 10), epoch)
+			a.Record("vm", report(1, 25), epoch.Add(Period))
+		}, 15},
+		{"same report again", func(a, _ *Tally) {
+			a.Record("vm", report(1, 10), epoch)
+			a.Record("vm", report(1, 25), epoch.Add(Period))
+			a.Record("vm", report(1, 25), epoch.Add(2*Period))
+		}, 15},
+		{"VM that starts again", func(a, _ *Tally) {
+			a.Record("vm", report(1, 10), epoch)
+			a.Record("vm", report(2, 7), epoch.Add(Period))
+		}, 7},
+		{"VM that returns from another relay", func(a, b *Tally) {
+			a.Record("vm", report(1, 10), epoch)
+			b.Record("vm", report(1, 10), epoch.Add(Period))
+			b.Record("vm", report(1, 30), epoch.Add(5*Period))
+			a.Record("b", b.Group(epoch.Add(5*Period)), epoch.Add(5*Period))
+			a.Record("vm", report(1, 34), epoch.Add(6*Period))
+			a.Record("vm", report(1, 35), epoch.Add(7*Period))
+		}, 1},
+		{"other relay that starts again", func(a, _ *Tally) {
+			a.Record("b", Report{Born: 1, Spent: map[string]int64{"c": 50}, VMs: 3}, epoch)
+			a.Record("b", Report{Born: 1, Spent: map[string]int64{"c": 70}, VMs: 3}, epoch.Add(Period))
+			a.Record("b", Report{Born: 2, Spent: map[string]int64{"c": 4}, VMs: 3}, epoch.Add(2*Period))
+		}, 24},
+		{"refund", func(a, _ *Tally) {
+			a.Record("vm", report(1, 10), epoch)
+			a.Record("vm", report(1, 30), epoch.Add(Period))
+			a.Record("vm", report(1, 22), epoch.Add(2*Period))
+		}, 12},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := NewTally(1), NewTally(1)
+			c.play(a, b)
+			must.Eq(t, c.want, a.Fleet(epoch).Spent["c"])
+		})
+	}
+}
+
+// TestSilentVMsAreNotCounted checks the number of VMs whose amounts are in a total.
+func TestSilentVMsAreNotCounted(t *testing.T) {
+	a := NewTally(1)
+	a.Record("vm-1", report(1, 1), epoch)
+	a.Record("vm-2", report(1, 1), epoch.Add(2*Period))
+	a.Record("b", Report{Born: 1, VMs: 40}, epoch.Add(2*Period))
+	must.Eq(t, 42, a.Fleet(epoch.Add(2*Period)).VMs)
+	must.Eq(t, 41, a.Fleet(epoch.Add(4*Period)).VMs)
+	must.Eq(t, 0, a.Fleet(epoch.Add(6*Period)).VMs)
+}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/tally"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/throttle"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
@@ -74,6 +75,8 @@
 	source *source.Source
 	roster *roster.Task
 	quota  *quota.Limiter
+	// teller exchanges what the VMs of a large fleet admit.
+	teller *tally.Teller
 	// quarantine holds the prompt segments that crash engines.
 	quarantine *quarantine.List
 	// limits holds the rates of requests that targets accept.
@@ -235,6 +238,11 @@
 		},
 		OnStatusChange: n.leaseChanged,
 	})
+	n.teller = tally.NewTeller(tally.TellerOptions{
+		VM: s.VM, Born: born, Peers: n.client, Clock: n.clock, Log: n.log,
+		Relays: n.roster.Relays, Needed: n.quota.UsesTotals, Report: n.quota.Report, OnTotal: n.quota.UpdateTotals,
+	})
+	n.teller.Register(registrar)
 	n.roster.Register(registrar)
 	n.source.Register(registrar)
 }
@@ -321,7 +329,7 @@
 	defer abort(nil)
 	callers := n.callerServer(requestCtx)
 	for _, run := range []func(context.Context) error{
-		n.source.Run, n.roster.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching,
+		n.source.Run, n.roster.Run, n.teller.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching,
 	} {
 		g.Go(func() error { return run(taskCtx) })
 	}
