Show with which settings each VM runs

Cause: after a change of settings files over hundreds of VMs an operator could tell only from each VM's log which of them had reloaded, and which had refused the file.

Change: Settings have a version, a hash of all values but the VM's own addresses. The log line of a reload names the version.

Why it works: each VM answers for itself.

--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"os"
 	"os/signal"
@@ -70,6 +71,9 @@
 // without a signal.
 const reloadInterval = 2 * time.Second
 
+// errNoGateway refuses a settings file that would make the VM one of another kind.
+var errNoGateway = errors.New("the section gateway is missing")
+
 // watchSettings applies changes of the settings file until ctx ends. Invalid
 // settings are logged and ignored.
 func (c *serveCommand) watchSettings(ctx context.Context, n *node.Node, hangups <-chan os.Signal, logger log.Logger) {
@@ -94,9 +98,9 @@
 		s, err := settings.Decode(c.File, data)
 		switch {
 		case err != nil:
-			_ = logger.Log("msg", "changed settings refused", "err", err)
+			n.RefuseSettings(err)
 		case s.Gateway == nil:
-			_ = logger.Log("msg", "changed settings refused", "err", "the section gateway is missing")
+			n.RefuseSettings(errNoGateway)
 		default:
 			n.Reload(s)
 		}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -100,6 +100,8 @@
 	server    *peer.Server
 	client    peer.Caller
 	pulls     pullState
+	// loaded records with which settings this VM runs.
+	loaded settingsRecord
 }
 
 // New returns a Node that uses the addresses in its settings.
@@ -134,6 +136,7 @@
 		metrics:   relay.NewMetrics(),
 	}
 	n.gateway.Store(s.Gateway)
+	n.loaded.load(s.Gateway, nil)
 	n.watching.Store(true)
 	n.limitMemory()
 	n.quota = quota.NewLimiter(n.clock)
@@ -243,6 +246,9 @@
 		Relays: n.roster.Relays, Needed: n.quota.UsesTotals, Report: n.quota.Report, OnTotal: n.quota.UpdateTotals,
 	})
 	n.teller.Register(registrar)
+	peer.Handle(registrar, CallSettings, func(context.Context, string, struct{}) (SettingsStatus, error) {
+		return n.loaded.read(), nil
+	})
 	n.roster.Register(registrar)
 	n.source.Register(registrar)
 }
@@ -284,7 +290,8 @@
 	n.limitMemory()
 	n.placer.SetMaxWeightsAge(s.Gateway.Bounds.Weights)
 	n.budget.SetLimits(limitsOf(s.Gateway.Bounds.Retries))
-	_ = n.log.Log("msg", "settings reloaded", "seeds", len(s.Gateway.Seeds), "changed", strings.Join(changed, "; "),
+	n.loaded.load(s.Gateway, later)
+	_ = n.log.Log("msg", "settings reloaded", "version", s.Gateway.Version(), "seeds", len(s.Gateway.Seeds), "changed", strings.Join(changed, "; "),
 		"afterrestart", strings.Join(later, " "))
 }
 
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -112,6 +112,7 @@
 	operators := http.NewServeMux()
 	operators.Handle("GET /metrics", expvar.Handler())
 	operators.HandleFunc("GET /dump", n.serveDump)
+	operators.HandleFunc("GET /settings", n.serveSettings)
 	return []sideServer{
 		newServer(platform.PathReady, n.serveReady, l.ready),
 		newServer(platform.PathResolve, n.serveDirectory, l.directory),
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"reflect"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // A Change is a setting whose value differs between two versions of a settings file.
@@ -27,6 +29,14 @@
 	return false
 }
 
+// Version identifies the values of the settings but for the addresses of the VM itself: two
+// VMs with the same version run with the same settings.
+func (g *Gateway) Version() string {
+	alike := *g
+	alike.ReadyAddress, alike.DirectoryAddress = "", ""
+	return fmt.Sprintf("%08x", uint32(xxhash.Sum64String(fmt.Sprintf("%+v", alike))))
+}
+
 // Changes returns the settings that differ, in the order of the file.
 func Changes(from, to Settings) []Change {
 	return appendChanges(nil, "", reflect.ValueOf(from), reflect.ValueOf(to))
--- a/internal/settings/change_test.go
+++ b/internal/settings/change_test.go
@@ -23,3 +23,14 @@
 	must.Eq(t, []string{"gateway.seeds: [x] -> [x y]", "gateway.bounds.drain: 4s -> 5s"}, reloaded)
 	must.Eq(t, []string{"callers.address:  -> 10.0.0.1:80"}, other)
 }
+
+// TestVersion checks that VMs show the same version if they run with the same settings at
+// addresses of their own.
+func TestVersion(t *testing.T) {
+	base := Gateway{ReadyAddress: "10.0.0.1:81", MemoryMB: 112, Bounds: Bounds{Drain: 4 * time.Second}}
+	elsewhere, changed := base, base
+	elsewhere.ReadyAddress, elsewhere.DirectoryAddress = "10.0.0.2:81", "10.0.0.2:82"
+	changed.Bounds.Drain++
+	must.Eq(t, base.Version(), elsewhere.Version())
+	must.NotEq(t, base.Version(), changed.Version())
+}
