Weigh updates of a VM by the time between them

What a VM is assumed to admit is the change between two of its updates by the time between their arrivals, and counts with 0.3. Updates that were held up on a busy link arrive a millisecond apart: the VM then seems to admit a thousand times as much until its next update, three seconds later.

Change: The weight of a change grows with its time: 0.3 for a period, and in proportion for less. Updates that arrive at the same instant count with the next one.

Measured: TestUpdatesThatArriveTogether, at 1 ms, fails before.

Why it works: for short times the weight cancels the division by the time, so that a rate rises by no more than the change spread over three periods.

--- a/internal/fleet/quota/large.go
+++ b/internal/fleet/quota/large.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 // larger than that: whatever the VMs know of each other, they admit the rate together.
 
 const (
-	// flowWeight is the weight of the time since the last update in a flow.
+	// flowWeight is the weight of the time since the last update in a flow if it is a period.
 	flowWeight = 0.3
 	// overFraction is the fraction of the rate above which a customer is over its limit.
 	// Flows are sums of few requests: a customer just below its rate would be over it half
@@ -86,11 +87,19 @@
 	return min(time.Duration(cost/b.rate*float64(s.vmCount())*float64(time.Second)), maxRetryAfter)
 }
 
-// advance updates the rates of a flow with the amounts up to a time.
-func (f *flow) advance(spent, refused float64, now time.Time) {
-	if dt := now.Sub(f.at).Seconds(); !f.at.IsZero() && dt > 0 {
-		f.spentRate += flowWeight * (max(spent-f.spent, 0)/dt - f.spentRate)
-		f.refusedRate += flowWeight * (max(refused-f.refused, 0)/dt - f.refusedRate)
+// advance updates the rates of a flow with the amounts up to a time, where updates are a
+// period apart on average. The less time has passed the less it weighs, since updates that
+// were held up arrive together.
+func (f *flow) advance(spent, refused float64, period time.Duration, now time.Time) {
+	if !f.at.IsZero() {
+		dt := now.Sub(f.at).Seconds()
+		if dt <= 0 {
+			// What has changed counts with the next update.
+			return
+		}
+		weight := 1 - math.Pow(1-flowWeight, dt/period.Seconds())
+		f.spentRate += weight * (max(spent-f.spent, 0)/dt - f.spentRate)
+		f.refusedRate += weight * (max(refused-f.refused, 0)/dt - f.refusedRate)
 	}
 	f.spent, f.refused, f.at = spent, refused, now
 }
@@ -125,7 +134,7 @@
 			// The VM has restarted or refunded more than it admitted.
 			f.at = time.Time{}
 		}
-		f.advance(n, refused[name], now)
+		f.advance(n, refused[name], s.allowancePeriod(), now)
 		f.rate = f.spentRate
 		b.assumedRate += f.rate - before.rate
 		b.refusedRate += f.refusedRate - before.refusedRate
@@ -182,7 +191,7 @@
 // takes note of them.
 func (s *State) Refused(now time.Time) map[string]float64 {
 	for name, b := range s.buckets {
-		b.own.advance(s.spent[name], s.refused[name], now)
+		b.own.advance(s.spent[name], s.refused[name], s.allowancePeriod(), now)
 	}
 	return maps.Clone(s.refused)
 }
--- a/internal/fleet/quota/large_test.go
+++ b/internal/fleet/quota/large_test.go
@@ -240,3 +240,38 @@
 	// The others spend as much as the rate.
 	must.LessEq(t, before+3*c.Rate, s.bucket(c, now).level)
 }
+
+// TestUpdatesThatArriveTogether guards against a customer that is refused for seconds because
+// two updates of a VM were held up and arrived a millisecond apart, so that it seemed to
+// admit thousands of times as much as it does.
+func TestUpdatesThatArriveTogether(t *testing.T) {
+	for _, gap := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			c := customerOf(32_000, 116_000)
+			now := epoch
+			s := NewState(now)
+			s.AddCustomers([]site.Customer{*c}, now)
+			spent := 0.0
+			update := func(n float64) {
+				spent += n
+				s.UpdatePeer(name(0), 1, map[string]float64{"c": spent}, nil, now)
+			}
+			for range 10 {
+				now = now.Add(3 * time.Second)
+				update(1500)
+				for i := range 194 {
+					s.UpdatePeer(name(i+1), 1, map[string]float64{}, nil, now)
+				}
+			}
+			must.True(t, s.large())
+			now = now.Add(3 * time.Second)
+			update(1500)
+			now = now.Add(gap)
+			update(6000)
+			for range 30 {
+				now = now.Add(100 * time.Millisecond)
+				must.True(t, s.Admit(c, 10, now).Admitted, must.Sprint("after ", now.Sub(epoch)))
+			}
+		})
+	}
+}
