Take no level from updates when another relay is used

Change: The level by updates counts at the first total only, and not below zero; at a change of relays the bucket gains nothing for the time between. Calls may take 0.5 s.

--- a/internal/fleet/quota/totals.go
+++ b/internal/fleet/quota/totals.go
@@ -44,23 +44,20 @@
 // the given time.
 func (s *State) UpdateTotals(relay string, total, reported tally.Report, sent, now time.Time) {
 	known := s.totals.from == relay && s.totals.born == total.Born
-	unseen := 0.0
-	if s.totals.from != "" {
-		unseen = now.Sub(s.totals.at).Seconds()
-	}
 	for name, b := range s.buckets {
 		s.refill(name, b, now)
 		n, own := total.Spent[name], float64(reported.Spent[name])
 		switch {
 		case known && b.counted:
 			b.fleetLevel -= float64(n - b.total)
-		case known:
-			// The customer is new to this VM: only what is admitted from now on counts, as
-			// the bucket starts empty.
+		case s.totals.from == "" || !b.counted:
+			// Only what is admitted from now on counts, as the bucket starts empty.
+			b.fleetLevel = max(min(b.fleetLevel, b.level), 0)
 		default:
 			// What others have admitted since the last totals is not known: the rate, at
 			// most.
-			b.fleetLevel = min(b.fleetLevel-min(b.rate*unseen, b.burst)-(own-b.reported), b.level)
+			unseen := now.Sub(s.totals.at).Seconds()
+			b.fleetLevel -= min(b.rate*unseen, b.burst) + own - b.reported
 		}
 		b.total, b.reported, b.counted = n, own, true
 		s.updateScarce(name, b, now)
--- a/internal/fleet/tally/teller.go
+++ b/internal/fleet/tally/teller.go
@@ -21,7 +21,7 @@
 
 const (
 	// callTimeout bounds one report.
-	callTimeout = 300 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
 	// maxFailures is the number of calls in a row to which a relay did not respond after
 	// which it is not used for relayRetry. A single call may be lost.
 	maxFailures = 2
