Encode amounts in as few bytes as are exact

Change: Floats are encoded in the shortest form that is exact.

Why it works: amounts are mostly whole numbers below 16.7 million.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -26,7 +26,8 @@
 var encoding = newCodec()
 
 func newCodec() *codec {
-	enc, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	// Amounts are mostly whole numbers, which take 3 or 5 bytes in place of 9.
+	enc, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, ShortestFloat: cbor.ShortestFloat16}.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -210,3 +210,21 @@
 		})
 	}
 }
+
+// TestFloatsAreShortAndExact guards against updates of large fleets that spend most of their
+// bytes on amounts of customers.
+func TestFloatsAreShortAndExact(t *testing.T) {
+	for _, c := range []struct {
+		value float64
+		bytes int
+	}{
+		{0, 3}, {1500, 3}, {123_457, 5}, {16_777_217, 9}, {0.1, 9}, {-84_789_877.25, 9},
+	} {
+		data, err := encoding.Marshal(c.value)
+		must.NoError(t, err)
+		must.Len(t, c.bytes, data, must.Sprint(c.value))
+		var got float64
+		must.NoError(t, encoding.Unmarshal(data, &got))
+		must.Eq(t, c.value, got)
+	}
+}
