Follow the growth of totals while they are away

Cause: a VM whose relay is lost took others to admit the rate, up to a burst, until the next total, 1.6 s later.

Change: Between totals the level falls by what the totals have grown a second lately, and the next total of the same relay corrects it. A total of another relay takes the level as it is.

Why it works: what others do next is best told by what they did last.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -76,13 +76,15 @@
 	own         flow
 	lastByShare time.Time
 	// fleetLevel is the level by the totals of the fleet. The last of them is total, if one
-	// was counted, and contains reported of this VM. scarce is whether the bucket was nearly
-	// empty by it.
-	fleetLevel float64
-	counted    bool
-	total      int64
-	reported   float64
-	scarce     bool
+	// was counted, and contains reported of this VM. growth is by how much they have grown a
+	// second lately; the level follows it until the next one, by assumed since the last.
+	// scarce is whether the bucket was nearly empty.
+	fleetLevel      float64
+	counted         bool
+	total           int64
+	reported        float64
+	growth, assumed float64
+	scarce          bool
 }
 
 // A peer holds the admissions of another VM as last reported.
@@ -262,7 +264,7 @@
 		gain = 0
 	}
 	b.level = min(b.burst, b.level+gain)
-	b.fleetLevel = min(b.burst+s.spent[name]-b.reported, b.fleetLevel+b.rate*dt*s.knownShare())
+	s.refillByTotals(name, b, dt)
 	b.share = min(b.burst/float64(s.vmCount()), b.share+share)
 }
 
--- a/internal/fleet/quota/totals.go
+++ b/internal/fleet/quota/totals.go
@@ -44,27 +44,45 @@
 // the given time.
 func (s *State) UpdateTotals(relay string, total, reported tally.Report, sent, now time.Time) {
 	known := s.totals.from == relay && s.totals.born == total.Born
+	passed := sent.Sub(s.totals.at)
 	for name, b := range s.buckets {
 		s.refill(name, b, now)
 		n, own := total.Spent[name], float64(reported.Spent[name])
 		switch {
 		case known && b.counted:
-			b.fleetLevel -= float64(n - b.total)
+			b.fleetLevel -= float64(n-b.total) - b.assumed
+			b.grow(float64(n-b.total), passed)
 		case s.totals.from == "" || !b.counted:
 			// Only what is admitted from now on counts, as the bucket starts empty.
 			b.fleetLevel = max(min(b.fleetLevel, b.level), 0)
 		default:
-			// What others have admitted since the last totals is not known: the rate, at
-			// most.
-			unseen := now.Sub(s.totals.at).Seconds()
-			b.fleetLevel -= min(b.rate*unseen, b.burst) + own - b.reported
+			// What was admitted since the last totals is not known: as much as before, which
+			// the level has followed, and what this VM has admitted at least.
+			b.fleetLevel = max(b.fleetLevel-max(own-b.reported-b.assumed, 0), -b.burst)
 		}
-		b.total, b.reported, b.counted = n, own, true
+		b.total, b.reported, b.counted, b.assumed = n, own, true, 0
 		s.updateScarce(name, b, now)
 	}
 	s.totals = totals{from: relay, born: total.Born, at: sent, vms: total.VMs}
 }
 
+// refillByTotals adds the rate for a time to the level by totals, less what is assumed to
+// be admitted meanwhile.
+func (s *State) refillByTotals(name string, b *bucket, dt float64) {
+	b.assumed += b.growth * dt
+	b.fleetLevel += (b.rate*s.knownShare() - b.growth) * dt
+	b.fleetLevel = min(b.fleetLevel, b.burst+s.spent[name]-b.reported)
+}
+
+// grow takes note of the growth of the totals within a time.
+func (b *bucket) grow(amount float64, within time.Duration) {
+	if within <= 0 {
+		return
+	}
+	weight := 1 - math.Pow(1-flowWeight, float64(within)/float64(tally.Period))
+	b.growth += weight * (amount/within.Seconds() - b.growth)
+}
+
 // knowsTotals reports whether the totals of the fleet are recent.
 func (s *State) knowsTotals(now time.Time) bool {
 	return s.totals.from != "" && now.Sub(s.totals.at) <= freshTotalsTime
