Count the VMs of a total in one place

Cause: Tally.Fleet copied the group's amounts for the number of its VMs alone.

Change: countVMs for both kinds of reports.

Measured: the tests of tally, with the race detector.

--- a/internal/fleet/tally/tally.go
+++ b/internal/fleet/tally/tally.go
@@ -7,7 +7,10 @@
 // whatever the size of the fleet.
 package tally
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// Period is the mean time between two reports of a VM.
@@ -84,37 +87,25 @@
 
 // Group returns what the VMs that report to this relay have admitted.
 func (t *Tally) Group(now time.Time) Report {
-	vms := 0
-	for vm, c := range t.members {
-		switch age := now.Sub(c.at); {
-		case age > forgetReportTime:
-			delete(t.members, vm)
-		case age <= freshReportTime:
-			vms++
-		}
-	}
-	return Report{Born: t.born, Spent: copyOf(t.group), VMs: vms}
+	return Report{Born: t.born, Spent: maps.Clone(t.group), VMs: countVMs(t.members, now)}
 }
 
 // Fleet returns what all VMs have admitted.
 func (t *Tally) Fleet(now time.Time) Report {
-	vms := t.Group(now).VMs
-	for vm, c := range t.groups {
+	return Report{Born: t.born, Spent: maps.Clone(t.fleet), VMs: countVMs(t.members, now) + countVMs(t.groups, now)}
+}
+
+// countVMs returns the number of VMs whose amounts are in recent reports, and forgets old
+// reports.
+func countVMs(reports map[string]*counted, now time.Time) int {
+	vms := 0
+	for from, c := range reports {
 		switch age := now.Sub(c.at); {
 		case age > forgetReportTime:
-			delete(t.groups, vm)
+			delete(reports, from)
 		case age <= freshReportTime:
-			vms += c.VMs
+			vms += max(c.VMs, 1)
 		}
 	}
-	return Report{Born: t.born, Spent: copyOf(t.fleet), VMs: vms}
-}
-
-// copyOf returns a copy that is not nil.
-func copyOf(amounts map[string]int64) map[string]int64 {
-	out := make(map[string]int64, len(amounts))
-	for name, n := range amounts {
-		out[name] = n
-	}
-	return out
+	return vms
 }
