Share the weight of mean rates, and ask one relay at a time

Cause: read once more, flows and totals computed the same weight apart, relays asked whether one relay is usable by way of a list, a reload computed its version twice, and the package comment of quota did not name totals.

Change: weightOf, Teller.usable, the version from the record, comments. Behaviour stays.

--- a/internal/fleet/quota/large.go
+++ b/internal/fleet/quota/large.go
@@ -6,14 +6,14 @@
 	"time"
 )
 
-// In a large fleet, updates are seconds old, and a VM gets so few requests of a customer
-// that its share of the limit is less than one of them. There each VM assumes that the
+// In a large fleet without totals, updates are seconds old, and a VM gets so few requests of
+// a customer that its share of the limit is less than one of them. There each VM assumes that the
 // others go on admitting what they have admitted lately. While the fleet is asked for more
 // than a customer's rate, each VM admits its share alone, by chance where a request is
 // larger than that: whatever the VMs know of each other, they admit the rate together.
 
 const (
-	// flowWeight is the weight of the time since the last update in a flow if it is a period.
+	// flowWeight is the weight of the last period in a mean rate.
 	flowWeight = 0.3
 	// overFraction is the fraction of the rate above which a customer is over its limit.
 	// Flows are sums of few requests: a customer just below its rate would be over it half
@@ -87,6 +87,11 @@
 	return min(time.Duration(cost/b.rate*float64(s.vmCount())*float64(time.Second)), maxRetryAfter)
 }
 
+// weightOf returns the weight of what happened in the last dt seconds in a mean rate.
+func weightOf(dt float64, period time.Duration) float64 {
+	return 1 - math.Pow(1-flowWeight, dt/period.Seconds())
+}
+
 // advance updates the rates of a flow with the amounts up to a time, where updates are a
 // period apart on average. The less time has passed the less it weighs, since updates that
 // were held up arrive together.
@@ -97,7 +102,7 @@
 			// What has changed counts with the next update.
 			return
 		}
-		weight := 1 - math.Pow(1-flowWeight, dt/period.Seconds())
+		weight := weightOf(dt, period)
 		f.spentRate += weight * (max(spent-f.spent, 0)/dt - f.spentRate)
 		f.refusedRate += weight * (max(refused-f.refused, 0)/dt - f.refusedRate)
 	}
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -6,7 +6,8 @@
 // no more than that share, so that the total stays within the limit during any
 // network partition. While the bucket is nearly empty, each VM is limited to its
 // share. Otherwise it is limited to a part of the bucket within a period, which
-// bounds the amount that is admitted between two updates.
+// bounds the amount that is admitted between two updates. In a fleet of more than
+// roster.SmallFleetSize VMs the level follows the totals that relays add up.
 //
 // It is designed for customers that exceed their rate several times over through
 // clients that choose VMs at random.
--- a/internal/fleet/quota/totals.go
+++ b/internal/fleet/quota/totals.go
@@ -79,8 +79,8 @@
 	if within <= 0 {
 		return
 	}
-	weight := 1 - math.Pow(1-flowWeight, float64(within)/float64(tally.Period))
-	b.growth += weight * (amount/within.Seconds() - b.growth)
+	dt := within.Seconds()
+	b.growth += weightOf(dt, tally.Period) * (amount/dt - b.growth)
 }
 
 // knowsTotals reports whether the totals of the fleet are recent.
--- a/internal/fleet/tally/teller.go
+++ b/internal/fleet/tally/teller.go
@@ -101,18 +101,24 @@
 	return r
 }
 
-// choose returns the first relay that has not failed lately.
+// choose returns the first relay that is usable.
 func (t *Teller) choose(relays []peer.Destination) (peer.Destination, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	for _, d := range relays {
-		if f := t.failures[d.VM]; f.calls < maxFailures || time.Since(f.at) >= relayRetry {
+		if t.usable(d) {
 			return d, true
 		}
 	}
 	return peer.Destination{}, false
 }
 
+// usable reports whether a relay has not failed lately.
+func (t *Teller) usable(relay peer.Destination) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.failures[relay.VM]
+	return f.calls < maxFailures || time.Since(f.at) >= relayRetry
+}
+
 // report reports to a relay and applies the totals that it returns.
 func (t *Teller) report(ctx context.Context, to peer.Destination) {
 	sent, own := t.opts.Clock.Now(), t.own()
@@ -130,8 +136,8 @@
 	t.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, d := range others {
-		if to, ok := t.choose([]peer.Destination{d}); ok {
-			wg.Go(func() { t.exchange(ctx, to, group) })
+		if t.usable(d) {
+			wg.Go(func() { t.exchange(ctx, d, group) })
 		}
 	}
 	wg.Wait()
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -291,7 +291,7 @@
 	n.placer.SetMaxWeightsAge(s.Gateway.Bounds.Weights)
 	n.budget.SetLimits(limitsOf(s.Gateway.Bounds.Retries))
 	n.loaded.load(s.Gateway, later)
-	_ = n.log.Log("msg", "settings reloaded", "version", s.Gateway.Version(), "seeds", len(s.Gateway.Seeds), "changed", strings.Join(changed, "; "),
+	_ = n.log.Log("msg", "settings reloaded", "version", n.loaded.read().Version, "seeds", len(s.Gateway.Seeds), "changed", strings.Join(changed, "; "),
 		"afterrestart", strings.Join(later, " "))
 }
 
