--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -34,6 +34,7 @@
 
 	"idle":    playIdle,
 	"removal": playRemoval,
+	"wall":    playWall,
 }
 
 func main() {
