--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -31,7 +31,6 @@
 func (p *play) at(t time.Time) float64 { return t.Sub(p.start).Seconds() }
 
 var cases = map[string]func(p *play) int{
-
 	"idle":    playIdle,
 	"removal": playRemoval,
 	"wall":    playWall,
