Stop review case 1 where too few files may be opened

Cause: the clients of the case take 8,200 descriptors; without them the case would seem to show the fault. Change: it ends with 2 there.

--- a/review/standins/idle.go
+++ b/review/standins/idle.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -69,6 +70,12 @@
 
 // playIdle sends each request on a new connection that stays idle afterwards.
 func playIdle(p *play) int {
+	// The connections of the clients take descriptors of this process.
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 3*maxFds {
+		p.note("this process may open %d descriptors, which is too few", limit.Cur)
+		return 2
+	}
 	s := newPlatformStore()
 	s.put("config", "main", config(3))
 	for i := range 3 {
