Name who is isolated in the scope of shared KV cache

The salt of the customers that share named the model and its weights only, so it stayed the same when a customer left them, and engines and the KV cache store, which delete nothing on request, found what it had left behind. Besides, an attempt took the customer from the configuration that admitted the request, so that a stream that went on elsewhere after its customer was isolated read what others had made.

Change: the scope of the customers that share contains a digest of the names of the isolated ones. It follows from the configuration alone. Each attempt, also a repeat, a resumed stream and the standby of a silent engine, takes its scope from the configuration in force, and with it the hints, the index keys, fetches and writes to the KV cache store.

The cost for the others is not measured yet.

Conclusion: who uses the scope of a set of isolated customers is never in that set, and an isolated customer has a scope of its own, so no order of configurations, and no VM that skips some or starts without history, brings the two together (site TestIsolatedCustomerSharesNoCache, random configurations). Changes that leave the set as it is keep the salt.

--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -3,6 +3,10 @@
 package site
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -32,6 +36,9 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
+	byName map[string]*Customer
+	// sharedScope is the cache scope of all customers that are not isolated.
+	sharedScope string
 }
 
 // Limits holds the bounds on callers' requests and connections.
@@ -171,12 +178,54 @@
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
-	c.byKey = map[string]*Customer{}
+	c.byKey, c.byName = map[string]*Customer{}, map[string]*Customer{}
+	var isolated []string
 	for i := range c.Customers {
-		for _, key := range c.Customers[i].Keys {
-			c.byKey[key] = &c.Customers[i]
+		customer := &c.Customers[i]
+		for _, key := range customer.Keys {
+			c.byKey[key] = customer
 		}
+		c.byName[customer.Name] = customer
+		if customer.Isolated {
+			isolated = append(isolated, customer.Name)
+		}
+	}
+	c.sharedScope = digestNames(isolated)
+}
+
+// digestNames returns a digest of a set of names, which is empty for the empty set.
+func digestNames(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	h := sha256.New()
+	for _, name := range slices.Compact(names) {
+		// Names are quoted so that different sets never have the same hash input.
+		_, _ = h.Write([]byte(strconv.Quote(name)))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:scopeDigestBytes])
+}
+
+// scopeDigestBytes is the length of a digest that names a cache scope.
+const scopeDigestBytes = 8
+
+// CacheScope returns the scope of the KV cache that requests of a customer may use; the
+// name is empty for requests without a customer. Requests share KV cache if their scopes
+// are equal.
+//
+// The scope of the customers that share depends on which others are isolated, so that
+// what a customer made before it was isolated is in a scope that nobody uses any more.
+// It follows from the configuration alone, so that VMs need no history to agree on it. A
+// customer that the configuration does not contain shares nothing.
+func (c *Config) CacheScope(customer string) string {
+	if customer == "" {
+		return c.sharedScope
+	}
+	if known := c.byName[customer]; known == nil || known.Isolated {
+		return "@" + customer
 	}
+	return c.sharedScope
 }
 
 // Match returns the route of a host with the longest prefix that matches the path,
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -28,6 +28,7 @@
 	handler  *Handler
 	response *response
 	choice   placing.Choice
+	prompt   prompt
 	sentAt   time.Time
 	// requestCtx is the context of the request, and ctx that of the attempt, which
 	// cancel ends.
@@ -48,10 +49,10 @@
 }
 
 // newExchange returns an attempt at the chosen target that is not sent yet.
-func (h *Handler) newExchange(ctx context.Context, resp *response, choice placing.Choice) *exchange {
-	x := &exchange{handler: h, response: resp, choice: choice, sentAt: time.Now(), requestCtx: ctx}
+func (h *Handler) newExchange(ctx context.Context, resp *response, choice placing.Choice, p prompt) *exchange {
+	x := &exchange{handler: h, response: resp, choice: choice, prompt: p, sentAt: time.Now(), requestCtx: ctx}
 	x.ctx, x.cancel = context.WithCancel(ctx)
-	h.opts.Placer.Begin(choice, resp.job.prefixes, x.sentAt)
+	h.opts.Placer.Begin(choice, p.prefixes, x.sentAt)
 	return x
 }
 
@@ -62,7 +63,7 @@
 		Method: j.request.Method,
 		Path:   j.request.RequestURI,
 		Host:   j.request.Host,
-		Header: platform.ForwardHeader(j.request.Header, j.forwardOptions(x.choice, x.response.resumeAfter(j))),
+		Header: platform.ForwardHeader(j.request.Header, j.forwardOptions(x.choice, x.prompt, x.response.resumeAfter(j))),
 		Body:   j.body,
 		Matches: func(status int, header http.Header) bool {
 			x.info = platform.ReadResponseInfo(status, header)
--- a/internal/gateway/relay/failure.go
+++ b/internal/gateway/relay/failure.go
@@ -118,5 +118,3 @@
 		"leftms", left.Milliseconds(), "expectedms", j.expected.Milliseconds(), "home", j.home, "source", j.source, "keep", j.storeKV, "late", j.late,
 		"weights", j.weights, "tokens", j.tokens, "shared", j.sharedTokens, "missing", j.missingTokens, "level", int(j.level), "leftout", leftOut)
 }
-
-func appendInt(b []byte, n int64) []byte { return strconv.AppendInt(b, n, 10) }
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -109,7 +109,8 @@
 	start    time.Time
 	deadline time.Time
 	cost     float64
-	prefixes []placing.Prefix
+	// prompt is the prompt under the configuration by which the request was admitted.
+	prompt prompt
 	// contents are the whole request and the ids of the prompt's segments that other
 	// prompts may share, for the quarantine.
 	contents []string
@@ -318,11 +319,7 @@
 // describe fills in what is needed to choose a target.
 func (j *job) describe() {
 	info := &j.info
-	hash := xxhash.New()
-	_, _ = hash.WriteString(info.Model)
-	if j.customer != nil && j.customer.Isolated {
-		_, _ = hash.WriteString("@" + j.customer.Name)
-	}
+	j.prompt = newPrompt(info, j.view.Config.CacheScope(j.customerName()))
 	whole := xxhash.New()
 	for _, part := range []string{j.request.Method, j.request.Host, j.request.RequestURI, info.Model} {
 		_, _ = whole.WriteString(part + "\n")
@@ -335,8 +332,6 @@
 		if i < len(info.Segments)-1 {
 			j.sharedTokens += segment.Tokens
 			j.contents = append(j.contents, segment.ID)
-			_, _ = hash.WriteString("/" + segment.ID)
-			j.prefixes = append(j.prefixes, placing.Prefix{Hash: hash.Sum64(), Segment: segment.ID, Tokens: j.sharedTokens})
 		}
 	}
 	j.contents[0] = quarantine.Request(whole.Sum64())
@@ -349,6 +344,14 @@
 	}
 }
 
+// customerName returns the name of the customer, which is empty if the request has none.
+func (j *job) customerName() string {
+	if j.customer == nil {
+		return ""
+	}
+	return j.customer.Name
+}
+
 // shared returns the ids of the prompt's segments that other prompts may share.
 func (j *job) shared() []string { return j.contents[1:] }
 
@@ -374,16 +377,6 @@
 	return nil
 }
 
-// salt identifies the KV cache that the request may use.
-func (j *job) salt(weights int64) string {
-	b := append([]byte(j.info.Model), '.', 'v')
-	b = appendInt(b, weights)
-	if j.customer != nil && j.customer.Isolated {
-		b = append(append(b, '@'), j.customer.Name...)
-	}
-	return string(b)
-}
-
 // latePriority is the priority from which requests are late; engines have ten
 // priorities.
 const latePriority = 5
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -67,11 +67,11 @@
 	for {
 		x := next
 		if x == nil {
-			choice, ok := h.chooseNext(j)
+			choice, p, ok := h.chooseNext(j)
 			if !ok {
 				break
 			}
-			x = h.newExchange(ctx, resp, choice)
+			x = h.newExchange(ctx, resp, choice, p)
 		}
 		last, next = h.attempt(x)
 		switch o := last.(type) {
@@ -95,30 +95,32 @@
 	h.end(ctx, resp, last)
 }
 
-// chooseNext returns the target of the next attempt, and false if the request may not
-// be sent again.
-func (h *Handler) chooseNext(j *job) (placing.Choice, bool) {
+// chooseNext returns the target of the next attempt with the prompt as it is sent there,
+// and false if the request may not be sent again.
+func (h *Handler) chooseNext(j *job) (placing.Choice, prompt, bool) {
 	switch {
 	case j.sends >= maxSends:
-		return placing.Choice{}, false
+		return placing.Choice{}, prompt{}, false
 	case j.sends > 0 && time.Until(j.deadline) < minTimeLeft:
-		return placing.Choice{}, false
+		return placing.Choice{}, prompt{}, false
 	case j.sends > 0 && disconnect.HasLeft(j.request.Context()):
-		return placing.Choice{}, false
+		return placing.Choice{}, prompt{}, false
 	case j.sends > 0 && j.runs == 0 && h.mayOutlast(j):
-		return placing.Choice{}, false
+		return placing.Choice{}, prompt{}, false
 	case j.sends > 0 && h.checkQuarantine(j) != nil:
-		return placing.Choice{}, false
+		return placing.Choice{}, prompt{}, false
 	}
-	choice, ok := h.opts.Placer.Choose(h.opts.View(), j.placingRequest(), time.Now())
-	return choice, ok && h.maySend(j)
+	view := h.opts.View()
+	p := j.promptUnder(view.Config)
+	choice, ok := h.opts.Placer.Choose(view, j.placingRequest(p), time.Now())
+	return choice, p, ok && h.maySend(j)
 }
 
 // placingRequest returns the request as the placer needs it.
-func (j *job) placingRequest() placing.Request {
+func (j *job) placingRequest(p prompt) placing.Request {
 	r := placing.Request{Service: j.service, Tried: j.tried}
 	if j.engine {
-		r.Model, r.Prefixes, r.Tokens, r.Cache, r.Salt = j.info.Model, j.prefixes, j.tokens, j.cache, j.salt
+		r.Model, r.Prefixes, r.Tokens, r.Cache, r.Salt = j.info.Model, p.prefixes, j.tokens, j.cache, p.salt
 		r.CacheTokens, r.EngineTokens = j.cacheTokens, j.engineTokens
 		r.TimeLeft = time.Until(j.deadline)
 		if j.route.LatencyGoal > 0 && j.timeToFirst == 0 {
@@ -302,18 +304,16 @@
 
 // forwardOptions returns the options with which a request is forwarded to the
 // target.
-func (j *job) forwardOptions(c placing.Choice, after string) platform.ForwardOptions {
+func (j *job) forwardOptions(c placing.Choice, p prompt, after string) platform.ForwardOptions {
 	opts := platform.ForwardOptions{
 		TimeLeft:  time.Until(j.deadline),
 		Target:    c.Target.ID,
 		Priority:  j.priority(c.Late),
 		LastEvent: after,
-	}
-	if j.customer != nil {
-		opts.Customer = j.customer.Name
+		Customer:  j.customerName(),
 	}
 	if j.engine {
-		opts.CacheSalt = j.salt(c.Weights)
+		opts.CacheSalt = p.salt(c.Weights)
 		opts.WeightsVersion = c.Weights
 		opts.KVSource = c.Source
 		if c.StoreKV {
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -58,7 +58,7 @@
 	if !j.route.Repeatable() || maxRuns <= 0 {
 		return nil
 	}
-	s := &standby{first: x, timeout: j.silenceTimeout(), request: j.placingRequest(), sends: j.sends, maxRuns: maxRuns}
+	s := &standby{first: x, timeout: j.silenceTimeout(), request: j.placingRequest(x.prompt), sends: j.sends, maxRuns: maxRuns}
 	s.request.Goal = 0
 	s.request.Tried = append(slices.Clone(j.tried), x.choice.Target.ID)
 	s.mu.Lock()
@@ -162,7 +162,7 @@
 	if !s.noticed {
 		h.opts.Placer.RecordSilence(s.first.choice, now)
 	}
-	choice, obstacle := s.choose(now)
+	choice, p, obstacle := s.choose(now)
 	if !s.noticed || obstacle == "" {
 		h.log("msg", "target silent", "id", s.first.response.job.info.ID, "target", s.first.choice.Target.ID, "limit", s.timeout,
 			"standby", obstacle == "", "obstacle", obstacle)
@@ -172,7 +172,7 @@
 		s.timer.Reset(standbyRetry)
 		return
 	}
-	trial := h.newExchange(s.first.requestCtx, s.first.response, choice)
+	trial := h.newExchange(s.first.requestCtx, s.first.response, choice, p)
 	s.trials = append(s.trials, trial)
 	s.request.Tried = append(s.request.Tried, choice.Target.ID)
 	s.timer.Reset(s.timeout)
@@ -182,8 +182,9 @@
 	})
 }
 
-// choose returns the target to try, or what prevents a trial.
-func (s *standby) choose(now time.Time) (choice placing.Choice, obstacle string) {
+// choose returns the target to try with the prompt as it is sent there, or what prevents a
+// trial.
+func (s *standby) choose(now time.Time) (choice placing.Choice, p prompt, obstacle string) {
 	h, j := s.first.handler, s.first.response.job
 	runs := len(s.trials)
 	for _, o := range s.failed {
@@ -192,29 +193,34 @@
 		}
 	}
 	if runs >= s.maxRuns || s.sends+len(s.failed)+len(s.trials) >= maxSends {
-		return choice, "no further attempt is permitted"
+		return choice, p, "no further attempt is permitted"
 	}
 	if time.Until(j.deadline) < minTimeLeft {
-		return choice, "the deadline"
+		return choice, p, "the deadline"
 	}
 	if disconnect.HasLeft(j.request.Context()) {
-		return choice, "the caller has left"
+		return choice, p, "the caller has left"
 	}
 	if !s.first.response.mayContinue() {
-		return choice, "the stream cannot be resumed"
+		return choice, p, "the stream cannot be resumed"
 	}
 	if _, _, quarantined := h.quarantined(j); quarantined {
-		return choice, "the request or a segment of its prompt is quarantined"
+		return choice, p, "the request or a segment of its prompt is quarantined"
 	}
 	s.request.TimeLeft = time.Until(j.deadline)
-	choice, ok := h.opts.Placer.Choose(h.opts.View(), s.request, now)
+	view := h.opts.View()
+	p = j.promptUnder(view.Config)
+	if j.engine {
+		s.request.Prefixes, s.request.Salt = p.prefixes, p.salt
+	}
+	choice, ok := h.opts.Placer.Choose(view, s.request, now)
 	if !ok || choice.Unresponsive() {
-		return choice, "no other target"
+		return choice, p, "no other target"
 	}
 	if !h.opts.Budget.Spend(j.service, h.opts.VMs(), now) {
-		return choice, "the retry budget is spent"
+		return choice, p, "the retry budget is spent"
 	}
-	return choice, ""
+	return choice, p, ""
 }
 
 // finish records the result of a trial: it replaces the silent target if it has begun
