Take only a silent store for an outage, not a read that was cut off

A read that waits for changes and was cut off, which stores do in ordinary work, counted as an outage, after which missing entries are kept for 1.9 s, counted from the latest such event.

Change: after a cut the next read does not wait, and only its failure counts as one of the store. An outage is a silence of a second, the shortest in which entries can expire, during which nobody has confirmed the state. Another VM's word of an outage counts unless this VM's state was confirmed then.

Conclusion: what starts the grace is now evidence that entries may have expired, so that ordinary cuts do not delay a removal however often they come, and entries that did expire are kept as before.

--- a/internal/fleet/source/confirm.go
+++ b/internal/fleet/source/confirm.go
@@ -45,21 +45,6 @@
 	maxAge = time.Hour
 )
 
-// confirm records that the table had all changes at a time, and so that the store
-// responded then to some VM.
-func (t *table) confirm(at time.Time) {
-	if at.After(t.confirmed) {
-		t.confirmed = at
-	}
-	if !t.failed || !at.After(t.failedAt) {
-		return
-	}
-	t.failed = false
-	if t.recovered.Before(t.failedAt) {
-		t.recovered = at
-	}
-}
-
 // age returns the time since the table was last known to have all changes.
 func (t *table) age(now time.Time) time.Duration { return min(now.Sub(t.confirmed), maxAge) }
 
@@ -163,7 +148,7 @@
 		if t.at < theirs.At && t.hash != theirs.Hash || own[kind].Newest < theirs.Newest {
 			continue
 		}
-		t.confirm(sent.Add(-time.Duration(resp.AgeMS[kind]) * time.Millisecond))
+		s.confirm(t, sent.Add(-time.Duration(resp.AgeMS[kind])*time.Millisecond))
 		if age := t.age(time.Now()); t.selfReading && age < s.bound(kind)/unconfirmedFraction {
 			t.selfReading = false
 			s.log("msg", "state confirmed", "kind", s.opts.Decoder.Kinds[kind], "by", to.VM, "age", age)
--- a/internal/fleet/source/confirm_test.go
+++ b/internal/fleet/source/confirm_test.go
@@ -60,7 +60,7 @@
 				s.applySnapshot(Config, []store.Object{{Key: "config/main", Version: 1, Value: []byte("1")}}, 2, time.Now())
 				s.applySnapshot(Targets, []store.Object{target}, 2, time.Now())
 			}
-			follower.markFailed(Targets)
+			follower.markFailed(Targets, time.Now())
 			time.Sleep(2 * time.Second)
 			watcher.applyEvents(Targets, 2, nil, 2)
 			follower.ask(t.Context(), peer.Destination{VM: "w", Address: "w"}, time.Second)
--- a/internal/fleet/source/share.go
+++ b/internal/fleet/source/share.go
@@ -154,7 +154,7 @@
 	}
 	s.applyPulled(kind, t, resp)
 	if resp.ConfirmedMS > 0 {
-		t.confirm(sent.Add(-time.Duration(resp.ConfirmedMS) * time.Millisecond))
+		s.confirm(t, sent.Add(-time.Duration(resp.ConfirmedMS)*time.Millisecond))
 	}
 	t.rehash()
 	s.log("msg", "state pulled from VM", "from", to.VM, "kind", s.opts.Decoder.Kinds[kind], "at", resp.At,
@@ -183,8 +183,8 @@
 // applyPulled applies the objects read from another VM. The caller holds mu.
 func (s *Source) applyPulled(kind int, t *table, resp PullResponse) {
 	now := time.Now()
-	s.isRestored(kind, t, resp.At)
-	if recovered := now.Add(-time.Duration(resp.RecoveredMS) * time.Millisecond); recovered.After(t.recovered) {
+	recovered := now.Add(-time.Duration(resp.RecoveredMS) * time.Millisecond)
+	if restored := s.isRestored(kind, t, resp.At); recovered.After(t.recovered) && (restored || t.mayHaveBeenAway(recovered)) {
 		t.recovered = recovered
 	}
 	if resp.Whole {
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -160,31 +160,73 @@
 }
 
 // poll reads one kind and its changes until ctx ends, whenever that is due.
+//
+// The store may cut off a read that waits for a change at any time, which is no sign of an
+// outage. The next read then does not wait, and shows whether the store responds.
 func (s *Source) poll(ctx context.Context, kind int) {
 	delay := minRetryDelay
+	// silentSince is since when the store has been silent at most, if the last read was cut
+	// off, and zero otherwise.
+	var silentSince time.Time
 	for ctx.Err() == nil {
 		wait, due := s.nextRead(kind)
 		if !due {
+			silentSince = time.Time{}
 			store.Sleep(ctx, idleInterval)
 			continue
 		}
+		check := !silentSince.IsZero()
+		if check {
+			wait = minPollWait
+		}
+		waits := wait > minPollWait && s.isListed(kind)
+		start := time.Now()
 		err := s.read(ctx, kind, wait)
-		s.recordResult(err)
+		lost := errors.Is(err, store.ErrHistoryLost)
+		if cut := err != nil && !lost && waits; cut {
+			silentSince = cutSince(start, time.Now(), wait)
+		} else {
+			s.recordResult(err)
+		}
 		switch losses := s.countLosses(kind); {
 		case err == nil && losses == 0:
-			delay = minRetryDelay
+			silentSince, delay = time.Time{}, minRetryDelay
 			continue
-		case err == nil, errors.Is(err, store.ErrHistoryLost) && losses == 1:
+		case err == nil, lost && losses == 1:
 			// A snapshot is read at once after the first loss, and then its changes.
+			silentSince = time.Time{}
 			continue
-		case !errors.Is(err, store.ErrHistoryLost):
-			s.markFailed(kind)
+		case waits && !lost:
+			store.Sleep(ctx, minRetryDelay/2+rand.N(minRetryDelay))
+			continue
+		case !lost:
+			if !check {
+				silentSince = start
+			}
+			s.markFailed(kind, silentSince)
 		}
 		store.Sleep(ctx, delay/2+rand.N(delay))
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
+// cutSince returns since when the store may have been silent, if a read that was to wait
+// for a change got no response. Until its connection was closed, or the store was late, it
+// was not.
+func cutSince(start, end time.Time, wait time.Duration) time.Time {
+	if end.Sub(start) < wait {
+		return end
+	}
+	return start
+}
+
+// isListed reports whether the next read of a kind is one of changes.
+func (s *Source) isListed(kind int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tables[kind].listed
+}
+
 // nextRead reports whether a read of a kind is due, and how long it may wait for a
 // change. A VM polls the store until it has a configuration and a list of targets,
 // and while it is a watcher. Other VMs read only what no watcher confirms.
@@ -255,12 +297,16 @@
 	return s.tables[kind].losses
 }
 
-// markFailed records that the store did not respond to a read of a kind.
-func (s *Source) markFailed(kind int) {
+// markFailed records that the store did not respond to a read of a kind that did not wait,
+// and has been silent since a time at most.
+func (s *Source) markFailed(kind int, since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.tables[kind]
-	t.failed, t.failedAt = true, time.Now()
+	t.failedAt = time.Now()
+	if !t.failed {
+		t.failed, t.silentSince = true, since
+	}
 }
 
 // recordResult records whether the store responds, and logs when that changes.
--- a/internal/fleet/source/source_test.go
+++ b/internal/fleet/source/source_test.go
@@ -46,6 +46,8 @@
 	floor   int64
 	down    error
 	silent  bool
+	// cuts counts how often the calls that wait were cut off.
+	cuts int
 	// latency is how long a call takes, and calls counts them.
 	latency time.Duration
 	calls   int
@@ -106,9 +108,12 @@
 
 func (f *feed) Changes(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Event, int64, error) {
 	f.call(ctx)
+	cuts := f.cutCount()
 	for end := time.Now().Add(wait); ; {
 		events, at, silent, err := f.since(kind, after)
 		switch {
+		case f.cutCount() > cuts:
+			return nil, 0, store.ErrUnavailable
 		case err != nil:
 			return nil, 0, err
 		case silent:
@@ -117,12 +122,18 @@
 		case len(events) > 0 || !time.Now().Before(end):
 			return events, at, nil
 		}
-		if !store.Sleep(ctx, 10*time.Millisecond) {
+		if !store.Sleep(ctx, min(10*time.Millisecond, time.Until(end))) {
 			return nil, 0, ctx.Err()
 		}
 	}
 }
 
+func (f *feed) cutCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cuts
+}
+
 func (f *feed) since(kind string, after int64) (events []store.Event, at int64, silent bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -43,12 +43,15 @@
 	// losses counts the reads without a usable history since the last one that
 	// returned changes, or that there were none.
 	losses int
-	// failed reports whether the store may have been away since the last read of the
-	// kind, which got no response, at failedAt.
-	failed   bool
-	failedAt time.Time
-	// recovered is when the store responded again after an outage.
+	// failed reports whether the last read of the kind got no response, at failedAt.
+	// silentSince is since when the store has been silent at most.
+	failed                bool
+	failedAt, silentSince time.Time
+	// recovered is when the store responded again after an outage in which entries may
+	// have expired.
 	recovered time.Time
+	// gapEnd is the end of the last minOutage or more in which the table was not confirmed.
+	gapEnd time.Time
 	// removed holds, by key, the versions of removals later than floor. Earlier
 	// removals are not recorded.
 	removed map[string]int64
@@ -91,13 +94,6 @@
 	return &table{objects: map[string]entry{}, removed: map[string]int64{}, left: map[string]*site.Target{}}
 }
 
-// markResponded records that the store has responded to a read of the kind.
-func (t *table) markResponded(now time.Time) {
-	if t.failed {
-		t.failed, t.recovered = false, now
-	}
-}
-
 // maxRemoved is the number of removals that are recorded.
 const maxRemoved = 256
 
@@ -168,7 +164,7 @@
 	s.mu.Lock()
 	t := s.tables[kind]
 	now := time.Now()
-	t.markResponded(now)
+	s.endOutage(t, now)
 	s.log("msg", "snapshot read", "kind", s.opts.Decoder.Kinds[kind], "at", at, "before", t.at,
 		"objects", len(objects), "notlater", t.countNotLater(objects))
 	if at < t.at {
@@ -181,7 +177,7 @@
 	}
 	s.replace(kind, t, objects, now)
 	t.at, t.listed = at, true
-	t.confirm(start)
+	s.confirm(t, start)
 	// Removals before the snapshot are not known.
 	clear(t.removed)
 	t.floor = t.at
@@ -245,7 +241,7 @@
 		return
 	}
 	now := time.Now()
-	t.markResponded(now)
+	s.endOutage(t, now)
 	t.losses = 0
 	grace := kind == Targets && now.Sub(t.recovered) < recoveryGrace
 	for _, e := range events {
@@ -258,7 +254,7 @@
 		s.put(kind, t, e.Object)
 	}
 	t.at = max(at, after)
-	t.confirm(now)
+	s.confirm(t, now)
 	if len(events) == 0 {
 		s.mu.Unlock()
 		return
--- a/internal/gateway/node/sitelink_test.go
+++ b/internal/gateway/node/sitelink_test.go
@@ -19,6 +19,8 @@
 	linkOK linkFault = iota
 	// linkReset fails every call at once, also those that wait for a response.
 	linkReset
+	// linkCut fails the calls that wait for a response when it is set, and no later ones.
+	linkCut
 	// linkSilent leaves every call without a response until the caller gives up.
 	linkSilent
 )
@@ -32,6 +34,8 @@
 	mu      sync.Mutex
 	fault   linkFault
 	changed chan struct{}
+	// changes counts how often the fault was set.
+	changes int
 	calls   int
 }
 
@@ -49,10 +53,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fault = f
+	l.changes++
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
+// isCutOff reports whether no call reaches the store.
+func (l *siteLink) isCutOff() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault == linkReset || l.fault == linkSilent
+}
+
 // callCount returns the number of calls made.
 func (l *siteLink) callCount() int {
 	l.mu.Lock()
@@ -66,6 +78,9 @@
 	l.calls++
 	l.mu.Unlock()
 	time.Sleep(linkLatency)
+	l.mu.Lock()
+	begun := l.changes
+	l.mu.Unlock()
 	recorder := httptest.NewRecorder()
 	handled := make(chan bool, 1)
 	go func() {
@@ -74,9 +89,13 @@
 	}()
 	for {
 		l.mu.Lock()
-		fault, changed := l.fault, l.changed
+		fault, changed, changes := l.fault, l.changed, l.changes
 		l.mu.Unlock()
 		switch fault {
+		case linkCut:
+			if changes > begun {
+				return nil, syscall.ECONNRESET
+			}
 		case linkReset:
 			return nil, syscall.ECONNRESET
 		case linkSilent:
