Free the share of a silent VM by proof in the store, not by a timeout

A share was given to others after 10 s of silence, while the VM that had it went on: one that still heard another never stopped, and one that had forgotten its last peer took itself for the only one. Both sides also took the burst for theirs.

Change: each VM keeps a record in the object store and renews it (fleet/shares). It may use its share beside silent VMs for 30 s after a renewal, and if all other records were written by VMs that knew of it. A silent VM's record that was unchanged for longer is removed by another VM; only then is the share free. A planned stop removes its own. A silent VM counts as spending its part of the bucket and of the rate as long as it has a share, and the bucket's capacity is the part of those in touch that may use theirs. The retry budget is divided by the VMs with a share too. Registrations of VMs that are gone are removed. What a silent VM was assumed to have admitted is given back also if it had admitted nothing.

Conclusion: at any moment the VMs that may use a share beside silent ones all divide by a number that counts all of them, whoever hears whom, so the shares in use add up to the limit at most.

--- a/internal/fleet/quota/large_test.go
+++ b/internal/fleet/quota/large_test.go
@@ -129,7 +129,7 @@
 		}
 		for j, updates := range due[n] {
 			for _, u := range updates {
-				f.states[j].UpdatePeer(name(u.from), 1, u.spent, u.refused, f.now)
+				f.states[j].UpdatePeer(Update{VM: name(u.from), Born: 1, Spent: u.spent, Refused: u.refused}, f.now)
 			}
 		}
 		delete(due, n)
@@ -214,13 +214,13 @@
 func TestFleetThatGrowsLargeAgain(t *testing.T) {
 	c := customerOf(1000, 100_000)
 	now := epoch
-	s := NewState(now)
+	s := NewState()
 	s.AddCustomers([]site.Customer{*c}, now)
 	spent := map[string]float64{}
 	update := func(vms int) {
 		for i := range vms {
 			spent[name(i)] += 10
-			s.UpdatePeer(name(i), 1, map[string]float64{"c": spent[name(i)]}, nil, now)
+			s.UpdatePeer(Update{VM: name(i), Born: 1, Spent: map[string]float64{"c": spent[name(i)]}}, now)
 		}
 		s.RemoveExpired(now)
 	}
@@ -249,18 +249,18 @@
 		t.Run(gap.String(), func(t *testing.T) {
 			c := customerOf(32_000, 116_000)
 			now := epoch
-			s := NewState(now)
+			s := NewState()
 			s.AddCustomers([]site.Customer{*c}, now)
 			spent := 0.0
 			update := func(n float64) {
 				spent += n
-				s.UpdatePeer(name(0), 1, map[string]float64{"c": spent}, nil, now)
+				s.UpdatePeer(Update{VM: name(0), Born: 1, Spent: map[string]float64{"c": spent}}, now)
 			}
 			for range 10 {
 				now = now.Add(3 * time.Second)
 				update(1500)
 				for i := range 194 {
-					s.UpdatePeer(name(i+1), 1, map[string]float64{}, nil, now)
+					s.UpdatePeer(Update{VM: name(i + 1), Born: 1, Spent: map[string]float64{}}, now)
 				}
 			}
 			must.True(t, s.large())
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -2,9 +2,10 @@
 //
 // Every VM estimates the level of one token bucket for the whole fleet. VMs send
 // each other how much they have admitted since they started. A silent VM is assumed
-// to admit its equal share of the rate, and a VM that receives no updates admits
-// no more than that share, so that the total stays within the limit during any
-// network partition. While the bucket is nearly empty, each VM is limited to its
+// to admit its equal share of the bucket and of the rate, and VMs in touch with each other
+// admit no more than the shares of those that may use one, so that the total stays within
+// the limit during any network partition. Package shares decides who may, and when a share
+// is free again. While the bucket is nearly empty, each VM is limited to its
 // share. Otherwise it is limited to a part of the bucket within a period, which
 // bounds the amount that is admitted between two updates. In a fleet of more than
 // roster.SmallFleetSize VMs the level follows the totals that relays add up.
@@ -19,6 +20,7 @@
 	"time"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/shares"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 )
 
@@ -26,10 +28,8 @@
 	// silentTimeout is how long after its last update a VM is assumed to admit its
 	// share.
 	silentTimeout = 700 * time.Millisecond
-	// expiryTimeout is how long after its last update a VM loses its share. By its
-	// own clock it stops using the share earlier, by expiryMargin.
+	// expiryTimeout is how long after its last update a VM is forgotten that has no share.
 	expiryTimeout = 10 * time.Second
-	expiryMargin  = time.Second
 	// scarceFraction is the fraction of the burst below which VMs are limited to
 	// their shares.
 	scarceFraction = 0.35
@@ -60,6 +60,8 @@
 type bucket struct {
 	rate, burst float64
 	level       float64
+	// capacity is the part of the burst for the VMs that may use their shares.
+	capacity float64
 	// share is the amount that this VM may admit while the level is below
 	// scarceFraction of the burst.
 	share      float64
@@ -96,8 +98,12 @@
 	// its first update.
 	reported map[string]float64
 	// assumed holds the amounts that the VM is assumed to have admitted since its
-	// last update, by customer.
+	// last update, by customer, once it is silent.
 	assumed map[string]float64
+	// members is the number of VMs that share the limits as far as the VM knows, and noShare
+	// whether it may not use its share while others are silent.
+	members int
+	noShare bool
 	// flows holds what the VM admits and refuses, by customer, in a large fleet.
 	flows map[string]*flow
 	// lost reports whether the VM has been silent for so long in a large fleet that it is
@@ -120,13 +126,17 @@
 	totals totals
 	// random returns a number from 0 to 1.
 	random func() float64
-	// lastUpdate is when the last update of any other VM arrived.
-	lastUpdate time.Time
+	// members are the VMs that share the limits; nil if they are not known yet, and listed
+	// the set of them. count is the number of VMs among which this one divides the limits.
+	members *shares.Members
+	listed  map[string]bool
+	count   int
 }
 
-// NewState returns the State of a VM that starts now.
-func NewState(now time.Time) *State {
-	return &State{buckets: map[string]*bucket{}, peers: map[string]*peer{}, spent: map[string]float64{}, refused: map[string]float64{}, random: rand.Float64, lastUpdate: now}
+// NewState returns the State of a VM that starts now. Unless SetMembers is called, it takes the
+// VMs that it hears from for all that share the limits.
+func NewState() *State {
+	return &State{buckets: map[string]*bucket{}, peers: map[string]*peer{}, spent: map[string]float64{}, refused: map[string]float64{}, random: rand.Float64, count: 1}
 }
 
 // Spent returns the amounts that this VM has admitted since it started, by
@@ -149,12 +159,15 @@
 	b := s.bucket(c, now)
 	// A request that costs more than the burst is admitted if the bucket is full,
 	// and makes its level negative.
-	need := min(cost, 0.95*b.burst)
+	need := min(cost, 0.95*b.capacity)
 	switch {
 	case s.UsesTotals() && s.knowsTotals(now):
 		return s.admitByTotals(c.Name, b, cost, need, now)
 	case s.large() && s.isOverLimit(b):
 		return s.admitShare(c.Name, b, cost, need, now)
+	case b.capacity <= 0:
+		// Nobody in touch with this VM may use a share.
+		return s.refuse(c.Name, cost, maxRetryAfter, b.level)
 	}
 	s.renewAllowance(b, now)
 	if b.level < need || b.share < 0 && (b.level < scarceFraction*b.burst || b.allowance <= 0) {
@@ -229,11 +242,11 @@
 	if !ok {
 		// The bucket starts empty since the amounts that other VMs admitted before
 		// this VM's start are not known.
-		b = &bucket{rate: rate, burst: c.Burst, lastRefill: now}
+		b = &bucket{rate: rate, burst: c.Burst, capacity: c.Burst, lastRefill: now}
 		s.buckets[c.Name] = b
 	}
 	if b.rate != rate || b.burst != c.Burst {
-		b.rate, b.burst = rate, c.Burst
+		b.rate, b.burst, b.capacity = rate, c.Burst, c.Burst
 		b.level = min(b.level, b.burst)
 		b.fleetLevel = min(b.fleetLevel, b.burst)
 	}
@@ -241,42 +254,137 @@
 	return b
 }
 
-// refill adds the rate for the time since the last refill, less the shares of
-// silent VMs.
+// refill adds the rate for the time since the last refill, less the shares of those that
+// are silent, or that may not use theirs while others are silent.
 func (s *State) refill(name string, b *bucket, now time.Time) {
 	dt := now.Sub(b.lastRefill).Seconds()
 	if dt <= 0 {
 		return
 	}
 	b.lastRefill = now
-	share := b.rate * dt / float64(s.vmCount())
+	n := float64(s.vmCount())
+	share := b.rate * dt / n
 	gain := b.rate * dt
-	if s.large() {
+	b.capacity = b.burst
+	switch {
+	case s.large():
 		gain -= b.assumedRate * dt
-	} else {
-		for _, p := range s.peers {
-			if p.silent(now) {
-				p.assumed[name] += share
-				gain -= share
-			}
-		}
-	}
-	if len(s.peers) > 0 && now.Sub(s.lastUpdate) > expiryTimeout-expiryMargin {
+	case s.assumeSilent(name, b, share, now):
+		unused := float64(s.withoutShare(now))
+		gain -= share * unused
+		b.capacity -= b.burst / n * unused
+	case !s.inContact(now):
 		gain = 0
 	}
-	b.level = min(b.burst, b.level+gain)
+	b.level = min(b.capacity, b.level+gain)
 	s.refillByTotals(name, b, dt)
-	b.share = min(b.burst/float64(s.vmCount()), b.share+share)
+	b.share = min(b.burst/n, b.share+share)
+}
+
+// assumeSilent reports whether a VM is silent. Each such VM is assumed to admit its share of
+// the bucket, once, and its share of the rate.
+func (s *State) assumeSilent(name string, b *bucket, share float64, now time.Time) bool {
+	present := 1
+	for _, p := range s.peers {
+		if _, assumed := p.assumed[name]; !assumed {
+			present++
+		}
+	}
+	silent := len(s.peers)+1 < s.vmCount()
+	for _, p := range s.peers {
+		if !p.silent(now) {
+			continue
+		}
+		silent = true
+		if _, assumed := p.assumed[name]; !assumed {
+			part := max(b.level, 0) / float64(present)
+			b.level -= part
+			p.assumed[name] = part
+			present--
+		}
+		p.assumed[name] += share
+	}
+	return silent
+}
+
+// withoutShare returns the number of VMs whose share this VM and those in touch with it may
+// not use while others are silent.
+func (s *State) withoutShare(now time.Time) int {
+	// Those that only other VMs know count as silent.
+	n := s.vmCount() - len(s.peers) - 1
+	for _, p := range s.peers {
+		if p.silent(now) || p.noShare {
+			n++
+		}
+	}
+	if !s.HasShare(now) {
+		n++
+	}
+	return n
+}
+
+// HasShare reports whether this VM may use its share while others are silent.
+func (s *State) HasShare(now time.Time) bool {
+	return s.members == nil || now.Before(s.members.ShareUntil)
+}
+
+// inContact reports whether this VM may divide the limits with the others although the store
+// was not read for a while. One that knows no other VM may not, until it has read the store.
+func (s *State) inContact(now time.Time) bool {
+	switch {
+	case s.members == nil:
+		return true
+	case len(s.peers) == 0 && !s.HasShare(now):
+		return false
+	}
+	return now.Before(s.members.ContactUntil)
 }
 
 // vmCount returns the number of VMs that share a limit.
-func (s *State) vmCount() int { return len(s.peers) + 1 }
+func (s *State) vmCount() int { return s.count }
+
+// Known returns the number of VMs that share a limit as far as this VM itself knows.
+func (s *State) Known() int { return len(s.peers) + 1 }
+
+// recount counts the VMs that share a limit: those that this VM knows, or more if one that
+// is in touch with it knows more.
+func (s *State) recount() {
+	s.count = len(s.peers) + 1
+	if s.large() {
+		return
+	}
+	for _, p := range s.peers {
+		s.count = max(s.count, p.members)
+	}
+}
+
+// SetMembers sets the VMs that share the limits.
+func (s *State) SetMembers(m shares.Members, now time.Time) {
+	s.members, s.listed = &m, map[string]bool{}
+	for _, vm := range m.VMs {
+		s.listed[vm] = true
+		s.AddPeer(vm, 0, now)
+	}
+	s.recount()
+	s.resize()
+}
 
 func (p *peer) silent(now time.Time) bool { return now.Sub(p.lastUpdate) > silentTimeout }
 
+// An Update is what another VM has admitted and refused since it started.
+type Update struct {
+	VM             string
+	Born           int64
+	Spent, Refused map[string]float64
+	// Members is the number of VMs that share the limits as far as it knows, and NoShare reports
+	// whether it may not use its share while others are silent.
+	Members int
+	NoShare bool
+}
+
 // UpdatePeer records the amounts that another VM has admitted since it started.
-func (s *State) UpdatePeer(vm string, born int64, spent, refused map[string]float64, now time.Time) {
-	s.lastUpdate = now
+func (s *State) UpdatePeer(u Update, now time.Time) {
+	vm, born, spent, refused := u.VM, u.Born, u.Spent, u.Refused
 	p, ok := s.peers[vm]
 	if !ok {
 		p = &peer{assumed: map[string]float64{}}
@@ -293,20 +401,20 @@
 	if p.born != born {
 		p.born, p.reported = born, map[string]float64{}
 	}
+	p.members, p.noShare = u.Members, u.NoShare
+	s.recount()
 	s.resize()
 	if s.large() {
 		s.updateFlows(p, spent, refused, now)
 		return
 	}
-	p.lastUpdate = now
-	for name, n := range spent {
-		if b, ok := s.buckets[name]; ok {
-			s.refill(name, b, now)
-			b.level = min(b.burst, b.level+p.assumed[name]-(n-p.reported[name]))
-		}
-		delete(p.assumed, name)
-		p.reported[name] = n
+	for name, b := range s.buckets {
+		s.refill(name, b, now)
+		b.level = min(b.burst, b.level+p.assumed[name]-(spent[name]-p.reported[name]))
 	}
+	p.lastUpdate = now
+	clear(p.assumed)
+	maps.Copy(p.reported, spent)
 }
 
 // AddPeer makes a VM that is known but silent share the limits.
@@ -315,17 +423,20 @@
 		s.peers[vm] = &peer{
 			born: born, lastUpdate: now.Add(-silentTimeout), assumed: map[string]float64{},
 		}
+		s.recount()
 	}
 }
 
-// RemoveExpired removes the VMs whose share has expired.
+// RemoveExpired removes the silent VMs that have no share. A VM that has registered one
+// meanwhile may not use it before this VM knows.
 func (s *State) RemoveExpired(now time.Time) {
 	for vm, p := range s.peers {
-		if now.Sub(p.lastUpdate) > expiryTimeout {
+		if now.Sub(p.lastUpdate) > expiryTimeout && !s.listed[vm] {
 			s.forgetFlows(p, now)
 			delete(s.peers, vm)
 		}
 	}
+	s.recount()
 	s.resize()
 	s.assumeLost(now)
 }
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -28,13 +28,13 @@
 func newFleet(n int, c *site.Customer) *fleet {
 	f := &fleet{partitioned: make([]bool, n), now: epoch}
 	for range n {
-		f.states = append(f.states, NewState(epoch))
+		f.states = append(f.states, NewState())
 	}
 	for i, s := range f.states {
 		s.AddCustomers([]site.Customer{*c}, epoch)
 		for j := range f.states {
 			if i != j {
-				s.UpdatePeer(name(j), 1, nil, nil, epoch)
+				s.UpdatePeer(Update{VM: name(j), Born: 1}, epoch)
 			}
 		}
 	}
@@ -48,7 +48,7 @@
 	for i := range f.states {
 		for j, to := range f.states {
 			if i != j && !f.partitioned[i] && !f.partitioned[j] {
-				to.UpdatePeer(name(i), 1, f.states[i].Spent(), f.states[i].Refused(f.now), f.now)
+				to.UpdatePeer(Update{VM: name(i), Born: 1, Spent: f.states[i].Spent(), Refused: f.states[i].Refused(f.now)}, f.now)
 			}
 		}
 	}
@@ -162,17 +162,17 @@
 
 func TestStart(t *testing.T) {
 	c := customerOf(1000, 1000)
-	s := NewState(epoch)
+	s := NewState()
 	s.AddCustomers([]site.Customer{*c}, epoch)
 	t.Run("a VM that has just started begins with an empty bucket", func(t *testing.T) {
 		must.False(t, s.Admit(c, 500, epoch.Add(time.Millisecond)).Admitted)
 	})
 	t.Run("earlier admissions of other VMs are not subtracted", func(t *testing.T) {
-		s := NewState(epoch)
+		s := NewState()
 		s.AddCustomers([]site.Customer{*c}, epoch)
 		s.AddPeer("vm-2", 1, epoch)
 		now := epoch.Add(time.Second)
-		s.UpdatePeer("vm-2", 1, map[string]float64{"c": 1e6}, nil, now)
+		s.UpdatePeer(Update{VM: "vm-2", Born: 1, Spent: map[string]float64{"c": 1e6}}, now)
 		must.True(t, s.Admit(c, 400, now.Add(time.Second)).Admitted)
 	})
 	t.Run("a refund restores the cost", func(t *testing.T) {
--- a/internal/fleet/quota/task.go
+++ b/internal/fleet/quota/task.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/shares"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/tally"
 	"github.com/baobabdyke/baobabdyke/store"
@@ -17,9 +18,28 @@
 	state *State
 }
 
-// NewLimiter returns the Limiter of a VM that starts now.
+// NewLimiter returns the Limiter of a VM that starts now, and has no share of the limits
+// before it knows who shares them.
 func NewLimiter(clock store.Clock) *Limiter {
-	return &Limiter{clock: clock, state: NewState(clock.Now())}
+	l := &Limiter{clock: clock, state: NewState()}
+	now := clock.Now()
+	l.state.SetMembers(shares.Members{ContactUntil: now.Add(shares.ContactTimeout)}, now)
+	return l
+}
+
+// SetMembers sets the VMs that share the limits.
+func (l *Limiter) SetMembers(m shares.Members) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.SetMembers(m, l.clock.Now())
+}
+
+// Share returns the number of VMs that share the limits as far as this one knows, and whether it
+// may use its share while others are silent.
+func (l *Limiter) Share() (members int, has bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Known(), l.state.HasShare(l.clock.Now())
 }
 
 // Admit decides whether a request of a customer is admitted.
@@ -44,21 +64,14 @@
 }
 
 // UpdatePeer records the amounts that another VM has admitted since it started.
-func (l *Limiter) UpdatePeer(vm string, born int64, spent, refused map[string]float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.state.UpdatePeer(vm, born, spent, refused, l.clock.Now())
-}
-
-// AddPeer makes a VM that is known but silent share the limits.
-func (l *Limiter) AddPeer(vm string, born int64) {
+func (l *Limiter) UpdatePeer(u Update) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state.AddPeer(vm, born, l.clock.Now())
+	l.state.UpdatePeer(u, l.clock.Now())
 }
 
 // Spent returns the amounts that this VM has admitted since it started, by
-// customer, and removes the VMs whose share has expired.
+// customer, and removes the silent VMs that have no share.
 func (l *Limiter) Spent() map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fleet/quota/totals.go
+++ b/internal/fleet/quota/totals.go
@@ -71,7 +71,7 @@
 func (s *State) refillByTotals(name string, b *bucket, dt float64) {
 	b.assumed += b.growth * dt
 	b.fleetLevel += (b.rate*s.knownShare() - b.growth) * dt
-	b.fleetLevel = min(b.fleetLevel, b.burst+s.spent[name]-b.reported)
+	b.fleetLevel = min(b.fleetLevel, b.burst*s.knownShare()+s.spent[name]-b.reported)
 }
 
 // grow takes note of the growth of the totals within a time.
--- a/internal/fleet/quota/totals_test.go
+++ b/internal/fleet/quota/totals_test.go
@@ -20,10 +20,10 @@
 
 // newTotalsVM returns a VM whose bucket, of a rate of 1,000, is full.
 func newTotalsVM(burst float64) *totalsVM {
-	v := &totalsVM{State: NewState(epoch), customer: customerOf(1000, burst), now: epoch, total: map[string]int64{}}
+	v := &totalsVM{State: NewState(), customer: customerOf(1000, burst), now: epoch, total: map[string]int64{}}
 	v.AddCustomers([]site.Customer{*v.customer}, v.now)
 	for i := range 99 {
-		v.UpdatePeer(name(i), 1, nil, nil, v.now)
+		v.UpdatePeer(Update{VM: name(i), Born: 1}, v.now)
 	}
 	for range 40 {
 		v.exchange("relay", 0)
@@ -36,7 +36,7 @@
 func (v *totalsVM) exchange(relay string, others int64) {
 	v.now = v.now.Add(tally.Period)
 	for i := range 99 {
-		v.UpdatePeer(name(i), 1, nil, nil, v.now)
+		v.UpdatePeer(Update{VM: name(i), Born: 1}, v.now)
 	}
 	own := v.Report()
 	v.total[relay] += others
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -125,6 +125,10 @@
 	AgeMS int64 `cbor:"19,keyasint,omitempty"`
 	// Refused holds the amounts that the VM has refused since its start, by customer.
 	Refused map[string]float64 `cbor:"20,keyasint,omitempty"`
+	// Sharers is the number of VMs that share the customers' limits as far as the VM knows, and
+	// NoShare reports whether it may not use its share while others are silent.
+	Sharers int  `cbor:"21,keyasint,omitempty"`
+	NoShare bool `cbor:"22,keyasint,omitempty"`
 }
 
 // isNewer reports whether e is a later update of the same VM than o.
--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -349,7 +349,7 @@
 // listDelay returns the time until the registered VMs are read again. It grows
 // with the fleet, so that the load of the object store does not.
 func (t *Task) listDelay() time.Duration {
-	scaled := time.Duration(float64(listInterval) * min(intervalFactor(t.Count()), maxListFactor))
+	scaled := time.Duration(float64(listInterval) * t.IntervalFactor())
 	return scaled/2 + rand.N(scaled)
 }
 
@@ -396,6 +396,27 @@
 	return r, nil
 }
 
+// Forget removes the registration of a VM that is gone.
+func (t *Task) Forget(ctx context.Context, vm string) {
+	key := Kind + "/" + vm
+	if current, err := t.opts.Store.Get(ctx, key); err == nil {
+		// A VM that has just started again writes it again at its next read.
+		t.opts.Store.Delete(ctx, key, current.Version)
+	}
+}
+
+// IsAlive reports whether a VM counts as alive.
+func (t *Task) IsAlive(vm string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.table.members[vm]
+	return ok && m.Alive(time.Now())
+}
+
+// IntervalFactor returns the factor by which VMs read the registrations less often than in
+// a small fleet.
+func (t *Task) IntervalFactor() float64 { return min(intervalFactor(t.Count()), maxListFactor) }
+
 // write writes this VM's registration, replacing that of an earlier incarnation.
 func (t *Task) write(ctx context.Context) bool {
 	key := Kind + "/" + t.opts.Self.VM
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
@@ -22,6 +23,8 @@
 	}
 	e.Marks = n.source.Positions()
 	e.Spent, e.Refused = n.quota.Spent(), n.quota.Refused()
+	members, hasShare := n.quota.Share()
+	e.Sharers, e.NoShare = members, !hasShare
 	e.Loads, e.Loaded = n.placer.Loads(time.Now())
 	n.placer.PruneNotices(n.source.View(), time.Now())
 	e.Names = n.source.Announcements(time.Now())
@@ -93,7 +96,7 @@
 	v := n.source.View()
 	quarantined := false
 	for _, e := range entries {
-		n.quota.UpdatePeer(e.VM, e.Born, e.Spent, e.Refused)
+		n.quota.UpdatePeer(quota.Update{VM: e.VM, Born: e.Born, Spent: e.Spent, Refused: e.Refused, Members: e.Sharers, NoShare: e.NoShare})
 		quarantined = n.quarantine.Merge(e.Suspects, now) || quarantined
 		n.placer.ApplyUpdate(e, v, now)
 		for _, target := range n.limits.Merge(e.VM, e.Limits, now) {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/rollout"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/shares"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/tally"
@@ -77,6 +79,8 @@
 	quota  *quota.Limiter
 	// teller exchanges what the VMs of a large fleet admit.
 	teller *tally.Teller
+	// shares decides which VMs share the customers' limits.
+	shares *shares.Task
 	// quarantine holds the prompt segments that crash engines.
 	quarantine *quarantine.List
 	// limits holds the rates of requests that targets accept.
@@ -246,6 +250,11 @@
 		Relays: n.roster.Relays, Needed: n.quota.UsesTotals, Report: n.quota.Report, OnTotal: n.quota.UpdateTotals,
 	})
 	n.teller.Register(registrar)
+	n.shares = shares.NewTask(shares.Options{
+		VM: s.VM, Store: objects, List: objects, Clock: n.clock, Log: n.log,
+		Needed: n.hasLimits, Scale: n.roster.IntervalFactor, Alive: n.roster.IsAlive,
+		OnChange: n.quota.SetMembers, OnGone: n.roster.Forget,
+	})
 	peer.Handle(registrar, CallSettings, func(context.Context, string, struct{}) (SettingsStatus, error) {
 		return n.loaded.read(), nil
 	})
@@ -253,6 +262,19 @@
 	n.source.Register(registrar)
 }
 
+// countVMs returns the number of VMs among which the retry budget is divided. One that has been
+// silent for so long that the roster has forgotten it may still use its part.
+func (n *Node) countVMs() int {
+	known, _ := n.quota.Share()
+	return max(n.roster.Count(), known)
+}
+
+// hasLimits reports whether any customer has a limit.
+func (n *Node) hasLimits() bool {
+	cfg := n.source.View().Config
+	return cfg != nil && slices.ContainsFunc(cfg.Customers, func(c site.Customer) bool { return c.Rate > 0 })
+}
+
 // bounds returns the bounds in force.
 func (n *Node) bounds() settings.Bounds { return n.gateway.Load().Bounds }
 
@@ -315,7 +337,7 @@
 		Pool:       n.pool,
 		Budget:     n.budget,
 		Log:        n.log,
-		VMs:        n.roster.Count,
+		VMs:        n.countVMs,
 		Fresh:      n.fresh,
 		UpToDate:   n.upToDate,
 
@@ -336,7 +358,7 @@
 	defer abort(nil)
 	callers := n.callerServer(requestCtx)
 	for _, run := range []func(context.Context) error{
-		n.source.Run, n.roster.Run, n.teller.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching,
+		n.source.Run, n.roster.Run, n.teller.Run, n.shares.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching,
 	} {
 		g.Go(func() error { return run(taskCtx) })
 	}
--- a/internal/gateway/node/watchers.go
+++ b/internal/gateway/node/watchers.go
@@ -16,22 +16,11 @@
 	watcherCount = 4
 	// watchPeriod is the time between two elections of the watchers.
 	watchPeriod = 200 * time.Millisecond
-	// silentShareTime is how long a VM that was never heard from has a share of
-	// the limits. It is less than the time after which a share expires.
-	silentShareTime = 8 * time.Second
 )
 
-// updateWatching decides whether this VM polls the store, and reserves a share of
-// the limits for VMs that were never heard from.
+// updateWatching decides whether this VM polls the store.
 func (n *Node) updateWatching(now time.Time) {
 	members := n.roster.Members()
-	for _, m := range members {
-		// A VM that is registered but silent has a share of the limits until it
-		// expires.
-		if !m.Alive(now) && now.Sub(m.Heard) < silentShareTime {
-			n.quota.AddPeer(m.Entry.VM, m.Entry.Born)
-		}
-	}
 	self := roster.Entry{VM: n.settings.VM, Watch: n.storeWatch()}
 	watches := shouldWatch(self, members, now)
 	if n.watching.Swap(watches) != watches {
--- a/internal/gateway/node/watchers_test.go
+++ b/internal/gateway/node/watchers_test.go
@@ -67,7 +67,7 @@
 
 func (f *watchFleet) add(i int, bounds settings.Bounds) {
 	v, ctx := f.newVM(i, bounds)
-	for _, run := range []func(context.Context) error{v.source.Run, v.roster.Run, v.teller.Run, v.runWatching} {
+	for _, run := range []func(context.Context) error{v.source.Run, v.roster.Run, v.teller.Run, v.shares.Run, v.runWatching} {
 		go func() { _ = run(ctx) }()
 	}
 }
