Close callers' connections that are idle for longer than configured

Change: package inbound applies both limits to open connections, by the limit in force when a connection becomes idle or begins a request. A lowered limit holds after 10 s, as callers learn of it later. From 0.7 of the descriptors on, the connection that has been idle for longest makes room for a new one.

--- a/internal/gateway/disconnect/disconnect.go
+++ b/internal/gateway/disconnect/disconnect.go
@@ -72,5 +72,8 @@
 // WithConn returns a context that carries the connection of a caller, for the field
 // ConnContext of an http.Server.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
+	if outer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = outer.NetConn()
+	}
 	return context.WithValue(ctx, connKey{}, c)
 }
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/inbound"
 	"github.com/baobabdyke/baobabdyke/peer"
 )
 
@@ -182,6 +183,7 @@
 	v := n.source.View()
 	if v.Config != nil {
 		n.quota.AddCustomers(v.Config.Customers)
+		n.callers.SetLimits(inbound.Limits{Idle: v.Config.Limits.IdleTimeout, Header: v.Config.Limits.HeaderTimeout}, time.Now())
 	}
 	n.roster.Trigger()
 }
--- a/internal/gateway/node/lifecycle.go
+++ b/internal/gateway/node/lifecycle.go
@@ -134,7 +134,8 @@
 }
 
 // trackConns counts the open connections of callers.
-func (n *Node) trackConns(_ net.Conn, s http.ConnState) {
+func (n *Node) trackConns(c net.Conn, s http.ConnState) {
+	n.callers.Track(c, s)
 	switch s {
 	case http.StateNew:
 		n.openConns.Add(1)
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -16,6 +17,7 @@
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
@@ -29,6 +31,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/inbound"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/relay"
@@ -77,6 +80,8 @@
 	source *source.Source
 	roster *roster.Task
 	quota  *quota.Limiter
+	// callers are the connections of callers.
+	callers *inbound.Set
 	// teller exchanges what the VMs of a large fleet admit.
 	teller *tally.Teller
 	// shares decides which VMs share the customers' limits.
@@ -144,6 +149,7 @@
 	n.watching.Store(true)
 	n.limitMemory()
 	n.quota = quota.NewLimiter(n.clock)
+	n.callers = inbound.NewSet(maxConns())
 	n.quarantine = quarantine.NewList(n.log)
 	n.prober = newProber(n)
 	n.buildFleet(objects, registrar)
@@ -169,12 +175,14 @@
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds how long a caller may take to send the header of a
-	// request.
+	// request, and idleTimeout how long a connection may be idle, unless the
+	// configuration has lower limits.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long callers' idle connections are kept. It exceeds the
-	// idle time that operators announce, so that callers close connections
-	// first.
-	idleTimeout = 3 * time.Minute
+	idleTimeout   = 3 * time.Minute
+	// connShare is the share of the descriptors that callers' connections may use
+	// before idle ones are closed for new ones. The rest is for calls to targets, the
+	// store and other VMs.
+	connShare = 0.7
 	// loggedNotices is the number of pauses and limits of targets that are logged per
 	// second.
 	loggedNotices = 20
@@ -275,6 +283,15 @@
 	return cfg != nil && slices.ContainsFunc(cfg.Customers, func(c site.Customer) bool { return c.Rate > 0 })
 }
 
+// maxConns returns the number of connections from which on idle ones are closed for new ones.
+func maxConns() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt32
+	}
+	return int(connShare * float64(min(limit.Cur, math.MaxInt32)))
+}
+
 // bounds returns the bounds in force.
 func (n *Node) bounds() settings.Bounds { return n.gateway.Load().Bounds }
 
@@ -363,7 +380,9 @@
 		g.Go(func() error { return run(taskCtx) })
 	}
 	g.Go(func() error { return n.server.Serve(taskCtx, listeners.peers) })
-	g.Go(func() error { return serve(callers, disconnect.Listener{Listener: listeners.callers}) })
+	g.Go(func() error {
+		return serve(callers, inbound.Listener{Listener: disconnect.Listener{Listener: listeners.callers}, Set: n.callers})
+	})
 	for _, l := range n.sideServers(listeners) {
 		g.Go(func() error { return serve(l.server, l.listener) })
 	}
