Give up a silent target for one that has sent an answer, not a header

While a target is silent another one is asked. It counted as answering once its header had arrived, and the silent one was given up. If nothing followed, as when the stream lacked only its end, or the other target was lost, both answers were gone.

Change: a trial reads the first event of a stream, or the whole body of another response, before it replaces the silent target. An answer without that is dropped, and the silent target is waited for.

That this is what the users saw is suspected.

Conclusion: what the caller has is kept until something is there that can be passed on in its place.

--- a/internal/gateway/node/silence_test.go
+++ b/internal/gateway/node/silence_test.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +138,51 @@
 	silent.Resume()
 	must.NoError(t, (<-results).err)
 }
+
+// TestEmptyAnswerReplacesSilentTarget guards against a stream that is broken off because another
+// target, which was asked while the first one paused, sent a header and nothing that could be
+// passed on.
+func TestEmptyAnswerReplacesSilentTarget(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: r\r\n" + sealed + eventType + "Transfer-Encoding: chunked\r\n\r\n"
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	for _, c := range []struct {
+		name, first, rest, other string
+	}{
+		{"a stream that lacks its end, and another one that is over", chunk(wholeStream()), "", head + "0\r\n\r\n"},
+		{"a stream in its middle, and a header alone", chunk(events(1, 3)), chunk(events(4, 6)), head},
+		{"a stream before its first event, and a header alone", "", chunk(wholeStream()), head},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestbed(t)
+			var asked atomic.Int64
+			other := make(chan struct{})
+			for i := range 2 {
+				b.store.Remove("servers", fmt.Sprintf("llm-%d", i))
+				b.rawTarget(fmt.Sprintf("raw-%d", i), func(conn net.Conn, r *http.Request) {
+					if r.URL.Path != "/stream/a/" {
+						return
+					}
+					if asked.Add(1) > 1 {
+						_, _ = io.WriteString(conn, c.other)
+						close(other)
+						return
+					}
+					_, _ = io.WriteString(conn, head+c.first)
+					<-other
+					time.Sleep(300 * time.Millisecond)
+					_, _ = io.WriteString(conn, c.rest+"0\r\n\r\n")
+				})
+			}
+			v := b.start("vm-1")
+			v.ready()
+			eventually(t, func() bool {
+				targets := v.source.View().Targets
+				return len(targets) == 4 && targets["raw-0"] != nil && targets["raw-1"] != nil
+			})
+			got := v.request("/stream/a/", "r", "Baobabdyke-Deadline-Ms", "8000")
+			must.NoError(t, got.err)
+			must.Eq(t, wholeStream(), got.body)
+			must.Eq(t, 2, asked.Load())
+		})
+	}
+}
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -42,6 +42,9 @@
 	gotFirst bool
 	// broken reports whether the target broke off its response.
 	broken bool
+	// ahead is what was read of the response before the exchange became the one that
+	// answers the request.
+	ahead readAhead
 	// replaced reports whether the attempt was ended because its target was silent
 	// and another one had begun to answer.
 	replaced atomic.Bool
@@ -128,7 +131,7 @@
 // passPlain buffers a response until it is complete.
 func (x *exchange) passPlain(r conn.Responded) (outcome, placing.Outcome) {
 	j := x.response.job
-	body, err := r.Exchange.ReadBody(maxResponseBytes)
+	body, err := x.readBody(r)
 	if err != nil {
 		x.fail(err)
 		r.Exchange.Abort()
@@ -196,11 +199,11 @@
 // passStream relays events as they arrive.
 func (x *exchange) passStream(r conn.Responded) (outcome, placing.Outcome) {
 	j := x.response.job
-	events := newEventReader(r.Response.Body, x.handler.opts.Pool.Budget())
+	events := x.eventReader(r)
 	defer events.release()
 	resumed, before := x.response.started.Load(), x.response.events
 	for {
-		event, err := events.next()
+		event, err := x.nextEvent(events)
 		if errors.Is(err, io.EOF) && x.response.events == before && (resumed || endsWithConnection(r.Response)) {
 			// A target that has nothing to add can't be told from one that failed.
 			x.broken = endsWithConnection(r.Response)
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -15,8 +15,8 @@
 const standbyRetry = 300 * time.Millisecond
 
 // A standby sends the request to another target while the target of an attempt is
-// silent. The attempt ends only once the other target has begun to answer: a sound
-// target may pause, and an answer that was given up cannot be recovered if no other
+// silent. The attempt ends only once the other target has sent something that is passed on: a
+// sound target may pause, and an answer that was given up cannot be recovered if no other
 // target accepts the request.
 type standby struct {
 	first *exchange // the attempt whose target may be silent
@@ -227,7 +227,7 @@
 // to answer.
 func (s *standby) finish(trial *exchange) {
 	id, from, to := s.first.response.job.info.ID, s.first.choice.Target.ID, trial.choice.Target.ID
-	if s.replace(trial) {
+	if trial.begins() && s.replace(trial) {
 		s.first.handler.log("msg", "silent target replaced", "id", id, "target", from, "by", to)
 		return
 	}
@@ -244,13 +244,13 @@
 	}
 }
 
-// replace reports whether the trial has begun to answer and the silent target has not
-// gone on, and ends the attempt at the silent target if so.
+// replace reports whether the trial, which has begun to answer, is still wanted as the silent
+// target has not gone on, and ends the attempt at the silent target if so.
 func (s *standby) replace(trial *exchange) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i := slices.Index(s.trials, trial)
-	if i < 0 || !trial.answers() {
+	if i < 0 || trial.ctx.Err() != nil {
 		return false
 	}
 	s.trials = slices.Delete(s.trials, i, i+1)
@@ -273,6 +273,7 @@
 
 // discard ends an attempt whose response is not passed on, and returns its outcome.
 func (x *exchange) discard() outcome {
+	x.ahead.release()
 	o, end := x.unanswered()
 	x.handler.opts.Placer.End(x.choice, end, false, time.Now())
 	x.cancel()
