--- a/internal/fleet/quota/partition_test.go
+++ b/internal/fleet/quota/partition_test.go
@@ -69,13 +69,12 @@
 }
 
 // add starts a VM.
-func (f *shareFleet) add() *shareVM {
+func (f *shareFleet) add() {
 	v := &shareVM{name: name(len(f.vms)), State: NewState(), heard: map[string]time.Time{}, started: f.now, nextRenewal: f.now}
 	v.registry = shares.NewRegistry(v.name, f.now)
 	v.SetMembers(v.registry.Members(), f.now)
 	v.AddCustomers([]site.Customer{*f.customer}, f.now)
 	f.vms = append(f.vms, v)
-	return v
 }
 
 func (v *shareVM) runs(now time.Time) bool { return !v.gone && !now.Before(v.suspendedUntil) }
