Look for silent VMs before the shares are worked out

Cause: each request and each update walked all peers of a bucket twice with a map look-up, also while no VM was silent, and each update walked all customers. With 72 VMs or 12,000 customers that is work for nothing. Change: whether any VM is silent is looked up first, and an update settles the customers that it names, and those of which the VM was assumed to admit something. Not measured: time.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -284,18 +284,19 @@
 // assumeSilent reports whether a VM is silent. Each such VM is assumed to admit its share of
 // the bucket, once, and its share of the rate.
 func (s *State) assumeSilent(name string, b *bucket, share float64, now time.Time) bool {
+	if !s.anySilent(now) {
+		return false
+	}
 	present := 1
 	for _, p := range s.peers {
 		if _, assumed := p.assumed[name]; !assumed {
 			present++
 		}
 	}
-	silent := len(s.peers)+1 < s.vmCount()
 	for _, p := range s.peers {
 		if !p.silent(now) {
 			continue
 		}
-		silent = true
 		if _, assumed := p.assumed[name]; !assumed {
 			part := max(b.level, 0) / float64(present)
 			b.level -= part
@@ -304,14 +305,27 @@
 		}
 		p.assumed[name] += share
 	}
-	return silent
+	return true
+}
+
+// anySilent reports whether a VM that shares the limits is silent, or known to others only.
+func (s *State) anySilent(now time.Time) bool {
+	if s.Known() < s.vmCount() {
+		return true
+	}
+	for _, p := range s.peers {
+		if p.silent(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // withoutShare returns the number of VMs whose share this VM and those in touch with it may
 // not use while others are silent.
 func (s *State) withoutShare(now time.Time) int {
 	// Those that only other VMs know count as silent.
-	n := s.vmCount() - len(s.peers) - 1
+	n := s.vmCount() - s.Known()
 	for _, p := range s.peers {
 		if p.silent(now) || p.noShare {
 			n++
@@ -349,7 +363,7 @@
 // recount counts the VMs that share a limit: those that this VM knows, or more if one that
 // is in touch with it knows more.
 func (s *State) recount() {
-	s.count = len(s.peers) + 1
+	s.count = s.Known()
 	if s.large() {
 		return
 	}
@@ -408,15 +422,27 @@
 		s.updateFlows(p, spent, refused, now)
 		return
 	}
-	for name, b := range s.buckets {
-		s.refill(name, b, now)
-		b.level = min(b.burst, b.level+p.assumed[name]-(spent[name]-p.reported[name]))
-	}
 	p.lastUpdate = now
+	for name, n := range spent {
+		s.settle(name, p.assumed[name]-(n-p.reported[name]), now)
+		delete(p.assumed, name)
+	}
+	// Of the other customers the VM has admitted nothing.
+	for name, n := range p.assumed {
+		s.settle(name, n, now)
+	}
 	clear(p.assumed)
 	maps.Copy(p.reported, spent)
 }
 
+// settle adds an amount to a customer's bucket.
+func (s *State) settle(name string, amount float64, now time.Time) {
+	if b, ok := s.buckets[name]; ok {
+		s.refill(name, b, now)
+		b.level = min(b.burst, b.level+amount)
+	}
+}
+
 // AddPeer makes a VM that is known but silent share the limits.
 func (s *State) AddPeer(vm string, born int64, now time.Time) {
 	if _, ok := s.peers[vm]; !ok {
