Log an odd record of a share once, and tidy the package

Cause: a record that can't be decoded was logged at each read, every 8 s or oftener, for as long as it lies in the store; the registrations of roster and the objects of source are logged once for each change. Besides, constants stood between functions, confirmed was exported for nobody, and strangerLease was no term of the field. Change: the versions of ignored records are remembered, as in roster. The constants stand at the top, confirmed is not exported, and strangerLease is unawareTimeout. Conclusion: one line for each change of a record; nothing else behaves differently.

--- a/internal/fleet/shares/shares.go
+++ b/internal/fleet/shares/shares.go
@@ -30,10 +30,10 @@
 	leaseMargin = time.Second
 	leaseDrift  = 0.02
 	// ContactTimeout is how long VMs that are all in touch with each other may divide the
-	// limits without the store. A VM may have started beyond a cut meanwhile that they do not
-	// know, which removes their records later than that.
+	// limits without the store. It is shorter than unawareTimeout, after which a VM that has
+	// started meanwhile, and of which they do not know, may remove their records.
 	ContactTimeout = 9 * time.Minute
-	strangerLease  = 10 * time.Minute
+	unawareTimeout = 10 * time.Minute
 	// interval is the mean time between two renewals.
 	interval       = 8 * time.Second
 	silentInterval = 2500 * time.Millisecond
@@ -74,7 +74,7 @@
 // whose first record has the given version.
 func (r *Record) removableAfter(remover int64) time.Duration {
 	if r.Seen < remover {
-		return strangerLease
+		return unawareTimeout
 	}
 	lease := time.Duration(r.LeaseMS) * time.Millisecond
 	return lease + time.Duration(leaseDrift*float64(lease)) + leaseMargin
@@ -89,7 +89,7 @@
 	switch {
 	case Kind+"/"+r.VM != o.Key:
 		return r, fmt.Errorf("record of VM %q under the name of another one", r.VM)
-	case r.VM == "" || r.LeaseMS < 0 || r.LeaseMS > strangerLease.Milliseconds():
+	case r.VM == "" || r.LeaseMS < 0 || r.LeaseMS > unawareTimeout.Milliseconds():
 		return r, errors.New("record without a VM or with a lease out of range")
 	}
 	return r, nil
@@ -141,7 +141,7 @@
 }
 
 // SetLease changes how long this VM relies on records that it writes from now on.
-func (r *Registry) SetLease(lease time.Duration) { r.lease = min(lease, strangerLease) }
+func (r *Registry) SetLease(lease time.Duration) { r.lease = min(lease, unawareTimeout) }
 
 // Apply applies all records in the store, as of a version and read at a time. It returns
 // those of VMs that are certainly not using their share, which may be removed if they are
@@ -204,8 +204,8 @@
 // Renewed records that a record was written that was sent at a time.
 func (r *Registry) Renewed(sent time.Time) { r.shareUntil = sent.Add(r.lease) }
 
-// Confirmed reports whether all other VMs know of this one.
-func (r *Registry) Confirmed() bool {
+// confirmed reports whether all other VMs know of this one.
+func (r *Registry) confirmed() bool {
 	if r.own == nil {
 		return false
 	}
@@ -244,7 +244,7 @@
 		m.VMs = append(m.VMs, vm)
 	}
 	slices.Sort(m.VMs)
-	if r.Confirmed() {
+	if r.confirmed() {
 		m.ShareUntil = r.shareUntil
 	}
 	return m
--- a/internal/fleet/shares/shares_test.go
+++ b/internal/fleet/shares/shares_test.go
@@ -1,7 +1,9 @@
 package shares
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -210,7 +212,7 @@
 
 	now = now.Add(Lease + Lease/10)
 	must.Len(t, 0, r.Apply(list, 12, now, alive), must.Sprint("nor may it remove the record of that VM"))
-	must.Len(t, 1, r.Apply(list, 13, now.Add(strangerLease), alive), must.Sprint("that did not renew it for long"))
+	must.Len(t, 1, r.Apply(list, 13, now.Add(unawareTimeout), alive), must.Sprint("that did not renew it for long"))
 
 	other.Seen, other.version = 11, 14
 	r.Apply([]Record{other, own.At(11)}, 14, now, alive)
@@ -235,6 +237,19 @@
 	must.Len(t, 0, r.Members().VMs)
 }
 
+// TestOddRecordIsLoggedOnce guards against a log that repeats an odd record at each read.
+func TestOddRecordIsLoggedOnce(t *testing.T) {
+	var lines bytes.Buffer
+	s := store.NewMemory()
+	s.Put(t.Context(), Kind+"/odd", []byte(`{`), store.MustNotExist)
+	task := NewTask(Options{VM: "a", List: lister{s}, Clock: store.SystemClock{}, Log: log.NewLogfmtLogger(&lines)})
+	for range 3 {
+		_, _, err := task.list(t.Context())
+		must.NoError(t, err)
+	}
+	must.Eq(t, 1, strings.Count(lines.String(), "share record ignored"))
+}
+
 // TestOddRecord checks which objects are taken for records.
 func TestOddRecord(t *testing.T) {
 	for value, ok := range map[string]bool{
--- a/internal/fleet/shares/task.go
+++ b/internal/fleet/shares/task.go
@@ -12,6 +12,13 @@
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
+const (
+	// neededInterval is the time between two checks of whether any customer has a limit.
+	neededInterval = 50 * time.Millisecond
+	// withdrawTimeout bounds the removal of this VM's record at the end.
+	withdrawTimeout = 200 * time.Millisecond
+)
+
 // A Lister returns all objects of a kind and the version at which they were read.
 type Lister interface {
 	Snapshot(ctx context.Context, kind string) ([]store.Object, int64, error)
@@ -42,6 +49,8 @@
 	registry *Registry
 	// written is the version of the record that this VM wrote last.
 	written int64
+	// ignored holds, by key, the versions of records that could not be decoded.
+	ignored map[string]int64
 	// members and shares are what was logged last.
 	members int
 	shares  bool
@@ -49,15 +58,9 @@
 
 // NewTask returns a Task of a VM that starts now.
 func NewTask(o Options) *Task {
-	return &Task{opts: o, registry: NewRegistry(o.VM, o.Clock.Now())}
+	return &Task{opts: o, registry: NewRegistry(o.VM, o.Clock.Now()), ignored: map[string]int64{}}
 }
 
-// neededInterval is the time between two checks of whether any customer has a limit.
-const neededInterval = 50 * time.Millisecond
-
-// withdrawTimeout bounds the removal of this VM's record at the end.
-const withdrawTimeout = 200 * time.Millisecond
-
 // Run renews the record until ctx ends, and then removes it. The VM must not use its share any
 // more then.
 func (t *Task) Run(ctx context.Context) error {
@@ -108,7 +111,10 @@
 	for _, o := range objects {
 		r, err := decode(o)
 		if err != nil {
-			_ = t.opts.Log.Log("msg", "share record ignored", "object", o.Key, "err", logline.ErrorText(err))
+			if t.ignored[o.Key] != o.Version {
+				t.ignored[o.Key] = o.Version
+				_ = t.opts.Log.Log("msg", "share record ignored", "object", o.Key, "err", logline.ErrorText(err))
+			}
 			continue
 		}
 		list = append(list, r)
