--- a/internal/gateway/inbound/inbound.go
+++ b/internal/gateway/inbound/inbound.go
@@ -55,20 +55,24 @@
 	s.limits = l
 }
 
-// idleLimit returns how long a connection that becomes idle now may be so.
+// idleLimit returns how long a connection that becomes idle now may be so. The caller holds
+// mu.
 func (s *Set) idleLimit(now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.loweredAt.IsZero() && now.Sub(s.loweredAt) < loweredDelay && s.limits.Idle < s.lowered {
+	if now.Sub(s.loweredAt) < loweredDelay && s.limits.Idle < s.lowered {
 		return s.lowered
 	}
 	return s.limits.Idle
 }
 
-func (s *Set) headerLimit() time.Duration {
+// nextLimit returns the limit for the read deadline that the server sets now.
+func (s *Set) nextLimit(c *Conn, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limits.Header
+	if !c.becomesIdle {
+		return s.limits.Header
+	}
+	c.becomesIdle = false
+	return s.idleLimit(now)
 }
 
 // Track follows the state of a connection, for the field ConnState of an http.Server.
@@ -148,20 +152,9 @@
 	if !t.After(now) {
 		return c.Conn.SetReadDeadline(t)
 	}
-	limit := c.set.headerLimit()
-	if c.takeBecomesIdle() {
-		limit = c.set.idleLimit(now)
-	}
+	limit := c.set.nextLimit(c, now)
 	if end := now.Add(limit); limit > 0 && end.Before(t) {
 		t = end
 	}
 	return c.Conn.SetReadDeadline(t)
 }
-
-func (c *Conn) takeBecomesIdle() bool {
-	c.set.mu.Lock()
-	defer c.set.mu.Unlock()
-	idle := c.becomesIdle
-	c.becomesIdle = false
-	return idle
-}
