--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,11 @@
 	DefaultDrain       = 10 * time.Second
 	DefaultRetryWindow = 10 * time.Second
 	DefaultRetryRatio  = 0.1
+	// Defaults of Canary.
+	DefaultCanaryShare    = 0.1
+	DefaultCanaryRollback = 5 * time.Second
+	// DefaultHedgeQuantile is the default of Hedge.Quantile.
+	DefaultHedgeQuantile = 0.95
 	// DefaultCallsPerSecond is the number of calls of the object store per second.
 	DefaultCallsPerSecond = 50
 )
@@ -143,6 +148,29 @@
 	// take of the memory beyond 64 KB each; 0 means a sixteenth of MemoryMB.
 	AnswersMB int64  `yaml:"answers,omitempty"`
 	Bounds    Bounds `yaml:"bounds,omitempty"`
+	// Contracts are the contracts that the operator has in force, in the platform's
+	// words. Package platform translates those that switch on a part of the gateway.
+	Contracts []string `yaml:"contracts,omitempty"`
+	// Admission switches on admission control under overload, and TrafficMoves the
+	// moving of a service's traffic between versions of its targets, whatever the
+	// contracts are.
+	Admission    bool  `yaml:"admission,omitempty"`
+	TrafficMoves bool  `yaml:"trafficmoves,omitempty"`
+	Hedge        Hedge `yaml:"hedge,omitempty"`
+}
+
+// A Hedge holds the settings of second requests for slow responses. They are off while
+// Requests or Tokens is 0.
+type Hedge struct {
+	// Routes are the names of the routes whose requests may be sent a second time; all
+	// routes whose requests may be repeated if there are none.
+	Routes []string `yaml:"routes,omitempty"`
+	// Requests and Tokens are the extra work that second requests may cause, as shares of
+	// the requests and of their prompt tokens.
+	Requests float64 `yaml:"requests,omitempty"`
+	Tokens   float64 `yaml:"tokens,omitempty"`
+	// Quantile is the quantile of the usual latency from which on a response is slow.
+	Quantile float64 `yaml:"quantile,omitempty"`
 }
 
 // Bounds holds the time limits and retry limits that the operator requires of the
@@ -167,6 +195,17 @@
 	Drain  time.Duration `yaml:"drain,omitempty"`
 	// Retries limits the attempts after the first one of each request.
 	Retries Retries `yaml:"retries,omitempty"`
+	// Canary bounds what a version of a service gets before it is trusted.
+	Canary Canary `yaml:"canary,omitempty"`
+}
+
+// A Canary bounds the traffic of a version of a service that is not trusted yet: from the
+// order until its deadline at most Share of the service's requests plus Slack, and none
+// that is sent later than Rollback after the version has turned out to be bad.
+type Canary struct {
+	Share    float64       `yaml:"share,omitempty"`
+	Slack    float64       `yaml:"slack,omitempty"`
+	Rollback time.Duration `yaml:"rollback,omitempty"`
 }
 
 // Retries limits the attempts after the first one of each request, for the fleet and
@@ -229,6 +268,9 @@
 	if s.Gateway != nil {
 		g := *s.Gateway
 		g.Bounds = g.Bounds.withDefaults()
+		if g.Hedge.Quantile == 0 {
+			g.Hedge.Quantile = DefaultHedgeQuantile
+		}
 		s.Gateway = &g
 	}
 	return s
@@ -246,6 +288,10 @@
 	if b.Retries.Ratio == 0 && b.Retries.Slack == 0 {
 		b.Retries.Ratio = DefaultRetryRatio
 	}
+	if b.Canary.Share == 0 {
+		b.Canary.Share = DefaultCanaryShare
+	}
+	orDefault(&b.Canary.Rollback, DefaultCanaryRollback)
 	return b
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,6 +52,41 @@
 	})
 }
 
+// TestDecodeGatewayParts guards against shares and quantiles out of range that take effect
+// instead of being reported with the name of the field.
+func TestDecodeGatewayParts(t *testing.T) {
+	const gateway = `
+vm: vm-1
+region: kyushu
+datacentre: hakata
+callers: {address: "127.0.0.1:8080"}
+operators: {address: "127.0.0.1:8081"}
+peers: {address: "127.0.0.1:8082"}
+platform: {address: "127.0.0.1:8083"}
+gateway:
+  ready: "127.0.0.1:8084"
+  directory: "127.0.0.1:8085"
+`
+	s, err := Decode("vm.yaml", []byte(gateway+`  contracts: ["base", "pressure"]
+  hedge: {requests: 0.02, tokens: 0.01}
+`))
+	must.NoError(t, err)
+	must.Eq(t, Hedge{Requests: 0.02, Tokens: 0.01, Quantile: DefaultHedgeQuantile}, s.Gateway.Hedge)
+	must.Eq(t, Canary{Share: DefaultCanaryShare, Rollback: DefaultCanaryRollback}, s.Gateway.Bounds.Canary)
+	for field, line := range map[string]string{
+		"gateway.bounds.canary.share":    "bounds: {canary: {share: 1.5}}",
+		"gateway.bounds.canary.slack":    "bounds: {canary: {slack: -1}}",
+		"gateway.bounds.canary.rollback": "bounds: {canary: {rollback: -1s}}",
+		"gateway.hedge.requests":         "hedge: {requests: -0.1, tokens: 0.1}",
+		"gateway.hedge.tokens":           "hedge: {requests: 0.1, tokens: 2}",
+		"gateway.hedge.quantile":         "hedge: {requests: 0.1, tokens: 0.1, quantile: 0.2}",
+		"gateway.hedge":                  "hedge: {requests: 0.1}",
+		"admission":                      "admission: [1]",
+	} {
+		t.Run(field, func(t *testing.T) { mustReject(t, gateway+"  "+line+"\n", field) })
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Add([]byte("vm: [1"))
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -55,6 +55,13 @@
 		positive("gateway.bounds.drain", int64(g.Bounds.Drain)),
 		positive("gateway.bounds.retries.window", int64(g.Bounds.Retries.Window)),
 		{g.Bounds.Retries.Ratio >= 0 && g.Bounds.Retries.Slack >= 0, "gateway.bounds.retries", "is negative", "numbers above zero"},
+		within("gateway.bounds.canary.share", g.Bounds.Canary.Share, 0, 1),
+		{g.Bounds.Canary.Slack >= 0, "gateway.bounds.canary.slack", "is negative", "a number of requests"},
+		positive("gateway.bounds.canary.rollback", int64(g.Bounds.Canary.Rollback)),
+		within("gateway.hedge.requests", g.Hedge.Requests, 0, 1),
+		within("gateway.hedge.tokens", g.Hedge.Tokens, 0, 1),
+		{(g.Hedge.Requests == 0) == (g.Hedge.Tokens == 0), "gateway.hedge", "has a limit of requests without one of tokens, or the other way round", "both or neither"},
+		within("gateway.hedge.quantile", g.Hedge.Quantile, 0.5, 1),
 	}
 }
 
@@ -101,6 +108,10 @@
 	return check{both, field, "has a certificate without its key, or the other way round", "both files or neither"}
 }
 
+func within(field string, value, low, high float64) check {
+	return check{value >= low && value <= high, field, fmt.Sprintf("%v is out of range", value), fmt.Sprintf("a number from %v to %v", low, high)}
+}
+
 func positive(field string, value int64) check {
 	return check{value > 0, field, "is not above zero", "a value above zero"}
 }
