Fetch a prompt's prefix from the KV cache store that it was written to

Cause: with several KV cache stores each request took one of them in the order of a map, so that a prefix was written to one store and looked up at another two times out of three. The capacity of one store also decided how many prefixes are written to the stores. Change: site.Config.CacheStore chooses the store of a prefix by rendezvous hash; the capacity of all stores counts. Deployments with one store are served as before.

--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -3,12 +3,16 @@
 package site
 
 import (
+	"cmp"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // A RequestKind is the kind of a route's requests. It decides whether a request may
@@ -39,6 +43,8 @@
 	byName map[string]*Customer
 	// sharedScope is the cache scope of all customers that are not isolated.
 	sharedScope string
+	// caches are the KV cache stores, ordered by address.
+	caches []*Cache
 }
 
 // Limits holds the bounds on callers' requests and connections.
@@ -109,6 +115,14 @@
 	LinkMbps float64
 }
 
+// rank returns the rendezvous hash of the store for a prefix.
+func (c *Cache) rank(prefix uint64) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(c.Address)
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, prefix))
+	return h.Sum64()
+}
+
 // A Customer has API keys and a fleet-wide rate limit.
 type Customer struct {
 	Name string
@@ -191,6 +205,13 @@
 		}
 	}
 	c.sharedScope = digestNames(isolated)
+	c.caches = nil
+	for _, s := range c.Services {
+		if s.Cache != nil {
+			c.caches = append(c.caches, s.Cache)
+		}
+	}
+	slices.SortFunc(c.caches, func(a, b *Cache) int { return cmp.Compare(a.Address, b.Address) })
 }
 
 // digestNames returns a digest of a set of names, which is empty for the empty set.
@@ -251,12 +272,25 @@
 	return c.byKey[key]
 }
 
-// CacheStore returns the KV cache store that engines may use, or nil.
-func (c *Config) CacheStore() *Cache {
-	for _, s := range c.Services {
-		if s.Cache != nil {
-			return s.Cache
+// CacheStore returns the KV cache store for prompts with the given prefix, or nil if there is
+// none. All VMs choose the same one of several stores, so that a prefix is written to one
+// store and fetched from there.
+func (c *Config) CacheStore(prefix uint64) *Cache {
+	var best *Cache
+	highest := uint64(0)
+	for _, cache := range c.caches {
+		if rank := cache.rank(prefix); best == nil || rank > highest {
+			best, highest = cache, rank
 		}
 	}
-	return nil
+	return best
+}
+
+// CacheCapacity returns the number of tokens that all KV cache stores hold together.
+func (c *Config) CacheCapacity() int {
+	tokens := 0
+	for _, cache := range c.caches {
+		tokens += cache.CapacityTokens
+	}
+	return tokens
 }
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -114,8 +114,7 @@
 	// contents are the whole request and the ids of the prompt's segments that other
 	// prompts may share, for the quarantine.
 	contents []string
-	cache    string
-	// cacheTokens is the capacity of the KV cache store, engineTokens that of
+	// cacheTokens is the capacity of the KV cache stores, engineTokens that of
 	// one engine.
 	cacheTokens  int
 	engineTokens int
@@ -339,9 +338,7 @@
 	if s := j.view.Config.Services[j.service]; j.engine {
 		j.engineTokens = s.Engine.CapacityTokens
 	}
-	if cache := j.view.Config.CacheStore(); cache != nil {
-		j.cache, j.cacheTokens = cache.Address, cache.CapacityTokens
-	}
+	j.cacheTokens = j.view.Config.CacheCapacity()
 }
 
 // customerName returns the name of the customer, which is empty if the request has none.
--- a/internal/gateway/relay/prompt.go
+++ b/internal/gateway/relay/prompt.go
@@ -45,6 +45,18 @@
 	return j.prompt
 }
 
+// cacheStore returns the address of the KV cache store for the prompt, or "" if there is
+// none.
+func (p prompt) cacheStore(cfg *site.Config) string {
+	if len(p.prefixes) == 0 {
+		return ""
+	}
+	if cache := cfg.CacheStore(p.prefixes[len(p.prefixes)-1].Hash); cache != nil {
+		return cache.Address
+	}
+	return ""
+}
+
 // salt identifies the KV cache that was made within the prompt's scope with a version of
 // the weights.
 func (p prompt) salt(weights int64) string {
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -120,7 +120,8 @@
 func (j *job) placingRequest(p prompt) placing.Request {
 	r := placing.Request{Service: j.service, Tried: j.tried}
 	if j.engine {
-		r.Model, r.Prefixes, r.Tokens, r.Cache, r.Salt = j.info.Model, p.prefixes, j.tokens, j.cache, p.salt
+		r.Model, r.Prefixes, r.Tokens, r.Salt = j.info.Model, p.prefixes, j.tokens, p.salt
+		r.Cache = p.cacheStore(j.view.Config)
 		r.CacheTokens, r.EngineTokens = j.cacheTokens, j.engineTokens
 		r.TimeLeft = time.Until(j.deadline)
 		if j.route.LatencyGoal > 0 && j.timeToFirst == 0 {
@@ -317,7 +318,7 @@
 		opts.WeightsVersion = c.Weights
 		opts.KVSource = c.Source
 		if c.StoreKV {
-			opts.KVTarget = j.cache
+			opts.KVTarget = p.cacheStore(j.view.Config)
 		}
 	}
 	return opts
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -212,6 +212,7 @@
 	p = j.promptUnder(view.Config)
 	if j.engine {
 		s.request.Prefixes, s.request.Salt = p.prefixes, p.salt
+		s.request.Cache = p.cacheStore(j.view.Config)
 	}
 	choice, ok := h.opts.Placer.Choose(view, s.request, now)
 	if !ok || choice.Unresponsive() {
