Keep customer limits in a large fleet whose VMs have just started

Cause: 72 VMs let a customer that asks for several times its usual have up to 34% more in 8 s than the rule permits, with nothing lost but a surge. Four decisions add up over the VMs. (1) Below 35% of the burst each VM admits its share, but a VM whose level rises above that admits all that it is asked for, while the totals that would show this are half a second old or more: the bucket swings between full and two bursts of debt. While the level was negative each VM's share accrued as well, up to a request, and all VMs used that at once. (2) A VM that changes relays, or reports to none for three periods, loses what it has admitted meanwhile: it was in no total. (3) A VM that changes relays takes its own guess for the fleet's level, and at most one burst of debt. (4) A VM whose totals are late admits freely for up to 2 s.

Change: A bucket that was nearly empty counts as such until it is nearly full and the VM has refused the customer nothing for 2 s; until then a VM admits its share, up to twice of it when the bucket is full. No share accrues while the level is negative, and what is left of a share stays. A VM that has admitted more than twice its part of the bucket and two requests since its last totals keeps to its share. Reports to relays state what relays have counted and are numbered; a relay tells a VM that is new to it the levels of the buckets. What a bucket was not given for VMs that were in no total covers what these have admitted, once they are in the totals again. VMs of earlier builds send and get none of this and are counted as before.

--- a/internal/fleet/quota/large.go
+++ b/internal/fleet/quota/large.go
@@ -66,19 +66,19 @@
 
 // admitShare admits this VM's share of the rate.
 func (s *State) admitShare(name string, b *bucket, cost, need float64, now time.Time) Decision {
-	if took := s.takeShare(b, cost, now); !took || b.level < need {
+	if took := s.takeShare(b, cost, 1, now); !took || b.level < need {
 		return s.refuse(name, cost, min(max(s.shareWait(b, cost), s.retryAfter(b, need)), maxRetryAfter), b.level)
 	}
 	return s.admit(name, b, cost, b.level)
 }
 
-// takeShare reports whether a request is within this VM's share of the rate since the last
-// such decision. A request that costs more is within it with such a chance that the share is
+// takeShare reports whether a request is within this VM's share of the rate, times a factor, that
+// no such decision has used. A request that costs more is within it with such a chance that the share is
 // kept on average.
-func (s *State) takeShare(b *bucket, cost float64, now time.Time) bool {
-	accrued := b.rate / float64(s.vmCount()) * now.Sub(b.lastByShare).Seconds()
+func (s *State) takeShare(b *bucket, cost, factor float64, now time.Time) bool {
+	accrued := b.accrued + factor*b.rate/float64(s.vmCount())*now.Sub(b.lastByShare).Seconds()
 	accrued = min(accrued, max(cost, b.burst/float64(s.vmCount())))
-	b.lastByShare = now
+	b.lastByShare, b.accrued = now, max(accrued-cost, 0)
 	return accrued >= cost || s.random() < accrued/cost
 }
 
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -75,9 +75,10 @@
 	// assumed to admit a second, and refusedRate what they refuse.
 	assumedRate, refusedRate float64
 	// own is what this VM admits and refuses, and lastByShare the last decision by its share
-	// alone.
+	// alone, and accrued the part of the share that was left then.
 	own         flow
 	lastByShare time.Time
+	accrued     float64
 	// fleetLevel is the level by the totals of the fleet. The last of them is total, if one
 	// was counted, and contains reported of this VM. growth is by how much they have grown a
 	// second lately; the level follows it until the next one, by assumed since the last.
@@ -88,6 +89,11 @@
 	reported        float64
 	growth, assumed float64
 	scarce          bool
+	// lastRefused is when this VM last refused a request by the totals.
+	lastRefused time.Time
+	// withheld is the part of the rate that the bucket was not given for VMs whose amounts are
+	// not in the totals, and withheldLevel what was taken from it for their part of the burst.
+	withheld, withheldLevel float64
 }
 
 // A peer holds the admissions of another VM as last reported.
--- a/internal/fleet/quota/task.go
+++ b/internal/fleet/quota/task.go
@@ -107,3 +107,11 @@
 	defer l.mu.Unlock()
 	l.state.UpdateTotals(relay, total, reported, sent, l.clock.Now())
 }
+
+// Levels returns the levels of the buckets with the given total of the fleet, which is that of
+// this VM as a relay, whose id is self.
+func (l *Limiter) Levels(self string, total tally.Report) map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Levels(self, total, l.clock.Now())
+}
--- a/internal/fleet/quota/totals.go
+++ b/internal/fleet/quota/totals.go
@@ -26,6 +26,14 @@
 	// knownFraction is the fraction of the VMs whose amounts are in the totals from which on
 	// the rest does not count. It may be starting or lost.
 	knownFraction = 0.9
+	// plentyFraction is the fraction of the burst from which on a bucket that was nearly
+	// empty is not any more.
+	plentyFraction = 0.9
+	// recoveryTime is how long a customer must not have been refused at a VM until the VM
+	// admits its requests freely again. Totals show what it asks for then.
+	recoveryTime = 2 * time.Second
+	// maxShareFactor is the factor of a VM's share of the rate with a full bucket.
+	maxShareFactor = 2.0
 )
 
 // UsesTotals reports whether the fleet is so large that totals come sooner than updates.
@@ -44,14 +52,17 @@
 // the given time.
 func (s *State) UpdateTotals(relay string, total, reported tally.Report, sent, now time.Time) {
 	known := s.totals.from == relay && s.totals.born == total.Born
-	passed := sent.Sub(s.totals.at)
+	passed, returned := sent.Sub(s.totals.at), s.returned(total.VMs)
 	for name, b := range s.buckets {
 		s.refill(name, b, now)
 		n, own := total.Spent[name], float64(reported.Spent[name])
+		follows := known && b.counted
 		switch {
-		case known && b.counted:
-			b.fleetLevel -= float64(n-b.total) - b.assumed
-			b.grow(float64(n-b.total), passed)
+		case follows:
+			amount := float64(n - b.total)
+			credit := b.returnWithheld(returned, amount)
+			b.fleetLevel -= amount - credit - b.assumed
+			b.grow(amount-credit, passed)
 		case s.totals.from == "" || !b.counted:
 			// Only what is admitted from now on counts, as the bucket starts empty.
 			b.fleetLevel = max(min(b.fleetLevel, b.level), 0)
@@ -60,18 +71,65 @@
 			// the level has followed, and what this VM has admitted at least.
 			b.fleetLevel = max(b.fleetLevel-max(own-b.reported-b.assumed, 0), -b.burst)
 		}
+		if level, ok := total.Levels[name]; ok && !follows {
+			b.fleetLevel = min(b.fleetLevel, float64(level))
+		}
 		b.total, b.reported, b.counted, b.assumed = n, own, true, 0
 		s.updateScarce(name, b, now)
 	}
 	s.totals = totals{from: relay, born: total.Born, at: sent, vms: total.VMs}
 }
 
+// Levels returns the levels of the buckets with the given total of the fleet, which is that of
+// this VM as a relay. It returns nil if it does not get totals or is no relay.
+func (s *State) Levels(self string, total tally.Report, now time.Time) map[string]int64 {
+	if !s.knowsTotals(now) || s.totals.from != self || s.totals.born != total.Born {
+		return nil
+	}
+	out := map[string]int64{}
+	for name, b := range s.buckets {
+		if b.counted {
+			s.refill(name, b, now)
+			out[name] = int64(math.Round(b.fleetLevel - float64(total.Spent[name]-b.total) + b.assumed))
+		}
+	}
+	return out
+}
+
 // refillByTotals adds the rate for a time to the level by totals, less what is assumed to
 // be admitted meanwhile.
 func (s *State) refillByTotals(name string, b *bucket, dt float64) {
+	known := s.knownShare()
 	b.assumed += b.growth * dt
-	b.fleetLevel += (b.rate*s.knownShare() - b.growth) * dt
-	b.fleetLevel = min(b.fleetLevel, b.burst*s.knownShare()+s.spent[name]-b.reported)
+	b.fleetLevel += (b.rate*known - b.growth) * dt
+	most := b.burst*known + s.spent[name] - b.reported
+	if known == 1 {
+		b.withheld, b.withheldLevel = 0, 0
+	} else {
+		b.withheld += b.rate * (1 - known) * dt
+		b.withheldLevel = min(b.withheldLevel+max(b.fleetLevel-most, 0), b.burst*(1-known))
+	}
+	b.fleetLevel = min(b.fleetLevel, most)
+}
+
+// returned returns which part of the VMs whose amounts were not in the totals has returned
+// with a total of the given number of VMs.
+func (s *State) returned(vms int) float64 {
+	missing := s.vmCount() - s.totals.vms
+	if s.totals.from == "" || vms <= s.totals.vms || missing <= 0 {
+		return 0
+	}
+	return min(float64(vms-s.totals.vms)/float64(missing), 1)
+}
+
+// returnWithheld returns how much of an amount that the totals have grown by is covered by what
+// was withheld for VMs of which a part has returned. They had their share of the limit while
+// their amounts were not in the totals, which contain them now.
+func (b *bucket) returnWithheld(returned, amount float64) float64 {
+	part := (b.withheld + b.withheldLevel) * returned
+	b.withheld -= b.withheld * returned
+	b.withheldLevel -= b.withheldLevel * returned
+	return max(min(part, amount-b.assumed), 0)
 }
 
 // grow takes note of the growth of the totals within a time.
@@ -105,25 +163,48 @@
 }
 
 // updateScarce notes whether the bucket is nearly empty by the totals. The share of the
-// rate accrues from then on.
+// rate accrues from then on. Totals are so late that all VMs would see the level rise above a
+// threshold, and admit all that they are asked for until they learn of it. So a bucket that was
+// nearly empty counts as such until it is nearly full and the customer was not refused for a while.
 func (s *State) updateScarce(name string, b *bucket, now time.Time) {
-	scarce := s.levelByTotals(name, b) < scarceFraction*b.burst
-	if scarce && !b.scarce {
-		b.lastByShare = now
+	level := s.levelByTotals(name, b)
+	switch {
+	case !b.scarce && level < scarceFraction*b.burst:
+		b.scarce, b.lastByShare, b.accrued, b.lastRefused = true, now, 0, now
+	case b.scarce && level >= plentyFraction*b.burst*s.knownShare() && now.Sub(b.lastRefused) >= recoveryTime:
+		b.scarce = false
 	}
-	b.scarce = scarce
+}
+
+// shareFactor returns the factor of this VM's share of the rate while the bucket counts as nearly
+// empty: 1 where it is, and up to maxShareFactor where it is full.
+func (b *bucket) shareFactor(level float64) float64 {
+	above := (level/b.burst - scarceFraction) / (1 - scarceFraction)
+	return 1 + (maxShareFactor-1)*min(max(above, 0), 1)
+}
+
+// exceedsPart reports whether this VM has admitted, since its last report that is in the totals,
+// more than its part of the bucket and two requests of the given cost. Then it does not know
+// what the others have admitted of the bucket in the same time.
+func (s *State) exceedsPart(name string, b *bucket, cost, level float64) bool {
+	return s.spent[name]-b.reported > allowanceFactor*level/float64(s.vmCount())+2*cost
 }
 
 // admitByTotals decides by the totals: freely while the bucket is not nearly empty, and by
-// this VM's share then, since all VMs would use what is left at once.
+// this VM's share then, since all VMs would use what is left at once. So it does where the VM
+// has admitted much since its last report.
 func (s *State) admitByTotals(name string, b *bucket, cost, need float64, now time.Time) Decision {
 	s.updateScarce(name, b, now)
 	level := s.levelByTotals(name, b)
 	switch {
 	case level < need:
+		// No share accrues meanwhile. It is worth about one request at each VM, and all VMs
+		// would use it at once when the level is above 0 again.
+		b.lastByShare, b.accrued, b.lastRefused = now, 0, now
 		after := time.Duration((need - level) / b.rate * float64(time.Second))
 		return s.refuse(name, cost, min(max(after, minRetryAfter), maxRetryAfter), level)
-	case b.scarce && !s.takeShare(b, cost, now):
+	case (b.scarce || s.exceedsPart(name, b, cost, level)) && !s.takeShare(b, cost, b.shareFactor(level), now):
+		b.lastRefused = now
 		return s.refuse(name, cost, s.shareWait(b, cost), level)
 	}
 	return s.admit(name, b, cost, level)
--- a/internal/fleet/quota/totals_test.go
+++ b/internal/fleet/quota/totals_test.go
@@ -144,3 +144,50 @@
 	v.exchange("another", 0)
 	must.Less(t, before, v.level())
 }
+
+// TestReturnedGroupOwesNothing guards against a customer that is refused for seconds after a cut
+// because what the other side has admitted of its own share counts as a debt, once it is in the
+// totals again.
+func TestReturnedGroupOwesNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		others int64
+		want   float64
+	}{
+		"the other side used its share":      {others: 7000, want: 5000},
+		"the other side used nothing":        {others: 0, want: 5000 + 400},
+		"the other side used more than that": {others: 20_000, want: 5000 - 20_000 + 12_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newTotalsVM(10_000)
+			apart := func() {
+				v.now = v.now.Add(tally.Period)
+				v.UpdateTotals("relay", tally.Report{Born: 1, Spent: map[string]int64{"c": v.total["relay"]}, VMs: 50}, v.Report(), v.now, v.now)
+			}
+			for range 35 {
+				apart()
+			}
+			// A bucket of half the burst has been full for 14 s.
+			must.InDelta(t, 5000, v.level(), 1)
+			v.exchange("relay", c.others)
+			must.InDelta(t, c.want, v.level(), 500)
+		})
+	}
+}
+
+// TestVMAdoptsLevelOfRelay guards against VMs that do not know of a customer's debt because they
+// changed relays while it grew.
+func TestVMAdoptsLevelOfRelay(t *testing.T) {
+	v := newTotalsVM(10_000)
+	v.now = v.now.Add(tally.Period)
+	v.UpdateTotals("another", tally.Report{Born: 2, VMs: 100, Levels: map[string]int64{"c": -25_000}}, v.Report(), v.now, v.now)
+	must.InDelta(t, -25_000, v.level(), 1)
+	must.False(t, v.Admit(v.customer, 10, v.now).Admitted)
+
+	relay := newTotalsVM(10_000)
+	relay.exchange("relay", 4000)
+	before := relay.level()
+	// The relay has counted more since the totals that it applied itself.
+	levels := relay.Levels("relay", tally.Report{Born: 1, Spent: map[string]int64{"c": relay.total["relay"] + 3000}}, relay.now)
+	must.InDelta(t, before-3000, float64(levels["c"]), 1)
+	must.MapEmpty(t, relay.Levels("another", tally.Report{Born: 1}, relay.now))
+}
--- a/internal/fleet/tally/tally.go
+++ b/internal/fleet/tally/tally.go
@@ -30,6 +30,47 @@
 	Spent map[string]int64 `cbor:"2,keyasint"`
 	// VMs is the number of VMs whose amounts are added up, 0 for those of one VM.
 	VMs int `cbor:"3,keyasint,omitempty"`
+	// Counted holds those amounts of a VM that the last response of a relay has shown to be
+	// counted, and CountedBy is the incarnation of that relay if it is the receiver.
+	// StatesCounted reports whether the VM states them; a VM of an earlier build does not.
+	Counted       map[string]int64 `cbor:"4,keyasint,omitempty"`
+	CountedBy     int64            `cbor:"5,keyasint,omitempty"`
+	StatesCounted bool             `cbor:"6,keyasint,omitempty"`
+	// Levels are the levels of the customers' buckets as the relay knows them with this total.
+	// They are returned to a VM whose last response was of another relay.
+	Levels map[string]int64 `cbor:"7,keyasint,omitempty"`
+	// Seq increases with each report of an incarnation, so that one that was held up does not
+	// replace a later one; 0 from a sender of an earlier build.
+	Seq uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// IsKnownTo reports whether the VM that sends the report had its last response from the
+// given incarnation of a relay.
+func (r *Report) IsKnownTo(relayBorn int64) bool { return !r.StatesCounted || r.CountedBy == relayBorn }
+
+// A Sender is what a VM knows of its reports to relays.
+type Sender struct {
+	// counted is the last report to which a relay responded, and relay and born that relay
+	// and its incarnation.
+	counted map[string]int64
+	relay   string
+	born    int64
+	seq     uint64
+}
+
+// Complete adds to a report of this VM to a relay what is counted of it.
+func (s *Sender) Complete(r Report, relay string) Report {
+	s.seq++
+	r.Counted, r.StatesCounted, r.Seq = s.counted, true, s.seq
+	if relay == s.relay {
+		r.CountedBy = s.born
+	}
+	return r
+}
+
+// Acknowledge records that an incarnation of a relay has responded to a report.
+func (s *Sender) Acknowledge(r Report, relay string, born int64) {
+	s.counted, s.relay, s.born = r.Spent, relay, born
 }
 
 // A counted is what was last reported by one sender.
@@ -46,6 +87,8 @@
 	// group and fleet are the amounts admitted since this relay's start, by the VMs that
 	// report to it and by all.
 	group, fleet map[string]int64
+	// seq is that of the last sum for another relay.
+	seq uint64
 }
 
 // NewTally returns the Tally of an incarnation of a relay.
@@ -57,7 +100,7 @@
 }
 
 // Record adds what a VM or another relay has reported. Of a sender that was not known, only
-// what it admits from now on is added.
+// what it admits from now on is added, unless it states what is counted.
 func (t *Tally) Record(from string, r Report, now time.Time) {
 	last := t.members
 	if r.VMs > 0 {
@@ -68,8 +111,18 @@
 		c = &counted{}
 		last[from] = c
 	}
+	if ok && r.Born == c.Born && r.Seq < c.Seq {
+		return
+	}
 	before := c.Spent
 	switch {
+	case ok && r.Born == c.Born && r.StatesCounted && r.CountedBy != t.born:
+		// Another relay has responded meanwhile, and has counted more unless this one did so
+		// too late for its response.
+		before = latest(c.Spent, r.Counted)
+	case ok && r.Born == c.Born && r.StatesCounted:
+	case r.StatesCounted:
+		before = r.Counted
 	case !ok, r.VMs == 0 && now.Sub(c.at) > freshReportTime:
 		// The VM may have reported to another relay meanwhile.
 		before = r.Spent
@@ -85,9 +138,22 @@
 	c.Report, c.at = r, now
 }
 
+// latest returns the larger amount of each customer.
+func latest(a, b map[string]int64) map[string]int64 {
+	out := maps.Clone(a)
+	if out == nil {
+		return b
+	}
+	for name, n := range b {
+		out[name] = max(out[name], n)
+	}
+	return out
+}
+
 // Group returns what the VMs that report to this relay have admitted.
 func (t *Tally) Group(now time.Time) Report {
-	return Report{Born: t.born, Spent: maps.Clone(t.group), VMs: countVMs(t.members, now)}
+	t.seq++
+	return Report{Born: t.born, Spent: maps.Clone(t.group), VMs: countVMs(t.members, now), Seq: t.seq}
 }
 
 // Fleet returns what all VMs have admitted.
--- a/internal/fleet/tally/tally_test.go
+++ b/internal/fleet/tally/tally_test.go
@@ -62,6 +62,51 @@
 	}
 }
 
+// TestNoAmountIsLost guards against amounts that are in no total because the VM's reports were
+// lost for a while or went to another relay meanwhile.
+func TestNoAmountIsLost(t *testing.T) {
+	// sent is a report of a VM to a relay, whose response is lost if the relay is not answered.
+	type sent struct {
+		relay    string
+		spent    int64
+		after    time.Duration
+		answered bool
+	}
+	for _, c := range []struct {
+		name    string
+		reports []sent
+		want    int64
+	}{
+		{"a gap", []sent{{"a", 10, 0, true}, {"a", 100, 5 * Period, true}}, 100},
+		{"another relay", []sent{{"a", 10, 0, true}, {"b", 100, 5 * Period, true}}, 100},
+		{"another relay and back", []sent{{"a", 10, 0, true}, {"b", 70, 5 * Period, true}, {"a", 100, 9 * Period, true}}, 100},
+		{"another relay and back soon", []sent{{"a", 10, 0, true}, {"b", 70, Period, true}, {"a", 100, 2 * Period, true}}, 100},
+		{"a response is lost", []sent{{"a", 10, 0, true}, {"a", 70, Period, false}, {"a", 100, 2 * Period, true}}, 100},
+		{"a response is lost and there is a gap", []sent{{"a", 10, 0, true}, {"a", 70, Period, false}, {"a", 100, 9 * Period, true}}, 100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			relays := map[string]*Tally{"a": NewTally(1), "b": NewTally(2)}
+			var sender Sender
+			for _, s := range c.reports {
+				r, relay := sender.Complete(report(7, s.spent), s.relay), relays[s.relay]
+				relay.Record("vm", r, epoch.Add(s.after))
+				if s.answered {
+					sender.Acknowledge(r, s.relay, relay.born)
+				}
+			}
+			must.Eq(t, c.want, relays["a"].group["c"]+relays["b"].group["c"])
+		})
+	}
+	t.Run("a report that was held up", func(t *testing.T) {
+		a := NewTally(1)
+		var sender Sender
+		early, late := sender.Complete(report(7, 10), "a"), sender.Complete(report(7, 30), "a")
+		a.Record("vm", late, epoch)
+		a.Record("vm", early, epoch.Add(Period))
+		must.Eq(t, 30, a.Fleet(epoch.Add(Period)).Spent["c"])
+	})
+}
+
 // TestSilentVMsAreNotCounted checks the number of VMs whose amounts are in a total.
 func TestSilentVMsAreNotCounted(t *testing.T) {
 	a := NewTally(1)
--- a/internal/fleet/tally/teller.go
+++ b/internal/fleet/tally/teller.go
@@ -38,6 +38,9 @@
 	Relays func() roster.Relays
 	// Needed reports whether the fleet is so large that totals are needed.
 	Needed func() bool
+	// Levels returns the levels of the customers' buckets with the given total of the fleet,
+	// which is that of this VM as a relay. It may be nil.
+	Levels func(total Report) map[string]int64
 	// Report returns what this VM has admitted, and OnTotal is called with the total of the
 	// fleet that a relay returned for a report that was sent at the given time.
 	Report  func() Report
@@ -48,8 +51,9 @@
 type Teller struct {
 	opts TellerOptions
 
-	mu    sync.Mutex
-	tally *Tally
+	mu     sync.Mutex
+	tally  *Tally
+	sender Sender
 	// failures holds the relays that did not respond to the last call.
 	failures map[string]failure
 }
@@ -68,17 +72,27 @@
 // Register registers the handler of CallTotals.
 func (t *Teller) Register(r peer.Registrar) {
 	peer.Handle(r, CallTotals, func(_ context.Context, from string, in Report) (Report, error) {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		now := t.opts.Clock.Now()
-		t.tally.Record(from, in, now)
-		if in.VMs > 0 {
-			return t.tally.Group(now), nil
+		total := t.record(from, in)
+		if in.VMs == 0 && !in.IsKnownTo(t.opts.Born) && t.opts.Levels != nil {
+			total.Levels = t.opts.Levels(total)
 		}
-		return t.tally.Fleet(now), nil
+		return total, nil
 	})
 }
 
+// record records a report of a VM or of another relay, and returns the total of the fleet or
+// the sum of those that report to this one.
+func (t *Teller) record(from string, in Report) Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Clock.Now()
+	t.tally.Record(from, in, now)
+	if in.VMs > 0 {
+		return t.tally.Group(now)
+	}
+	return t.tally.Fleet(now)
+}
+
 // Run reports what this VM admits until ctx ends, while the fleet needs it.
 func (t *Teller) Run(ctx context.Context) error {
 	for store.Sleep(ctx, Period*3/4+rand.N(Period/2)) {
@@ -94,11 +108,20 @@
 	return nil
 }
 
-// own returns what this VM has admitted.
-func (t *Teller) own() Report {
+// own returns what this VM has admitted, for a relay.
+func (t *Teller) own(relay string) Report {
 	r := t.opts.Report()
 	r.Born = t.opts.Born
-	return r
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sender.Complete(r, relay)
+}
+
+// acknowledge records that a relay has counted a report of this VM.
+func (t *Teller) acknowledge(r Report, relay string, born int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sender.Acknowledge(r, relay, born)
 }
 
 // choose returns the first relay that is usable.
@@ -121,15 +144,17 @@
 
 // report reports to a relay and applies the totals that it returns.
 func (t *Teller) report(ctx context.Context, to peer.Destination) {
-	sent, own := t.opts.Clock.Now(), t.own()
+	sent, own := t.opts.Clock.Now(), t.own(to.VM)
 	if total, ok := t.call(ctx, to, own); ok {
+		t.acknowledge(own, to.VM, total.Born)
 		t.opts.OnTotal(to.VM, total, own, sent)
 	}
 }
 
 // tellRelays exchanges sums with the other relays and applies the totals known here.
 func (t *Teller) tellRelays(ctx context.Context, others []peer.Destination) {
-	now, own := t.opts.Clock.Now(), t.own()
+	now, own := t.opts.Clock.Now(), t.own(t.opts.VM)
+	t.acknowledge(own, t.opts.VM, t.opts.Born)
 	t.mu.Lock()
 	t.tally.Record(t.opts.VM, own, now)
 	group := t.tally.Group(now)
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -256,6 +256,7 @@
 	n.teller = tally.NewTeller(tally.TellerOptions{
 		VM: s.VM, Born: born, Peers: n.client, Clock: n.clock, Log: n.log,
 		Relays: n.roster.Relays, Needed: n.quota.UsesTotals, Report: n.quota.Report, OnTotal: n.quota.UpdateTotals,
+		Levels: func(total tally.Report) map[string]int64 { return n.quota.Levels(s.VM, total) },
 	})
 	n.teller.Register(registrar)
 	n.shares = shares.NewTask(shares.Options{
