Hedge slow responses within a limit for the fleet

Cause: A request whose engine is slow, but not silent, waits for it however many engines are idle: placing learns the slowness of one engine from some ten samples of a VM, which take a minute or more.

Change: gateway.hedge sends a request that may be repeated to a second target from a quantile of the usual time to the first event on. The decision is a pure step (internal/gateway/hedge), the mechanism is the standby of relay: a hedge is a trial, the first whole event or whole plain response decides, the loser's connection is closed at once. The limit needs no messages: each VM hedges a share of what it has sent itself. Retries keep what they have (retry.SpendSpare). Hedging stops while all targets are slow, targets reject requests, or hedges lose. A second target holds the prefix and is not slow itself. Counters are at /metrics and /dump, settings are reloaded. A cancelled hedge whose target had sent a header counts as inconclusive, not as a failure of it.

Off by default.

--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/hedge"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/inbound"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
@@ -103,6 +104,7 @@
 	// noticeLog selects the pauses and limits that are logged.
 	noticeLog logline.Sampler
 	budget    *retry.Budget
+	hedger    *hedge.Hedger
 	index     *caches.Index
 	feeds     *caches.Reader
 	prober    *prober
@@ -156,6 +158,7 @@
 	n.buildRelay()
 	metrics.Set(s.VM, n.metrics.Vars())
 	metrics.Set(s.VM+".connections", expvar.Func(n.connections))
+	metrics.Set(s.VM+".hedges", expvar.Func(func() any { return n.hedger.Report(time.Now()) }))
 	return n
 }
 
@@ -312,7 +315,7 @@
 	n.storeAnswers.SetLimit(answers)
 }
 
-// Reload applies changed settings: seeds, memory and bounds. Ports and the VM's
+// Reload applies changed settings: seeds, memory, bounds and hedges. Ports and the VM's
 // location remain as they were at the start.
 func (n *Node) Reload(s settings.Settings) {
 	before := n.settings
@@ -329,6 +332,7 @@
 	n.limitMemory()
 	n.placer.SetMaxWeightsAge(s.Gateway.Bounds.Weights)
 	n.budget.SetLimits(limitsOf(s.Gateway.Bounds.Retries))
+	n.hedger.SetRules(hedgeRules(s.Gateway.Hedge))
 	n.loaded.load(s.Gateway, later)
 	_ = n.log.Log("msg", "settings reloaded", "version", n.loaded.read().Version, "seeds", len(s.Gateway.Seeds), "changed", strings.Join(changed, "; "),
 		"afterrestart", strings.Join(later, " "))
@@ -338,6 +342,10 @@
 	return retry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window}
 }
 
+func hedgeRules(s settings.Hedge) hedge.Rules {
+	return hedge.Rules{Routes: s.Routes, Requests: s.Requests, Tokens: s.Tokens, Quantile: s.Quantile}
+}
+
 // quietMargin is added to the minimum time between the orders of two VMs, for
 // calls that are still in transit.
 const quietMargin = 500 * time.Millisecond
@@ -345,6 +353,7 @@
 // buildRelay builds the handler that serves callers.
 func (n *Node) buildRelay() {
 	n.budget = retry.NewBudget(limitsOf(n.bounds().Retries))
+	n.hedger = hedge.NewHedger(hedgeRules(n.gateway.Load().Hedge))
 	n.relay = relay.NewHandler(relay.Options{
 		View:       n.source.View,
 		Quota:      n.quota,
@@ -353,6 +362,7 @@
 		Placer:     n.placer,
 		Pool:       n.pool,
 		Budget:     n.budget,
+		Hedger:     n.hedger,
 		Log:        n.log,
 		VMs:        n.countVMs,
 		Fresh:      n.fresh,
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -45,6 +45,8 @@
 	version int
 	// retries are the limits of the retry budget of VMs that are started.
 	retries settings.Retries
+	// hedge are the settings of hedges of VMs that are started.
+	hedge settings.Hedge
 	// callers replaces the callers' port of VMs that are started, unless it is nil.
 	callers func(net.Listener) net.Listener
 }
@@ -140,6 +142,7 @@
 			Grace: 3 * time.Second, TTL: time.Second, Quiet: time.Second, Weights: 10 * time.Second, Revoke: time.Second,
 			Retries: b.retries,
 		},
+		Hedge: b.hedge,
 	}}
 	s.Callers.Address, s.Operators.Address, s.Peers.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Platform.Address = b.address
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -15,6 +15,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/hedge"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
@@ -174,7 +175,8 @@
 		Spent    map[string]float64
 		Duty     roster.LeaseStatus
 		Suspects []quarantine.Report
-	}{n.lifecycle.State(), n.roster.Members(), n.source.Positions(), v.Targets, n.source.Announcements(time.Now()), n.quota.Spent(), n.orders.LeaseStatus(), n.quarantine.Reports(time.Now())}
+		Hedges   hedge.Report
+	}{n.lifecycle.State(), n.roster.Members(), n.source.Positions(), v.Targets, n.source.Announcements(time.Now()), n.quota.Spent(), n.orders.LeaseStatus(), n.quarantine.Reports(time.Now()), n.hedger.Report(time.Now())}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(dump); err != nil {
 		_ = n.log.Log("msg", "state dump not written", "err", err)
--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -53,7 +53,7 @@
 func (p *Placer) candidates(v *source.View, r Request, now time.Time) []candidate {
 	out := make([]candidate, 0, 16)
 	for _, t := range v.Targets {
-		if t.Service != r.Service || t.Leaving || contains(r.Tried, t.ID) {
+		if t.Service != r.Service || t.Leaving || !r.Hedge && contains(r.Tried, t.ID) {
 			continue
 		}
 		if target := t.Incarnation(); p.leaving(target) || p.wait(target, now) > 0 {
--- a/internal/gateway/placing/holders.go
+++ b/internal/gateway/placing/holders.go
@@ -272,6 +272,9 @@
 	from, segments := "", c.heldSegments
 	for i := range all {
 		o := &all[i]
+		if r.Hedge && contains(r.Tried, o.target.ID) {
+			continue
+		}
 		if o != c && o.version == c.version && o.heldSegments > segments && !now.Before(o.state.avoidUntil) && !p.busy[o.target.ID] {
 			from, segments = o.target.Address, o.heldSegments
 		}
--- a/internal/gateway/placing/largefleet.go
+++ b/internal/gateway/placing/largefleet.go
@@ -92,6 +92,9 @@
 	candidates = p.eligible(all, now)
 	home = nthReplica(candidates, 1, 0)
 	replica = home
+	if r.Hedge {
+		return candidates, home, replica
+	}
 	if replicas := p.replicasFor(r, now); replicas > 1 {
 		p.turn++
 		r.hot = true
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -125,6 +125,9 @@
 	TimeLeft time.Duration
 	// Tried are the targets that have already failed this request.
 	Tried []string
+	// Hedge asks for a second target of a request whose first target, in Tried, is
+	// slow: one that holds the shared segments and is not slow itself.
+	Hedge bool
 	// hot reports whether the prefix has several replicas, which take turns.
 	hot bool
 }
@@ -278,6 +281,11 @@
 		p.planFetch(c, &r, keys, candidates, now)
 		c.score(p, r, average, now)
 	}
+	if r.Hedge {
+		if candidates = p.secondTargets(candidates, &r, average, now); len(candidates) == 0 {
+			return Choice{}, false
+		}
+	}
 	chosen, late := p.pick(candidates, r, average, now)
 	return Choice{
 		Target:        chosen.target,
@@ -290,7 +298,7 @@
 		goal:          r.Goal,
 		Expected:      time.Duration(chosen.cost * float64(time.Millisecond)),
 		Source:        chosen.source,
-		StoreKV:       toStore && p.shouldStore(&r, keys, chosen.version, now),
+		StoreKV:       toStore && !r.Hedge && p.shouldStore(&r, keys, chosen.version, now),
 	}, true
 }
 
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/hedge"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/platform"
@@ -49,6 +50,10 @@
 	// and another one had begun to answer.
 	replaced atomic.Bool
 	standby  *standby
+	// watched is the attempt as the hedger knows it; nil if the request may not be hedged.
+	watched *hedge.Attempt
+	// hedged reports whether the attempt was made because another target was slow.
+	hedged bool
 }
 
 // newExchange returns an attempt at the chosen target that is not sent yet.
@@ -150,6 +155,7 @@
 	if x.response.started.Load() {
 		return lost{reason: "no stream but " + r.Response.Status}, end
 	}
+	x.standby.deliver()
 	x.response.writePlain(r.Response, body.Data)
 	x.handler.finish(j, r.Response.StatusCode, outcomeAnswered)
 	return delivered{}, end
@@ -177,6 +183,7 @@
 	if j.timeToFirst == 0 {
 		j.timeToFirst = time.Since(j.start)
 	}
+	x.recordFirst()
 	x.handler.opts.Placer.FirstToken(x.choice, time.Since(x.sentAt), time.Now())
 	x.recordAlive()
 	x.handler.opts.Quarantine.RecordAnswer(j.shared(), time.Now())
@@ -222,14 +229,14 @@
 			r.Exchange.Abort()
 			reason := "the stream broke off: " + err.Error()
 			if x.replaced.Load() {
-				reason = "the stream fell silent"
+				reason = x.standby.reason()
 			}
 			return lost{reason: reason}, placing.Failed
 		}
 		if x.standby.hold() {
 			x.broken = true
 			r.Exchange.Abort()
-			return lost{reason: "the stream fell silent"}, placing.Failed
+			return lost{reason: x.standby.reason()}, placing.Failed
 		}
 		x.handler.opts.Placer.RecordActivity(x.choice, time.Now())
 		x.markFirst()
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -19,6 +19,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/hedge"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
 	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
@@ -55,7 +56,9 @@
 	Placer     *placing.Placer
 	Pool       *conn.Pool
 	Budget     *retry.Budget
-	Log        log.Logger
+	// Hedger decides about second targets for slow responses; nil if there are none.
+	Hedger *hedge.Hedger
+	Log    log.Logger
 	// VMs returns the number of VMs that share the retry budget.
 	VMs func() int
 	// Fresh reports whether requests with a key may be served. A VM that has no
@@ -89,11 +92,13 @@
 	// successLog selects the successful requests that are logged.
 	successLog logline.Sampler
 	faulty     faultyTargets
+	// hedgeLog selects the log lines about hedges.
+	hedgeLog logline.Sampler
 }
 
 // NewHandler returns a Handler.
 func NewHandler(o Options) *Handler {
-	return &Handler{opts: o, successLog: logline.Sampler{PerSecond: loggedSuccesses}}
+	return &Handler{opts: o, successLog: logline.Sampler{PerSecond: loggedSuccesses}, hedgeLog: logline.Sampler{PerSecond: loggedHedges}}
 }
 
 // A job is the state of one caller's request.
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -193,6 +193,9 @@
 	j := x.response.job
 	j.sends++
 	j.recordChoice(x.choice)
+	if x.result == nil {
+		x.watch(j.sends == 1)
+	}
 	x.standby = newStandby(x)
 	if x.result == nil {
 		x.send()
@@ -200,6 +203,7 @@
 	o, end := x.complete()
 	o = settle(x.requestCtx, o, &end)
 	h.opts.Placer.End(x.choice, end, x.gotFirst, time.Now())
+	h.opts.Hedger.Ended(x.watched, end == placing.Rejected, time.Now())
 	unanswered := isUnanswered(o)
 	next := x.standby.end(unanswered)
 	if next != nil && !unanswered {
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -18,6 +18,9 @@
 // silent. The attempt ends only once the other target has sent something that is passed on: a
 // sound target may pause, and an answer that was given up cannot be recovered if no other
 // target accepts the request.
+//
+// A hedge is a trial that starts because the first event is slow (hedge.go). The answer that
+// is passed on is then the one whose first event, or whole plain response, comes first.
 type standby struct {
 	first *exchange // the attempt whose target may be silent
 	// timeout is how long the target may be silent before another one is tried.
@@ -32,6 +35,13 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	timer *time.Timer
+	// hedgeTimer starts the hedge; nil if there is none to start. hedge is the one that was
+	// started, and settled reports whether its result was recorded.
+	hedgeTimer *time.Timer
+	hedge      *exchange
+	settled    bool
+	// begun reports whether something of the target's answer was passed on.
+	begun bool
 	// over reports whether the attempt has ended.
 	over bool
 	// noticed reports whether the silence was recorded.
@@ -65,18 +75,30 @@
 	defer s.mu.Unlock()
 	s.heard = time.Now()
 	s.timer = time.AfterFunc(s.timeout, s.expire)
+	s.planHedge()
 	return s
 }
 
-// progress records that the target has sent something, which ends all trials.
+// progress records that the target has sent the header of its response, which ends all
+// trials but the hedge.
 func (s *standby) progress() {
-	s.hold()
-	s.release()
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil {
+		return
+	}
+	s.cancelTrials(func(trial *exchange) bool { return !trial.hedged })
+	s.heard = time.Now()
+	s.timer.Reset(s.timeout)
 }
 
-// hold is progress, but the target does not count as silent until release is called:
-// nothing is read from it while the caller does not accept an event. It reports whether
-// the target has been replaced already, so that nothing more of it may be passed on.
+// hold records that the target has sent an event, which ends all trials. The target does not
+// count as silent until release is called: nothing is read from it while the caller does not
+// accept an event. It reports whether the target has been replaced already, so that nothing
+// more of it may be passed on.
 func (s *standby) hold() (replaced bool) {
 	if s == nil {
 		return false
@@ -86,8 +108,9 @@
 	if s.next != nil {
 		return true
 	}
-	s.cancelTrials()
-	s.held = true
+	s.cancelTrials(anyTrial)
+	s.settle(false)
+	s.held, s.begun = true, true
 	return false
 }
 
@@ -116,11 +139,12 @@
 	s.mu.Lock()
 	s.over = true
 	if !unanswered {
-		s.cancelTrials()
+		s.cancelTrials(anyTrial)
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
 	s.timer.Stop()
+	s.endHedge(unanswered)
 	j := s.first.response.job
 	for _, o := range s.failed {
 		j.sends++
@@ -130,14 +154,19 @@
 	return s.next
 }
 
-// cancelTrials cancels all trials. The caller must hold mu.
-func (s *standby) cancelTrials() {
-	for _, trial := range s.trials {
+// cancelTrials cancels the selected trials. The caller must hold mu.
+func (s *standby) cancelTrials(selected func(*exchange) bool) {
+	s.trials = slices.DeleteFunc(s.trials, func(trial *exchange) bool {
+		if !selected(trial) {
+			return false
+		}
 		trial.cancel()
-	}
-	s.trials = nil
+		return true
+	})
 }
 
+func anyTrial(*exchange) bool { return true }
+
 // expire tries another target, unless the silent one has recently responded to other
 // requests. The latest trial may be silent as well.
 func (s *standby) expire() {
@@ -172,10 +201,15 @@
 		s.timer.Reset(standbyRetry)
 		return
 	}
-	trial := h.newExchange(s.first.requestCtx, s.first.response, choice, p)
-	s.trials = append(s.trials, trial)
-	s.request.Tried = append(s.request.Tried, choice.Target.ID)
+	s.try(h.newExchange(s.first.requestCtx, s.first.response, choice, p))
 	s.timer.Reset(s.timeout)
+}
+
+// try starts a trial. The caller must hold mu.
+func (s *standby) try(trial *exchange) {
+	s.trials = append(s.trials, trial)
+	s.request.Tried = append(s.request.Tried, trial.choice.Target.ID)
+	trial.watch(false)
 	s.wg.Go(func() {
 		trial.send()
 		s.finish(trial)
@@ -185,6 +219,22 @@
 // choose returns the target to try with the prompt as it is sent there, or what prevents a
 // trial.
 func (s *standby) choose(now time.Time) (choice placing.Choice, p prompt, obstacle string) {
+	h, j := s.first.handler, s.first.response.job
+	if obstacle := s.obstacle(); obstacle != "" {
+		return choice, p, obstacle
+	}
+	choice, p, ok := s.place(s.request, now)
+	if !ok || choice.Unresponsive() {
+		return choice, p, "no other target"
+	}
+	if !h.opts.Budget.Spend(j.service, h.opts.VMs(), now) {
+		return choice, p, "the retry budget is spent"
+	}
+	return choice, p, ""
+}
+
+// obstacle returns what prevents any trial.
+func (s *standby) obstacle() string {
 	h, j := s.first.handler, s.first.response.job
 	runs := len(s.trials)
 	for _, o := range s.failed {
@@ -193,34 +243,35 @@
 		}
 	}
 	if runs >= s.maxRuns || s.sends+len(s.failed)+len(s.trials) >= maxSends {
-		return choice, p, "no further attempt is permitted"
+		return "no further attempt is permitted"
 	}
 	if time.Until(j.deadline) < minTimeLeft {
-		return choice, p, "the deadline"
+		return "the deadline"
 	}
 	if disconnect.HasLeft(j.request.Context()) {
-		return choice, p, "the caller has left"
+		return "the caller has left"
 	}
 	if !s.first.response.mayContinue() {
-		return choice, p, "the stream cannot be resumed"
+		return "the stream cannot be resumed"
 	}
 	if _, _, quarantined := h.quarantined(j); quarantined {
-		return choice, p, "the request or a segment of its prompt is quarantined"
+		return "the request or a segment of its prompt is quarantined"
 	}
-	s.request.TimeLeft = time.Until(j.deadline)
+	return ""
+}
+
+// place returns the target of a trial with the prompt as it is sent there, by the
+// configuration that is in force now.
+func (s *standby) place(r placing.Request, now time.Time) (placing.Choice, prompt, bool) {
+	h, j := s.first.handler, s.first.response.job
+	r.TimeLeft = time.Until(j.deadline)
 	view := h.opts.View()
-	p = j.promptUnder(view.Config)
+	p := j.promptUnder(view.Config)
 	if j.engine {
-		s.request.Prefixes, s.request.Salt = p.prefixes, p.salt
+		r.Prefixes, r.Salt = p.prefixes, p.salt
 	}
-	choice, ok := h.opts.Placer.Choose(view, s.request, now)
-	if !ok || choice.Unresponsive() {
-		return choice, p, "no other target"
-	}
-	if !h.opts.Budget.Spend(j.service, h.opts.VMs(), now) {
-		return choice, p, "the retry budget is spent"
-	}
-	return choice, p, ""
+	choice, ok := h.opts.Placer.Choose(view, r, now)
+	return choice, p, ok
 }
 
 // finish records the result of a trial: it replaces the silent target if it has begun
@@ -228,14 +279,21 @@
 func (s *standby) finish(trial *exchange) {
 	id, from, to := s.first.response.job.info.ID, s.first.choice.Target.ID, trial.choice.Target.ID
 	if trial.begins() && s.replace(trial) {
-		s.first.handler.log("msg", "silent target replaced", "id", id, "target", from, "by", to)
+		if !trial.hedged {
+			s.first.handler.log("msg", "silent target replaced", "id", id, "target", from, "by", to)
+		}
 		return
 	}
 	// Reading a rejection may block, so mu is not held.
 	o := trial.discard()
-	s.first.handler.log("msg", "silent target not replaced", "id", id, "target", from, "by", to, "outcome", reasonOf(o))
+	if !trial.hedged {
+		s.first.handler.log("msg", "silent target not replaced", "id", id, "target", from, "by", to, "outcome", reasonOf(o))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if trial.hedged {
+		s.settle(false)
+	}
 	s.failed = append(s.failed, o)
 	s.failedAt = append(s.failedAt, to)
 	if i := slices.Index(s.trials, trial); i >= 0 {
@@ -254,8 +312,11 @@
 		return false
 	}
 	s.trials = slices.Delete(s.trials, i, i+1)
-	s.cancelTrials()
+	s.cancelTrials(anyTrial)
 	s.next = trial
+	if trial.hedged {
+		s.recordOvertaken(trial)
+	}
 	s.first.replaced.Store(true)
 	s.first.cancel()
 	return true
@@ -276,6 +337,7 @@
 	x.ahead.release()
 	o, end := x.unanswered()
 	x.handler.opts.Placer.End(x.choice, end, false, time.Now())
+	x.handler.opts.Hedger.Ended(x.watched, end == placing.Rejected, time.Now())
 	x.cancel()
 	return o
 }
@@ -301,7 +363,7 @@
 			return x.handleNotRun(r)
 		}
 		end := placing.Failed
-		if x.answers() {
+		if x.answers() || x.hedged && x.ctx.Err() != nil {
 			end = placing.Inconclusive
 		}
 		r.Exchange.Abort()
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -38,6 +38,8 @@
 	earned    float64
 	allowance float64
 	updatedAt time.Time
+	// recent is what was sent lately, for SpendSpare.
+	recent window
 }
 
 // NewBudget returns a Budget. Its allowance starts empty because the VM may have
@@ -59,6 +61,7 @@
 	defer b.mu.Unlock()
 	a := b.account(service, now)
 	a.earned += b.limits.Ratio * earnFraction
+	a.recent.at(b.limits.Window, now).requests++
 }
 
 // Spend reports whether one more retry to a service is permitted, and charges it.
@@ -81,6 +84,7 @@
 	default:
 		return false
 	}
+	a.recent.at(b.limits.Window, now).retries++
 	return true
 }
 
--- a/internal/settings/change_test.go
+++ b/internal/settings/change_test.go
@@ -24,6 +24,18 @@
 	must.Eq(t, []string{"callers.address:  -> 10.0.0.1:80"}, other)
 }
 
+// TestHedgeIsReloaded guards against limits of hedges that an operator changes and that stay as
+// they were until the VM restarts.
+func TestHedgeIsReloaded(t *testing.T) {
+	from := Settings{Gateway: &Gateway{}}
+	to := Settings{Gateway: &Gateway{Hedge: Hedge{Routes: []string{"chat"}, Requests: 0.02, Tokens: 0.01, Quantile: 0.99}}}
+	changes := Changes(from, to)
+	must.Len(t, 4, changes)
+	for _, c := range changes {
+		must.True(t, c.Reloaded(), must.Sprint(c))
+	}
+}
+
 // TestVersion checks that VMs show the same version if they run with the same settings at
 // addresses of their own.
 func TestVersion(t *testing.T) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -81,6 +81,9 @@
 		"gateway.hedge.tokens":           "hedge: {requests: 0.1, tokens: 2}",
 		"gateway.hedge.quantile":         "hedge: {requests: 0.1, tokens: 0.1, quantile: 0.2}",
 		"gateway.hedge":                  "hedge: {requests: 0.1}",
+		"gateway.hedge.routes":           `hedge: {requests: 0.1, tokens: 0.1, routes: [chat, " "]}`,
+		"gateway.hedge.routes[chat]":     "hedge: {requests: 0.1, tokens: 0.1, routes: [{name: chat}]}",
+		"gateway.hedge.routes[1]":        "hedge: {requests: 0.1, tokens: 0.1, routes: [chat, 7]}",
 		"admission":                      "admission: [1]",
 	} {
 		t.Run(field, func(t *testing.T) { mustReject(t, gateway+"  "+line+"\n", field) })
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/baobabdyke/baobabdyke/config"
 )
@@ -58,6 +60,7 @@
 		within("gateway.bounds.canary.share", g.Bounds.Canary.Share, 0, 1),
 		{g.Bounds.Canary.Slack >= 0, "gateway.bounds.canary.slack", "is negative", "a number of requests"},
 		positive("gateway.bounds.canary.rollback", int64(g.Bounds.Canary.Rollback)),
+		{!slices.ContainsFunc(g.Hedge.Routes, isBlank), "gateway.hedge.routes", "has a name without text", "names of routes"},
 		within("gateway.hedge.requests", g.Hedge.Requests, 0, 1),
 		within("gateway.hedge.tokens", g.Hedge.Tokens, 0, 1),
 		{(g.Hedge.Requests == 0) == (g.Hedge.Tokens == 0), "gateway.hedge", "has a limit of requests without one of tokens, or the other way round", "both or neither"},
@@ -90,6 +93,9 @@
 	}
 }
 
+// isBlank reports whether a text is empty but for white space.
+func isBlank(text string) bool { return strings.TrimSpace(text) == "" }
+
 func required(field, value string) check {
 	return check{value != "", field, "is missing", "a text that is not empty"}
 }
