Move the traffic of a service to another version of its targets by an order

Cause: operators ask for a service's traffic to move between versions of its targets; bad versions must get little of it. Change: add fleet/canary (gate, sequential tests, plan, task), read kind rollouts, and hook it into placing, relay and node where the feature is on.

--- a/internal/fake/sitestore.go
+++ b/internal/fake/sitestore.go
@@ -48,7 +48,9 @@
 type siteObject struct {
 	Meta siteMeta        `json:"metadata"`
 	Spec json.RawMessage `json:"spec"`
-	kind string
+	// Status is what the system has written about the object, if anything.
+	Status json.RawMessage `json:"status,omitempty"`
+	kind   string
 	// item is sent in place of the object, if it is set.
 	item []byte
 }
@@ -62,7 +64,11 @@
 	if err != nil {
 		panic(err)
 	}
-	return fmt.Appendf(nil, `{"metadata":%s,"spec":%s}`, meta, cmp.Or(string(o.Spec), "null"))
+	status := ""
+	if len(o.Status) > 0 {
+		status = `,"status":` + string(o.Status)
+	}
+	return fmt.Appendf(nil, `{"metadata":%s,"spec":%s%s}`, meta, cmp.Or(string(o.Spec), "null"), status)
 }
 
 type siteChange struct {
@@ -78,7 +84,7 @@
 
 // rewrittenKinds are the kinds whose objects the operator and the targets write
 // again after a restore.
-var rewrittenKinds = []string{"config", "servers", "versions"}
+var rewrittenKinds = []string{"config", "servers", "versions", "rollouts"}
 
 // A SiteStoreCopy is the content of a SiteStore at one revision.
 type SiteStoreCopy struct {
@@ -202,6 +208,16 @@
 	s.pageSize = n
 }
 
+// Status returns the status of an object, or nil.
+func (s *SiteStore) Status(kind, name string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.objects[kind+"/"+name]; o != nil {
+		return o.Status
+	}
+	return nil
+}
+
 // Remove removes an object, if it exists.
 func (s *SiteStore) Remove(kind, name string) {
 	s.mu.Lock()
@@ -224,8 +240,12 @@
 }
 
 func (s *SiteStore) put(kind, name string, spec []byte) *siteObject {
+	return s.putWithStatus(kind, name, spec, nil)
+}
+
+func (s *SiteStore) putWithStatus(kind, name string, spec, status []byte) *siteObject {
 	s.revision++
-	o := &siteObject{Meta: siteMeta{Name: name, Revision: s.revision}, Spec: spec, kind: kind}
+	o := &siteObject{Meta: siteMeta{Name: name, Revision: s.revision}, Spec: spec, Status: status, kind: kind}
 	s.objects[kind+"/"+name] = o
 	s.history = append(s.history, siteChange{object: *o, revision: s.revision})
 	s.notifyWatches()
@@ -377,7 +397,7 @@
 		expect, _ = strconv.ParseInt(q, 10, 64)
 	}
 	s.mu.Lock()
-	status, o := s.apply(r.Method, kind, name, expect, in.Spec)
+	status, o := s.apply(r.Method, kind, name, expect, in.Spec, in.Status)
 	s.setEra(w)
 	s.mu.Unlock()
 	if dropResponse {
@@ -391,13 +411,13 @@
 }
 
 // apply executes a write. The caller holds mu.
-func (s *SiteStore) apply(method, kind, name string, expect int64, spec []byte) (int, *siteObject) {
+func (s *SiteStore) apply(method, kind, name string, expect int64, spec, objectStatus []byte) (int, *siteObject) {
 	current, ok := s.objects[kind+"/"+name]
 	switch {
 	case method == http.MethodPost && ok:
 		return http.StatusConflict, current
 	case method == http.MethodPost:
-		return http.StatusCreated, s.put(kind, name, spec)
+		return http.StatusCreated, s.putWithStatus(kind, name, spec, objectStatus)
 	case !ok:
 		return http.StatusNotFound, nil
 	case expect != 0 && current.Meta.Revision != expect:
@@ -406,7 +426,7 @@
 		s.remove(kind, name)
 		return http.StatusOK, current
 	}
-	return http.StatusOK, s.put(kind, name, spec)
+	return http.StatusOK, s.putWithStatus(kind, name, spec, objectStatus)
 }
 
 func reply(w http.ResponseWriter, status int, body []byte) {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/canary"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/throttle"
@@ -129,6 +130,8 @@
 	// NoShare reports whether it may not use its share while others are silent.
 	Sharers int  `cbor:"21,keyasint,omitempty"`
 	NoShare bool `cbor:"22,keyasint,omitempty"`
+	// Canary is what the VM knows of orders that move traffic.
+	Canary *canary.Update `cbor:"23,keyasint,omitempty" json:",omitempty"`
 }
 
 // isNewer reports whether e is a later update of the same VM than o.
--- a/internal/fleet/roster/task.go
+++ b/internal/fleet/roster/task.go
@@ -186,6 +186,14 @@
 	return t.roundInterval()
 }
 
+// UpdateDelay returns how long an update of this VM takes at most to reach the others, unless
+// messages are lost: as long as VMs count as alive without one.
+func (t *Task) UpdateDelay() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.aliveTimeout()
+}
+
 // minRoundInterval returns the shortest time between two rounds.
 func (t *Task) minRoundInterval() time.Duration {
 	return min(time.Duration(float64(baseRoundInterval)*intervalFactor(t.Count())), maxRoundInterval)
--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -140,6 +140,8 @@
 	Weights map[string]int64
 	// Born is the start time of the target in Unix milliseconds; 0 if unknown.
 	Born int64
+	// Version is the version of the target's software; empty if unknown.
+	Version string
 }
 
 // An Incarnation identifies one run of a target's process.
@@ -170,6 +172,45 @@
 	PerSecond float64
 }
 
+// An OrderState is the state of an Order.
+type OrderState uint8
+
+// States of an Order. The last two are terminal.
+const (
+	// OrderNew means that the order has no status.
+	OrderNew OrderState = iota
+	OrderRunning
+	OrderCompleted
+	OrderRolledBack
+)
+
+// IsTerminal reports whether the state never changes.
+func (s OrderState) IsTerminal() bool { return s == OrderCompleted || s == OrderRolledBack }
+
+// An OrderStatus is the status of an Order as written to the store. Reason is why an order
+// cannot be carried out.
+type OrderStatus struct {
+	State  OrderState
+	To     string
+	Reason string
+}
+
+// An Order asks that the traffic of a service move to the targets of another version
+// within a time.
+type Order struct {
+	Service  string
+	To       string
+	Duration time.Duration
+	// Invalid is why the order cannot be carried out; empty if it can.
+	Invalid string
+	Status  OrderStatus
+	// Version is the version of the order's object.
+	Version int64
+}
+
+// IsDone reports whether the status says that the order has ended.
+func (o *Order) IsDone() bool { return o.Status.State.IsTerminal() && o.Status.To == o.To }
+
 // BuildIndex builds the look-up tables of the configuration. It must be called once
 // before the configuration is shared.
 func (c *Config) BuildIndex() {
--- a/internal/fleet/source/confirm.go
+++ b/internal/fleet/source/confirm.go
@@ -145,6 +145,10 @@
 	own := s.positions()
 	for kind, t := range s.tables {
 		theirs := resp.Positions[kind]
+		if kind == Orders && theirs.At == 0 {
+			// A VM of an earlier build, or without this part, reads no orders.
+			continue
+		}
 		if t.at < theirs.At && t.hash != theirs.Hash || own[kind].Newest < theirs.Newest {
 			continue
 		}
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -24,6 +24,7 @@
 	Config = iota
 	Targets
 	WeightVersions
+	Orders
 	kinds
 )
 
@@ -41,11 +42,12 @@
 
 // A Decoder decodes the objects in the store.
 type Decoder struct {
-	// Kinds are the names of the kinds in the store.
+	// Kinds are the names of the kinds in the store. A kind without a name is not read.
 	Kinds   [kinds]string
 	Config  func(spec []byte) (*site.Config, error)
 	Target  func(id string, spec []byte) (*site.Target, error)
 	Weights func(spec []byte) (model string, version int64, err error)
+	Order   func(name string, value []byte) *site.Order
 }
 
 // Bounds are the times, by kind, within which a change must be in force on all VMs;
@@ -78,6 +80,8 @@
 	Config  *site.Config
 	Targets map[string]*site.Target
 	Weights Weights
+	// Orders holds the orders that move traffic, by service.
+	Orders map[string]*site.Order
 }
 
 // A Source keeps a View up to date. It is safe for concurrent use.
@@ -151,7 +155,9 @@
 func (s *Source) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	for kind := range kinds {
-		wg.Go(func() { s.poll(ctx, kind) })
+		if s.reads(kind) {
+			wg.Go(func() { s.poll(ctx, kind) })
+		}
 	}
 	wg.Go(func() { s.expireMissing(ctx) })
 	wg.Go(func() { s.follow(ctx) })
@@ -159,6 +165,9 @@
 	return nil
 }
 
+// reads reports whether a kind is read.
+func (s *Source) reads(kind int) bool { return kind != Orders || s.opts.Decoder.Kinds[Orders] != "" }
+
 // poll reads one kind and its changes until ctx ends, whenever that is due.
 //
 // The store may cut off a read that waits for a change at any time, which is no sign of an
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -70,6 +70,7 @@
 	// weights is the announced version of the model.
 	model   string
 	weights int64
+	order   *site.Order
 	// missingSince is when the entry was found missing during the grace period after
 	// an outage; zero if the entry is not missing.
 	missingSince time.Time
@@ -287,6 +288,8 @@
 		e.config = s.decodeConfig(o)
 	case WeightVersions:
 		e.model, e.weights = s.decodeWeights(o)
+	case Orders:
+		e.order = s.decodeOrder(o)
 	}
 	t.objects[o.Key] = e
 }
@@ -319,6 +322,16 @@
 	return model, version
 }
 
+func (s *Source) decodeOrder(o store.Object) *site.Order {
+	if s.opts.Decoder.Order == nil {
+		return nil
+	}
+	_, name, _ := strings.Cut(o.Key, "/")
+	order := s.opts.Decoder.Order(name, o.Value)
+	order.Version = o.Version
+	return order
+}
+
 func (s *Source) logIgnored(msg string, o store.Object, err error) {
 	s.log("msg", msg, "err", logline.ErrorText(err), "version", o.Version)
 }
@@ -380,8 +393,16 @@
 		}
 	}
 	s.addWeights(v)
+	for _, e := range s.tables[Orders].objects {
+		if e.order != nil {
+			if v.Orders == nil {
+				v.Orders = map[string]*site.Order{}
+			}
+			v.Orders[e.order.Service] = e.order
+		}
+	}
 	s.view.Store(v)
-	if v.Config != nil && s.tables[Targets].at > 0 {
+	if v.Config != nil && s.tables[Targets].at > 0 && (!s.reads(Orders) || s.tables[Orders].at > 0) {
 		s.readyOnce.Do(func() { close(s.ready) })
 	}
 }
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -34,6 +34,7 @@
 	e.Suspects = n.quarantine.Reports(time.Now())
 	e.Limits = n.limits.Reports(time.Now())
 	e.Duty = n.orders.LeaseStatus()
+	n.describeCanary(e)
 }
 
 // A pullState records the kinds in which other VMs are ahead, so that this VM
@@ -100,6 +101,7 @@
 		n.quota.UpdatePeer(quota.Update{VM: e.VM, Born: e.Born, Spent: e.Spent, Refused: e.Refused, Members: e.Sharers, NoShare: e.NoShare})
 		quarantined = n.quarantine.Merge(e.Suspects, now) || quarantined
 		n.placer.ApplyUpdate(e, v, now)
+		n.mergeCanary(e, now)
 		for _, target := range n.limits.Merge(e.VM, e.Limits, now) {
 			n.logLimit(target, e.VM, "", now)
 		}
@@ -185,6 +187,9 @@
 		n.quota.AddCustomers(v.Config.Customers)
 		n.callers.SetLimits(inbound.Limits{Idle: v.Config.Limits.IdleTimeout, Header: v.Config.Limits.HeaderTimeout}, time.Now())
 	}
+	if n.canary != nil {
+		n.canary.Sync(time.Now())
+	}
 	n.roster.Trigger()
 }
 
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/canary"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/rollout"
@@ -96,6 +97,9 @@
 	// answers of targets, which faulty targets may fill.
 	storeAnswers *intake.Budget
 	orders       *rollout.Task
+	// gate and canary are nil unless orders move traffic between versions of targets.
+	gate   *canary.Gate
+	canary *canary.Task
 	relay        *relay.Handler
 	// watch cancels the requests of callers that leave.
 	watch   disconnect.Watch
@@ -197,10 +201,11 @@
 		Feed: objects,
 		Log:  n.log,
 		Decoder: source.Decoder{
-			Kinds:   [...]string{source.Config: platform.KindConfig, source.Targets: platform.KindTargets, source.WeightVersions: platform.KindWeights},
+			Kinds:   n.kinds(),
 			Config:  platform.DecodeConfig,
 			Target:  platform.DecodeTarget,
 			Weights: platform.DecodeWeights,
+			Order:   platform.DecodeOrder,
 		},
 		OnChange:      n.siteChanged,
 		OnStoreStatus: n.storeStatusChanged,
@@ -253,6 +258,9 @@
 		},
 		OnStatusChange: n.leaseChanged,
 	})
+	if n.movesTraffic() {
+		n.buildCanary(objects, born)
+	}
 	n.teller = tally.NewTeller(tally.TellerOptions{
 		VM: s.VM, Born: born, Peers: n.client, Clock: n.clock, Log: n.log,
 		Relays: n.roster.Relays, Needed: n.quota.UsesTotals, Report: n.quota.Report, OnTotal: n.quota.UpdateTotals,
@@ -299,6 +307,7 @@
 func (n *Node) sourceBounds() (bounds source.Bounds) {
 	b := n.bounds()
 	bounds[source.Config], bounds[source.Targets], bounds[source.WeightVersions] = b.Config, b.Drain, b.Weights
+	bounds[source.Orders] = b.Config
 	return bounds
 }
 
@@ -354,6 +363,7 @@
 		Pool:       n.pool,
 		Budget:     n.budget,
 		Log:        n.log,
+		Gate:       n.gate,
 		VMs:        n.countVMs,
 		Fresh:      n.fresh,
 		UpToDate:   n.upToDate,
@@ -375,7 +385,7 @@
 	defer abort(nil)
 	callers := n.callerServer(requestCtx)
 	for _, run := range []func(context.Context) error{
-		n.source.Run, n.roster.Run, n.teller.Run, n.shares.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching,
+		n.source.Run, n.roster.Run, n.teller.Run, n.shares.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching, n.runCanary,
 	} {
 		g.Go(func() error { return run(taskCtx) })
 	}
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/canary"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
@@ -172,12 +173,20 @@
 	goal    time.Duration
 }
 
+// ColdTime returns the time that the target is expected to take for the prompt tokens that
+// it does not hold.
+func (c Choice) ColdTime() time.Duration {
+	return time.Duration(float64(c.MissingTokens) / prefillTokensPerMS * float64(time.Millisecond))
+}
+
 // Unresponsive reports whether the chosen target recently failed to respond.
 func (c Choice) Unresponsive() bool { return c.Expected >= unresponsiveCost*time.Millisecond }
 
 // A Placer chooses targets. It is safe for concurrent use.
 type Placer struct {
 	dataCentre string
+	// gate decides which versions of targets may take a request; nil if all may.
+	gate *canary.Gate
 	// maxWeightsAge is how long after new weights are announced work may start
 	// on the superseded ones.
 	maxWeightsAge time.Duration
@@ -257,7 +266,7 @@
 func (p *Placer) Choose(v *source.View, r Request, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := p.candidates(v, r, now)
+	all, sources := p.permit(p.candidates(v, r, now), r)
 	if len(all) == 0 {
 		return Choice{}, false
 	}
@@ -271,11 +280,18 @@
 	if large {
 		assumeHeld(candidates, home, &r, p.largeFleet(), now)
 	}
+	from := candidates
+	for i := range sources {
+		p.countHeld(&sources[i], &r, keys, now)
+	}
+	if len(sources) > 0 {
+		from = append(sources, candidates...)
+	}
 	average := averageFailureRate(candidates)
 	for i := range candidates {
 		c := &candidates[i]
 		c.home = replica != nil && c.target.ID == replica.target.ID
-		p.planFetch(c, &r, keys, candidates, now)
+		p.planFetch(c, &r, keys, from, now)
 		c.score(p, r, average, now)
 	}
 	chosen, late := p.pick(candidates, r, average, now)
--- a/internal/gateway/placing/state.go
+++ b/internal/gateway/placing/state.go
@@ -42,6 +42,9 @@
 // Begin records that a request with the given prefixes is sent to the chosen
 // target.
 func (p *Placer) Begin(c Choice, prefixes []Prefix, now time.Time) {
+	if p.gate != nil {
+		p.gate.Begin(c.Target)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.holders.recordSent(c, prefixes, now)
@@ -104,6 +107,9 @@
 // End records the outcome of an attempt. First reports whether FirstToken was
 // called.
 func (p *Placer) End(c Choice, outcome Outcome, first bool, now time.Time) {
+	if p.gate != nil {
+		p.gate.End(c.Target)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.states[c.Target.ID]
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/canary"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
@@ -56,6 +57,8 @@
 	Pool       *conn.Pool
 	Budget     *retry.Budget
 	Log        log.Logger
+	// Gate is told what attempts show of the versions of targets; nil if none is.
+	Gate *canary.Gate
 	// VMs returns the number of VMs that share the retry budget.
 	VMs func() int
 	// Fresh reports whether requests with a key may be served. A VM that has no
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -200,6 +200,7 @@
 	o, end := x.complete()
 	o = settle(x.requestCtx, o, &end)
 	h.opts.Placer.End(x.choice, end, x.gotFirst, time.Now())
+	x.recordVersion(end)
 	unanswered := isUnanswered(o)
 	next := x.standby.end(unanswered)
 	if next != nil && !unanswered {
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -276,6 +276,7 @@
 	x.ahead.release()
 	o, end := x.unanswered()
 	x.handler.opts.Placer.End(x.choice, end, false, time.Now())
+	x.recordVersion(end)
 	x.cancel()
 	return o
 }
