--- a/internal/fleet/canary/evidence.go
+++ b/internal/fleet/canary/evidence.go
@@ -176,7 +176,7 @@
 			r.Stopped = o.judge.stopped != ""
 			if !o.stage.IsTerminal() {
 				r.Routes = o.own.list()
-				r.OldRunning = s.oldRunning()
+				r.OldRunning, r.LongestMS = s.oldRunning(), s.longest.Milliseconds()
 			}
 		}
 		if r.Order != 0 || len(r.Refused) > 0 {
@@ -285,8 +285,10 @@
 	since time.Time
 	// oldRunning is the number of requests that this VM has in flight at old targets.
 	oldRunning int
-	total      RouteCounts
-	why        string
+	// longest is the longest time that a request of this VM had until its deadline.
+	longest time.Duration
+	total   RouteCounts
+	why     string
 }
 
 // progress returns what is known of the order for a service, and false if there is none.
@@ -299,7 +301,7 @@
 	}
 	o := s.order
 	p := progress{
-		id: o.id, round: o.round, since: o.since, oldRunning: s.oldRunning(), total: o.sums.total(), why: o.judge.stopped,
+		id: o.id, round: o.round, since: o.since, oldRunning: s.oldRunning(), longest: s.longest, total: o.sums.total(), why: o.judge.stopped,
 		situation: situation{
 			stage: o.stage, age: now.Sub(o.since), stageAge: now.Sub(o.stageAt), duration: o.spec.Duration, verdict: o.judge.verdict(o.sums, o.period(now)),
 			oldSlots: o.oldSlots, newSlots: o.newSlots, newGone: now.Sub(o.newSeen),
--- a/internal/fleet/canary/gate.go
+++ b/internal/fleet/canary/gate.go
@@ -70,6 +70,8 @@
 	order *order
 	// running counts the requests in flight by version.
 	running map[string]int
+	// longest is the longest time that a request had until its deadline when it was sent.
+	longest time.Duration
 	// latencies are the usual times of whole answers of the old version, by route.
 	latencies map[string]*latency
 }
@@ -354,11 +356,13 @@
 		return nil
 	}
 	out := make([]Permission, len(targets))
-	olds := 0
+	olds, news := 0, 0
 	for i, t := range targets {
 		if _, used := s.used[t.Version]; used {
 			out[i] = Allowed
 			olds++
+		} else if s.isOrdered(t.Version) {
+			news++
 		}
 	}
 	o := s.order
@@ -369,22 +373,19 @@
 		return out
 	}
 	share := o.stage.share(g.opts.Share())
-	news := o.newTargetsAmong(targets, share)
-	counted := first && olds+len(news) > 0
-	toNew := !o.isHeld() && (o.stage == Full || len(news) > 0 && o.wantsNew(counted, share))
+	counted := first && olds+news > 0
+	toNew := !o.isHeld() && (o.stage == Full || o.oldTargets == 0 || news > 0 && o.wantsNew(counted, share))
 	if toNew {
 		for i := range out {
 			out[i] = min(out[i], SourceOnly)
 		}
-		for _, i := range news {
-			out[i] = Allowed
-		}
+		o.allowNew(out, targets, news, share)
 	}
 	if counted {
 		o.requests++
 		g.counters.Requests++
 	}
-	if toNew && len(news) > 0 {
+	if toNew && news > 0 {
 		// A target that is chosen counts as sent to, whether or not a request follows.
 		o.sends++
 		g.counters.Sent++
@@ -405,27 +406,34 @@
 	return float64(o.sends+1) <= math.Floor(share*float64(requests)+o.offset)
 }
 
-// newTargetsAmong returns the indexes of the targets of the new version that may take a
-// request. While the version is watched these are so few that each gets about as many
-// requests as a target of the old version: some faults show under load only. All VMs choose
-// the same ones.
-func (o *order) newTargetsAmong(targets []*site.Target, share float64) []int {
-	var out []int
+// allowNew allows targets of the new version. While the version is watched these are so few
+// that each gets about as many requests as a target of the old version: some faults show
+// under load only. All VMs choose the same ones.
+func (o *order) allowNew(out []Permission, targets []*site.Target, news int, share float64) {
+	n := max(1, int(math.Round(share*float64(o.oldTargets))))
+	if o.stage != Watching || o.oldTargets == 0 || news <= n {
+		for i, t := range targets {
+			if t.Version == o.spec.To {
+				out[i] = Allowed
+			}
+		}
+		return
+	}
+	type ranked struct {
+		index int
+		rank  uint64
+	}
+	order := make([]ranked, 0, news)
+	id := strconv.FormatUint(o.id, 16)
 	for i, t := range targets {
 		if t.Version == o.spec.To {
-			out = append(out, i)
+			order = append(order, ranked{i, hashOf(id, t.ID)})
 		}
 	}
-	if o.stage != Watching {
-		return out
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	for _, r := range order[:n] {
+		out[r.index] = Allowed
 	}
-	n := max(1, int(math.Round(share*float64(o.oldTargets))))
-	if len(out) <= n {
-		return out
-	}
-	rank := func(i int) uint64 { return hashOf(strconv.FormatUint(o.id, 16), targets[i].ID) }
-	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(rank(a), rank(b)) })
-	return out[:n]
 }
 
 // Begin records that a request is sent to a target, and End that it is over.
@@ -447,6 +455,16 @@
 	}
 }
 
+// RecordDeadline records how long a request has until its deadline when it is sent to a
+// target of a service.
+func (g *Gate) RecordDeadline(name string, left time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.services[name]; s != nil {
+		s.longest = max(s.longest, left)
+	}
+}
+
 // oldRunning returns the number of requests in flight at targets of other versions than the
 // new one.
 func (s *service) oldRunning() (n int) {
--- a/internal/fleet/canary/report.go
+++ b/internal/fleet/canary/report.go
@@ -118,6 +118,9 @@
 	// OldRunning is the number of requests that the VM has in flight at targets of other
 	// versions.
 	OldRunning int `cbor:"8,keyasint,omitempty"`
+	// LongestMS is the longest time, in milliseconds, that a request to the service had
+	// until its deadline when the VM sent it, since the start of the VM.
+	LongestMS int64 `cbor:"10,keyasint,omitempty"`
 	// Refused are versions whose order was not completed. They get no requests.
 	Refused []string `cbor:"9,keyasint,omitempty"`
 }
@@ -129,6 +132,16 @@
 	Reports []Report `cbor:"2,keyasint,omitempty"`
 }
 
+// report returns the report for a service, or nil.
+func (u *Update) report(service string) *Report {
+	for i := range u.Reports {
+		if u.Reports[i].Service == service {
+			return &u.Reports[i]
+		}
+	}
+	return nil
+}
+
 // A Peer is the latest Update of another VM.
 type Peer struct {
 	VM     string
--- a/internal/fleet/canary/task.go
+++ b/internal/fleet/canary/task.go
@@ -36,9 +36,15 @@
 	// writeInterval is the shortest time between two attempts to write a record or a
 	// status that were not successful.
 	writeInterval = 300 * time.Millisecond
+	// recordInterval is the time between two writes of the record of an order in progress,
+	// from which VMs that all start again learn the time since the order.
+	recordInterval = 2 * time.Second
+	// maxClockGap is the longest time that wall clocks show between a write and a read of a
+	// record and that is believed.
+	maxClockGap = 30 * time.Second
 	// lateMargin is added to the longest time of a request, after which a VM that is not
-	// heard from has none in flight.
-	lateMargin = 500 * time.Millisecond
+	// heard from has none in flight. It covers what the VM sent after its last update.
+	lateMargin = time.Second
 )
 
 // TaskOptions are the parameters of a Task.
@@ -97,15 +103,27 @@
 	Round int64  `json:"round"`
 	Stage Stage  `json:"stage"`
 	Term  int64  `json:"term"`
-	// ElapsedMS is the time from the order to the write.
+	// ElapsedMS is the time from the order to the write, and AtMS the wall-clock time of the
+	// write.
 	ElapsedMS int64  `json:"elapsedMs"`
+	AtMS      int64  `json:"atMs"`
 	Why       string `json:"why,omitempty"`
 	// Started is the version of the order's object after its status was first written; 0
 	// before. An object of a later version without a status, in the same era of the store,
 	// is a further order.
-	Started int64  `json:"started,omitempty"`
-	To      string `json:"to"`
-	Totals  RouteCounts
+	Started int64       `json:"started,omitempty"`
+	To      string      `json:"to"`
+	Totals  RouteCounts `json:"totals"`
+}
+
+// orderedAt returns when the order was given, as far as the record shows. The wall clocks of
+// VMs may differ, and are not believed beyond maxClockGap.
+func (r Record) orderedAt(now time.Time) time.Time {
+	elapsed := time.Duration(r.ElapsedMS) * time.Millisecond
+	if gap := time.Duration(now.UnixMilli()-r.AtMS) * time.Millisecond; gap > 0 && gap <= maxClockGap {
+		elapsed += gap
+	}
+	return now.Add(-elapsed)
 }
 
 // A recordState is a record as last read or written by this VM.
@@ -113,7 +131,9 @@
 	record  Record
 	version int64
 	known   bool
-	retryAt time.Time
+	// writtenAt is when the record was last written.
+	writtenAt time.Time
+	retryAt   time.Time
 	// statusOf is the version of the order's object whose status is known to be right.
 	statusOf int64
 }
@@ -348,7 +368,7 @@
 		return false
 	}
 	rec := state.record
-	t.opts.Gate.adopt(spec.Service, rec.Order, rec.Round, rec.Stage, now.Add(-time.Duration(rec.ElapsedMS)*time.Millisecond), "the record in the store", now)
+	t.opts.Gate.adopt(spec.Service, rec.Order, rec.Round, rec.Stage, rec.orderedAt(now), "the record in the store", now)
 	if !t.writeStatus(ctx, state, spec, statusOf(rec)) {
 		return false
 	}
@@ -359,7 +379,11 @@
 	p.updateDelay = t.opts.UpdateDelay()
 	d := plan(p.situation)
 	if d.stage == rec.Stage {
-		return true
+		if rec.Stage.IsTerminal() || now.Sub(state.writtenAt) < recordInterval {
+			return true
+		}
+		rec.Totals = p.total
+		return t.writeRecord(ctx, state, spec.Service, rec, p.since)
 	}
 	if p.verdict == bad {
 		d.reason += ": " + p.why
@@ -414,8 +438,8 @@
 		next.Stage = max(p.stage, stored.Stage)
 	}
 	if stored.Order == next.Order && stored.Round == next.Round {
-		if stored := time.Now().Add(-time.Duration(stored.ElapsedMS) * time.Millisecond); stored.Before(since) {
-			since = stored
+		if at := stored.orderedAt(time.Now()); at.Before(since) {
+			since = at
 		}
 	}
 	next.Term = t.tracker.Record.Lease.Term
@@ -445,7 +469,8 @@
 	if t.tracker.Remaining(t.opts.Clock.Now()) == 0 {
 		return false
 	}
-	rec.ElapsedMS = time.Since(since).Milliseconds()
+	now := time.Now()
+	rec.ElapsedMS, rec.AtMS = now.Sub(since).Milliseconds(), now.UnixMilli()
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return false
@@ -460,7 +485,7 @@
 			"why", rec.Why, "elapsed", time.Duration(rec.ElapsedMS)*time.Millisecond, "answers", rec.Totals.New.Answers,
 			"failures", rec.Totals.New.Failures, "slow", rec.Totals.New.Slow)
 	}
-	state.record, state.version, state.known = rec, done.Version, true
+	state.record, state.version, state.known, state.writtenAt = rec, done.Version, true, now
 	return true
 }
 
@@ -517,7 +542,7 @@
 		rec := state.record
 		rec.Started = done.Version
 		state.record = rec
-		return t.writeRecord(ctx, state, spec.Service, rec, time.Now().Add(-time.Duration(rec.ElapsedMS)*time.Millisecond))
+		return t.writeRecord(ctx, state, spec.Service, rec, rec.orderedAt(time.Now()))
 	}
 	return true
 }
@@ -536,33 +561,48 @@
 
 // areClear reports whether no other VM has requests in flight at old targets, nor sends any.
 // A VM that is silent counts as sending until requests that it may have sent before it fell
-// silent are over.
+// silent are over: for as long as any VM has given a request of the service so far.
 func (t *Task) areClear(name string, p progress, now time.Time) bool {
 	if p.stage != Full {
 		return false
 	}
-	longest := lateMargin
-	if cfg := t.opts.View().Config; cfg != nil {
-		for i := range cfg.Routes {
-			if slices.ContainsFunc(cfg.Routes[i].Shares, func(s site.Share) bool { return s.Service == name }) {
-				longest = max(longest, cfg.Routes[i].Timeout+lateMargin)
-			}
+	peers := t.opts.Peers()
+	longest := p.longest
+	for _, peer := range peers {
+		if r := peer.Update.report(name); r != nil {
+			longest = max(longest, time.Duration(r.LongestMS)*time.Millisecond)
 		}
 	}
-	for _, peer := range t.opts.Peers() {
+	if longest == 0 {
+		longest = t.longestTimeout(name)
+	}
+	longest += lateMargin
+	for _, peer := range peers {
 		if !peer.Alive {
 			if now.Sub(peer.Heard) < longest {
 				return false
 			}
 			continue
 		}
-		i := slices.IndexFunc(peer.Update.Reports, func(r Report) bool { return r.Service == name })
-		if i < 0 {
-			return false
-		}
-		if r := peer.Update.Reports[i]; r.Order != p.id || r.Round != p.round || r.Stage != Full || r.OldRunning > 0 {
+		r := peer.Update.report(name)
+		if r == nil || r.Order != p.id || r.Round != p.round || r.Stage != Full || r.OldRunning > 0 {
 			return false
 		}
 	}
 	return true
 }
+
+// longestTimeout returns the longest time that the configuration gives a request to a
+// service.
+func (t *Task) longestTimeout(name string) (longest time.Duration) {
+	cfg := t.opts.View().Config
+	if cfg == nil {
+		return 0
+	}
+	for i := range cfg.Routes {
+		if slices.ContainsFunc(cfg.Routes[i].Shares, func(s site.Share) bool { return s.Service == name }) {
+			longest = max(longest, cfg.Routes[i].Timeout)
+		}
+	}
+	return longest
+}
--- a/internal/gateway/node/canary.go
+++ b/internal/gateway/node/canary.go
@@ -80,15 +80,15 @@
 	return out
 }
 
-// describeCanary adds what this VM knows of orders to its entry.
-func (n *Node) describeCanary(e *roster.Entry) {
-	e.Canary = nil
+// canaryUpdate returns what this VM knows of orders, or nil.
+func (n *Node) canaryUpdate() *canary.Update {
 	if n.canary == nil {
-		return
+		return nil
 	}
 	if u := n.canary.Update(time.Now()); u.Holder || len(u.Reports) > 0 {
-		e.Canary = &u
+		return &u
 	}
+	return nil
 }
 
 // mergeCanary applies what another VM tells of orders.
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -34,7 +34,7 @@
 	e.Suspects = n.quarantine.Reports(time.Now())
 	e.Limits = n.limits.Reports(time.Now())
 	e.Duty = n.orders.LeaseStatus()
-	n.describeCanary(e)
+	e.Canary = n.canaryUpdate()
 }
 
 // A pullState records the kinds in which other VMs are ahead, so that this VM
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -100,7 +100,7 @@
 	// gate and canary are nil unless orders move traffic between versions of targets.
 	gate   *canary.Gate
 	canary *canary.Task
-	relay        *relay.Handler
+	relay  *relay.Handler
 	// watch cancels the requests of callers that leave.
 	watch   disconnect.Watch
 	metrics *relay.Metrics
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -11,6 +11,7 @@
 	"github.com/justinas/alice"
 	"github.com/rotisserie/eris"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/canary"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
@@ -174,7 +175,8 @@
 		Spent    map[string]float64
 		Duty     roster.LeaseStatus
 		Suspects []quarantine.Report
-	}{n.lifecycle.State(), n.roster.Members(), n.source.Positions(), v.Targets, n.source.Announcements(time.Now()), n.quota.Spent(), n.orders.LeaseStatus(), n.quarantine.Reports(time.Now())}
+		Canary   *canary.Update `json:",omitempty"`
+	}{n.lifecycle.State(), n.roster.Members(), n.source.Positions(), v.Targets, n.source.Announcements(time.Now()), n.quota.Spent(), n.orders.LeaseStatus(), n.quarantine.Reports(time.Now()), n.canaryUpdate()}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(dump); err != nil {
 		_ = n.log.Log("msg", "state dump not written", "err", err)
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -9,6 +9,7 @@
 package placing
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -280,12 +281,12 @@
 	if large {
 		assumeHeld(candidates, home, &r, p.largeFleet(), now)
 	}
-	from := candidates
 	for i := range sources {
 		p.countHeld(&sources[i], &r, keys, now)
 	}
+	from := candidates
 	if len(sources) > 0 {
-		from = append(sources, candidates...)
+		from = slices.Concat(sources, candidates)
 	}
 	average := averageFailureRate(candidates)
 	for i := range candidates {
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -56,6 +56,9 @@
 	x := &exchange{handler: h, response: resp, choice: choice, prompt: p, sentAt: time.Now(), requestCtx: ctx}
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	h.opts.Placer.Begin(choice, p.prefixes, x.sentAt)
+	if h.opts.Gate != nil {
+		h.opts.Gate.RecordDeadline(choice.Target.Service, resp.job.deadline.Sub(x.sentAt))
+	}
 	return x
 }
 
