--- a/internal/fake/sitestore.go
+++ b/internal/fake/sitestore.go
@@ -239,9 +239,7 @@
 	return s.calls
 }
 
-func (s *SiteStore) put(kind, name string, spec []byte) *siteObject {
-	return s.putWithStatus(kind, name, spec, nil)
-}
+func (s *SiteStore) put(kind, name string, spec []byte) { s.putWithStatus(kind, name, spec, nil) }
 
 func (s *SiteStore) putWithStatus(kind, name string, spec, status []byte) *siteObject {
 	s.revision++
--- a/internal/fleet/canary/gate.go
+++ b/internal/fleet/canary/gate.go
@@ -206,7 +206,12 @@
 		}
 	default:
 		o.missingSince = time.Time{}
+		before := o.spec.Status
 		o.spec = spec
+		if spec.IsDone() && spec.Status != before {
+			// A VM that hears of no other VM learns of the end from the store.
+			g.setStage(s, stageOf(spec.Status.State), "the status in the store", now)
+		}
 	}
 }
 
--- a/internal/fleet/canary/gate_test.go
+++ b/internal/fleet/canary/gate_test.go
@@ -225,6 +225,20 @@
 	must.Positive(t, g.sent(100)["v2"])
 }
 
+// TestEndIsReadFromStore guards against a VM that hears of no other one and goes on with
+// targets that have stopped.
+func TestEndIsReadFromStore(t *testing.T) {
+	g := newGateTest(t, "v1")
+	g.list("v2")
+	g.order("v2")
+	g.sync(0)
+	done := *g.view.Orders["s"]
+	done.Status = site.OrderStatus{State: site.OrderCompleted, To: "v2"}
+	g.view.Orders["s"] = &done
+	g.sync(0)
+	must.Eq(t, map[string]int{"v2": 100}, g.sent(100))
+}
+
 // TestStopIsPassedOn guards against a VM that goes on with a version that another one has
 // found to be bad.
 func TestStopIsPassedOn(t *testing.T) {
--- a/internal/gateway/node/canary_test.go
+++ b/internal/gateway/node/canary_test.go
@@ -31,6 +31,8 @@
 	log *lockedBuffer
 	// bad returns the rate at which requests to a version fail, at a time since the order.
 	bad func(version string, age time.Duration) float64
+	// long is the share of the requests that take longLatency.
+	long float64
 
 	mu       sync.Mutex
 	ordered  time.Time
@@ -52,6 +54,7 @@
 	requestPeriod  = 20 * time.Millisecond
 	requestTimeout = 3 * time.Second
 	requestLatency = 40 * time.Millisecond
+	longLatency    = 2500 * time.Millisecond
 )
 
 // runCanary runs a script against a fleet with targets of version v1.
@@ -84,7 +87,7 @@
 }
 
 // startVM starts a VM that sends requests.
-func (f *canaryFleet) startVM() *watchVM {
+func (f *canaryFleet) startVM() {
 	i := len(f.vms)
 	id, address := fmt.Sprintf("vm-%d", i), fmt.Sprintf("10.0.0.%d:1", i+1)
 	s := settings.Settings{VM: id, Region: "r", DataCentre: "z", Gateway: &settings.Gateway{
@@ -104,7 +107,6 @@
 		go func() { _ = run(ctx) }()
 	}
 	go f.sendRequests(ctx, v, rand.New(rand.NewPCG(uint64(i), 3)))
-	return v
 }
 
 // kill stops a VM without a word.
@@ -144,9 +146,12 @@
 		f.mu.Unlock()
 		v.placer.Begin(choice, nil, time.Now())
 		v.gate.RecordDeadline("app", requestTimeout)
-		failed := rng.Float64() < rate
+		failed, latency := rng.Float64() < rate, requestLatency
+		if rng.Float64() < f.long {
+			latency = longLatency
+		}
 		go func() {
-			time.Sleep(requestLatency)
+			time.Sleep(latency)
 			f.mu.Lock()
 			f.running[version]--
 			f.mu.Unlock()
@@ -155,7 +160,7 @@
 				end, result = placing.Failed, canary.Failed
 			}
 			v.placer.End(choice, end, false, time.Now())
-			v.gate.Record(canary.Answer{Target: choice.Target, Route: "lookup", Result: result, Took: requestLatency}, time.Now())
+			v.gate.Record(canary.Answer{Target: choice.Target, Route: "lookup", Result: result, Took: latency}, time.Now())
 		}()
 	}
 }
@@ -356,6 +361,15 @@
 			must.Zero(t, f.refused)
 		})
 	})
+	t.Run("long requests end before their targets stop", func(t *testing.T) {
+		runCanaryFleet(t, func(f *canaryFleet) {
+			f.long = 0.05
+			f.order("v2", orderTime)
+			f.listTargets("v2")
+			f.awaitDeadline()
+			f.assertStates("running v2", "completed v2")
+		})
+	})
 	t.Run("a bad version is rolled back", func(t *testing.T) {
 		for name, bad := range map[string]func(string, time.Duration) float64{
 			"at once": failing(0.5, 0), "late": failing(0.5, 15*time.Second), "in the move": failing(0.5, 31*time.Second),
