--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -205,6 +205,7 @@
 	o = settle(x.requestCtx, o, &end)
 	h.opts.Placer.End(x.choice, end, x.gotFirst, time.Now())
 	h.opts.Hedger.Ended(x.watched, end == placing.Rejected, time.Now())
+	x.recordVersion(end)
 	unanswered := isUnanswered(o)
 	next := x.standby.end(unanswered)
 	if next != nil && !unanswered {
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -339,6 +339,7 @@
 	o, end := x.unanswered()
 	x.handler.opts.Placer.End(x.choice, end, false, time.Now())
 	x.handler.opts.Hedger.Ended(x.watched, end == placing.Rejected, time.Now())
+	x.recordVersion(end)
 	x.cancel()
 	return o
 }
