Explain how a VM would handle a request, without sending it

Cause: Which target a request gets, at what cost, and what would refuse it could only be read from the log lines of requests that had run.

Change: baobabdyke explain route asks a running VM over its operators' port (POST /explain/route), with the bearer token of operators.token; a VM without one refuses. Choose is split into weigh and decide, which Explain runs on a copy of the state; the customer's limit is looked at on a copy too (quota.Peek). Unknown routes, customers and models are errors.

Order in a queue of the VM is not shown, as VMs keep none here.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -33,16 +33,17 @@
 
 // arguments are the command-line arguments of the program: one subcommand.
 type arguments struct {
-	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a VM with the settings in a file"`
-	Check   *checkCommand   `arg:"subcommand:check" help:"check a configuration, a patch or settings without sending them"`
-	Patch   *patchCommand   `arg:"subcommand:patch" help:"change the configuration"`
-	Show    *showCommand    `arg:"subcommand:show" help:"show the state of a VM"`
-	Drain   *drainCommand   `arg:"subcommand:drain" help:"stop a VM without cutting requests"`
-	Demo    *demoCommand    `arg:"subcommand:demo" help:"run VMs, targets and callers in this process"`
-	Load    *loadCommand    `arg:"subcommand:load" help:"send the requests of a modelled deployment to a fleet"`
-	StandIn *standInCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
-	Explain *explainCommand `arg:"subcommand:explain" help:"follow a request through the logs of VMs"`
-	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+	Serve   *serveCommand        `arg:"subcommand:serve" help:"run a VM with the settings in a file"`
+	Check   *checkCommand        `arg:"subcommand:check" help:"check a configuration, a patch or settings without sending them"`
+	Patch   *patchCommand        `arg:"subcommand:patch" help:"change the configuration"`
+	Show    *showCommand         `arg:"subcommand:show" help:"show the state of a VM"`
+	Drain   *drainCommand        `arg:"subcommand:drain" help:"stop a VM without cutting requests"`
+	Demo    *demoCommand         `arg:"subcommand:demo" help:"run VMs, targets and callers in this process"`
+	Load    *loadCommand         `arg:"subcommand:load" help:"send the requests of a modelled deployment to a fleet"`
+	StandIn *standInCommand      `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
+	Explain *explainCommand      `arg:"subcommand:explain" help:"follow a request through the logs of VMs"`
+	Route   *explainRouteCommand `arg:"subcommand:explain-route" help:"explain how a VM would handle a request, without sending it; also: explain route"`
+	Version *versionCommand      `arg:"subcommand:version" help:"print the version"`
 }
 
 // Description implements arg.Described.
@@ -63,7 +64,7 @@
 	if err != nil {
 		return fail(stderr, ExitFailure, err)
 	}
-	err = p.Parse(args)
+	err = p.Parse(joinExplainRoute(args))
 	switch {
 	case errors.Is(err, arg.ErrHelp):
 		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
--- a/internal/gateway/hedge/hedger.go
+++ b/internal/gateway/hedge/hedger.go
@@ -159,3 +159,13 @@
 	r.Denied = maps.Clone(h.counts.Denied)
 	return r
 }
+
+// Covers reports whether the settings permit hedges of a route's requests.
+func (h *Hedger) Covers(route string) bool {
+	if h == nil {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.rules.cover(route)
+}
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -47,6 +47,8 @@
 	retries settings.Retries
 	// hedge are the settings of hedges of VMs that are started.
 	hedge settings.Hedge
+	// tokenFile is the file with the operators' token of VMs that are started.
+	tokenFile string
 	// callers replaces the callers' port of VMs that are started, unless it is nil.
 	callers func(net.Listener) net.Listener
 }
@@ -145,7 +147,7 @@
 		Hedge: b.hedge,
 	}}
 	s.Callers.Address, s.Operators.Address, s.Peers.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	s.Platform.Address = b.address
+	s.Platform.Address, s.Operators.TokenFile = b.address, b.tokenFile
 	ctx, cancel := context.WithCancel(context.Background())
 	l, s, err := Listen(ctx, s)
 	must.NoError(b.t, err)
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -114,6 +114,7 @@
 	operators.Handle("GET /metrics", expvar.Handler())
 	operators.HandleFunc("GET /dump", n.serveDump)
 	operators.HandleFunc("GET /settings", n.serveSettings)
+	operators.Handle("POST /explain/route", alice.New(n.requireToken).ThenFunc(n.serveExplanation))
 	return []sideServer{
 		newServer(platform.PathReady, n.serveReady, l.ready),
 		newServer(platform.PathResolve, n.serveDirectory, l.directory),
--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -53,31 +53,45 @@
 func (p *Placer) candidates(v *source.View, r Request, now time.Time) []candidate {
 	out := make([]candidate, 0, 16)
 	for _, t := range v.Targets {
-		if t.Service != r.Service || t.Leaving || !r.Hedge && contains(r.Tried, t.ID) {
+		if t.Service != r.Service {
 			continue
 		}
-		if target := t.Incarnation(); p.leaving(target) || p.wait(target, now) > 0 {
-			continue
-		}
-		state := p.state(t, now)
-		c := candidate{target: t, state: state, running: state.running, prefill: state.prefill, late: state.late, failureRate: state.decayedFailureRate(now)}
-		if r.Model != "" {
-			c.version = state.version(t, r.Model)
-			c.supersededAt, c.superseded = v.Weights.SupersededAt(r.Model, c.version)
-		}
-		p.addPeerLoads(&c, now)
-		wait := time.Duration(queueWaitFactor * float64(c.prefill+c.stalePrefill) / prefillTokensPerMS * float64(time.Millisecond))
-		if c.superseded && now.Sub(c.supersededAt)+wait > p.maxWeightsAge {
-			continue
-		}
-		if full := r.fullPrefix(); full.Tokens > 0 {
-			c.rank = rank(full.Hash, t)
+		if c, excluded := p.candidate(v, t, &r, now); excluded == "" {
+			out = append(out, c)
 		}
-		out = append(out, c)
 	}
 	return out
 }
 
+// candidate returns a target of the service as a candidate, or why it may not run the
+// request.
+func (p *Placer) candidate(v *source.View, t *site.Target, r *Request, now time.Time) (c candidate, excluded string) {
+	target := t.Incarnation()
+	switch {
+	case t.Leaving, p.leaving(target):
+		return c, "is leaving"
+	case !r.Hedge && contains(r.Tried, t.ID):
+		return c, "was tried"
+	case p.wait(target, now) > 0:
+		return c, "has asked for a pause or is at its limit"
+	}
+	state := p.state(t, now)
+	c = candidate{target: t, state: state, running: state.running, prefill: state.prefill, late: state.late, failureRate: state.decayedFailureRate(now)}
+	if r.Model != "" {
+		c.version = state.version(t, r.Model)
+		c.supersededAt, c.superseded = v.Weights.SupersededAt(r.Model, c.version)
+	}
+	p.addPeerLoads(&c, now)
+	wait := time.Duration(queueWaitFactor * float64(c.prefill+c.stalePrefill) / prefillTokensPerMS * float64(time.Millisecond))
+	if c.superseded && now.Sub(c.supersededAt)+wait > p.maxWeightsAge {
+		return c, "would run the request with weights that are too old"
+	}
+	if full := r.fullPrefix(); full.Tokens > 0 {
+		c.rank = rank(full.Hash, t)
+	}
+	return c, ""
+}
+
 func contains(ids []string, id string) bool {
 	for _, have := range ids {
 		if have == id {
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -260,33 +260,59 @@
 func (p *Placer) Choose(v *source.View, r Request, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	w := p.weigh(v, r, now)
+	if len(w.candidates) == 0 {
+		return Choice{}, false
+	}
+	return p.decide(&w, now), true
+}
+
+// A weighing is a request with the targets that it may be sent to, and their costs.
+type weighing struct {
+	request    Request
+	candidates []candidate
+	// average is the average failure rate of the candidates.
+	average float64
+	keys    *keys
+	// toStore reports whether the prefix is one of those that are kept in the KV cache
+	// store.
+	toStore bool
+}
+
+// weigh returns the candidates for a request with their costs.
+func (p *Placer) weigh(v *source.View, r Request, now time.Time) weighing {
 	all := p.candidates(v, r, now)
 	if len(all) == 0 {
-		return Choice{}, false
+		return weighing{request: r}
 	}
 	large := len(all) >= largePoolSize
-	toStore := r.assignedToStore(len(all), large)
+	w := weighing{toStore: r.assignedToStore(len(all), large)}
 	candidates, home, replica := p.selectHome(all, &r, now)
-	keys := newKeys(&r)
+	w.keys = newKeys(&r)
 	for i := range candidates {
-		p.countHeld(&candidates[i], &r, keys, now)
+		p.countHeld(&candidates[i], &r, w.keys, now)
 	}
 	if large {
 		assumeHeld(candidates, home, &r, p.largeFleet(), now)
 	}
-	average := averageFailureRate(candidates)
+	w.average = averageFailureRate(candidates)
 	for i := range candidates {
 		c := &candidates[i]
 		c.home = replica != nil && c.target.ID == replica.target.ID
-		p.planFetch(c, &r, keys, candidates, now)
-		c.score(p, r, average, now)
+		p.planFetch(c, &r, w.keys, candidates, now)
+		c.score(p, r, w.average, now)
 	}
 	if r.Hedge {
-		if candidates = p.secondTargets(candidates, &r, average, now); len(candidates) == 0 {
-			return Choice{}, false
-		}
+		candidates = p.secondTargets(candidates, &r, w.average, now)
 	}
-	chosen, late := p.pick(candidates, r, average, now)
+	w.request, w.candidates = r, candidates
+	return w
+}
+
+// decide returns the choice among the candidates, of which there is at least one.
+func (p *Placer) decide(w *weighing, now time.Time) Choice {
+	r := w.request
+	chosen, late := p.pick(w.candidates, r, w.average, now)
 	return Choice{
 		Target:        chosen.target,
 		Weights:       chosen.version,
@@ -298,8 +324,8 @@
 		goal:          r.Goal,
 		Expected:      time.Duration(chosen.cost * float64(time.Millisecond)),
 		Source:        chosen.source,
-		StoreKV:       toStore && !r.Hedge && p.shouldStore(&r, keys, chosen.version, now),
-	}, true
+		StoreKV:       w.toStore && !r.Hedge && p.shouldStore(&r, w.keys, chosen.version, now),
+	}
 }
 
 // pick returns the cheapest candidate, and whether the request is late there and
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -361,7 +361,10 @@
 func (j *job) shared() []string { return j.contents[1:] }
 
 // charge enforces the customer's limit.
-func (h *Handler) charge(j *job) failure {
+func (h *Handler) charge(j *job) failure { return j.charge(h.opts.Quota.Admit) }
+
+// charge enforces the customer's limit by a decision about the cost of the request.
+func (j *job) charge(admit func(*site.Customer, float64) quota.Decision) failure {
 	c := j.customer
 	if c == nil {
 		return nil
@@ -373,7 +376,7 @@
 			j.cost = float64(d.PromptTokens + d.CompletionTokens)
 		}
 	}
-	decision := h.opts.Quota.Admit(c, j.cost)
+	decision := admit(c, j.cost)
 	j.level = decision.Level
 	if !decision.Admitted {
 		j.cost = 0
