--- a/internal/fleet/canary/gate.go
+++ b/internal/fleet/canary/gate.go
@@ -360,11 +360,48 @@
 	if s == nil {
 		return nil
 	}
-	out := make([]Permission, len(targets))
+	p := g.permit(s, first, targets)
+	if p.held {
+		g.counters.Held++
+	}
+	if p.counted {
+		s.order.requests++
+		g.counters.Requests++
+	}
+	if p.toNew {
+		// A target that is chosen counts as sent to, whether or not a request follows.
+		s.order.sends++
+		g.counters.Sent++
+	}
+	return p.targets
+}
+
+// Preview returns what Permit would return, and counts nothing.
+func (g *Gate) Preview(name string, first bool, targets []*site.Target) []Permission {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.services[name]; s != nil {
+		return g.permit(s, first, targets).targets
+	}
+	return nil
+}
+
+// A permit is which targets may take a request, and what the request then counts as.
+type permit struct {
+	targets []Permission
+	// held reports whether targets of a version without an order were held back, counted
+	// whether the request counts for the order's share, and toNew whether it goes to the new
+	// version.
+	held, counted, toNew bool
+}
+
+// permit decides which targets of a service may take a request.
+func (g *Gate) permit(s *service, first bool, targets []*site.Target) permit {
+	out := permit{targets: make([]Permission, len(targets))}
 	olds, news := 0, 0
 	for i, t := range targets {
 		if _, used := s.used[t.Version]; used {
-			out[i] = Allowed
+			out.targets[i] = Allowed
 			olds++
 		} else if s.isOrdered(t.Version) {
 			news++
@@ -372,29 +409,19 @@
 	}
 	o := s.order
 	if o == nil || o.stage.IsTerminal() {
-		if olds < len(targets) {
-			g.counters.Held++
-		}
+		out.held = olds < len(targets)
 		return out
 	}
 	share := o.stage.share(g.opts.Share())
-	counted := first && olds+news > 0
-	toNew := !o.isHeld() && (o.stage == Full || o.oldTargets == 0 || news > 0 && o.wantsNew(counted, share))
+	out.counted = first && olds+news > 0
+	toNew := !o.isHeld() && (o.stage == Full || o.oldTargets == 0 || news > 0 && o.wantsNew(out.counted, share))
 	if toNew {
-		for i := range out {
-			out[i] = min(out[i], SourceOnly)
+		for i := range out.targets {
+			out.targets[i] = min(out.targets[i], SourceOnly)
 		}
-		o.allowNew(out, targets, news, share)
-	}
-	if counted {
-		o.requests++
-		g.counters.Requests++
-	}
-	if toNew && news > 0 {
-		// A target that is chosen counts as sent to, whether or not a request follows.
-		o.sends++
-		g.counters.Sent++
+		o.allowNew(out.targets, targets, news, share)
 	}
+	out.toNew = toNew && news > 0
 	return out
 }
 
--- a/internal/gateway/placing/versions.go
+++ b/internal/gateway/placing/versions.go
@@ -19,7 +19,11 @@
 	for i := range all {
 		targets[i] = all[i].target
 	}
-	permissions := p.gate.Permit(r.Service, len(r.Tried) == 0, targets)
+	decide := p.gate.Permit
+	if p.previews {
+		decide = p.gate.Preview
+	}
+	permissions := decide(r.Service, len(r.Tried) == 0, targets)
 	if permissions == nil {
 		return all, nil
 	}
