Fill the buckets of customers that a VM learns of some time after its start

Cause: When all VMs start again during an outage of the store, they learn of the customers when it is back, seconds after their start. Each then created the buckets empty, as if others might have admitted a burst just before, although its totals show that nobody has. With the first totals the level is also reduced to that by updates, which is 0 as long as the VM has no share of the limits in the store. Since these shares exist, customers within their rate are refused until the bucket has filled.

Change: A bucket has filled since the VM's start, for at most the time that it takes to be full. What the totals have grown by since those before the customer was known is taken from it. An amount that no limit permits in 8 s is from a time before this VM's start, or without the limit: the bucket is empty then, as before.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -135,6 +135,8 @@
 	// members are the VMs that share the limits; nil if they are not known yet, and listed
 	// the set of them. count is the number of VMs among which this one divides the limits.
 	members *shares.Members
+	// started is when they were first set, at the VM's start.
+	started time.Time
 	listed  map[string]bool
 	count   int
 }
@@ -246,9 +248,12 @@
 	rate := c.Rate * (1 - driftReserve)
 	b, ok := s.buckets[c.Name]
 	if !ok {
-		// The bucket starts empty since the amounts that other VMs admitted before
-		// this VM's start are not known.
+		// The bucket was empty at this VM's start since the amounts that other VMs admitted
+		// before are not known. It has filled since, also if the VM learns of the customer later.
 		b = &bucket{rate: rate, burst: c.Burst, capacity: c.Burst, lastRefill: now}
+		if full := now.Add(-time.Duration(c.Burst / rate * float64(time.Second))); !s.started.IsZero() {
+			b.lastRefill = later(s.started, full)
+		}
 		s.buckets[c.Name] = b
 	}
 	if b.rate != rate || b.burst != c.Burst {
@@ -260,6 +265,14 @@
 	return b
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // refill adds the rate for the time since the last refill, less the shares of those that
 // are silent, or that may not use theirs while others are silent.
 func (s *State) refill(name string, b *bucket, now time.Time) {
@@ -380,6 +393,9 @@
 
 // SetMembers sets the VMs that share the limits.
 func (s *State) SetMembers(m shares.Members, now time.Time) {
+	if s.members == nil {
+		s.started = now
+	}
 	s.members, s.listed = &m, map[string]bool{}
 	for _, vm := range m.VMs {
 		s.listed[vm] = true
--- a/internal/fleet/quota/start_test.go
+++ b/internal/fleet/quota/start_test.go
@@ -63,6 +63,8 @@
 	// one is due.
 	busy       bool
 	nextReport time.Time
+	// heard is when the last update of each other VM arrived.
+	heard map[string]time.Time
 	// nextUpdate is when its next update to all VMs is due.
 	nextUpdate time.Time
 }
@@ -80,6 +82,8 @@
 	// asked and refused count the requests that were sent for the first time, and those
 	// of them and of their repetitions that were refused.
 	asked, refused int
+	// tick is called in each step, if it is set.
+	tick func()
 }
 
 func newStartFleet(l startLoad, seed uint64) *startFleet {
@@ -92,15 +96,20 @@
 
 // add starts a VM.
 func (f *startFleet) add() {
-	i := len(f.vms)
+	v := f.newVM(len(f.vms))
+	v.AddCustomers([]site.Customer{*f.customer}, f.now)
+	f.vms = append(f.vms, v)
+}
+
+// newVM returns a VM that starts now and knows no customers yet.
+func (f *startFleet) newVM(i int) *startVM {
 	v := &startVM{
 		State: NewState(), name: name(i), born: int64(i + 1), rank: roster.Rank(name(i)), dataCentre: i % f.dataCentres, tally: tally.NewTally(int64(i + 1)), slow: f.random.Float64() < f.slow,
-		failures: map[*startVM]int{}, failedAt: map[*startVM]time.Time{},
+		heard: map[string]time.Time{}, failures: map[*startVM]int{}, failedAt: map[*startVM]time.Time{},
 		nextReport: f.now.Add(f.upTo(tally.Period)), nextUpdate: f.now.Add(f.upTo(f.updateInterval())),
 	}
 	v.random = f.random.Float64
-	v.AddCustomers([]site.Customer{*f.customer}, f.now)
-	f.vms = append(f.vms, v)
+	return v
 }
 
 func (f *startFleet) upTo(d time.Duration) time.Duration {
@@ -231,11 +240,14 @@
 // update sends a VM's update to all others.
 func (f *startFleet) update(v *startVM) {
 	v.nextUpdate = f.now.Add(f.updateInterval())
-	u := Update{VM: v.name, Born: v.born, Spent: v.Spent(), Refused: v.Refused(f.now), Members: v.Known()}
+	u := Update{VM: v.name, Born: v.born, Spent: v.Spent(), Refused: v.Refused(f.now), Members: v.Known(), NoShare: !v.HasShare(f.now)}
 	v.RemoveExpired(f.now)
 	for _, to := range f.vms {
 		if to != v {
-			f.after(f.upTo(f.updateInterval()), func() { to.UpdatePeer(u, f.now) })
+			f.after(f.upTo(f.updateInterval()), func() {
+				to.UpdatePeer(u, f.now)
+				to.heard[u.VM] = f.now
+			})
 		}
 	}
 }
@@ -246,6 +258,10 @@
 	for v.gone {
 		v = f.vms[f.random.IntN(len(f.vms))]
 	}
+	if v.buckets["c"] == nil {
+		// Without a configuration it serves nobody.
+		return
+	}
 	d := v.Admit(f.customer, cost, f.now)
 	if d.Admitted {
 		f.admitted = append(f.admitted, admission{f.now, cost})
@@ -285,6 +301,9 @@
 			lost.gone, lost.goneAt = true, f.now
 			f.add()
 		}
+		if f.tick != nil {
+			f.tick()
+		}
 		for _, v := range f.vms {
 			if v.gone {
 				continue
--- a/internal/fleet/quota/totals.go
+++ b/internal/fleet/quota/totals.go
@@ -18,6 +18,8 @@
 	at time.Time
 	// vms is the number of VMs whose amounts are in the totals.
 	vms int
+	// spent are the amounts in the totals.
+	spent map[string]int64
 }
 
 const (
@@ -32,6 +34,8 @@
 	// recoveryTime is how long a customer must not have been refused at a VM until the VM
 	// admits its requests freely again. Totals show what it asks for then.
 	recoveryTime = 2 * time.Second
+	// plausibleTime is the longest time between two totals.
+	plausibleTime = 8 * time.Second
 	// maxShareFactor is the factor of a VM's share of the rate with a full bucket.
 	maxShareFactor = 2.0
 )
@@ -63,6 +67,11 @@
 			credit := b.returnWithheld(returned, amount)
 			b.fleetLevel -= amount - credit - b.assumed
 			b.grow(amount-credit, passed)
+		case known && b.isPlausible(float64(n-s.totals.spent[name])):
+			// This VM has learned of the customer since the last totals.
+			b.fleetLevel -= float64(n - s.totals.spent[name])
+		case known:
+			b.fleetLevel = min(b.fleetLevel, 0)
 		case s.totals.from == "" || !b.counted:
 			// Only what is admitted from now on counts, as the bucket starts empty.
 			b.fleetLevel = max(min(b.fleetLevel, b.level), 0)
@@ -77,7 +86,13 @@
 		b.total, b.reported, b.counted, b.assumed = n, own, true, 0
 		s.updateScarce(name, b, now)
 	}
-	s.totals = totals{from: relay, born: total.Born, at: sent, vms: total.VMs}
+	s.totals = totals{from: relay, born: total.Born, at: sent, vms: total.VMs, spent: total.Spent}
+}
+
+// isPlausible reports whether an amount may have been admitted under the customer's limit within
+// plausibleTime. More than that is from before this VM's start, or from a time without the limit.
+func (b *bucket) isPlausible(amount float64) bool {
+	return amount <= b.burst+b.rate*plausibleTime.Seconds()
 }
 
 // Levels returns the levels of the buckets with the given total of the fleet, which is that of
