Bound the memory and connections that callers take by one budget

Cause: relay read a whole body, with no bound but its length, before it checked route and key; headers, connections, unread answers and the other ports had no bound together, and connections with an unfinished header or body kept their descriptors. Change: intake.Memory is one budget for connections, headers, running requests, bodies and unread answers (gateway.requests, three eighths of gateway.memory). Bodies cost their buffers; those without progress are evicted first, then the oldest. Parts are kept for small and for urgent requests. Route and key are checked before the body, and again after it if the configuration has changed. inbound closes unfinished headers and idle connections for new ones (gateway.connections), also at the other ports, which get timeouts and smaller headers. Tables by prefixes and models that callers name are bounded. A body that is not whole by the deadline of its request is answered with 408 in place of 504.

--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -77,6 +78,9 @@
 	lastRequest atomic.Int64
 	start       time.Time
 
+	// memory is the budget for all that callers can make the VM keep.
+	memory *intake.Memory
+
 	source *source.Source
 	roster *roster.Task
 	quota  *quota.Limiter
@@ -149,13 +153,16 @@
 	n.watching.Store(true)
 	n.limitMemory()
 	n.quota = quota.NewLimiter(n.clock)
-	n.callers = inbound.NewSet(maxConns())
+	n.memory = intake.NewMemory(s.Gateway.RequestBytes())
+	n.callers = n.newConnSet(cmp.Or(s.Gateway.Connections, fileShare(callersFiles)))
 	n.quarantine = quarantine.NewList(n.log)
 	n.prober = newProber(n)
 	n.buildFleet(objects, registrar)
 	n.buildRelay()
 	metrics.Set(s.VM, n.metrics.Vars())
 	metrics.Set(s.VM+".connections", expvar.Func(n.connections))
+	metrics.Set(s.VM+".memory", expvar.Func(n.memory.Vars))
+	metrics.Set(s.VM+".callers", n.callers.Vars())
 	return n
 }
 
@@ -179,10 +186,10 @@
 	// configuration has lower limits.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 3 * time.Minute
-	// connShare is the share of the descriptors that callers' connections may use
+	// callersFiles is the share of the descriptors that callers' connections may use
 	// before idle ones are closed for new ones. The rest is for calls to targets, the
 	// store and other VMs.
-	connShare = 0.7
+	callersFiles = 0.7
 	// loggedNotices is the number of pauses and limits of targets that are logged per
 	// second.
 	loggedNotices = 20
@@ -283,13 +290,20 @@
 	return cfg != nil && slices.ContainsFunc(cfg.Customers, func(c site.Customer) bool { return c.Rate > 0 })
 }
 
-// maxConns returns the number of connections from which on idle ones are closed for new ones.
-func maxConns() int {
+// fileShare returns a share of the number of descriptors that the process may open.
+func fileShare(share float64) int {
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
 		return math.MaxInt32
 	}
-	return int(connShare * float64(min(limit.Cur, math.MaxInt32)))
+	return max(int(share*float64(min(limit.Cur, math.MaxInt32))), 1)
+}
+
+// newConnSet returns the set of connections to a port, which count in the memory.
+func (n *Node) newConnSet(limit int) *inbound.Set {
+	set := inbound.NewSet(limit)
+	set.Memory = n.memory
+	return set
 }
 
 // bounds returns the bounds in force.
@@ -309,6 +323,9 @@
 	}
 	answers := n.gateway.Load().AnswerBytes()
 	n.pool.Budget().SetLimit(answers)
+	if n.memory != nil {
+		n.memory.SetLimit(n.gateway.Load().RequestBytes())
+	}
 	n.storeAnswers.SetLimit(answers)
 }
 
@@ -362,6 +379,7 @@
 		OnNotice: n.recordNotice,
 		Suspect:  n.prober.suspect,
 		Metrics:  n.metrics,
+		Memory:   n.memory,
 	})
 }
 
@@ -379,7 +397,7 @@
 	} {
 		g.Go(func() error { return run(taskCtx) })
 	}
-	g.Go(func() error { return n.server.Serve(taskCtx, listeners.peers) })
+	g.Go(func() error { return n.server.Serve(taskCtx, n.boundPeers(listeners.peers)) })
 	g.Go(func() error {
 		return serve(callers, inbound.Listener{Listener: disconnect.Listener{Listener: listeners.callers}, Set: n.callers})
 	})
@@ -407,9 +425,14 @@
 }
 
 // sweep closes idle connections to targets, and notices VMs that have gone although no
-// update arrives.
+// update arrives. It logs connections of callers that were closed for others.
 func (n *Node) sweep(ctx context.Context) error {
+	closed := int64(0)
 	for store.Sleep(ctx, sweepPeriod) {
+		if now := n.callers.Closed(); now != closed {
+			_ = n.log.Log("msg", "connections of callers closed for others", "closed", now-closed, "open", n.openConns.Load())
+			closed = now
+		}
 		n.pool.Sweep(time.Now())
 		n.shareLimits(time.Now())
 	}
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -15,6 +15,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/inbound"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
@@ -101,25 +102,54 @@
 	listener net.Listener
 }
 
+const (
+	// readyFiles, directoryFiles, operatorsFiles and peersFiles are the shares of the
+	// descriptors that connections to these ports may use. From there on those that are
+	// idle, or have taken longest for a request, are closed for new ones. Each of 340 VMs
+	// may have a connection to this one, of 3,075 descriptors.
+	readyFiles, directoryFiles, operatorsFiles, peersFiles = 0.02, 0.04, 0.02, 0.12
+	// minPeerConns is the least number of connections of other VMs.
+	minPeerConns = 64
+	// sideHeaderBytes bounds the header of a request to another port than the callers'.
+	sideHeaderBytes = 16 << 10
+	// sideTimeout bounds a request to such a port, and sideIdleTimeout how long a
+	// connection may be idle.
+	sideTimeout, sideIdleTimeout = 30 * time.Second, time.Minute
+)
+
 // sideServers returns the servers of the readiness, directory and operators'
 // ports.
 func (n *Node) sideServers(l Listeners) []sideServer {
-	newServer := func(path string, h http.HandlerFunc, listener net.Listener) sideServer {
+	newServer := func(h http.Handler, listener net.Listener, files float64) sideServer {
+		set := n.newConnSet(fileShare(files))
+		return sideServer{&http.Server{
+			Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: sideTimeout, WriteTimeout: sideTimeout, IdleTimeout: sideIdleTimeout,
+			MaxHeaderBytes: sideHeaderBytes, ErrorLog: serverLog(n.log), ConnState: set.Track,
+		}, inbound.Listener{Listener: listener, Set: set}}
+	}
+	newMux := func(path string, h http.HandlerFunc) http.Handler {
 		mux := http.NewServeMux()
 		mux.HandleFunc("GET "+path, h)
-		return sideServer{&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: serverLog(n.log)}, listener}
+		return mux
 	}
 	operators := http.NewServeMux()
 	operators.Handle("GET /metrics", expvar.Handler())
 	operators.HandleFunc("GET /dump", n.serveDump)
 	operators.HandleFunc("GET /settings", n.serveSettings)
 	return []sideServer{
-		newServer(platform.PathReady, n.serveReady, l.ready),
-		newServer(platform.PathResolve, n.serveDirectory, l.directory),
-		{&http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout, ErrorLog: serverLog(n.log)}, l.operators},
+		newServer(newMux(platform.PathReady, n.serveReady), l.ready, readyFiles),
+		newServer(newMux(platform.PathResolve, n.serveDirectory), l.directory, directoryFiles),
+		newServer(operators, l.operators, operatorsFiles),
 	}
 }
 
+// boundPeers bounds the connections of other VMs and what they send before they are answered.
+func (n *Node) boundPeers(l net.Listener) net.Listener {
+	set := n.newConnSet(max(fileShare(peersFiles), minPeerConns))
+	set.Messages = true
+	return inbound.Listener{Listener: l, Set: set}
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.ready.Load() || n.leaving.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/gateway/placing/holders.go
+++ b/internal/gateway/placing/holders.go
@@ -27,6 +27,10 @@
 	largeFleetReportPeriod = 8 * time.Second
 	// maxHolders is the number of engines remembered for each prefix.
 	maxHolders = 3
+	// maxPrefixes and maxSent bound the prefixes that are remembered, which callers name at
+	// will: 32,768 take about 8 MB. Further ones are placed as if they were unknown.
+	maxPrefixes = 32 << 10
+	maxSent     = 8 << 10
 )
 
 // A holder is an engine that was sent a prefix.
@@ -73,6 +77,9 @@
 // prefix was written to the KV cache store.
 func (h *holders) record(key uint64, target string, stored bool, at time.Time) {
 	p, ok := h.prefixes[key]
+	if !ok && len(h.prefixes) >= maxPrefixes {
+		return
+	}
 	if !ok {
 		p = &prefixState{}
 		h.prefixes[key] = p
@@ -107,6 +114,9 @@
 	for i, prefix := range prefixes {
 		key := versionedKey(prefix.Hash, c.Weights)
 		h.record(key, c.Target.ID, c.StoreKV, now)
+		if len(h.sent) >= maxSent {
+			continue
+		}
 		h.sent = append(h.sent, sentPrefix{key: key, target: c.Target.ID, stored: c.StoreKV, full: i == len(prefixes)-1, at: now})
 	}
 }
--- a/internal/gateway/placing/largefleet.go
+++ b/internal/gateway/placing/largefleet.go
@@ -150,7 +150,10 @@
 // that its load needs, estimated from this VM's share of the traffic.
 func (p *Placer) replicasFor(r *Request, now time.Time) int {
 	prefix := r.fullPrefix().Hash
-	rate := p.sendRates[prefix]
+	rate, ok := p.sendRates[prefix]
+	if !ok && len(p.sendRates) >= maxPrefixes {
+		return 1
+	}
 	rate.sends = 1 + rate.sends*math.Exp2(-now.Sub(rate.at).Seconds()/sendRateHalfLife.Seconds())
 	rate.at = now
 	p.sendRates[prefix] = rate
--- a/internal/gateway/placing/state.go
+++ b/internal/gateway/placing/state.go
@@ -9,6 +9,10 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 )
 
+// maxModels bounds the models whose weights are remembered for a target. Callers name models
+// at will.
+const maxModels = 256
+
 // state returns the state of a target. A restarted target gets a new one.
 func (p *Placer) state(t *site.Target, now time.Time) *targetState {
 	s, ok := p.states[t.ID]
@@ -181,6 +185,9 @@
 	if version <= s.version(t, model) && s.weights[model] != 0 {
 		return false
 	}
+	if _, ok := s.weights[model]; !ok && len(s.weights) >= maxModels {
+		return false
+	}
 	newer := version > s.version(t, model)
 	s.weights[model] = max(version, s.weights[model])
 	if newer {
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -150,7 +150,7 @@
 	if x.response.started.Load() {
 		return lost{reason: "no stream but " + r.Response.Status}, end
 	}
-	x.response.writePlain(r.Response, body.Data)
+	x.response.writePlain(x.handler, r.Response, body.Data)
 	x.handler.finish(j, r.Response.StatusCode, outcomeAnswered)
 	return delivered{}, end
 }
--- a/internal/gateway/relay/failure.go
+++ b/internal/gateway/relay/failure.go
@@ -86,6 +86,10 @@
 // second, about 20 KB of log lines. All others are logged.
 const loggedSuccesses = 40
 
+// loggedFull is the number of requests refused for want of memory that are logged per second.
+// A crowd of callers would fill the log else.
+const loggedFull = 10
+
 // finish logs and counts a request.
 func (h *Handler) finish(j *job, status int, outcome string) {
 	now := time.Now()
@@ -105,12 +109,15 @@
 		left = j.deadline.Sub(now)
 	}
 	h.opts.Metrics.record(status, j.timeToFirst, now.Sub(j.start))
-	leftOut := 0
-	if outcome == outcomeAnswered || outcome == outcomeStreamed {
-		var ok bool
-		if ok, leftOut = h.successLog.Allow(now); !ok {
-			return
-		}
+	leftOut, ok := 0, true
+	switch {
+	case j.noMemory:
+		ok, leftOut = h.fullLog.Allow(now)
+	case outcome == outcomeAnswered || outcome == outcomeStreamed:
+		ok, leftOut = h.successLog.Allow(now)
+	}
+	if !ok {
+		return
 	}
 	_ = h.opts.Log.Log("msg", "request", "id", j.info.ID, "route", route, "customer", customer,
 		"config", version, "status", status, "outcome", outcome, "detail", j.detail, "target", j.target, "sends", j.sends,
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/retry"
 	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
@@ -73,6 +73,8 @@
 	// Suspect is called with targets that accepted no connection.
 	Suspect func(t *site.Target)
 	Metrics *Metrics
+	// Memory is the budget for requests and unread answers; nil is one without a limit.
+	Memory *intake.Memory
 }
 
 // Stop holds the times of a planned stop.
@@ -88,19 +90,28 @@
 	opts Options
 	// successLog selects the successful requests that are logged.
 	successLog logline.Sampler
-	faulty     faultyTargets
+	// fullLog selects the requests that are logged of those refused for want of memory.
+	fullLog logline.Sampler
+	faulty  faultyTargets
 }
 
 // NewHandler returns a Handler.
 func NewHandler(o Options) *Handler {
-	return &Handler{opts: o, successLog: logline.Sampler{PerSecond: loggedSuccesses}}
+	if o.Memory == nil {
+		o.Memory = intake.NewMemory(0)
+	}
+	return &Handler{opts: o, successLog: logline.Sampler{PerSecond: loggedSuccesses}, fullLog: logline.Sampler{PerSecond: loggedFull}}
 }
 
 // A job is the state of one caller's request.
 type job struct {
-	info     platform.RequestInfo
-	request  *http.Request
-	body     []byte
+	info    platform.RequestInfo
+	request *http.Request
+	body    []byte
+	// transfer holds the memory of the body; nil if there is none.
+	transfer *intake.Transfer
+	// noMemory reports whether the request is refused for want of memory.
+	noMemory bool
 	view     *source.View
 	route    *site.Route
 	customer *site.Customer
@@ -148,6 +159,12 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{info: platform.ReadRequestInfo(r.Header), request: r, view: h.opts.View(), start: time.Now(), level: -1}
 	h.announceStop(w)
+	if !h.opts.Memory.Reserve(intake.Requests, intake.RequestCost) {
+		h.refuseFull(w, j)
+		return
+	}
+	defer h.opts.Memory.Release(intake.Requests, intake.RequestCost)
+	defer j.releaseBody()
 	if f := h.admit(w, j); f != nil {
 		h.fail(w, j, f)
 		return
@@ -162,13 +179,15 @@
 func (h *Handler) admit(w http.ResponseWriter, j *job) failure {
 	cfg := j.view.Config
 	if cfg == nil {
-		return refusal{http.StatusServiceUnavailable, "no configuration yet", startRetry}
+		return h.refuseEarly(w, j, refusal{http.StatusServiceUnavailable, "no configuration yet", startRetry})
 	}
-	limit := cfg.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
+	if j.info.ID == "" {
+		return h.refuseEarly(w, j, rejection{http.StatusBadRequest, "the request has no id"})
+	}
+	if f := h.authorise(j, cfg); f != nil {
+		return h.refuseEarly(w, j, f)
 	}
-	if f := j.readBody(w, limit); f != nil {
+	if f := h.readBody(w, j); f != nil {
 		return f
 	}
 	// The body may have taken long to arrive.
@@ -176,10 +195,7 @@
 	if disconnect.HasLeft(j.request.Context()) {
 		return callerGone{disconnect.ErrLeft}
 	}
-	if j.info.ID == "" {
-		return rejection{http.StatusBadRequest, "the request has no id"}
-	}
-	if f := h.authorise(j, cfg); f != nil {
+	if f := h.authoriseAgain(j); f != nil {
 		return f
 	}
 	j.setDeadline()
@@ -231,25 +247,6 @@
 	return !stop.By.IsZero() && j.deadline.After(stop.By) && time.Now().After(stop.AcceptUntil)
 }
 
-func (j *job) readBody(w http.ResponseWriter, limit int64) failure {
-	if j.request.Body == nil || j.request.ContentLength == 0 {
-		return nil
-	}
-	if j.request.ContentLength > limit {
-		return rejection{http.StatusRequestEntityTooLarge, "the body is too long"}
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, j.request.Body, limit))
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return rejection{http.StatusRequestEntityTooLarge, "the body is too long"}
-	case err != nil:
-		return callerGone{err}
-	}
-	j.body = body
-	return nil
-}
-
 // authorise finds the route, the customer and the service of the request.
 func (h *Handler) authorise(j *job, cfg *site.Config) failure {
 	j.route = cfg.Match(j.request.Host, j.path())
@@ -261,9 +258,9 @@
 		if j.customer == nil && !j.route.Public {
 			return h.reject(http.StatusUnauthorized, "the key is not known")
 		}
-		if !j.route.Public && !h.opts.Fresh() {
-			return refusal{http.StatusServiceUnavailable, "this VM may have missed the withdrawal of a key", busyRetry}
-		}
+	}
+	if f := h.checkFresh(j); f != nil {
+		return f
 	}
 	j.service = pickShare(j.route.Shares, j.info.ID)
 	s := cfg.Services[j.service]
@@ -271,6 +268,14 @@
 	return nil
 }
 
+// checkFresh refuses a request with a key that may have been withdrawn.
+func (h *Handler) checkFresh(j *job) failure {
+	if len(j.view.Config.Customers) > 0 && !j.route.Public && !h.opts.Fresh() {
+		return refusal{http.StatusServiceUnavailable, "this VM may have missed the withdrawal of a key", busyRetry}
+	}
+	return nil
+}
+
 // reject rejects a request that the configuration does not permit, unless this VM may have
 // missed a newer one that does.
 func (h *Handler) reject(code int, text string) failure {
--- a/internal/gateway/relay/response.go
+++ b/internal/gateway/relay/response.go
@@ -164,14 +164,14 @@
 }
 
 // writePlain sends a complete response.
-func (r *response) writePlain(resp *http.Response, body []byte) {
-	h := r.w.Header()
-	platform.CopyResponseHeader(h, resp.Header)
+func (r *response) writePlain(h *Handler, resp *http.Response, body []byte) {
+	header := r.w.Header()
+	platform.CopyResponseHeader(header, resp.Header)
 	if r.job.request.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(body)))
+		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	r.w.WriteHeader(resp.StatusCode)
-	_, _ = r.w.Write(body)
+	h.writeAnswer(r.w, r.job, body)
 }
 
 // writeEvent passes one event on. Resumed reports whether an earlier run has begun the
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,9 @@
 	// garbage collector's limit is half of the memory, and answers of targets and of the
 	// platform together take a quarter of that at most.
 	answersDivisor = 16
+	// requestsShare / requestsDivisor is the part of the memory for callers. With that for
+	// answers it is half of the memory, which is the garbage collector's limit.
+	requestsShare, requestsDivisor = 3, 8
 	// defaultAnswers is the memory for answers of a process without a limit.
 	defaultAnswers = 64 << 20
 )
@@ -60,6 +63,14 @@
 	return defaultAnswers
 }
 
+// RequestBytes returns what callers may take of the memory, in bytes; 0 is no limit.
+func (g *Gateway) RequestBytes() int64 {
+	if g.RequestsMB > 0 {
+		return g.RequestsMB << 20
+	}
+	return g.MemoryMB << 20 * requestsShare / requestsDivisor
+}
+
 // A Settings is the settings file of one process. Addresses are IP:port.
 type Settings struct {
 	VM         string    `yaml:"vm"`
@@ -146,8 +157,13 @@
 	MemoryMB int64 `yaml:"memory,omitempty"`
 	// AnswersMB is what answers of targets, and once more those of the platform, may
 	// take of the memory beyond 64 KB each; 0 means a sixteenth of MemoryMB.
-	AnswersMB int64  `yaml:"answers,omitempty"`
-	Bounds    Bounds `yaml:"bounds,omitempty"`
+	AnswersMB int64 `yaml:"answers,omitempty"`
+	// RequestsMB is what callers' connections, requests and unread answers may take of the
+	// memory; 0 means three eighths of MemoryMB, and no limit without that.
+	RequestsMB int64 `yaml:"requests,omitempty"`
+	// Connections bounds callers' connections; 0 means seven tenths of the descriptors.
+	Connections int    `yaml:"connections,omitempty"`
+	Bounds      Bounds `yaml:"bounds,omitempty"`
 	// Contracts are the contracts that the operator has in force, in the platform's
 	// words. Package platform translates those that switch on a part of the gateway.
 	Contracts []string `yaml:"contracts,omitempty"`
