--- a/internal/gateway/relay/body.go
+++ b/internal/gateway/relay/body.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -71,14 +70,12 @@
 		return h.refuseEarly(w, j, tooLong)
 	}
 	j.setDeadline()
-	ctx, cancel := context.WithDeadline(j.request.Context(), j.deadline)
-	defer cancel()
 	control := http.NewResponseController(w)
 	cut := func() { _ = control.SetReadDeadline(past) }
 	j.transfer = h.opts.Memory.BeginBody(j.isUrgent(), cut)
-	stop := context.AfterFunc(ctx, cut)
-	body, err := j.transfer.Read(ctx, j.request.Body, j.request.ContentLength, limit)
-	stop()
+	timer := time.AfterFunc(time.Until(j.deadline), cut)
+	body, err := j.transfer.Read(j.request.Context(), j.request.Body, j.request.ContentLength, limit)
+	timer.Stop()
 	if err == nil {
 		j.body = body
 		return nil
