--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -159,7 +159,7 @@
 		return lost{reason: "no stream but " + r.Response.Status}, end
 	}
 	x.standby.deliver()
-	x.response.writePlain(r.Response, body.Data)
+	x.response.writePlain(x.handler, r.Response, body.Data)
 	x.handler.finish(j, r.Response.StatusCode, outcomeAnswered)
 	return delivered{}, end
 }
