--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -60,14 +60,14 @@
 		positive("gateway.bounds.drain", int64(g.Bounds.Drain)),
 		positive("gateway.bounds.retries.window", int64(g.Bounds.Retries.Window)),
 		{g.Bounds.Retries.Ratio >= 0 && g.Bounds.Retries.Slack >= 0, "gateway.bounds.retries", "is negative", "numbers above zero"},
-		within("gateway.bounds.canary.share", g.Bounds.Canary.Share, 0, 1),
+		fraction("gateway.bounds.canary.share", g.Bounds.Canary.Share, 0),
 		{g.Bounds.Canary.Slack >= 0, "gateway.bounds.canary.slack", "is negative", "a number of requests"},
 		positive("gateway.bounds.canary.rollback", int64(g.Bounds.Canary.Rollback)),
 		{!slices.ContainsFunc(g.Hedge.Routes, isBlank), "gateway.hedge.routes", "has a name without text", "names of routes"},
-		within("gateway.hedge.requests", g.Hedge.Requests, 0, 1),
-		within("gateway.hedge.tokens", g.Hedge.Tokens, 0, 1),
+		fraction("gateway.hedge.requests", g.Hedge.Requests, 0),
+		fraction("gateway.hedge.tokens", g.Hedge.Tokens, 0),
 		{(g.Hedge.Requests == 0) == (g.Hedge.Tokens == 0), "gateway.hedge", "has a limit of requests without one of tokens, or the other way round", "both or neither"},
-		within("gateway.hedge.quantile", g.Hedge.Quantile, 0.5, 1),
+		fraction("gateway.hedge.quantile", g.Hedge.Quantile, 0.5),
 	}
 }
 
@@ -117,8 +117,8 @@
 	return check{both, field, "has a certificate without its key, or the other way round", "both files or neither"}
 }
 
-func within(field string, value, low, high float64) check {
-	return check{value >= low && value <= high, field, fmt.Sprintf("%v is out of range", value), fmt.Sprintf("a number from %v to %v", low, high)}
+func fraction(field string, value, low float64) check {
+	return check{value >= low && value <= 1, field, fmt.Sprintf("%v is out of range", value), fmt.Sprintf("a number from %v to 1", low)}
 }
 
 func positive(field string, value int64) check {
