Refuse requests of overloaded services by their first tokens

Cause: from 1.5 times the usual load on, all requests are sent, wait too long at the engines, are preempted or discarded, and are asked for again. Change: each VM lowers the share of requests that it sends to a service while first tokens arrive later than 0.7 of the latency goal, divides the share by class and customer, and refuses the others at once. It is in force with the contract pressure or gateway.admission only.

--- /dev/null
+++ b/internal/gateway/admission/controller.go
@@ -0,0 +1,152 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/baobabdyke/baobabdyke/internal/logs/logline"
+)
+
+// loggedRefusals is the number of refusals that are logged a second. The others are counted
+// in the next line.
+const loggedRefusals = 5
+
+// A Controller is a State that is safe for concurrent use.
+type Controller struct {
+	enabled func() bool
+	log     log.Logger
+	refusal logline.Sampler
+
+	mu    sync.Mutex
+	state *State
+}
+
+// NewController returns a Controller that admits everything while it is not enabled.
+func NewController(enabled func() bool, logger log.Logger) *Controller {
+	return &Controller{enabled: enabled, log: logger, refusal: logline.Sampler{PerSecond: loggedRefusals}, state: NewState(rand.Float64)}
+}
+
+// Enabled reports whether admission control is switched on.
+func (c *Controller) Enabled() bool { return c != nil && c.enabled() }
+
+// Admit decides whether a request is sent now. The ticket is nil for refused requests, and
+// while the Controller is not enabled.
+func (c *Controller) Admit(r Request, now time.Time) (*Ticket, Decision) {
+	if !c.Enabled() {
+		return nil, Decision{Admitted: true, Share: 1}
+	}
+	c.mu.Lock()
+	t, d := c.state.Admit(r, now)
+	status := c.state.services[r.Service].status()
+	c.mu.Unlock()
+	if !d.Admitted {
+		if ok, leftOut := c.refusal.Allow(now); ok {
+			_ = c.log.Log("msg", "request refused under overload", "service", r.Service, "class", r.Class, "customer", r.Customer,
+				"tokens", r.Tokens, "share", d.Share, "level", status.Level, "late", status.LateShare, "running", status.Running,
+				"retryms", d.RetryAfter.Milliseconds(), "leftout", leftOut)
+		}
+	}
+	return t, d
+}
+
+// FirstToken records that a request has received its first token or its whole response. The
+// ticket may be nil.
+func (c *Controller) FirstToken(t *Ticket, now time.Time) {
+	if t == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.FirstToken(t, now)
+}
+
+// End records the end of a request. The ticket may be nil.
+func (c *Controller) End(t *Ticket, o Outcome, now time.Time) {
+	if t == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.End(t, o, now)
+}
+
+// Status returns the state for operators.
+func (c *Controller) Status() []ServiceStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Status()
+}
+
+// maxListed is the number of flows of a service in its status. The others are added up.
+const maxListed = 24
+
+// A ServiceStatus is the state of a service for operators.
+type ServiceStatus struct {
+	Service string `json:"service"`
+	// Level is the share of the work asked for that is admitted, all from 1 on, and LateShare
+	// the recent share of late requests, by which it changes.
+	Level     float64 `json:"level"`
+	LateShare float64 `json:"lateshare"`
+	// Running is the number of admitted requests that have not ended, and Undecided that of
+	// those whose first token may still arrive in time.
+	Running   int          `json:"running"`
+	Undecided int          `json:"undecided"`
+	Flows     []FlowStatus `json:"flows,omitempty"`
+}
+
+// A FlowStatus is the state of a customer's requests of a class.
+type FlowStatus struct {
+	Class    string `json:"class"`
+	Customer string `json:"customer"`
+	// Share is the share of the requests that are admitted now.
+	Share float64 `json:"share"`
+	Counts
+}
+
+// Status returns the state of all services, by name, with the customers and classes that ask
+// for most.
+func (s *State) Status() []ServiceStatus {
+	out := make([]ServiceStatus, 0, len(s.services))
+	for name, v := range s.services {
+		status := v.status()
+		status.Service, status.Flows = name, v.flowStatus()
+		out = append(out, status)
+	}
+	slices.SortFunc(out, func(a, b ServiceStatus) int { return strings.Compare(a.Service, b.Service) })
+	return out
+}
+
+func (v *service) status() ServiceStatus {
+	return ServiceStatus{Level: v.level, LateShare: v.lateShare(), Running: v.running, Undecided: len(v.pending)}
+}
+
+func (v *service) flowStatus() []FlowStatus {
+	flows := make([]FlowStatus, 0, len(v.flows)+1)
+	for _, f := range v.flows {
+		share := f.share
+		if v.level >= 1 {
+			share = 1
+		}
+		flows = append(flows, FlowStatus{Class: f.key.class, Customer: f.key.customer, Share: share, Counts: f.counts})
+	}
+	slices.SortFunc(flows, func(a, b FlowStatus) int {
+		if d := (b.AdmittedTokens + b.RefusedTokens) - (a.AdmittedTokens + a.RefusedTokens); d != 0 {
+			return int(min(max(d, -1), 1))
+		}
+		return strings.Compare(a.Class+"/"+a.Customer, b.Class+"/"+b.Customer)
+	})
+	others := FlowStatus{Class: "others", Share: v.level, Counts: v.forgotten}
+	for _, f := range flows[min(maxListed, len(flows)):] {
+		others.add(f.Counts)
+	}
+	flows = flows[:min(maxListed, len(flows))]
+	if others.Counts != (Counts{}) {
+		flows = append(flows, others)
+	}
+	return flows
+}
--- /dev/null
+++ b/internal/gateway/admission/model_test.go
@@ -0,0 +1,268 @@
+package admission
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// A simClass is a class of generated requests.
+type simClass struct {
+	name     string
+	priority int
+	// perSecond is the rate of requests at load 1.
+	perSecond              float64
+	tokens, steps          int
+	goal, deadline         time.Duration
+	valueOnTime, valueLate float64
+}
+
+// A simCall is a request of a caller.
+type simCall struct {
+	class    *simClass
+	customer int
+	tokens   int
+	vm       int
+	// start is when the caller first sent the request, and returns how often it sent it again.
+	start     time.Time
+	returns   int
+	impatient bool
+	ticket    *Ticket
+	sent      time.Time
+	// read and steps are the progress at the engine.
+	read, steps int
+	first       time.Time
+}
+
+// A simEngine is an engine that reads prompts one after the other, the urgent ones first, and
+// preempts the newest of the least urgent runs when its memory is full.
+type simEngine struct{ queue, running []*simCall }
+
+const (
+	simTick       = 5 * time.Millisecond
+	simSlots      = 32
+	simQueue      = 96
+	simMemory     = 40000
+	simPrefill    = 41 // tokens a millisecond
+	simEngines    = 8
+	simVMs        = 24
+	simCustomers  = 16
+	simReturnTime = 3
+)
+
+func byUrgency(a, b *simCall) int {
+	return cmp.Or(cmp.Compare(a.class.priority, b.class.priority), a.sent.Compare(b.sent))
+}
+
+func (e *simEngine) memory() (total int) {
+	for _, c := range e.running {
+		total += c.tokens
+	}
+	return total
+}
+
+// start moves queued calls into free slots.
+func (e *simEngine) start() {
+	slices.SortStableFunc(e.queue, byUrgency)
+	for len(e.queue) > 0 && len(e.running) < simSlots {
+		c := e.queue[0]
+		if e.memory()+c.tokens > simMemory {
+			last := slices.MaxFunc(e.running, byUrgency)
+			if last.class.priority <= c.class.priority {
+				return
+			}
+			last.read, last.steps = 0, 0
+			e.running = slices.DeleteFunc(e.running, func(r *simCall) bool { return r == last })
+			e.queue = append(e.queue, last)
+			continue
+		}
+		e.queue, e.running = e.queue[1:], append(e.running, c)
+	}
+}
+
+// work simulates a tick and returns the calls that have ended.
+func (e *simEngine) work(now time.Time) (ended []*simCall) {
+	over := func(c *simCall) bool {
+		if now.Sub(c.start) < c.class.deadline {
+			return false
+		}
+		ended = append(ended, c)
+		return true
+	}
+	e.queue, e.running = slices.DeleteFunc(e.queue, over), slices.DeleteFunc(e.running, over)
+	e.start()
+	budget := simPrefill * int(simTick.Milliseconds())
+	for _, c := range e.running {
+		n := min(budget, c.tokens-c.read)
+		budget, c.read = budget-n, c.read+n
+	}
+	e.running = slices.DeleteFunc(e.running, func(c *simCall) bool {
+		if c.read < c.tokens {
+			return false
+		}
+		if c.first.IsZero() {
+			c.first = now
+		}
+		if c.steps++; c.steps < c.class.steps {
+			return false
+		}
+		ended = append(ended, c)
+		return true
+	})
+	return ended
+}
+
+// A simulation simulates VMs that receive requests at random in front of engines.
+type simulation struct {
+	classes []simClass
+	load    func(at time.Duration) float64
+	// heavy is the factor by which customer 0 asks for more than the others.
+	heavy   float64
+	off     bool
+	seconds int
+	// warmUp is the time that is not counted.
+	warmUp time.Duration
+	seed   uint64
+}
+
+// A tally is what became of the requests of a class or customer.
+type tally struct {
+	asked, refused, refusals, onTime, late float64
+	askedTokens, servedTokens              float64
+}
+
+type simResult struct {
+	value      float64
+	byClass    map[string]*tally
+	byCustomer map[string]map[int]*tally
+}
+
+var simEpoch = time.Unix(1000, 0)
+
+func (s *simulation) run() simResult {
+	random := rand.New(rand.NewPCG(s.seed, 7))
+	out := simResult{byClass: map[string]*tally{}, byCustomer: map[string]map[int]*tally{}}
+	for i := range s.classes {
+		out.byClass[s.classes[i].name], out.byCustomer[s.classes[i].name] = &tally{}, map[int]*tally{}
+		for c := range simCustomers {
+			out.byCustomer[s.classes[i].name][c] = &tally{}
+		}
+	}
+	vms := make([]*State, simVMs)
+	for i := range vms {
+		vms[i] = NewState(random.Float64)
+	}
+	engines := make([]simEngine, simEngines)
+	later := map[time.Duration][]*simCall{}
+	due := make([]float64, len(s.classes))
+	customers := s.heavy + simCustomers - 1
+	for at := time.Duration(0); at < time.Duration(s.seconds)*time.Second; at += simTick {
+		now := simEpoch.Add(at)
+		calls := later[at]
+		delete(later, at)
+		for i := range s.classes {
+			class := &s.classes[i]
+			due[i] += random.ExpFloat64() * s.load(at) * class.perSecond * simTick.Seconds()
+			for ; due[i] >= 1; due[i]-- {
+				customer := 0
+				if random.Float64()*customers >= s.heavy {
+					customer = 1 + random.IntN(simCustomers-1)
+				}
+				c := &simCall{class: class, customer: customer, start: now, impatient: random.IntN(3) == 0, tokens: int(float64(class.tokens) * (0.5 + random.Float64()))}
+				calls = append(calls, c)
+				if at >= s.warmUp {
+					out.each(c, func(t *tally) { t.asked++; t.askedTokens += float64(c.tokens) })
+				}
+			}
+		}
+		for _, c := range calls {
+			c.vm = random.IntN(simVMs)
+			e := &engines[random.IntN(simEngines)]
+			if o := &engines[random.IntN(simEngines)]; len(o.queue) < len(e.queue) {
+				e = o
+			}
+			after := simTick
+			admitted := s.off
+			if !s.off {
+				left := c.class.deadline - now.Sub(c.start)
+				ticket, d := vms[c.vm].Admit(Request{
+					Service: "llm", Class: c.class.name, Priority: c.class.priority, Customer: string(rune('a' + c.customer)),
+					Tokens: float64(c.tokens), Goal: c.class.goal, TimeLeft: left,
+				}, now)
+				c.ticket, admitted, after = ticket, d.Admitted, d.RetryAfter
+			}
+			if admitted && len(e.queue) >= simQueue {
+				admitted = false
+				s.end(vms[c.vm], c, Refused, now)
+			}
+			if admitted {
+				c.sent = now
+				e.queue = append(e.queue, c)
+				continue
+			}
+			if c.start.Sub(simEpoch) >= s.warmUp {
+				out.each(c, func(t *tally) { t.refusals++ })
+			}
+			if c.impatient {
+				after = simTick
+			}
+			if c.returns++; c.returns <= 1 || c.impatient && c.returns <= simReturnTime {
+				later[at+max(after.Truncate(simTick), simTick)] = append(later[at+max(after.Truncate(simTick), simTick)], c)
+			} else if c.start.Sub(simEpoch) >= s.warmUp {
+				out.each(c, func(t *tally) { t.refused++ })
+			}
+		}
+		for i := range engines {
+			for _, c := range engines[i].work(now) {
+				s.finish(&out, vms, c, now)
+			}
+			for _, c := range engines[i].running {
+				if !c.first.IsZero() && c.ticket != nil {
+					vms[c.vm].FirstToken(c.ticket, now)
+				}
+			}
+		}
+	}
+	out.value /= (time.Duration(s.seconds)*time.Second - s.warmUp).Seconds()
+	return out
+}
+
+func (s *simulation) end(vm *State, c *simCall, o Outcome, now time.Time) {
+	if c.ticket != nil {
+		vm.End(c.ticket, o, now)
+	}
+}
+
+func (s *simulation) finish(out *simResult, vms []*State, c *simCall, now time.Time) {
+	served := c.steps >= c.class.steps
+	if served {
+		s.end(vms[c.vm], c, Answered, now)
+	} else {
+		s.end(vms[c.vm], c, Other, now)
+	}
+	if c.start.Sub(simEpoch) < s.warmUp {
+		return
+	}
+	out.each(c, func(t *tally) {
+		switch {
+		case served && c.first.Sub(c.sent) <= c.class.goal:
+			t.onTime++
+			t.servedTokens += float64(c.tokens)
+		case served:
+			t.late++
+			t.servedTokens += float64(c.tokens)
+		}
+	})
+	switch {
+	case served && c.first.Sub(c.sent) <= c.class.goal:
+		out.value += c.class.valueOnTime
+	case served:
+		out.value += c.class.valueLate
+	}
+}
+
+func (r *simResult) each(c *simCall, f func(*tally)) {
+	f(r.byClass[c.class.name])
+	f(r.byCustomer[c.class.name][c.customer])
+}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/tally"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/throttle"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/admission"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
@@ -90,8 +91,10 @@
 	quarantine *quarantine.List
 	// limits holds the rates of requests that targets accept.
 	limits *throttle.Table
-	placer *placing.Placer
-	pool   *conn.Pool
+	// admission refuses requests of overloaded services.
+	admission *admission.Controller
+	placer    *placing.Placer
+	pool      *conn.Pool
 	// storeAnswers is the budget for answers of the object store, apart from that for
 	// answers of targets, which faulty targets may fill.
 	storeAnswers *intake.Budget
@@ -156,12 +159,18 @@
 	n.buildRelay()
 	metrics.Set(s.VM, n.metrics.Vars())
 	metrics.Set(s.VM+".connections", expvar.Func(n.connections))
+	metrics.Set(s.VM+".admission", expvar.Func(func() any { return n.admission.Status() }))
 	return n
 }
 
 // metrics holds the counters of each VM of this process, by its id.
 var metrics = expvar.NewMap("gateway")
 
+// admitsByLoad reports whether the settings ask for admission control under overload.
+func admitsByLoad(g *settings.Gateway) bool {
+	return g.Admission || platform.ReadContracts(g.Contracts).Admission
+}
+
 // connections returns the counters of connections to targets.
 func (n *Node) connections() any {
 	dials, reuses, failures := n.pool.Counts()
@@ -345,11 +354,13 @@
 // buildRelay builds the handler that serves callers.
 func (n *Node) buildRelay() {
 	n.budget = retry.NewBudget(limitsOf(n.bounds().Retries))
+	n.admission = admission.NewController(func() bool { return admitsByLoad(n.gateway.Load()) }, n.log)
 	n.relay = relay.NewHandler(relay.Options{
 		View:       n.source.View,
 		Quota:      n.quota,
 		Quarantine: n.quarantine,
 		OnSuspect:  n.roster.Trigger,
+		Admission:  n.admission,
 		Placer:     n.placer,
 		Pool:       n.pool,
 		Budget:     n.budget,
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -14,6 +14,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/admission"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/settings"
 	"github.com/baobabdyke/baobabdyke/platform"
@@ -166,15 +167,16 @@
 func (n *Node) serveDump(w http.ResponseWriter, _ *http.Request) {
 	v := n.source.View()
 	dump := struct {
-		State    string
-		Members  []*roster.Member
-		Marks    any
-		Targets  any
-		Names    []source.Announcement
-		Spent    map[string]float64
-		Duty     roster.LeaseStatus
-		Suspects []quarantine.Report
-	}{n.lifecycle.State(), n.roster.Members(), n.source.Positions(), v.Targets, n.source.Announcements(time.Now()), n.quota.Spent(), n.orders.LeaseStatus(), n.quarantine.Reports(time.Now())}
+		State     string
+		Admission []admission.ServiceStatus `json:",omitempty"`
+		Members   []*roster.Member
+		Marks     any
+		Targets   any
+		Names     []source.Announcement
+		Spent     map[string]float64
+		Duty      roster.LeaseStatus
+		Suspects  []quarantine.Report
+	}{n.lifecycle.State(), n.admission.Status(), n.roster.Members(), n.source.Positions(), v.Targets, n.source.Announcements(time.Now()), n.quota.Spent(), n.orders.LeaseStatus(), n.quarantine.Reports(time.Now())}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(dump); err != nil {
 		_ = n.log.Log("msg", "state dump not written", "err", err)
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -178,6 +178,7 @@
 		j.timeToFirst = time.Since(j.start)
 	}
 	x.handler.opts.Placer.FirstToken(x.choice, time.Since(x.sentAt), time.Now())
+	x.handler.opts.Admission.FirstToken(j.ticket, time.Now())
 	x.recordAlive()
 	x.handler.opts.Quarantine.RecordAnswer(j.shared(), time.Now())
 }
--- a/internal/gateway/relay/failure.go
+++ b/internal/gateway/relay/failure.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/gateway/admission"
 	"github.com/baobabdyke/baobabdyke/platform"
 )
 
@@ -56,6 +57,7 @@
 		panic(http.ErrAbortHandler)
 	case refusal:
 		h.refund(j)
+		j.ticketEnd = admission.Refused
 		platform.SetErrorHeader(w.Header(), j.info.ID, f.retryAfter)
 	case rejection, indeterminate:
 		platform.SetErrorHeader(w.Header(), j.info.ID, 0)
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -17,6 +17,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/admission"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/placing"
@@ -52,10 +53,12 @@
 	// OnSuspect is called when this VM has added to it.
 	Quarantine *quarantine.List
 	OnSuspect  func()
-	Placer     *placing.Placer
-	Pool       *conn.Pool
-	Budget     *retry.Budget
-	Log        log.Logger
+	// Admission refuses requests that their service has no capacity for; nil admits all.
+	Admission *admission.Controller
+	Placer    *placing.Placer
+	Pool      *conn.Pool
+	Budget    *retry.Budget
+	Log       log.Logger
 	// VMs returns the number of VMs that share the retry budget.
 	VMs func() int
 	// Fresh reports whether requests with a key may be served. A VM that has no
@@ -109,6 +112,10 @@
 	start    time.Time
 	deadline time.Time
 	cost     float64
+	// ticket is nil unless the request was admitted by admission control. ticketEnd is how
+	// it has ended.
+	ticket    *admission.Ticket
+	ticketEnd admission.Outcome
 	// prompt is the prompt under the configuration by which the request was admitted.
 	prompt prompt
 	// contents are the whole request and the ids of the prompt's segments that other
@@ -152,6 +159,7 @@
 		h.fail(w, j, f)
 		return
 	}
+	defer h.releaseWork(j)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	h.run(ctx, w, j)
@@ -190,7 +198,10 @@
 	if f := h.checkQuarantine(j); f != nil {
 		return f
 	}
-	return h.charge(j)
+	if f := h.charge(j); f != nil {
+		return f
+	}
+	return h.admitWork(j)
 }
 
 // checkQuarantine refuses a request that is quarantined, by itself or for a segment of its
