Control admission by the waits of requests and the slots taken

Cause: verdicts on first tokens arrive a second after the queues of the targets have grown, so that the level swung between 0.05 and 1. Change: the control follows the waits of requests that have no first token yet (a proportional and an integral part), and the share of the slots that all VMs' requests take, from half of them on.

--- a/internal/gateway/admission/admission.go
+++ b/internal/gateway/admission/admission.go
@@ -25,6 +25,9 @@
 	// Goal is the latency goal of the first token, or 0, and TimeLeft the time left for the
 	// whole request.
 	Goal, TimeLeft time.Duration
+	// Occupancy is the share of the service's slots that requests of all VMs take, more than
+	// 1 if they wait at the targets; 0 if it is not known.
+	Occupancy float64
 }
 
 // bound returns how long after it was sent the first token may arrive for the request to
@@ -48,9 +51,11 @@
 // A Ticket is an admitted request that has not ended.
 type Ticket struct {
 	service *service
-	// due is when the first token must have arrived; decided reports whether it is known
-	// if it has.
-	due     time.Time
+	sent    time.Time
+	// bound is how long the first token may take for the request to be timely, and waited
+	// how much of it has been counted. Once decided is set, no more is.
+	bound   time.Duration
+	waited  float64
 	decided bool
 }
 
@@ -97,6 +102,7 @@
 		v = newService(now)
 		s.services[r.Service] = v
 	}
+	v.occupancy = r.Occupancy
 	v.advance(now)
 	f := v.flow(&r, s.random, now)
 	f.arrive(r.Tokens, now)
@@ -106,7 +112,8 @@
 		return nil, Decision{RetryAfter: retryAfter(&r, s.random()), Share: share}
 	}
 	f.counts.admit(r.Tokens)
-	t := &Ticket{service: v, due: now.Add(r.bound())}
+	t := &Ticket{service: v, sent: now, bound: v.bound(&r)}
+	v.sent++
 	v.pending = append(v.pending, t)
 	v.running++
 	return t, Decision{Admitted: true, Share: share}
@@ -115,7 +122,7 @@
 // FirstToken records that a request has received its first token or its whole response.
 func (s *State) FirstToken(t *Ticket, now time.Time) {
 	t.service.advance(now)
-	t.service.decide(t, true)
+	t.service.decide(t, false, now)
 }
 
 // End records the end of a request.
@@ -125,11 +132,11 @@
 	v.running--
 	switch o {
 	case Answered:
-		v.decide(t, true)
+		v.decide(t, false, now)
 	case Refused:
-		v.decide(t, false)
+		v.decide(t, true, now)
 	case Other:
-		t.decided = true
+		v.decide(t, false, now)
 	}
 }
 
--- a/internal/gateway/admission/controller.go
+++ b/internal/gateway/admission/controller.go
@@ -47,13 +47,24 @@
 	if !d.Admitted {
 		if ok, leftOut := c.refusal.Allow(now); ok {
 			_ = c.log.Log("msg", "request refused under overload", "service", r.Service, "class", r.Class, "customer", r.Customer,
-				"tokens", r.Tokens, "share", d.Share, "level", status.Level, "late", status.LateShare, "running", status.Running,
+				"tokens", r.Tokens, "share", d.Share, "level", status.Level, "wait", status.Wait, "occupancy", status.Occupancy, "running", status.Running,
 				"retryms", d.RetryAfter.Milliseconds(), "leftout", leftOut)
 		}
 	}
 	return t, d
 }
 
+// Overloaded reports whether some of the requests of a service are refused now.
+func (c *Controller) Overloaded(service string) bool {
+	if !c.Enabled() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v, ok := c.state.services[service]
+	return ok && v.admitted() < 1
+}
+
 // FirstToken records that a request has received its first token or its whole response. The
 // ticket may be nil.
 func (c *Controller) FirstToken(t *Ticket, now time.Time) {
@@ -88,10 +99,14 @@
 // A ServiceStatus is the state of a service for operators.
 type ServiceStatus struct {
 	Service string `json:"service"`
-	// Level is the share of the work asked for that is admitted, all from 1 on, and LateShare
-	// the recent share of late requests, by which it changes.
-	Level     float64 `json:"level"`
-	LateShare float64 `json:"lateshare"`
+	// Admitted is the share of the work asked for that is admitted, all from 1 on. It follows
+	// from Level, its slow part, and Wait, the mean wait for first tokens as a part of the
+	// latest timely one.
+	Admitted float64 `json:"admitted"`
+	Level    float64 `json:"level"`
+	Wait     float64 `json:"wait"`
+	// Occupancy is the share of the service's slots that requests of all VMs take.
+	Occupancy float64 `json:"occupancy"`
 	// Running is the number of admitted requests that have not ended, and Undecided that of
 	// those whose first token may still arrive in time.
 	Running   int          `json:"running"`
@@ -122,14 +137,14 @@
 }
 
 func (v *service) status() ServiceStatus {
-	return ServiceStatus{Level: v.level, LateShare: v.lateShare(), Running: v.running, Undecided: len(v.pending)}
+	return ServiceStatus{Admitted: v.admitted(), Level: v.level, Wait: v.meanWait(), Occupancy: v.occupancy, Running: v.running, Undecided: len(v.pending)}
 }
 
 func (v *service) flowStatus() []FlowStatus {
 	flows := make([]FlowStatus, 0, len(v.flows)+1)
 	for _, f := range v.flows {
 		share := f.share
-		if v.level >= 1 {
+		if v.admitted() >= 1 {
 			share = 1
 		}
 		flows = append(flows, FlowStatus{Class: f.key.class, Customer: f.key.customer, Share: share, Counts: f.counts})
@@ -140,7 +155,7 @@
 		}
 		return strings.Compare(a.Class+"/"+a.Customer, b.Class+"/"+b.Customer)
 	})
-	others := FlowStatus{Class: "others", Share: v.level, Counts: v.forgotten}
+	others := FlowStatus{Class: "others", Share: v.admitted(), Counts: v.forgotten}
 	for _, f := range flows[min(maxListed, len(flows)):] {
 		others.add(f.Counts)
 	}
--- a/internal/gateway/admission/flow.go
+++ b/internal/gateway/admission/flow.go
@@ -11,11 +11,11 @@
 	// demandHalfLife is the half-life of what a customer asks for.
 	demandHalfLife = 4 * time.Second
 	// sharesInterval is the time for which computed shares are used.
-	sharesInterval = 100 * time.Millisecond
+	sharesInterval = 50 * time.Millisecond
 	// urgencyStep is by how much less of a class is refused than of the next less urgent
 	// one. Refusing the less urgent ones first would starve them: an urgent request often
 	// takes several times as much work.
-	urgencyStep = 0.8
+	urgencyStep = 0.95
 	// minShare is the share of its requests that any customer and class keeps.
 	minShare = 0.03
 	// flowRetention is how long a flow without requests is kept.
@@ -97,7 +97,8 @@
 
 // shareOf returns the share of a flow's requests that are admitted.
 func (v *service) shareOf(f *flow, now time.Time) float64 {
-	if v.level >= 1 {
+	part := v.admitted()
+	if part >= 1 {
 		return 1
 	}
 	if age := now.Sub(v.sharedAt); age >= sharesInterval || age < 0 {
@@ -112,7 +113,7 @@
 			f.decay(now)
 			flows = append(flows, f)
 		}
-		divide(flows, v.level)
+		divide(flows, part)
 	}
 	return f.share
 }
--- a/internal/gateway/admission/model_test.go
+++ b/internal/gateway/admission/model_test.go
@@ -118,8 +118,10 @@
 	classes []simClass
 	load    func(at time.Duration) float64
 	// heavy is the factor by which customer 0 asks for more than the others.
-	heavy   float64
-	off     bool
+	heavy float64
+	off   bool
+	// trace is called at each tick, if it is set.
+	trace   func(at time.Duration, vms []*State, engines []simEngine)
 	seconds int
 	// warmUp is the time that is not counted.
 	warmUp time.Duration
@@ -213,6 +215,9 @@
 				out.each(c, func(t *tally) { t.refused++ })
 			}
 		}
+		if s.trace != nil {
+			s.trace(at, vms, engines)
+		}
 		for i := range engines {
 			for _, c := range engines[i].work(now) {
 				s.finish(&out, vms, c, now)
--- a/internal/gateway/admission/service.go
+++ b/internal/gateway/admission/service.go
@@ -6,42 +6,59 @@
 )
 
 const (
-	// evidenceHalfLife is the time after which an observed request counts half. A VM of a
-	// large fleet observes some eight requests a second and service.
-	evidenceHalfLife = 500 * time.Millisecond
-	// priorTimely is the number of timely requests that are assumed beside those observed,
-	// so that a single late one shows no overload.
-	priorTimely = 2.0
-	// targetLate is the share of late requests that the control aims at. Without any the
-	// targets may have room left.
-	targetLate = 0.12
-	// increase and decrease are the relative changes of the level a second at no late
-	// requests, and for each unit of the share of late requests beyond the target.
-	increase = 0.4
-	decrease = 2.0
+	// evidenceHalfLife is the time after which what was observed counts half. A VM of a
+	// large fleet sends some four to eight requests a second and service.
+	evidenceHalfLife = 300 * time.Millisecond
+	// priorRequests is the number of requests without any wait that are assumed beside
+	// those observed, so that a single late one shows no overload.
+	priorRequests = 1.0
+	// targetWait is the wait that the control aims at, as a part of the bound on timely
+	// first tokens.
+	targetWait = 0.5
+	// targetOccupancy is the share of the slots from which on requests are refused although
+	// none wait: with more of them an engine answers all of them more slowly, so that they
+	// stay longer, until all slots are taken and first tokens take seconds.
+	targetOccupancy = 0.5
+	// maxWait is the longest wait that counts of one request. What a request waits beyond it
+	// says how the load was, not how it is.
+	maxWait = 2.0
+	// proportional and quadratic are by how much the share of admitted requests falls with
+	// the wait beyond the target, and leastFactor bounds it.
+	proportional = 0.5
+	quadratic    = 0.3
+	leastFactor  = 0.1
+	// integral is by how much the level changes a second with the wait beyond the target.
+	integral = 0.6
 	// maxLevel is the highest level. That it exceeds 1 keeps a few late requests of a
 	// service that is not overloaded, as after the loss of a target, from causing refusals.
 	maxLevel = 1.4
 	// minLevel is the lowest level. Requests must be sent to see whether targets have
 	// room again.
-	minLevel = 0.05
+	minLevel = 0.02
 	// stepInterval is the least time between two steps of the control, and maxStep the
 	// longest time for which one counts. A VM that was suspended has observed nothing.
-	stepInterval = 20 * time.Millisecond
+	stepInterval = 10 * time.Millisecond
 	maxStep      = 250 * time.Millisecond
 )
 
 // A service is the state of admission for one service.
 type service struct {
-	// level is the share of the work asked for that is admitted; all is from 1 on.
+	// level is the share of the work asked for that is admitted at the targeted wait.
 	level    float64
 	lastStep time.Time
-	// timely and late are decaying counts of requests by their first token.
-	timely, late float64
-	// pending are the tickets for which it is not known whether they are timely.
+	// waited and sent are decaying sums of the waits for first tokens, as parts of their
+	// bounds, and of the requests that were sent. Their ratio is the mean wait. It follows
+	// the queues of the targets at once, where the first tokens show how long the queues
+	// were when the requests were sent.
+	waited, sent float64
+	// pending are the tickets whose first token has not arrived.
 	pending []*Ticket
 	running int
-	flows   map[flowKey]*flow
+	// occupancy is the share of the slots that are taken.
+	occupancy float64
+	// shortest is the shortest bound of the service's requests.
+	shortest time.Duration
+	flows    map[flowKey]*flow
 	// forgotten are the counts of flows that are no longer kept.
 	forgotten Counts
 	// sharedAt is when the shares of the flows were last computed.
@@ -52,52 +69,78 @@
 	return &service{level: maxLevel, lastStep: now, flows: map[flowKey]*flow{}, sharedAt: now}
 }
 
-// advance processes the passing of time: tickets that have become late, and a step of the
+// advance processes the passing of time: the waits of pending tickets, and a step of the
 // control.
 func (v *service) advance(now time.Time) {
 	dt := now.Sub(v.lastStep)
 	if dt < stepInterval {
 		return
 	}
-	v.lastStep = now
+	decay := math.Exp2(-dt.Seconds() / evidenceHalfLife.Seconds())
+	v.waited, v.sent = v.waited*decay, v.sent*decay
 	left := v.pending[:0]
 	for _, t := range v.pending {
-		if !t.decided && now.After(t.due) {
-			v.decide(t, false)
-		}
-		if !t.decided {
+		if v.wait(t, now); !t.decided {
 			left = append(left, t)
 		}
 	}
 	clear(v.pending[len(left):])
-	v.pending = left
-	decay := math.Exp2(-dt.Seconds() / evidenceHalfLife.Seconds())
-	v.timely *= decay
-	v.late *= decay
-	v.level = nextLevel(v.level, v.lateShare(), min(dt, maxStep))
+	v.pending, v.lastStep = left, now
+	v.level = min(max(v.level*math.Exp(-integral*v.excess()*min(dt, maxStep).Seconds()), minLevel), maxLevel)
+}
+
+// wait adds what a ticket has waited since the last time.
+func (v *service) wait(t *Ticket, now time.Time) {
+	if t.decided {
+		return
+	}
+	waited := min(float64(now.Sub(t.sent))/float64(t.bound), maxWait)
+	v.waited += waited - t.waited
+	t.waited = waited
+	t.decided = waited >= maxWait
 }
 
-// lateShare returns the share of late requests.
-func (v *service) lateShare() float64 { return v.late / (v.timely + v.late + priorTimely) }
+// meanWait returns the mean wait for first tokens, as a part of their bounds.
+func (v *service) meanWait() float64 { return v.waited / (v.sent + priorRequests) }
 
-// nextLevel returns the level after a step of dt at a share of late requests.
-func nextLevel(level, late float64, dt time.Duration) float64 {
-	change := increase * (1 - late/targetLate)
-	if late > targetLate {
-		change = -decrease * (late - targetLate)
+// excess returns by how much the wait or the occupancy exceeds its target, in units of the
+// wait. It is negative if both are below.
+func (v *service) excess() float64 {
+	pressure := max(v.meanWait()/targetWait, v.occupancy/targetOccupancy)
+	return (min(pressure, maxPressure) - 1) * targetWait
+}
+
+// maxPressure bounds the pressure that counts: that of a wait of maxWait.
+const maxPressure = maxWait / targetWait
+
+// admitted returns the share of the work asked for that is admitted now; all from 1 on.
+func (v *service) admitted() float64 {
+	x := v.excess()
+	factor := 1 - proportional*x
+	if x > 0 {
+		factor -= quadratic * x * x
 	}
-	return min(max(level*math.Exp(change*dt.Seconds()), minLevel), maxLevel)
+	return v.level * max(factor, leastFactor)
 }
 
-// decide records whether a request is timely. Only the first call for a ticket counts.
-func (v *service) decide(t *Ticket, timely bool) {
-	if t.decided {
-		return
+// decide records that a ticket's wait is over.
+func (v *service) decide(t *Ticket, refused bool, now time.Time) {
+	v.wait(t, now)
+	if !t.decided && refused {
+		v.waited += maxWait - t.waited
 	}
 	t.decided = true
-	if timely {
-		v.timely++
-	} else {
-		v.late++
+}
+
+// maxBoundRatio bounds the bounds of a service's requests, as a multiple of the shortest
+// one. The waits of more patient classes show too late that queues grow.
+const maxBoundRatio = 2
+
+// bound returns the bound of a request.
+func (v *service) bound(r *Request) time.Duration {
+	b := max(r.bound(), time.Millisecond)
+	if v.shortest == 0 || b < v.shortest {
+		v.shortest = b
 	}
+	return min(b, maxBoundRatio*v.shortest)
 }
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -107,6 +107,8 @@
 		return placing.Choice{}, prompt{}, false
 	case j.sends > 0 && j.runs == 0 && h.mayOutlast(j):
 		return placing.Choice{}, prompt{}, false
+	case j.sends > 0 && !h.worthSendingAgain(j):
+		return placing.Choice{}, prompt{}, false
 	case j.sends > 0 && h.checkQuarantine(j) != nil:
 		return placing.Choice{}, prompt{}, false
 	}
