Admit callers first that come back as told

Cause: callers that come back at once had the same chance as those that wait, and requests past their latency goal the same as others. Change: the time left of a caller shows how long ago its first try was.

--- a/internal/gateway/admission/admission.go
+++ b/internal/gateway/admission/admission.go
@@ -63,7 +63,7 @@
 // A Ticket is an admitted request that has not ended.
 type Ticket struct {
 	service *service
-	class   *waits
+	class   *class
 	sent    time.Time
 	// bound is how long the first token may take for the request to be timely, and waited
 	// how much of it has been counted. Once decided is set, no more is.
@@ -122,14 +122,14 @@
 	v.advance(now)
 	f := v.flow(&r, s.random(), now)
 	f.arrive(r.Tokens, now)
-	share := v.shareOf(f, &s.pool, now)
+	_, class := v.class(r.Class)
+	share := class.adjust(v.shareOf(f, &s.pool, now), &r)
 	if !f.take(share) {
 		f.counts.refuse(r.Tokens)
 		v.refusedAt = now
 		return nil, Decision{RetryAfter: retryAfter(&r, s.random()), Share: share}
 	}
 	f.counts.admit(r.Tokens)
-	_, class := v.class(r.Class)
 	t := &Ticket{service: v, class: class, sent: now, bound: v.bound(&r)}
 	v.sent++
 	class.sent++
@@ -159,22 +159,27 @@
 	}
 }
 
-// Bounds of the time after which refused requests may be sent again, as parts of the
-// latency goal and of the time left. Callers honour it up to a third of their time left.
+// Bounds of the time after which refused requests may be sent again, as parts of the latency
+// goal. Goals count from the first try, so that a caller who is told to wait for longer comes
+// back too late. Callers honour the time up to a third of their time left.
 const (
 	minRetryGoals = 0.1
 	maxRetryGoals = 0.4
 	maxRetryLeft  = 0.3
-	minRetry      = 30 * time.Millisecond
+	minRetry      = 20 * time.Millisecond
 )
 
 // retryAfter spreads the return of refused callers, so that they do not come back at once.
 func retryAfter(r *Request, random float64) time.Duration {
-	goal := float64(r.Goal)
-	if goal == 0 {
-		goal = float64(r.TimeLeft) / 4
-	}
-	low := min(minRetryGoals*goal, maxRetryLeft*float64(r.TimeLeft)/2)
-	high := max(low, min(maxRetryGoals*goal, maxRetryLeft*float64(r.TimeLeft)))
+	goal, left := float64(r.goal()), float64(r.TimeLeft)
+	low, high := min(minRetryGoals*goal, maxRetryLeft*left/2), min(maxRetryGoals*goal, maxRetryLeft*left)
 	return max(minRetry, time.Duration(low+random*(high-low)))
 }
+
+// goal returns the latency goal, or what is taken for it.
+func (r *Request) goal() time.Duration {
+	if r.Goal > 0 {
+		return r.Goal
+	}
+	return min(r.TimeLeft/4, maxBound)
+}
--- a/internal/gateway/admission/admission_test.go
+++ b/internal/gateway/admission/admission_test.go
@@ -165,3 +165,15 @@
 		must.GreaterEq(t, 0.7/load, patient.servedShare())
 	}
 }
+
+// TestReturnAsTold guards against callers that gain by coming back at once: those that come
+// back as told are admitted more often.
+func TestReturnAsTold(t *testing.T) {
+	for _, load := range []float64{1.3, 2, 5} {
+		s := steady(load)
+		r := s.run()
+		told, early := r.told.admitted/r.told.asked, r.early.admitted/r.early.asked
+		t.Logf("load %.1f: %.2f of those that came back as told were admitted, %.2f of others", load, told, early)
+		must.GreaterEq(t, 1.5*early, told)
+	}
+}
--- a/internal/gateway/admission/model_test.go
+++ b/internal/gateway/admission/model_test.go
@@ -161,9 +161,11 @@
 }
 
 type simResult struct {
-	value      float64
-	byClass    map[string]*tally
-	byCustomer map[string]map[int]*tally
+	// told and early are the first returns of callers that waited as told, and of others.
+	told, early returns
+	value       float64
+	byClass     map[string]*tally
+	byCustomer  map[string]map[int]*tally
 }
 
 // counts reports whether a call counts: it began after the warm-up, and can end before the
@@ -258,6 +260,9 @@
 				}, now)
 				c.ticket, admitted, after = ticket, d.Admitted, d.RetryAfter
 			}
+			if c.returns == 1 {
+				out.returned(c, admitted)
+			}
 			if admitted && len(e.queue) >= simQueue {
 				admitted = false
 				s.end(vms[c.vm], c, Refused, now)
@@ -331,6 +336,20 @@
 	}
 }
 
+// returns counts returning callers.
+type returns struct{ asked, admitted float64 }
+
+func (r *simResult) returned(c *simCall, admitted bool) {
+	to := &r.told
+	if c.impatient {
+		to = &r.early
+	}
+	to.asked++
+	if admitted {
+		to.admitted++
+	}
+}
+
 func (r *simResult) each(c *simCall, f func(*tally)) {
 	f(r.byClass[c.class.name])
 	f(r.byCustomer[c.class.name][c.customer])
--- a/internal/gateway/admission/service.go
+++ b/internal/gateway/admission/service.go
@@ -80,7 +80,7 @@
 	// were when the requests were sent.
 	waits
 	// classes are the same by class.
-	classes map[uint32]*waits
+	classes map[uint32]*class
 	// worst is the mean wait of the class of the service that waits longest, over all VMs.
 	worst float64
 	// full is a decaying count of the requests that all targets rejected.
@@ -108,7 +108,7 @@
 }
 
 func newService(name string, now time.Time) *service {
-	return &service{name: name, level: maxLevel, lastStep: now, loadAt: now, flows: map[flowKey]*flow{}, classes: map[uint32]*waits{}, sharedAt: now}
+	return &service{name: name, level: maxLevel, lastStep: now, loadAt: now, flows: map[flowKey]*flow{}, classes: map[uint32]*class{}, sharedAt: now}
 }
 
 // advance processes the passing of time: the waits of pending tickets, and a step of the
@@ -157,15 +157,15 @@
 	t.waited = waited
 }
 
-// class returns the waits of a class.
-func (v *service) class(name string) (uint32, *waits) {
+// class returns the state of a class.
+func (v *service) class(name string) (uint32, *class) {
 	hash := flowHash(v.name, flowKey{class: name})
-	w, ok := v.classes[hash]
+	c, ok := v.classes[hash]
 	if !ok {
-		w = &waits{}
-		v.classes[hash] = w
+		c = &class{}
+		v.classes[hash] = c
 	}
-	return hash, w
+	return hash, c
 }
 
 // updateWorst computes the mean wait of the class that waits longest.
