--- a/internal/cmd/showcmd.go
+++ b/internal/cmd/showcmd.go
@@ -13,13 +13,13 @@
 // showPages are the permitted values of showCommand.Page.
 var showPages = []string{
 	"config", "vms", "targets", "limits", "prefixes", "leases", "claims",
-	"keeper", "queue", "requests", "routes", "platform", "life", "settings", "dump",
+	"keeper", "queue", "requests", "routes", "platform", "life", "settings", "admission", "dump",
 }
 
 // showCommand is the subcommand "show".
 type showCommand struct {
 	operatorArguments
-	Page   string `arg:"positional,required" help:"config, vms, targets, limits, prefixes, leases, claims, keeper, queue, requests, routes, platform, life, settings or dump"`
+	Page   string `arg:"positional,required" help:"config, vms, targets, limits, prefixes, leases, claims, keeper, queue, requests, routes, platform, life, settings, admission or dump"`
 	Output string `arg:"-o,--output" default:"table" help:"json or table"`
 }
 
--- a/internal/gateway/admission/controller.go
+++ b/internal/gateway/admission/controller.go
@@ -114,6 +114,23 @@
 	return c.state.Status()
 }
 
+// A Page is the state of admission as two tables.
+type Page struct {
+	Enabled  bool            `json:"enabled"`
+	Services []ServiceStatus `json:"services"`
+	Flows    []FlowStatus    `json:"flows"`
+}
+
+// Page returns the state for "baobabdyke show admission".
+func (c *Controller) Page() Page {
+	p := Page{Enabled: c.Enabled(), Services: c.Status(), Flows: []FlowStatus{}}
+	for i := range p.Services {
+		p.Flows = append(p.Flows, p.Services[i].Flows...)
+		p.Services[i].Flows = nil
+	}
+	return p
+}
+
 // maxListed is the number of flows of a service in its status. The others are added up.
 const maxListed = 24
 
@@ -141,6 +158,7 @@
 
 // A FlowStatus is the state of a customer's requests of a class.
 type FlowStatus struct {
+	Service  string `json:"service"`
 	Class    string `json:"class"`
 	Customer string `json:"customer"`
 	// Share is the share of the requests that are admitted now.
@@ -172,7 +190,7 @@
 		if v.admitted() >= 1 {
 			share = 1
 		}
-		flows = append(flows, FlowStatus{Class: f.key.class, Customer: f.key.customer, Share: share, Counts: f.counts})
+		flows = append(flows, FlowStatus{Service: v.name, Class: f.key.class, Customer: f.key.customer, Share: share, Counts: f.counts})
 	}
 	slices.SortFunc(flows, func(a, b FlowStatus) int {
 		if d := (b.AdmittedTokens + b.RefusedTokens) - (a.AdmittedTokens + a.RefusedTokens); d != 0 {
@@ -180,7 +198,7 @@
 		}
 		return strings.Compare(a.Class+"/"+a.Customer, b.Class+"/"+b.Customer)
 	})
-	others := FlowStatus{Class: "others", Share: v.admitted(), Counts: v.forgotten}
+	others := FlowStatus{Service: v.name, Class: "others", Share: v.admitted(), Counts: v.forgotten}
 	for _, f := range flows[min(maxListed, len(flows)):] {
 		others.add(f.Counts)
 	}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -166,11 +166,6 @@
 // metrics holds the counters of each VM of this process, by its id.
 var metrics = expvar.NewMap("gateway")
 
-// admitsByLoad reports whether the settings ask for admission control under overload.
-func admitsByLoad(g *settings.Gateway) bool {
-	return g.Admission || platform.ReadContracts(g.Contracts).Admission
-}
-
 // connections returns the counters of connections to targets.
 func (n *Node) connections() any {
 	dials, reuses, failures := n.pool.Counts()
@@ -354,7 +349,8 @@
 // buildRelay builds the handler that serves callers.
 func (n *Node) buildRelay() {
 	n.budget = retry.NewBudget(limitsOf(n.bounds().Retries))
-	n.admission = admission.NewController(func() bool { return admitsByLoad(n.gateway.Load()) }, n.log)
+	ordered := platform.ReadContracts(n.gateway.Load().Contracts).Admission
+	n.admission = admission.NewController(func() bool { return ordered || n.gateway.Load().Admission }, n.log)
 	n.relay = relay.NewHandler(relay.Options{
 		View:       n.source.View,
 		Quota:      n.quota,
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -114,6 +114,7 @@
 	operators.Handle("GET /metrics", expvar.Handler())
 	operators.HandleFunc("GET /dump", n.serveDump)
 	operators.HandleFunc("GET /settings", n.serveSettings)
+	operators.HandleFunc("GET /admission", n.serveAdmission)
 	return []sideServer{
 		newServer(platform.PathReady, n.serveReady, l.ready),
 		newServer(platform.PathResolve, n.serveDirectory, l.directory),
@@ -182,3 +183,11 @@
 		_ = n.log.Log("msg", "state dump not written", "err", err)
 	}
 }
+
+// serveAdmission writes what is admitted and refused, by service, class and customer.
+func (n *Node) serveAdmission(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.admission.Page()); err != nil {
+		_ = n.log.Log("msg", "admission status not written", "err", err)
+	}
+}
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -21,7 +21,7 @@
 
 // Reloaded reports whether the change is in force without a restart.
 func (c Change) Reloaded() bool {
-	for _, prefix := range []string{"gateway.seeds", "gateway.memory", "gateway.answers", "gateway.bounds."} {
+	for _, prefix := range []string{"gateway.seeds", "gateway.memory", "gateway.answers", "gateway.bounds.", "gateway.admission"} {
 		if strings.HasPrefix(c.Name, prefix) {
 			return true
 		}
