Defer no requests that admission control has admitted

Those of an urgent class then wait behind all of less urgent ones. Change: requests that were admitted by admission control are late only where no target can meet their goal.

--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -123,6 +123,9 @@
 	// counts as late.
 	Goal     time.Duration
 	TimeLeft time.Duration
+	// Undeferred reports whether the request is not placed behind others for queues that are
+	// unknown to this VM. Admission control bounds them instead.
+	Undeferred bool
 	// Tried are the targets that have already failed this request.
 	Tried []string
 	// hot reports whether the prefix has several replicas, which take turns.
@@ -298,7 +301,7 @@
 // has lower priority than others.
 func (p *Placer) pick(candidates []candidate, r Request, average float64, now time.Time) (*candidate, bool) {
 	chosen := cheapest(candidates)
-	if r.Model == "" || r.Goal == 0 || chosen.ttft <= r.Goal && !p.shouldDefer() {
+	if r.Model == "" || r.Goal == 0 || chosen.ttft <= r.Goal && (r.Undeferred || !p.shouldDefer()) {
 		return chosen, false
 	}
 	if c := p.pickDeferred(candidates, r, average, now); c != nil {
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -120,7 +120,7 @@
 
 // placingRequest returns the request as the placer needs it.
 func (j *job) placingRequest(p prompt) placing.Request {
-	r := placing.Request{Service: j.service, Tried: j.tried}
+	r := placing.Request{Service: j.service, Tried: j.tried, Undeferred: j.ticket != nil}
 	if j.engine {
 		r.Model, r.Prefixes, r.Tokens, r.Cache, r.Salt = j.info.Model, p.prefixes, j.tokens, j.cache, p.salt
 		r.CacheTokens, r.EngineTokens = j.cacheTokens, j.engineTokens
