--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -132,6 +132,28 @@
 	NoShare bool `cbor:"22,keyasint,omitempty"`
 	// Canary is what the VM knows of orders that move traffic.
 	Canary *canary.Update `cbor:"23,keyasint,omitempty" json:",omitempty"`
+	// Asked holds what customers lately asked of the VM, by flow, in services that it refuses
+	// requests of, and Waits how long its requests wait for their first tokens.
+	Asked []AskedTokens `cbor:"24,keyasint,omitempty"`
+	Waits []ClassWaits  `cbor:"25,keyasint,omitempty"`
+}
+
+// AskedTokens is what a customer lately asked of a VM in one class of a service's requests.
+type AskedTokens struct {
+	// Flow is a hash of the service, the class and the customer.
+	Flow uint32 `cbor:"1,keyasint"`
+	// Tokens is a decayed sum of tokens.
+	Tokens uint32 `cbor:"2,keyasint"`
+}
+
+// ClassWaits is how long the requests of a class lately waited for their first tokens.
+type ClassWaits struct {
+	// Class is a hash of the service and the class.
+	Class uint32 `cbor:"1,keyasint"`
+	// Sent is a decayed number of requests, and Waited the sum of their waits as parts of the
+	// latest timely ones, both times 100.
+	Sent   uint32 `cbor:"2,keyasint"`
+	Waited uint32 `cbor:"3,keyasint"`
 }
 
 // isNewer reports whether e is a later update of the same VM than o.
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -33,6 +33,7 @@
 	e.Watch = n.storeWatch()
 	e.Suspects = n.quarantine.Reports(time.Now())
 	e.Limits = n.limits.Reports(time.Now())
+	n.admission.Report(e, time.Now())
 	e.Duty = n.orders.LeaseStatus()
 	e.Canary = n.canaryUpdate()
 }
@@ -102,6 +103,7 @@
 		quarantined = n.quarantine.Merge(e.Suspects, now) || quarantined
 		n.placer.ApplyUpdate(e, v, now)
 		n.mergeCanary(e, now)
+		n.admission.Merge(&e, now)
 		for _, target := range n.limits.Merge(e.VM, e.Limits, now) {
 			n.logLimit(target, e.VM, "", now)
 		}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/tally"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/throttle"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/admission"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/caches"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
@@ -96,8 +97,10 @@
 	quarantine *quarantine.List
 	// limits holds the rates of requests that targets accept.
 	limits *throttle.Table
-	placer *placing.Placer
-	pool   *conn.Pool
+	// admission refuses requests of overloaded services.
+	admission *admission.Controller
+	placer    *placing.Placer
+	pool      *conn.Pool
 	// storeAnswers is the budget for answers of the object store, apart from that for
 	// answers of targets, which faulty targets may fill.
 	storeAnswers *intake.Budget
@@ -170,6 +173,7 @@
 	metrics.Set(s.VM+".hedges", expvar.Func(func() any { return n.hedger.Report(time.Now()) }))
 	metrics.Set(s.VM+".memory", expvar.Func(n.memory.Vars))
 	metrics.Set(s.VM+".callers", n.callers.Vars())
+	metrics.Set(s.VM+".admission", expvar.Func(func() any { return n.admission.Status() }))
 	return n
 }
 
@@ -381,11 +385,14 @@
 func (n *Node) buildRelay() {
 	n.budget = retry.NewBudget(limitsOf(n.bounds().Retries))
 	n.hedger = hedge.NewHedger(hedgeRules(n.gateway.Load().Hedge))
+	ordered := platform.ReadContracts(n.gateway.Load().Contracts).Admission
+	n.admission = admission.NewController(func() bool { return ordered || n.gateway.Load().Admission }, n.log)
 	n.relay = relay.NewHandler(relay.Options{
 		View:       n.source.View,
 		Quota:      n.quota,
 		Quarantine: n.quarantine,
 		OnSuspect:  n.roster.Trigger,
+		Admission:  n.admission,
 		Placer:     n.placer,
 		Pool:       n.pool,
 		Budget:     n.budget,
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -49,6 +49,8 @@
 	hedge settings.Hedge
 	// tokenFile is the file with the operators' token of VMs that are started.
 	tokenFile string
+	// admission switches on admission control on VMs that are started.
+	admission bool
 	// callers replaces the callers' port of VMs that are started, unless it is nil.
 	callers func(net.Listener) net.Listener
 	// trafficMoves switches on orders for VMs that are started.
@@ -144,7 +146,7 @@
 func (b *testbed) startLogging(name string, to io.Writer, seeds ...string) *testVM {
 	b.t.Helper()
 	s := settings.Settings{VM: name, Region: "r", DataCentre: "z", Gateway: &settings.Gateway{
-		ReadyAddress: "127.0.0.1:0", DirectoryAddress: "127.0.0.1:0", Seeds: seeds, TrafficMoves: b.trafficMoves,
+		ReadyAddress: "127.0.0.1:0", DirectoryAddress: "127.0.0.1:0", Seeds: seeds, TrafficMoves: b.trafficMoves, Admission: b.admission,
 		Bounds: settings.Bounds{
 			Canary: settings.Canary{Share: settings.DefaultCanaryShare},
 			Grace:  3 * time.Second, TTL: time.Second, Quiet: time.Second, Weights: 10 * time.Second, Revoke: time.Second,
--- a/internal/gateway/node/ports.go
+++ b/internal/gateway/node/ports.go
@@ -15,6 +15,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/admission"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/hedge"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/inbound"
@@ -139,6 +140,7 @@
 	operators.HandleFunc("GET /dump", n.serveDump)
 	operators.HandleFunc("GET /settings", n.serveSettings)
 	operators.Handle("POST /explain/route", alice.New(n.requireToken).ThenFunc(n.serveExplanation))
+	operators.HandleFunc("GET /admission", n.serveAdmission)
 	return []sideServer{
 		newServer(newMux(platform.PathReady, n.serveReady), l.ready, readyFiles),
 		newServer(newMux(platform.PathResolve, n.serveDirectory), l.directory, directoryFiles),
@@ -199,22 +201,31 @@
 func (n *Node) serveDump(w http.ResponseWriter, _ *http.Request) {
 	v := n.source.View()
 	dump := struct {
-		State    string
-		Members  []*roster.Member
-		Marks    any
-		Targets  any
-		Names    []source.Announcement
-		Spent    map[string]float64
-		Duty     roster.LeaseStatus
-		Suspects []quarantine.Report
-		Hedges   hedge.Report
-		Canary   *canary.Update `json:",omitempty"`
+		State     string
+		Admission []admission.ServiceStatus `json:",omitempty"`
+		Members   []*roster.Member
+		Marks     any
+		Targets   any
+		Names     []source.Announcement
+		Spent     map[string]float64
+		Duty      roster.LeaseStatus
+		Suspects  []quarantine.Report
+		Hedges    hedge.Report
+		Canary    *canary.Update `json:",omitempty"`
 	}{
-		n.lifecycle.State(), n.roster.Members(), n.source.Positions(), v.Targets, n.source.Announcements(time.Now()), n.quota.Spent(),
-		n.orders.LeaseStatus(), n.quarantine.Reports(time.Now()), n.hedger.Report(time.Now()), n.canaryUpdate(),
+		n.lifecycle.State(), n.admission.Status(), n.roster.Members(), n.source.Positions(), v.Targets, n.source.Announcements(time.Now()),
+		n.quota.Spent(), n.orders.LeaseStatus(), n.quarantine.Reports(time.Now()), n.hedger.Report(time.Now()), n.canaryUpdate(),
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(dump); err != nil {
 		_ = n.log.Log("msg", "state dump not written", "err", err)
 	}
 }
+
+// serveAdmission writes what is admitted and refused, by service, class and customer.
+func (n *Node) serveAdmission(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.admission.Page()); err != nil {
+		_ = n.log.Log("msg", "admission status not written", "err", err)
+	}
+}
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -125,6 +125,9 @@
 	// counts as late.
 	Goal     time.Duration
 	TimeLeft time.Duration
+	// Undeferred reports whether the request is not placed behind others for queues that are
+	// unknown to this VM. Admission control bounds them instead.
+	Undeferred bool
 	// Tried are the targets that have already failed this request.
 	Tried []string
 	// Hedge asks for a second target of a request whose first target, in Tried, is
@@ -351,7 +354,7 @@
 // has lower priority than others.
 func (p *Placer) pick(candidates []candidate, r Request, average float64, now time.Time) (*candidate, bool) {
 	chosen := cheapest(candidates)
-	if r.Model == "" || r.Goal == 0 || chosen.ttft <= r.Goal && !p.shouldDefer() {
+	if r.Model == "" || r.Goal == 0 || chosen.ttft <= r.Goal && (r.Undeferred || !p.shouldDefer()) {
 		return chosen, false
 	}
 	if c := p.pickDeferred(candidates, r, average, now); c != nil {
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -17,6 +17,7 @@
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/source"
+	"github.com/baobabdyke/baobabdyke/internal/gateway/admission"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/conn"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/disconnect"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/hedge"
@@ -54,9 +55,11 @@
 	// OnSuspect is called when this VM has added to it.
 	Quarantine *quarantine.List
 	OnSuspect  func()
-	Placer     *placing.Placer
-	Pool       *conn.Pool
-	Budget     *retry.Budget
+	// Admission refuses requests that their service has no capacity for; nil admits all.
+	Admission *admission.Controller
+	Placer    *placing.Placer
+	Pool      *conn.Pool
+	Budget    *retry.Budget
 	// Hedger decides about second targets for slow responses; nil if there are none.
 	Hedger *hedge.Hedger
 	Log    log.Logger
@@ -130,6 +133,10 @@
 	start    time.Time
 	deadline time.Time
 	cost     float64
+	// ticket is nil unless the request was admitted by admission control. ticketEnd is how
+	// it has ended.
+	ticket    *admission.Ticket
+	ticketEnd admission.Outcome
 	// prompt is the prompt under the configuration by which the request was admitted.
 	prompt prompt
 	// contents are the whole request and the ids of the prompt's segments that other
@@ -178,6 +185,7 @@
 		h.fail(w, j, f)
 		return
 	}
+	defer h.releaseWork(j)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	h.run(ctx, w, j)
@@ -215,7 +223,10 @@
 	if f := h.checkQuarantine(j); f != nil {
 		return f
 	}
-	return h.charge(j)
+	if f := h.charge(j); f != nil {
+		return f
+	}
+	return h.admitWork(j)
 }
 
 // checkQuarantine refuses a request that is quarantined, by itself or for a segment of its
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -107,6 +107,8 @@
 		return placing.Choice{}, prompt{}, false
 	case j.sends > 0 && j.runs == 0 && h.mayOutlast(j):
 		return placing.Choice{}, prompt{}, false
+	case j.sends > 0 && !h.worthSendingAgain(j):
+		return placing.Choice{}, prompt{}, false
 	case j.sends > 0 && h.checkQuarantine(j) != nil:
 		return placing.Choice{}, prompt{}, false
 	}
@@ -118,7 +120,7 @@
 
 // placingRequest returns the request as the placer needs it.
 func (j *job) placingRequest(p prompt) placing.Request {
-	r := placing.Request{Service: j.service, Tried: j.tried}
+	r := placing.Request{Service: j.service, Tried: j.tried, Undeferred: j.ticket != nil}
 	if j.engine {
 		r.Model, r.Prefixes, r.Tokens, r.Salt = j.info.Model, p.prefixes, j.tokens, p.salt
 		r.Cache = p.cacheStore(j.view.Config)
