Let only the amounts of the last 10 s be counted afterwards

Cause: A VM states to relays what is counted of its reports since. One that no relay has ever responded to, as in a fleet that was small, stated nothing as counted, so that all it had admitted since its start was a debt of its customers at once. After a long cut the same holds for what it has admitted of its own share.

Change: A VM states what is counted only if a relay has responded in the last 10 s, which is more than the window of the rule. Otherwise only what it admits from now on counts, as before.

--- a/internal/fleet/tally/tally.go
+++ b/internal/fleet/tally/tally.go
@@ -18,6 +18,10 @@
 	// freshReportTime is how long a VM counts as reporting to a relay. Two reports in a row
 	// may be lost.
 	freshReportTime = 3 * Period
+	// countedTime is how long after the last response of a relay a VM lets its amounts since then
+	// be counted. Those of a longer time are of no limit's window any more, and would be a debt
+	// of its customers: those of its share of the rate, or of a fleet that was small.
+	countedTime = 10 * time.Second
 	// forgetReportTime is how long the last report of a VM is kept.
 	forgetReportTime = time.Minute
 )
@@ -32,7 +36,8 @@
 	VMs int `cbor:"3,keyasint,omitempty"`
 	// Counted holds those amounts of a VM that the last response of a relay has shown to be
 	// counted, and CountedBy is the incarnation of that relay if it is the receiver.
-	// StatesCounted reports whether the VM states them; a VM of an earlier build does not.
+	// StatesCounted reports whether the VM states them; it does not if no relay has responded
+	// lately.
 	Counted       map[string]int64 `cbor:"4,keyasint,omitempty"`
 	CountedBy     int64            `cbor:"5,keyasint,omitempty"`
 	StatesCounted bool             `cbor:"6,keyasint,omitempty"`
@@ -46,7 +51,7 @@
 
 // IsKnownTo reports whether the VM that sends the report had its last response from the
 // given incarnation of a relay.
-func (r *Report) IsKnownTo(relayBorn int64) bool { return !r.StatesCounted || r.CountedBy == relayBorn }
+func (r *Report) IsKnownTo(relayBorn int64) bool { return r.CountedBy == relayBorn }
 
 // A Sender is what a VM knows of its reports to relays.
 type Sender struct {
@@ -55,22 +60,28 @@
 	counted map[string]int64
 	relay   string
 	born    int64
-	seq     uint64
+	// at is when that report was sent.
+	at  time.Time
+	seq uint64
 }
 
 // Complete adds to a report of this VM to a relay what is counted of it.
-func (s *Sender) Complete(r Report, relay string) Report {
+func (s *Sender) Complete(r Report, relay string, now time.Time) Report {
 	s.seq++
-	r.Counted, r.StatesCounted, r.Seq = s.counted, true, s.seq
+	r.Seq = s.seq
 	if relay == s.relay {
 		r.CountedBy = s.born
 	}
+	if s.relay != "" && now.Sub(s.at) <= countedTime {
+		r.Counted, r.StatesCounted = s.counted, true
+	}
 	return r
 }
 
-// Acknowledge records that an incarnation of a relay has responded to a report.
-func (s *Sender) Acknowledge(r Report, relay string, born int64) {
-	s.counted, s.relay, s.born = r.Spent, relay, born
+// Acknowledge records that an incarnation of a relay has responded to a report that was sent
+// at a time.
+func (s *Sender) Acknowledge(r Report, relay string, born int64, sent time.Time) {
+	s.counted, s.relay, s.born, s.at = r.Spent, relay, born, sent
 }
 
 // A counted is what was last reported by one sender.
--- a/internal/fleet/tally/teller.go
+++ b/internal/fleet/tally/teller.go
@@ -73,7 +73,7 @@
 func (t *Teller) Register(r peer.Registrar) {
 	peer.Handle(r, CallTotals, func(_ context.Context, from string, in Report) (Report, error) {
 		total := t.record(from, in)
-		if in.VMs == 0 && !in.IsKnownTo(t.opts.Born) && t.opts.Levels != nil {
+		if in.VMs == 0 && in.Seq > 0 && !in.IsKnownTo(t.opts.Born) && t.opts.Levels != nil {
 			total.Levels = t.opts.Levels(total)
 		}
 		return total, nil
@@ -109,19 +109,19 @@
 }
 
 // own returns what this VM has admitted, for a relay.
-func (t *Teller) own(relay string) Report {
+func (t *Teller) own(relay string, now time.Time) Report {
 	r := t.opts.Report()
 	r.Born = t.opts.Born
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sender.Complete(r, relay)
+	return t.sender.Complete(r, relay, now)
 }
 
 // acknowledge records that a relay has counted a report of this VM.
-func (t *Teller) acknowledge(r Report, relay string, born int64) {
+func (t *Teller) acknowledge(r Report, relay string, born int64, sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sender.Acknowledge(r, relay, born)
+	t.sender.Acknowledge(r, relay, born, sent)
 }
 
 // choose returns the first relay that is usable.
@@ -144,17 +144,19 @@
 
 // report reports to a relay and applies the totals that it returns.
 func (t *Teller) report(ctx context.Context, to peer.Destination) {
-	sent, own := t.opts.Clock.Now(), t.own(to.VM)
+	sent := t.opts.Clock.Now()
+	own := t.own(to.VM, sent)
 	if total, ok := t.call(ctx, to, own); ok {
-		t.acknowledge(own, to.VM, total.Born)
+		t.acknowledge(own, to.VM, total.Born, sent)
 		t.opts.OnTotal(to.VM, total, own, sent)
 	}
 }
 
 // tellRelays exchanges sums with the other relays and applies the totals known here.
 func (t *Teller) tellRelays(ctx context.Context, others []peer.Destination) {
-	now, own := t.opts.Clock.Now(), t.own(t.opts.VM)
-	t.acknowledge(own, t.opts.VM, t.opts.Born)
+	now := t.opts.Clock.Now()
+	own := t.own(t.opts.VM, now)
+	t.acknowledge(own, t.opts.VM, t.opts.Born, now)
 	t.mu.Lock()
 	t.tally.Record(t.opts.VM, own, now)
 	group := t.tally.Group(now)
