Leave memory to requests whatever connections are open, and keep 504 for late bodies

Cause: connections could take the whole budget, so that requests found no room. Answers of a known length grew their buffer by doubling. A body that arrived after its deadline was cut with 408 at once, where TestBodyAfterDeadlineStopsNoVM has 504. Change: connections and headers take five eighths of the budget at most. A short answer of a known length gets one buffer. A late body may arrive within 2 s after its deadline.

--- a/internal/gateway/conn/pool.go
+++ b/internal/gateway/conn/pool.go
@@ -243,7 +243,7 @@
 	if e.resp.ContentLength > limit && e.resp.Request.Method != http.MethodHead {
 		return nil, fmt.Errorf("%w: %d bytes, at most %d", intake.ErrTooLong, e.resp.ContentLength, limit)
 	}
-	return e.pool.budget.Read(e.resp.Body, limit)
+	return e.pool.budget.ReadLength(e.resp.Body, e.resp.ContentLength, limit)
 }
 
 func chunked(resp *http.Response) bool {
--- a/internal/gateway/intake/intake.go
+++ b/internal/gateway/intake/intake.go
@@ -83,8 +83,17 @@
 
 // Read reads a whole answer of at most limit bytes. It returns ErrTooLong or ErrNoRoom
 // rather than a part of the answer.
-func (b *Budget) Read(r io.Reader, limit int64) (*Body, error) {
-	body := &Body{budget: b, Data: make([]byte, 0, min(firstBytes, limit+1))}
+func (b *Budget) Read(r io.Reader, limit int64) (*Body, error) { return b.ReadLength(r, -1, limit) }
+
+// ReadLength is Read for an answer of the given length, which is negative if it is not known.
+// A short answer then needs one buffer only.
+func (b *Budget) ReadLength(r io.Reader, length, limit int64) (*Body, error) {
+	size := int64(firstBytes)
+	if length >= 0 && length < Free {
+		// One byte more than the answer has, so that its end is read without a larger buffer.
+		size = length + 1
+	}
+	body := &Body{budget: b, Data: make([]byte, 0, min(size, limit+1))}
 	for {
 		if len(body.Data) == cap(body.Data) {
 			if err := body.grow(limit); err != nil {
--- a/internal/gateway/intake/memory.go
+++ b/internal/gateway/intake/memory.go
@@ -18,18 +18,17 @@
 const (
 	// Connections are open connections, Headers what was read of requests' headers,
 	// Requests what a running request takes without its body, Bodies the bodies of
-	// requests, Answers those that callers have not read yet, and Peers messages of other
-	// VMs.
+	// requests, and Answers those that callers have not read yet. A message of another VM
+	// counts as a header until it is answered.
 	Connections Kind = iota
 	Headers
 	Requests
 	Bodies
 	Answers
-	Peers
 	kinds
 )
 
-var kindNames = [kinds]string{"connections", "headers", "requests", "bodies", "answers", "peers"}
+var kindNames = [kinds]string{"connections", "headers", "requests", "bodies", "answers"}
 
 // Sizes at which memory is counted.
 const (
@@ -48,6 +47,9 @@
 	// smallDivisor and urgentDivisor give the parts of the memory that only small bodies,
 	// and only urgent requests, may use.
 	smallDivisor, urgentDivisor = 8, 16
+	// connsShare / connsDivisor is the most that connections and headers may take, so that
+	// the rest of the budget is left for requests whatever connections are open.
+	connsShare, connsDivisor = 5, 8
 	// stalledAfter is how long a body must have made no progress to be given up for
 	// another one. Packets that are sent again arrive within it.
 	stalledAfter = 500 * time.Millisecond
@@ -125,6 +127,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if kind == Connections || kind == Headers {
+		if m.used[Connections]+m.used[Headers] > m.limit/connsDivisor*connsShare-n {
+			return false
+		}
+	}
 	return m.reserve(kind, n, m.limit-m.limit/urgentDivisor)
 }
 
--- a/internal/gateway/intake/memory_test.go
+++ b/internal/gateway/intake/memory_test.go
@@ -189,6 +189,16 @@
 	})
 }
 
+// TestConnectionsLeaveRoom guards against open connections that leave no memory for requests.
+func TestConnectionsLeaveRoom(t *testing.T) {
+	m := NewMemory(4 << 20)
+	for m.Reserve(Connections, 20<<10) {
+		must.LessEq(t, 4<<20, m.Vars().(map[string]int64)["used"])
+	}
+	must.False(t, m.Reserve(Headers, 20<<10))
+	must.True(t, m.Reserve(Requests, RequestCost))
+}
+
 // TestUnreadAnswerMakesRoom guards against callers that don't read their answers and keep
 // out requests, and against answers that are cut although their callers read them.
 func TestUnreadAnswerMakesRoom(t *testing.T) {
--- a/internal/gateway/relay/body.go
+++ b/internal/gateway/relay/body.go
@@ -16,6 +16,9 @@
 	// lingerTime is how long the rest of a refused body is read before its connection is
 	// closed, so that the caller sees the response rather than a reset.
 	lingerTime = 500 * time.Millisecond
+	// lateBody is how long after the request's deadline its body may still arrive. It is then
+	// answered with 504, like any request whose time is over, and its connection goes on.
+	lateBody = 2 * time.Second
 	// answerTime is the least time in which a caller can read a plain answer.
 	answerTime = 10 * time.Second
 )
@@ -56,7 +59,7 @@
 	return j.route.Priority == 0
 }
 
-// readBody reads the body within the request's deadline.
+// readBody reads the body. It is given up some time after the request's deadline.
 func (h *Handler) readBody(w http.ResponseWriter, j *job) failure {
 	if j.request.Body == nil || j.request.ContentLength == 0 {
 		return nil
@@ -73,7 +76,7 @@
 	control := http.NewResponseController(w)
 	cut := func() { _ = control.SetReadDeadline(past) }
 	j.transfer = h.opts.Memory.BeginBody(j.isUrgent(), cut)
-	timer := time.AfterFunc(time.Until(j.deadline), cut)
+	timer := time.AfterFunc(time.Until(j.deadline.Add(lateBody)), cut)
 	body, err := j.transfer.Read(j.request.Context(), j.request.Body, j.request.ContentLength, limit)
 	timer.Stop()
 	if err == nil {
