Count what is refused and evicted by kind

Cause: one counter for all kinds did not tell which use the memory. Measured: go test -race -cpu 1 ./internal/gateway/intake passes. Conclusion: none beyond that.

--- a/internal/gateway/intake/memory.go
+++ b/internal/gateway/intake/memory.go
@@ -77,8 +77,8 @@
 	open *list.List
 	// room is closed when memory is released, if somebody waits for it; else nil.
 	room chan struct{}
-
-	refused, evicted atomic.Int64
+	// refused counts by kind for what there was no room, and evicted what was given up.
+	refused, evicted [kinds]int64
 }
 
 // NewMemory returns a Memory of the given number of bytes; 0 means no limit.
@@ -111,10 +111,9 @@
 	defer m.mu.Unlock()
 	out := map[string]int64{
 		"limit": m.limit, "used": m.total, "unfinished": int64(m.open.Len()),
-		"refused": m.refused.Load(), "evicted": m.evicted.Load(),
 	}
-	for kind, n := range m.used {
-		out["used_"+kindNames[kind]] = n
+	for kind, name := range kindNames {
+		out["used_"+name], out["refused_"+name], out["evicted_"+name] = m.used[kind], m.refused[kind], m.evicted[kind]
 	}
 	return out
 }
@@ -127,12 +126,12 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if kind == Connections || kind == Headers {
-		if m.used[Connections]+m.used[Headers] > m.limit/connsDivisor*connsShare-n {
-			return false
-		}
+	connsFull := m.used[Connections]+m.used[Headers] > m.limit/connsDivisor*connsShare-n
+	if (kind == Connections || kind == Headers) && connsFull || !m.reserve(kind, n, m.limit-m.limit/urgentDivisor) {
+		m.refused[kind]++
+		return false
 	}
-	return m.reserve(kind, n, m.limit-m.limit/urgentDivisor)
+	return true
 }
 
 // reserve reserves memory if no more than limit is used then. The caller holds mu.
@@ -181,7 +180,6 @@
 	if victim == nil {
 		return false
 	}
-	m.evicted.Add(1)
 	victim.cut()
 	return true
 }
@@ -191,6 +189,7 @@
 	if victim != nil {
 		m.remove(victim)
 		victim.evicted.Store(true)
+		m.evicted[victim.kind]++
 	}
 }
 
@@ -349,8 +348,8 @@
 			begun = now
 		}
 		if victim == nil && late || victim == t {
+			m.refused[t.kind]++
 			m.mu.Unlock()
-			m.refused.Add(1)
 			return ErrNoRoom
 		}
 		m.giveUp(victim)
