Let other VMs take the canary lease once its holder has no work, and count a VM that was clear as clear

Change: update whether the lease is held without work, too. A VM that reported full without requests in flight is clear, also when it falls silent.

--- a/internal/fleet/canary/task.go
+++ b/internal/fleet/canary/task.go
@@ -156,7 +156,13 @@
 	for store.Sleep(ctx, tickInterval) {
 		t.Sync(time.Now())
 		pending := t.pending()
-		if len(pending) == 0 || !t.mayDecide(ctx) {
+		if len(pending) == 0 {
+			// Other VMs do not wait for one that no longer renews the lease.
+			t.idleSince = time.Time{}
+			t.updateHeld()
+			continue
+		}
+		if !t.mayDecide(ctx) {
 			continue
 		}
 		for _, name := range pending {
@@ -208,6 +214,11 @@
 		t.lastClaim = now
 		t.claim(ctx, now)
 	}
+	return t.updateHeld()
+}
+
+// updateHeld reports whether this VM holds the lease, and tells the others if that has changed.
+func (t *Task) updateHeld() bool {
 	held := t.tracker.Remaining(t.opts.Clock.Now()) > 0
 	if t.held.Swap(held) != held {
 		if !held {
@@ -578,14 +589,10 @@
 	}
 	longest += lateMargin
 	for _, peer := range peers {
-		if !peer.Alive {
-			if now.Sub(peer.Heard) < longest {
-				return false
-			}
-			continue
-		}
 		r := peer.Update.report(name)
-		if r == nil || r.Order != p.id || r.Round != p.round || r.Stage != Full || r.OldRunning > 0 {
+		isClear := r != nil && r.Order == p.id && r.Round == p.round && r.Stage == Full && r.OldRunning == 0
+		// A VM that was clear sends nothing to old targets afterwards.
+		if !isClear && (peer.Alive || now.Sub(peer.Heard) < longest) {
 			return false
 		}
 	}
