Test orders with leases in virtual time, and kill VMs without a release

Cause: the fleet tests took the boot clock, which is no virtual time, for leases, and the release of a killed holder reached the store: takeovers were not played. Change: virtual clock for the lease; a link that fails calls before the store.

--- a/internal/gateway/node/canary_test.go
+++ b/internal/gateway/node/canary_test.go
@@ -58,6 +58,11 @@
 	longLatency    = 2500 * time.Millisecond
 )
 
+// A testClock shows virtual time.
+type testClock struct{}
+
+func (testClock) Now() time.Time { return time.Now() }
+
 // runCanary runs a script against a fleet with targets of version v1.
 func runCanaryFleet(t *testing.T, script func(f *canaryFleet)) {
 	t.Helper()
@@ -102,7 +107,11 @@
 	link := newSiteLink(f.store)
 	network := f.network.Node(id, address)
 	ctx, cancel := context.WithCancel(f.ctx)
-	v := &watchVM{Node: newNode(s, log.NewLogfmtLogger(f.log), platform.NewObjectsOver("store", link), network, network), link: link, stop: cancel}
+	objects := platform.NewObjectsOver("store", link)
+	v := &watchVM{Node: newNode(s, log.NewLogfmtLogger(f.log), objects, network, network), link: link, stop: cancel}
+	// The boot clock is no virtual time.
+	v.clock = testClock{}
+	v.buildCanary(objects, time.Now().UnixNano())
 	f.vms = append(f.vms, v)
 	for _, run := range []func(context.Context) error{v.source.Run, v.roster.Run, v.teller.Run, v.shares.Run, v.runWatching, v.runCanary} {
 		go func() { _ = run(ctx) }()
@@ -113,7 +122,7 @@
 // kill stops a VM without a word.
 func (f *canaryFleet) kill(v *watchVM) {
 	// It releases no lease.
-	v.link.setFault(linkReset)
+	v.link.setFault(linkDown)
 	f.network.Remove(v.settings.Peers.Address)
 	v.stop()
 }
--- a/internal/gateway/node/sitelink_test.go
+++ b/internal/gateway/node/sitelink_test.go
@@ -25,6 +25,8 @@
 	linkCut
 	// linkSilent leaves every call without a response until the caller gives up.
 	linkSilent
+	// linkDown fails every call before it reaches the store.
+	linkDown
 )
 
 // A siteLink carries the calls of one VM to a store within the process, with
@@ -86,8 +88,11 @@
 	l.mu.Unlock()
 	time.Sleep(linkLatency)
 	l.mu.Lock()
-	begun := l.changes
+	begun, down := l.changes, l.fault == linkDown
 	l.mu.Unlock()
+	if down {
+		return nil, syscall.ECONNREFUSED
+	}
 	recorder := httptest.NewRecorder()
 	handled := make(chan bool, 1)
 	go func() {
@@ -103,7 +108,7 @@
 			if changes > begun {
 				return nil, syscall.ECONNRESET
 			}
-		case linkReset:
+		case linkReset, linkDown:
 			return nil, syscall.ECONNRESET
 		case linkSilent:
 			<-r.Context().Done()
