Refuse less for a few requests that hang

Cause: on the scarce deployment 57% were refused from 10 to 12 s although the median wait was that of calm: a few requests that hung at busy or loading engines raised the mean, each counting up to twice its bound. Change: one counts up to 1.3. The target is 0.5, the level at most 1.1 (the gate keeps calm apart), the factor falls faster, waits count from 0.8 of the bound over all VMs. The test model counts requests without searching. Conclusion: to be measured on the deployment.

--- a/internal/gateway/admission/model_test.go
+++ b/internal/gateway/admission/model_test.go
@@ -144,10 +144,8 @@
 	classes []simClass
 	load    func(at time.Duration) float64
 	// heavy is the factor by which customer 0 asks for more than the others.
-	heavy float64
-	off   bool
-	// trace is called at each tick, if it is set.
-	trace   func(at time.Duration, vms []*State, engines []simEngine)
+	heavy   float64
+	off     bool
 	seconds int
 	// warmUp is the time that is not counted.
 	warmUp time.Duration
@@ -175,16 +173,9 @@
 	return at >= s.warmUp && at < time.Duration(s.seconds)*time.Second-simCoolDown
 }
 
-// simRunning returns the number of calls of a VM at the engines, or of all VMs.
-func simRunning(engines []simEngine, vm int) (total int) {
-	for _, e := range engines {
-		for _, calls := range [][]*simCall{e.queue, e.running} {
-			for _, c := range calls {
-				if c.vm == vm || vm < 0 {
-					total++
-				}
-			}
-		}
+func simTotal(running []int) (total int) {
+	for _, n := range running {
+		total += n
 	}
 	return total
 }
@@ -218,6 +209,7 @@
 	}
 	engines := make([]simEngine, simEngines)
 	fleet, reported := 0, 0
+	running := make([]int, simVMs)
 	later := map[time.Duration][]*simCall{}
 	due := make([]float64, len(s.classes))
 	customers := s.heavy + simCustomers - 1
@@ -225,7 +217,7 @@
 		now := simEpoch.Add(at)
 		if at%simUpdates == 0 {
 			exchange(vms, now)
-			fleet, reported = reported, simRunning(engines, -1)
+			fleet, reported = reported, simTotal(running)
 		}
 		calls := later[at]
 		delete(later, at)
@@ -256,7 +248,7 @@
 				left := c.class.deadline - now.Sub(c.start)
 				ticket, d := vms[c.vm].Admit(Request{
 					Service: "llm", Class: c.class.name, Priority: c.class.priority, Customer: string(rune('a' + c.customer)),
-					Tokens: float64(c.tokens), Goal: c.class.goal, TimeLeft: left, Queues: true, Load: Load{Own: simRunning(engines, c.vm), Fleet: float64(fleet), VMs: simVMs, Slots: simEngines * simSlots},
+					Tokens: float64(c.tokens), Goal: c.class.goal, TimeLeft: left, Queues: true, Load: Load{Own: running[c.vm], Fleet: float64(fleet), VMs: simVMs, Slots: simEngines * simSlots},
 				}, now)
 				c.ticket, admitted, after = ticket, d.Admitted, d.RetryAfter
 			}
@@ -269,6 +261,7 @@
 			}
 			if admitted {
 				c.sent = now
+				running[c.vm]++
 				e.queue = append(e.queue, c)
 				continue
 			}
@@ -284,11 +277,9 @@
 				out.each(c, func(t *tally) { t.refused++ })
 			}
 		}
-		if s.trace != nil {
-			s.trace(at, vms, engines)
-		}
 		for i := range engines {
 			for _, c := range engines[i].work(now) {
+				running[c.vm]--
 				s.finish(&out, vms, c, now)
 			}
 			for _, c := range engines[i].running {
--- a/internal/gateway/admission/service.go
+++ b/internal/gateway/admission/service.go
@@ -14,7 +14,7 @@
 	priorRequests = 1.0
 	// targetWait is the wait that the control aims at, as a part of the bound on timely
 	// first tokens.
-	targetWait = 0.45
+	targetWait = 0.5
 	// targetOccupancy is the share of the slots from which on requests are refused although
 	// none wait: with more of them an engine answers all of them more slowly, so that they
 	// stay longer, until all slots are taken and first tokens take seconds.
@@ -28,21 +28,22 @@
 	// and overloadWait that from which on they do. In calm that of the streams with the
 	// shortest goal is some 0.65 on the deployment with scarce capacity. minSent is the number
 	// of requests that a mean is taken of.
-	tolerableWait = 0.9
-	overloadWait  = 1.3
+	tolerableWait = 0.8
+	overloadWait  = 1.0
 	minSent       = 15
 	// openRate is the relative rise of the level a second while waits show no overload.
 	openRate = 2.0
 	// maxWait is the longest wait that counts of one request. What a request waits beyond it
-	// says how the load was, not how it is.
-	maxWait = 2.0
+	// says how the load was, not how it is. With 2, a few that hung at busy or loading engines
+	// made the VMs refuse 57% while the median wait was that of calm.
+	maxWait = 1.3
 	// The constants below were chosen with the model of the tests, whose loop of control and
 	// queues they damp: with half of the evidence's half-life or a third of the proportional
 	// part, the level swings between minLevel and 1.
 
 	// proportional and quadratic are by how much the share of admitted requests falls with
 	// the wait beyond the target, and leastFactor bounds it.
-	proportional = 0.5
+	proportional = 0.8
 	quadratic    = 0.3
 	leastFactor  = 0.1
 	// integral is by how much the level changes a second with the wait beyond the target. With
@@ -53,7 +54,7 @@
 	recovery  = 4
 	// maxLevel is the highest level. That it exceeds 1 keeps a few late requests of a
 	// service that is not overloaded, as after the loss of a target, from causing refusals.
-	maxLevel = 1.4
+	maxLevel = 1.1
 	// minLevel is the lowest level. Requests must be sent to see whether targets have
 	// room again.
 	minLevel = 0.03
@@ -208,8 +209,8 @@
 	return (min(pressure, maxPressure) - 1) * targetWait
 }
 
-// maxPressure bounds the pressure that counts: that of a wait of maxWait.
-const maxPressure = maxWait / targetWait
+// maxPressure bounds the pressure that counts: more of it changes the level no faster.
+const maxPressure = 4.4
 
 // admitted returns the share of the work asked for that is admitted now; all from 1 on.
 func (v *service) admitted() float64 {
