--- a/internal/gateway/admission/service.go
+++ b/internal/gateway/admission/service.go
@@ -26,7 +26,7 @@
 	tolerableFull = 0.1
 	// tolerableWait is the mean wait of a class at all VMs up to which waits show no overload,
 	// and overloadWait that from which on they do. In calm that of the streams with the
-	// shortest goal is some 0.65 on the deployment with scarce capacity. minSent is the number
+	// shortest goal is some 0.6 on the deployment with scarce capacity, by its median. minSent is the number
 	// of requests that a mean is taken of.
 	tolerableWait = 0.8
 	overloadWait  = 1.0
@@ -34,12 +34,11 @@
 	// openRate is the relative rise of the level a second while waits show no overload.
 	openRate = 2.0
 	// maxWait is the longest wait that counts of one request. What a request waits beyond it
-	// says how the load was, not how it is. With 2, a few that hung at busy or loading engines
-	// made the VMs refuse 57% while the median wait was that of calm.
+	// says how the load was, not how it is. With 2, VMs of the deployment with
+	// scarce capacity refused 57% while the median wait was that of calm, it is suspected for
+	// the few that hung at busy or loading engines.
 	maxWait = 1.3
-	// The constants below were chosen with the model of the tests, whose loop of control and
-	// queues they damp: with half of the evidence's half-life or a third of the proportional
-	// part, the level swings between minLevel and 1.
+	// The constants below were chosen with the model of the tests.
 
 	// proportional and quadratic are by how much the share of admitted requests falls with
 	// the wait beyond the target, and leastFactor bounds it.
