Name the tests of misbehaving clients and the parts of admission by usual terms

Cause: the package crowd and some names in it and in admission were figurative. Change: package abuse, mustSurvive, sendTimeout; compliant and late callers. No crowd, bound or check changed. Measured: go vet; go test -run Return ./internal/gateway/admission passes. Conclusion: no change in behaviour.

--- a/internal/gateway/crowd/crowd_test.go
+++ b/internal/gateway/abuse/abuse_test.go
@@ -1,4 +1,4 @@
-package crowd
+package abuse
 
 import (
 	"bytes"
@@ -24,17 +24,17 @@
 )
 
 var (
-	// smallest is the smallest VM that operators use, and tiny one on which a crowd that
-	// a test can afford shows the same.
+	// smallest is the smallest VM that operators use, and small one on which as many clients
+	// as a test can run show the same.
 	smallest = machine{memory: 112, files: 3075}
-	tiny     = machine{memory: 64, files: 4096}
-	// scarce has fewer descriptors than a crowd has callers.
+	small    = machine{memory: 64, files: 4096}
+	// scarce has fewer descriptors than there are clients.
 	scarce = machine{memory: 112, files: 2000}
 )
 
 // head returns the head of a request whose body is framed as stated.
 func head(framing string) string {
-	return "POST /commit/a HTTP/1.1\r\nHost: h\r\nBaobabdyke-Request-Id: crowd\r\nBaobabdyke-Credential: key\r\n" +
+	return "POST /commit/a HTTP/1.1\r\nHost: h\r\nBaobabdyke-Request-Id: abuse\r\nBaobabdyke-Credential: key\r\n" +
 		"Baobabdyke-Deadline-Ms: 60000\r\n" + framing + "\r\n\r\n"
 }
 
@@ -75,25 +75,25 @@
 func TestHeaders(t *testing.T) {
 	line := "X-Filler: " + strings.Repeat("f", 1000) + "\r\n"
 	t.Run("over the limit", func(t *testing.T) {
-		start(t, tiny).endure("callers", heads, sendAll(head(strings.Repeat(line, 100)+"Content-Length: 0")))
+		start(t, small).mustSurvive("callers", heads, sendAll(head(strings.Repeat(line, 100)+"Content-Length: 0")))
 	})
 	t.Run("without end", func(t *testing.T) {
-		start(t, tiny).endure("callers", heads, repeat("GET /lookup/a HTTP/1.1\r\nHost: h\r\n", line, 60))
+		start(t, small).mustSurvive("callers", heads, repeat("GET /lookup/a HTTP/1.1\r\nHost: h\r\n", line, 60))
 	})
 	t.Run("one line without end", func(t *testing.T) {
-		start(t, tiny).endure("callers", heads, repeat("GET /lookup/a HTTP/1.1\r\nHost: h\r\nX-Filler: ", strings.Repeat("f", 1000), 60))
+		start(t, small).mustSurvive("callers", heads, repeat("GET /lookup/a HTTP/1.1\r\nHost: h\r\nX-Filler: ", strings.Repeat("f", 1000), 60))
 	})
 }
 
 // TestEmptyLines guards against callers that send empty lines in place of a request and use
 // up the descriptors.
 func TestEmptyLines(t *testing.T) {
-	start(t, scarce).endure("callers", heads, repeat("", strings.Repeat("\r\n", 500), 100))
+	start(t, scarce).mustSurvive("callers", heads, repeat("", strings.Repeat("\r\n", 500), 100))
 }
 
 // TestWholeBodies guards against the memory of many large bodies that are sent at once.
 func TestWholeBodies(t *testing.T) {
-	start(t, smallest).endure("callers", bodies, sendAll(head(fmt.Sprint("Content-Length: ", maxBody)), strings.Repeat("x", maxBody)))
+	start(t, smallest).mustSurvive("callers", bodies, sendAll(head(fmt.Sprint("Content-Length: ", maxBody)), strings.Repeat("x", maxBody)))
 }
 
 // TestUnfinishedBodies guards against callers that stop just short of the end of a body and
@@ -101,19 +101,19 @@
 func TestUnfinishedBodies(t *testing.T) {
 	t.Run("with a length", func(t *testing.T) {
 		piece := strings.Repeat("x", 64<<10)
-		start(t, smallest).endure("callers", bodies, repeat(head(fmt.Sprint("Content-Length: ", maxBody)), piece, maxBody/len(piece)-1))
+		start(t, smallest).mustSurvive("callers", bodies, repeat(head(fmt.Sprint("Content-Length: ", maxBody)), piece, maxBody/len(piece)-1))
 	})
 	t.Run("in large chunks", func(t *testing.T) {
-		start(t, smallest).endure("callers", bodies, sendAll(head("Transfer-Encoding: chunked"), chunks(64<<10, maxBody/(64<<10)-1)))
+		start(t, smallest).mustSurvive("callers", bodies, sendAll(head("Transfer-Encoding: chunked"), chunks(64<<10, maxBody/(64<<10)-1)))
 	})
 	t.Run("in chunks of one byte", func(t *testing.T) {
-		start(t, smallest).endure("callers", bodies, repeat(head("Transfer-Encoding: chunked"), chunks(1, 4096), 3<<20/4096))
+		start(t, smallest).mustSurvive("callers", bodies, repeat(head("Transfer-Encoding: chunked"), chunks(1, 4096), 3<<20/4096))
 	})
 }
 
 // TestUnreadAnswers guards against callers that don't read their answers.
 func TestUnreadAnswers(t *testing.T) {
-	v := start(t, tiny)
+	v := start(t, small)
 	text := strings.Repeat("x", 60<<10)
 	v.target.SetResponse(func(run fake.SiteRun) string {
 		if run.ID == "ordinary" {
@@ -121,7 +121,7 @@
 		}
 		return respond(run, text)
 	})
-	v.endure("callers", 1800, sendAll(strings.Replace(head("Content-Length: 0"), "POST /commit/", "POST /lookup/", 1)))
+	v.mustSurvive("callers", 1800, sendAll(strings.Replace(head("Content-Length: 0"), "POST /commit/", "POST /lookup/", 1)))
 }
 
 // respond returns a sealed response.
@@ -148,13 +148,13 @@
 		}
 	}
 	t.Run("in a header", func(t *testing.T) {
-		start(t, scarce).endure("callers", heads, drip("GET /lookup/a HTTP/1.1\r\nHost: h\r\nX-Filler: "))
+		start(t, scarce).mustSurvive("callers", heads, drip("GET /lookup/a HTTP/1.1\r\nHost: h\r\nX-Filler: "))
 	})
 	t.Run("in a body", func(t *testing.T) {
-		start(t, scarce).endure("callers", heads, drip(head("Content-Length: 1000")))
+		start(t, scarce).mustSurvive("callers", heads, drip(head("Content-Length: 1000")))
 	})
 	t.Run("half open", func(t *testing.T) {
-		start(t, scarce).endure("callers", heads, func(net.Conn) error { return nil })
+		start(t, scarce).mustSurvive("callers", heads, func(net.Conn) error { return nil })
 	})
 }
 
@@ -163,10 +163,10 @@
 	line := "X-Filler: " + strings.Repeat("f", 1000) + "\r\n"
 	for _, port := range []string{"ready", "directory", "operators"} {
 		t.Run(port+" headers", func(t *testing.T) {
-			start(t, smallest).endure(port, 200, repeat("GET /ready HTTP/1.1\r\nHost: h\r\n", line, 1000))
+			start(t, smallest).mustSurvive(port, 200, repeat("GET /ready HTTP/1.1\r\nHost: h\r\n", line, 1000))
 		})
 		t.Run(port+" connections", func(t *testing.T) {
-			start(t, scarce).endure(port, heads, sendAll("GET /ready HTTP/1.1\r\nHost: h\r\n"))
+			start(t, scarce).mustSurvive(port, heads, sendAll("GET /ready HTTP/1.1\r\nHost: h\r\n"))
 		})
 	}
 	t.Run("peers messages", func(t *testing.T) {
@@ -174,7 +174,7 @@
 		// stream, message and length, and then the call's name.
 		frame := append([]byte{1<<1 | 1, 1, 1}, 0x80, 0x80, 0x80, 0x03)
 		piece := bytes.Repeat([]byte("x"), 64<<10)
-		start(t, smallest).endure("peers", bodies, func(c net.Conn) error {
+		start(t, smallest).mustSurvive("peers", bodies, func(c net.Conn) error {
 			if _, err := c.Write(frame); err != nil {
 				return err
 			}
@@ -187,7 +187,7 @@
 		})
 	})
 	t.Run("peers connections", func(t *testing.T) {
-		start(t, scarce).endure("peers", heads, sendAll("x"))
+		start(t, scarce).mustSurvive("peers", heads, sendAll("x"))
 	})
 }
 
--- a/internal/gateway/crowd/machine_test.go
+++ b/internal/gateway/abuse/machine_test.go
@@ -1,4 +1,4 @@
-package crowd
+package abuse
 
 import (
 	"bytes"
@@ -32,7 +32,7 @@
 // runTests builds the program without the race detector, which would take several times
 // the memory, and runs the tests.
 func runTests(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "crowd")
+	dir, err := os.MkdirTemp("", "abuse")
 	if err != nil {
 		panic(err)
 	}
@@ -47,7 +47,7 @@
 }
 
 // configuration permits headers of 16 KB and bodies of 4 MiB. The header timeout does not
-// end the crowds' connections before all of them are there.
+// end the clients' connections before all of them are open.
 const configuration = `{"version":1,
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":9000,"idleTimeoutMs":15000},
  "routes":[
@@ -265,16 +265,16 @@
 	}
 }
 
-// A caller is one member of a crowd: it sends what it wants to on an open connection, which
+// A caller is what one client does with an open connection, which
 // stays open afterwards.
 type caller func(c net.Conn) error
 
-// patience bounds the time for which a member of a crowd sends.
-const patience = 6 * time.Second
+// sendTimeout bounds the time for which a client sends.
+const sendTimeout = 6 * time.Second
 
-// endure lets a crowd of n callers connect to a port and act, and checks the process while
-// they stay connected.
-func (v *vm) endure(port string, n int, act caller) {
+// mustSurvive runs n clients that connect to a port and act, and checks the process while they
+// stay connected.
+func (v *vm) mustSurvive(port string, n int, act caller) {
 	v.t.Helper()
 	ctx, cancel := context.WithCancel(v.t.Context())
 	defer cancel()
@@ -286,10 +286,10 @@
 			_ = c.Close()
 		}
 	}()
-	var members sync.WaitGroup
+	var clients sync.WaitGroup
 	for range n {
-		members.Go(func() {
-			d := net.Dialer{Timeout: patience, Control: smallBuffer}
+		clients.Go(func() {
+			d := net.Dialer{Timeout: sendTimeout, Control: smallBuffer}
 			c, err := d.DialContext(ctx, "tcp", v.settings[port])
 			if err != nil {
 				return
@@ -297,11 +297,11 @@
 			lock.Lock()
 			conns = append(conns, c)
 			lock.Unlock()
-			_ = c.SetDeadline(time.Now().Add(patience))
+			_ = c.SetDeadline(time.Now().Add(sendTimeout))
 			_ = act(c)
 		})
 	}
-	members.Wait()
+	clients.Wait()
 	v.mustLive()
 	v.mustServe()
 	v.mustLive()
--- a/internal/gateway/admission/admission_test.go
+++ b/internal/gateway/admission/admission_test.go
@@ -166,14 +166,14 @@
 	}
 }
 
-// TestReturnAsTold guards against callers that gain by coming back at once: those that come
-// back as told are admitted more often.
-func TestReturnAsTold(t *testing.T) {
+// TestReturnAfterRetryAfter guards against callers that gain by coming back at once: those that come
+// back after Retry-After are admitted more often.
+func TestReturnAfterRetryAfter(t *testing.T) {
 	for _, load := range []float64{1.3, 2, 5} {
 		s := steady(load)
 		r := s.run()
-		told, early := r.told.admitted/r.told.asked, r.early.admitted/r.early.asked
-		t.Logf("load %.1f: %.2f of those that came back as told were admitted, %.2f of others", load, told, early)
-		must.GreaterEq(t, 1.5*early, told)
+		compliant, early := r.compliant.admitted/r.compliant.asked, r.early.admitted/r.early.asked
+		t.Logf("load %.1f: %.2f of those that kept to Retry-After were admitted, %.2f of others", load, compliant, early)
+		must.GreaterEq(t, 1.5*early, compliant)
 	}
 }
--- a/internal/gateway/admission/class.go
+++ b/internal/gateway/admission/class.go
@@ -5,18 +5,19 @@
 // A class is the state of the requests of a class.
 type class struct {
 	waits
-	// patience is the time left of requests that are sent for the first time.
-	patience time.Duration
+	// firstTimeLeft is the time left of requests that are sent for the first time.
+	firstTimeLeft time.Duration
 }
 
 const (
-	// returnFactor is how much more often callers are admitted who come back when they were
-	// told to.
+	// returnFactor is how much more often callers are admitted who come back after the
+	// Retry-After that they were given.
 	returnFactor = 2.0
-	// hopelessFactor is the same for requests that have missed their latency goal already.
+	// lateFactor is the same for requests that have missed their latency goal already.
 	// They take as much work as others.
-	hopelessFactor = 0.5
-	// returnSlack is how much later than told a caller may come back.
+	lateFactor = 0.5
+	// returnSlack is how much later than Retry-After a caller may come back, as a part of the
+	// latency goal.
 	returnSlack = 0.1
 )
 
@@ -25,14 +26,14 @@
 // since its first try. Where callers of a class choose deadlines freely, some are taken for
 // others.
 func (c *class) adjust(share float64, r *Request) float64 {
-	c.patience = max(c.patience, r.TimeLeft)
+	c.firstTimeLeft = max(c.firstTimeLeft, r.TimeLeft)
 	if share >= 1 {
 		return share
 	}
 	goal := float64(r.goal())
-	switch elapsed := float64(c.patience - r.TimeLeft); {
+	switch elapsed := float64(c.firstTimeLeft - r.TimeLeft); {
 	case elapsed > goal:
-		return share * hopelessFactor
+		return share * lateFactor
 	case elapsed >= minRetryGoals*goal && elapsed <= (maxRetryGoals+returnSlack)*goal:
 		return min(share*returnFactor, 1)
 	}
--- a/internal/gateway/admission/model_test.go
+++ b/internal/gateway/admission/model_test.go
@@ -159,11 +159,11 @@
 }
 
 type simResult struct {
-	// told and early are the first returns of callers that waited as told, and of others.
-	told, early returns
-	value       float64
-	byClass     map[string]*tally
-	byCustomer  map[string]map[int]*tally
+	// compliant and early are the first returns of callers that kept to Retry-After, and of others.
+	compliant, early returns
+	value            float64
+	byClass          map[string]*tally
+	byCustomer       map[string]map[int]*tally
 }
 
 // counts reports whether a call counts: it began after the warm-up, and can end before the
@@ -331,7 +331,7 @@
 type returns struct{ asked, admitted float64 }
 
 func (r *simResult) returned(c *simCall, admitted bool) {
-	to := &r.told
+	to := &r.compliant
 	if c.impatient {
 		to = &r.early
 	}
--- a/internal/gateway/admission/service.go
+++ b/internal/gateway/admission/service.go
@@ -38,8 +38,6 @@
 	// scarce capacity refused 57% while the median wait was that of calm, it is suspected for
 	// the few that hung at busy or loading engines.
 	maxWait = 1.3
-	// The constants below were chosen with the model of the tests.
-
 	// proportional and quadratic are by how much the share of admitted requests falls with
 	// the wait beyond the target, and leastFactor bounds it.
 	proportional = 0.8
--- a/internal/gateway/relay/failure.go
+++ b/internal/gateway/relay/failure.go
@@ -89,7 +89,7 @@
 const loggedSuccesses = 40
 
 // loggedFull is the number of requests refused for want of memory that are logged per second.
-// A crowd of callers would fill the log else.
+// Many such callers would fill the log otherwise.
 const loggedFull = 10
 
 // finish logs and counts a request.
