Change the weights of engines less often

Cause: on the scarce deployment, whose engines are equally fast, p50 rose from 102 to 160 ms within 10 s after all VMs had started, in trials with weighted ranks and admission control. Levels that follow chance move prefixes, which are then read again. Change: levels of 1.4, at most 2, a change only beyond 1.1 levels and every 3 s, samples with a half-life of 20 s.

--- a/internal/gateway/placing/speed.go
+++ b/internal/gateway/placing/speed.go
@@ -19,8 +19,8 @@
 const (
 	// speedHalfLife is the time after which a sample counts half. Together with the rate of
 	// samples it decides how much chance there is in a speed: 83 VMs that send 1.5 prompts a
-	// second to each engine have some 17 samples.
-	speedHalfLife = 8 * time.Second
+	// second to each engine have some 40 samples.
+	speedHalfLife = 20 * time.Second
 	// minSpeedSample is the expected time to first token below which the ratio shows the
 	// delay of the network rather than the engine.
 	minSpeedSample = 10 * time.Millisecond
@@ -28,14 +28,15 @@
 	// the average.
 	priorSamples = 4.0
 	// speedStep is the ratio between two levels of speed, and maxSpeedLevel the highest one:
-	// an engine gets between 0.4 and 2.5 times the share of an average one.
-	speedStep     = 1.2
-	maxSpeedLevel = 5
+	// an engine gets between 0.5 and 2 times the share of an average one.
+	speedStep     = 1.4
+	maxSpeedLevel = 2
 	// speedHysteresis is how far an estimate must be from the present level, in levels, for
 	// the level to change, and speedPeriod the time between two changes. A change moves
-	// prefixes between engines.
-	speedHysteresis = 0.75
-	speedPeriod     = time.Second
+	// prefixes between engines, which then have to read them again. Engines that are equally
+	// fast differ by less than that by the load of their prefixes.
+	speedHysteresis = 1.1
+	speedPeriod     = 3 * time.Second
 	// minReportedSamples is the number of samples from which on a VM reports them.
 	minReportedSamples = 0.1
 	// ratioScale is the factor by which samples are multiplied in updates, which carry
@@ -106,7 +107,7 @@
 		all.ratios += samples[i].ratios
 		all.count += samples[i].count
 	}
-	if all.count < priorSamples {
+	if all.count < priorSamples*float64(len(candidates)) {
 		return
 	}
 	if p.speedLevels == nil {
