Let silent VMs keep their shares of the rates that targets state

Cause: The rate that a target accepts was divided among the VMs that a VM hears from. Beyond a cut each side takes the others for gone, and uses the whole rate.

Change: VMs that are silent but have a record in the store of shares are ranked like those that serve, so that both sides find the same owners of the shares. While one is silent, or another VM knows of more of them, a VM uses its share only with a lease. Records are also written while a target states a limit. Where they were never read, VMs that hear each other divide the rate as before.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -405,6 +405,25 @@
 	s.resize()
 }
 
+// Sharers returns the other VMs that share the limits.
+func (s *State) Sharers() []string {
+	if s.members == nil {
+		return nil
+	}
+	return s.members.VMs
+}
+
+// MayUseShare reports whether this VM may use a share of something that is divided like the
+// limits, where anySilent is whether one of the others is silent. Where the VMs that share the
+// limits were never read from the store, those that hear each other divide it.
+func (s *State) MayUseShare(anySilent, read bool, now time.Time) bool {
+	for _, p := range s.peers {
+		// A VM that knows more of them may know silent ones.
+		anySilent = anySilent || p.members > s.Known()
+	}
+	return s.HasShare(now) || !anySilent && (!read || s.inContact(now))
+}
+
 func (p *peer) silent(now time.Time) bool { return now.Sub(p.lastUpdate) > silentTimeout }
 
 // An Update is what another VM has admitted and refused since it started.
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/shares"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
 )
 
@@ -238,3 +239,30 @@
 	must.LessEq(t, 1.1*(c.Rate*window.Seconds()+c.Burst), maximum)
 	must.Greater(t, 0.8*c.Rate*window.Seconds(), maximum)
 }
+
+// TestMayUseShare checks when a VM may use its share of the limit of a target.
+func TestMayUseShare(t *testing.T) {
+	const soon = time.Minute
+	for name, c := range map[string]struct {
+		members   shares.Members
+		peerKnows int
+		anySilent bool
+		read      bool
+		want      bool
+	}{
+		"leased, a VM is silent":                 {members: shares.Members{ShareUntil: epoch.Add(soon)}, anySilent: true, read: true, want: true},
+		"not leased, a VM is silent":             {members: shares.Members{ContactUntil: epoch.Add(soon)}, anySilent: true, read: true},
+		"not leased, nobody is silent":           {members: shares.Members{ContactUntil: epoch.Add(soon)}, peerKnows: 2, read: true, want: true},
+		"not leased, another knows more VMs":     {members: shares.Members{ContactUntil: epoch.Add(soon)}, peerKnows: 3, read: true},
+		"the store is away for long":             {peerKnows: 2, read: true},
+		"never read":                             {peerKnows: 2, want: true},
+		"never read, but another knows more VMs": {peerKnows: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			s.SetMembers(c.members, epoch)
+			s.UpdatePeer(Update{VM: "vm-1", Born: 1, Members: c.peerKnows}, epoch)
+			must.Eq(t, c.want, s.MayUseShare(c.anySilent, c.read, epoch))
+		})
+	}
+}
--- a/internal/fleet/quota/task.go
+++ b/internal/fleet/quota/task.go
@@ -16,6 +16,8 @@
 
 	mu    sync.Mutex
 	state *State
+	// read is whether the VMs that share the limits were read from the store.
+	read bool
 }
 
 // NewLimiter returns the Limiter of a VM that starts now, and has no share of the limits
@@ -31,9 +33,25 @@
 func (l *Limiter) SetMembers(m shares.Members) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.read = true
 	l.state.SetMembers(m, l.clock.Now())
 }
 
+// Sharers returns the other VMs that share the limits. The slice must not be changed.
+func (l *Limiter) Sharers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Sharers()
+}
+
+// MayUseShare reports whether this VM may use a share of something that is divided like the
+// limits, where anySilent is whether one of the others is silent.
+func (l *Limiter) MayUseShare(anySilent bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.MayUseShare(anySilent, l.read, l.clock.Now())
+}
+
 // Share returns the number of VMs that share the limits as far as this one knows, and whether it
 // may use its share while others are silent.
 func (l *Limiter) Share() (members int, has bool) {
--- a/internal/fleet/shares/shares.go
+++ b/internal/fleet/shares/shares.go
@@ -1,4 +1,4 @@
-// Package shares decides which VMs share the customers' limits.
+// Package shares decides which VMs share the customers' limits, and those of targets.
 //
 // Every VM keeps a record in the object store and renews it. A VM may use its share of the
 // limits alone, without the others, only while its record is renewed, and only if all other
--- a/internal/fleet/shares/task.go
+++ b/internal/fleet/shares/task.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// neededInterval is the time between two checks of whether any customer has a limit.
+	// neededInterval is the time between two checks of whether any limit is divided.
 	neededInterval = 50 * time.Millisecond
 	// withdrawTimeout bounds the removal of this VM's record at the end.
 	withdrawTimeout = 200 * time.Millisecond
@@ -31,7 +31,7 @@
 	List  Lister
 	Clock store.Clock
 	Log   log.Logger
-	// Needed reports whether any customer has a limit.
+	// Needed reports whether any limit is divided.
 	Needed func() bool
 	// Scale is the factor by which renewals are less frequent than in a small fleet.
 	Scale func() float64
--- a/internal/fleet/throttle/throttle.go
+++ b/internal/fleet/throttle/throttle.go
@@ -3,7 +3,8 @@
 //
 // The VMs agree on a limit by exchanging what each of them has read from the target's
 // responses. A few of them, chosen by rendezvous hashing, have a share of it, and the others
-// send the target nothing. No share is smaller than one request per second, unless the limit
+// send the target nothing. A VM that is silent keeps its share as long as package shares says so,
+// since it may be alive beyond a cut. No share is smaller than one request per second, unless the limit
 // is, so that shares can be used in a fleet of any size.
 package throttle
 
@@ -83,8 +84,11 @@
 
 	mu      sync.Mutex
 	targets map[site.Incarnation]*throttled
-	// vms are the VMs among which limits are divided.
-	vms []string
+	// vms are the VMs that serve, as far as this one hears, among which limits are divided, and
+	// silent those that it does not hear from and that may use their shares all the same.
+	// mayNotUse is whether this VM may not use its own.
+	vms, silent []string
+	mayNotUse   bool
 }
 
 // NewTable returns a Table of the VM self.
@@ -148,7 +152,7 @@
 	return changed
 }
 
-// SetVMs replaces the VMs among which limits are divided.
+// SetVMs replaces the VMs that serve, among which limits are divided.
 func (t *Table) SetVMs(vms []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -161,6 +165,27 @@
 	}
 }
 
+// SetSilent replaces the VMs that are not heard from and may use their shares all the same, and
+// sets whether this VM may use its own.
+func (t *Table) SetSilent(vms []string, mayUse bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if slices.Equal(t.silent, vms) && t.mayNotUse == !mayUse {
+		return
+	}
+	t.silent, t.mayNotUse = vms, !mayUse
+	for target, s := range t.targets {
+		t.apply(s, target, handoverDelay, now)
+	}
+}
+
+// IsInUse reports whether any target states a limit, or did so recently.
+func (t *Table) IsInUse() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.targets) > 0
+}
+
 // Wait returns the time until a request may be sent to a target: 0 if it may be sent now. A
 // VM without a share of the target's limit returns the time after which another VM may send
 // the next request.
@@ -292,11 +317,11 @@
 
 // shareOf returns this VM's share of a target's limit.
 func (t *Table) shareOf(target site.Incarnation, perSecond float64) float64 {
-	if perSecond == 0 {
+	if perSecond == 0 || t.mayNotUse {
 		return 0
 	}
-	shares := max(1, int(min(perSecond/minShare, float64(len(t.vms)))))
 	own, listed, ahead := rank(t.self, target), false, 0
+	count := len(t.vms)
 	for _, vm := range t.vms {
 		switch {
 		case vm == t.self:
@@ -305,6 +330,16 @@
 			ahead++
 		}
 	}
+	for _, vm := range t.silent {
+		if slices.Contains(t.vms, vm) {
+			continue
+		}
+		count++
+		if rank(vm, target) > own {
+			ahead++
+		}
+	}
+	shares := max(1, int(min(perSecond/minShare, float64(count))))
 	if !listed || ahead >= shares {
 		return 0
 	}
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -117,18 +117,29 @@
 }
 
 // shareLimits updates the VMs among which the limits of targets are divided: those that
-// serve.
+// serve, and those that are silent but have a share.
 func (n *Node) shareLimits(now time.Time) {
-	var vms []string
+	var vms, silent []string
 	if n.ready.Load() && !n.leaving.Load() {
 		vms = append(vms, n.settings.VM)
 	}
+	alive := map[string]bool{}
 	for _, m := range n.roster.Members() {
-		if m.Entry.State == roster.Ready && m.Alive(now) {
+		if !m.Alive(now) {
+			continue
+		}
+		alive[m.Entry.VM] = true
+		if m.Entry.State == roster.Ready {
 			vms = append(vms, m.Entry.VM)
 		}
 	}
+	for _, vm := range n.quota.Sharers() {
+		if !alive[vm] {
+			silent = append(silent, vm)
+		}
+	}
 	n.limits.SetVMs(vms, now)
+	n.limits.SetSilent(silent, n.quota.MayUseShare(len(silent) > 0), now)
 }
 
 // pullNewer pulls the kinds from a VM in which it is ahead of this one. A VM that polls
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -261,7 +261,7 @@
 	n.teller.Register(registrar)
 	n.shares = shares.NewTask(shares.Options{
 		VM: s.VM, Store: objects, List: objects, Clock: n.clock, Log: n.log,
-		Needed: n.hasLimits, Scale: n.roster.IntervalFactor, Alive: n.roster.IsAlive,
+		Needed: n.needsShares, Scale: n.roster.IntervalFactor, Alive: n.roster.IsAlive,
 		OnChange: n.quota.SetMembers, OnGone: n.roster.Forget,
 	})
 	peer.Handle(registrar, CallSettings, func(context.Context, string, struct{}) (SettingsStatus, error) {
@@ -278,10 +278,10 @@
 	return max(n.roster.Count(), known)
 }
 
-// hasLimits reports whether any customer has a limit.
-func (n *Node) hasLimits() bool {
+// needsShares reports whether any customer or target has a limit.
+func (n *Node) needsShares() bool {
 	cfg := n.source.View().Config
-	return cfg != nil && slices.ContainsFunc(cfg.Customers, func(c site.Customer) bool { return c.Rate > 0 })
+	return n.limits.IsInUse() || cfg != nil && slices.ContainsFunc(cfg.Customers, func(c site.Customer) bool { return c.Rate > 0 })
 }
 
 // maxConns returns the number of connections from which on idle ones are closed for new ones.
