--- a/internal/fleet/canary/evidence.go
+++ b/internal/fleet/canary/evidence.go
@@ -218,7 +218,7 @@
 		if since := now.Add(-time.Duration(r.AgeMS) * time.Millisecond); since.Before(o.since) {
 			o.since = since
 		}
-		if g.setStage(s, r.Stage, "told by "+vm, now) {
+		if g.setStage(s, r.Stage, "reported by VM "+vm, now) {
 			changed = true
 		}
 		if o.stage.IsTerminal() {
@@ -226,7 +226,7 @@
 		}
 		o.mergeCounts(vm, born, r)
 		if r.Stopped && o.judge.stopped == "" {
-			o.judge.stopped = "told by " + vm
+			o.judge.stopped = "reported by VM " + vm
 			g.log("msg", "version stopped", "service", s.name, "to", o.spec.To, "why", o.judge.stopped, "stage", o.stage)
 			changed = true
 		}
