--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -42,10 +42,6 @@
 	// milliseconds plus one; 0 if that was long ago.
 	Answered int `cbor:"6,keyasint"`
 	Late     int `cbor:"7,keyasint,omitempty"`
-	// Ratios and Samples are the decayed sum and number, times 100, of the ratios of
-	// observed to expected times to first token; 0 where engines aren't weighted by speed.
-	Ratios  int `cbor:"8,keyasint,omitempty"`
-	Samples int `cbor:"9,keyasint,omitempty"`
 }
 
 // A CachedPrefix reports that an engine was sent the shared prefix segments of a
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -362,7 +362,6 @@
 	n.gateway.Store(s.Gateway)
 	n.limitMemory()
 	n.placer.SetMaxWeightsAge(s.Gateway.Bounds.Weights)
-	n.placer.SetWeighted(n.admission.Enabled())
 	n.budget.SetLimits(limitsOf(s.Gateway.Bounds.Retries))
 	n.hedger.SetRules(hedgeRules(s.Gateway.Hedge))
 	n.loaded.load(s.Gateway, later)
@@ -388,7 +387,6 @@
 	n.hedger = hedge.NewHedger(hedgeRules(n.gateway.Load().Hedge))
 	ordered := platform.ReadContracts(n.gateway.Load().Contracts).Admission
 	n.admission = admission.NewController(func() bool { return ordered || n.gateway.Load().Admission }, n.log)
-	n.placer.SetWeighted(n.admission.Enabled())
 	n.relay = relay.NewHandler(relay.Options{
 		View:       n.source.View,
 		Quota:      n.quota,
--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -126,8 +126,6 @@
 type peerTotal struct {
 	running, prefill, late, unreachable, failureReports int
 	failureRates                                        float64
-	// ratios and samples are the sum and the number of samples of the target's speed.
-	ratios, samples float64
 }
 
 // peerTotalsTTL is how long the totals are reused before they are recomputed.
@@ -152,8 +150,6 @@
 			total.running += l.Running
 			total.prefill += l.Prefill
 			total.late += l.Late
-			total.ratios += float64(l.Ratios) / ratioScale
-			total.samples += float64(l.Samples) / ratioScale
 			if l.Unreachable {
 				total.unreachable++
 			}
--- a/internal/gateway/placing/explain.go
+++ b/internal/gateway/placing/explain.go
@@ -149,7 +149,6 @@
 		dataCentre: p.dataCentre, gate: p.gate, previews: true, maxWeightsAge: p.maxWeightsAge, notices: p.notices, limits: p.limits, busy: p.busy,
 		totalledAt: p.totalledAt, totalsDirty: p.totalsDirty, peerTotals: p.peerTotals, holders: p.holders, index: p.index,
 		turn: p.turn, deferredShare: p.deferredShare,
-		weighted: p.weighted, speedLevels: maps.Clone(p.speedLevels), speedsAt: p.speedsAt,
 		states: make(map[string]*targetState, len(p.states)), peers: maps.Clone(p.peers), sendRates: maps.Clone(p.sendRates),
 	}
 	for id, s := range p.states {
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -221,11 +221,6 @@
 	turn      int
 	// deferredShare is the share of requests that are deferred in a large fleet.
 	deferredShare float64
-	// weighted reports whether ranks follow the speeds of targets. speedLevels are the
-	// speeds, of targets by id, as of speedsAt.
-	weighted    bool
-	speedLevels map[string]int
-	speedsAt    time.Time
 }
 
 // A targetState is what this VM has observed at one target.
@@ -237,9 +232,7 @@
 	prefill int
 	late    int
 	// slowdown is the ratio of observed to expected times to first token.
-	slowdown float64
-	// speed are the samples of the ratio for other VMs.
-	speed         speedSamples
+	slowdown      float64
 	failureRate   float64
 	failureRateAt time.Time
 	backoff       time.Duration
@@ -307,8 +300,6 @@
 	if len(all) == 0 {
 		return weighing{request: r}
 	}
-	p.updateSpeeds(all, now)
-	p.weighRanks(all)
 	large := len(all) >= largePoolSize
 	w := weighing{toStore: r.assignedToStore(len(all), large)}
 	candidates, home, replica := p.selectHome(all, &r, now)
--- a/internal/gateway/placing/state.go
+++ b/internal/gateway/placing/state.go
@@ -87,9 +87,6 @@
 		s.lastResponse = now
 		s.addPending(c, -c.MissingTokens)
 		s.updateSlowdown(c, took)
-		if p.weighted {
-			s.recordSpeed(c, took, now)
-		}
 	}
 }
 
@@ -257,15 +254,11 @@
 			continue
 		}
 		failing := int(100 * s.decayedFailureRate(now))
-		known := p.weighted && s.speed.decayed(now).count >= minReportedSamples
-		if s.running > 0 || failing > 0 || s.unreachable || known {
+		if s.running > 0 || failing > 0 || s.unreachable {
 			l := roster.TargetLoad{Target: id, Running: s.running, Prefill: s.prefill, Late: s.late, Failing: failing, Unreachable: s.unreachable}
 			if age := now.Sub(s.lastResponse); age < peerLoadTTL {
 				l.Answered = 1 + int(age.Milliseconds())
 			}
-			if known {
-				s.speed.report(&l, now)
-			}
 			loads = append(loads, l)
 		}
 		for model, version := range s.weights {
