Decide a request's configured priority in one place

Cause: whether the customer's or the route's priority counts was decided in three places, and each admitted request computed a status that only the log line of a refused one needs. Change: job.configuredPriority; the status is computed for refusals only. No change in behaviour.

--- a/internal/gateway/admission/controller.go
+++ b/internal/gateway/admission/controller.go
@@ -43,7 +43,10 @@
 	}
 	c.mu.Lock()
 	t, d := c.state.Admit(r, now)
-	status := c.state.services[r.Service].status()
+	var status ServiceStatus
+	if !d.Admitted {
+		status = c.state.services[r.Service].status()
+	}
 	c.mu.Unlock()
 	if !d.Admitted {
 		if ok, leftOut := c.refusal.Allow(now); ok {
--- a/internal/gateway/node/canary.go
+++ b/internal/gateway/node/canary.go
@@ -63,7 +63,7 @@
 	return n.canary.Run(ctx)
 }
 
-// canaryPeers returns the other VMs with what they told of orders.
+// canaryPeers returns the other VMs with what they reported of orders.
 func (n *Node) canaryPeers() []canary.Peer {
 	now := time.Now()
 	members := n.roster.Members()
--- a/internal/gateway/relay/admission.go
+++ b/internal/gateway/relay/admission.go
@@ -21,12 +21,9 @@
 // admissionRequest returns the request as admission control needs it.
 func (h *Handler) admissionRequest(j *job, now time.Time) admission.Request {
 	r := admission.Request{
-		Service: j.service, Class: j.route.Name, Priority: j.route.Priority, Customer: j.customerName(),
+		Service: j.service, Class: j.route.Name, Priority: j.configuredPriority(), Customer: j.customerName(),
 		Tokens: 1, Queues: j.engine, Goal: j.route.LatencyGoal, TimeLeft: j.deadline.Sub(now),
 	}
-	if j.customer != nil && j.customer.HasPriority {
-		r.Priority = j.customer.Priority
-	}
 	if j.engine && h.opts.Admission.Enabled() {
 		o := h.opts.Placer.Occupancy(j.view, j.service, now)
 		r.Load = admission.Load{Own: o.Own, Fleet: o.Running, VMs: o.VMs, Slots: o.Slots}
--- a/internal/gateway/relay/body.go
+++ b/internal/gateway/relay/body.go
@@ -50,13 +50,8 @@
 
 // isUrgent reports whether the request may use the memory that is kept for urgent ones.
 func (j *job) isUrgent() bool {
-	if j.customer == nil {
-		return len(j.view.Config.Customers) == 0 && j.route.Priority == 0
-	}
-	if j.customer.HasPriority {
-		return j.customer.Priority == 0
-	}
-	return j.route.Priority == 0
+	known := j.customer != nil || len(j.view.Config.Customers) == 0
+	return known && j.configuredPriority() == 0
 }
 
 // readBody reads the body. It is given up some time after the request's deadline.
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -407,17 +407,21 @@
 // priorities.
 const latePriority = 5
 
+// configuredPriority returns the priority of the customer or, if it has none, of the route.
+func (j *job) configuredPriority() int {
+	if j.customer != nil && j.customer.HasPriority {
+		return j.customer.Priority
+	}
+	return j.route.Priority
+}
+
 // priority returns the request's priority at engines. Late requests come after
 // all others.
 func (j *job) priority(late bool) int {
 	if !j.engine {
 		return -1
 	}
-	priority := j.route.Priority
-	if j.customer != nil && j.customer.HasPriority {
-		priority = j.customer.Priority
-	}
-	priority = min(priority, latePriority-1)
+	priority := min(j.configuredPriority(), latePriority-1)
 	if late {
 		priority += latePriority
 	}
