--- a/review/world-2/main.go
+++ b/review/world-2/main.go
@@ -13,7 +13,7 @@
 		fmt.Fprintln(os.Stderr, "usage: world CASE PROGRAM RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(*world, bool) (bool, bool){"lost": lost}
+	cases := map[string]func(*world, bool) (bool, bool){"lost": lost, "wall": wall}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", os.Args[1])
--- a/review/world-2/runner.go
+++ b/review/world-2/runner.go
@@ -52,6 +52,7 @@
 	gap     time.Duration
 	running atomic.Int64
 	beats   int
+	slots   int
 }
 
 func (w *world) runner(service, id string, llm bool) *runner {
@@ -59,7 +60,7 @@
 	if err != nil {
 		panic(err)
 	}
-	r := &runner{w: w, id: id, service: service, addr: l.Addr().String(), born: time.Now().UnixMilli(), llm: llm, l: l, version: 1, state: "ready", work: 15 * time.Millisecond, gap: 15 * time.Millisecond}
+	r := &runner{w: w, id: id, service: service, addr: l.Addr().String(), born: time.Now().UnixMilli(), llm: llm, l: l, version: 1, state: "ready", work: 15 * time.Millisecond, gap: 15 * time.Millisecond, slots: 64}
 	r.srv = &http.Server{Handler: r}
 	go func() { _ = r.srv.Serve(l) }()
 	w.runners = append(w.runners, r)
@@ -72,7 +73,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.beats++
-	e := map[string]any{"service": r.service, "address": r.addr, "zone": "z", "version": "v1", "slots": 64, "state": r.state, "coldLeftMs": 0, "sequence": r.beats, "born": r.born}
+	e := map[string]any{"service": r.service, "address": r.addr, "zone": "z", "version": "v1", "slots": r.slots, "state": r.state, "coldLeftMs": 0, "sequence": r.beats, "born": r.born}
 	if r.llm {
 		e["stage"] = "prefill_decode"
 		e["models"] = []any{map[string]any{"name": "m", "version": r.version, "adapters": []any{}}}
