Review: take the ports of VMs below those of outgoing connections

Cause: a VM that is started again may find its port taken by a connection; case 6 would then wait without an end. Change: review/world-2 picks ports from 15000 to 29999, and case 6 ends with 2 if a VM is not ready within 10 s.

--- a/review/world-2/lost.go
+++ b/review/world-2/lost.go
@@ -63,8 +63,10 @@
 		v.signal(syscall.SIGTERM)
 		<-v.exited
 		v.start()
-		for !v.isReady() {
-			time.Sleep(50 * time.Millisecond)
+		for end := time.Now().Add(10 * time.Second); !v.isReady(); time.Sleep(50 * time.Millisecond) {
+			if time.Now().After(end) {
+				return false, false
+			}
 		}
 	}
 	time.Sleep(4 * time.Second)
--- a/review/world-2/world.go
+++ b/review/world-2/world.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -88,13 +89,16 @@
 	down                                        atomic.Bool
 }
 
+// freeAddr returns an address with a free port. It is below the range of ports that outgoing
+// connections get, so that it is still free when a VM is started again.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(15000+rand.IntN(15000)))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func (w *world) addVM(name string) *vm {
