--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -2,8 +2,8 @@
 //
 // Every VM estimates the level of one token bucket for the whole fleet. VMs send
 // each other how much they have admitted since they started. A silent VM is assumed
-// to admit its equal share of the bucket and of the rate, and VMs in touch with each other
-// admit no more than the shares of those that may use one, so that the total stays within
+// to admit its share of the bucket and its part of the rate, and VMs in touch with each other
+// admit no more than the parts of those that may use one, so that the total stays within
 // the limit during any network partition. Package shares decides who may, and when a share
 // is free again. While the bucket is nearly empty, each VM is limited to its
 // share. Otherwise it is limited to a part of the bucket within a period, which
