Spare store calls of large fleets that share limits

Cause: since a VM reads the records again at once after its record states a larger part. 72 VMs that join contend for what is free and do so often, though limits go by totals there. Change: in a fleet above roster.SmallFleetSize the next regular read comes first.

--- a/internal/fleet/shares/shares.go
+++ b/internal/fleet/shares/shares.go
@@ -25,6 +25,7 @@
 	"strings"
 	"time"
 
+	"github.com/baobabdyke/baobabdyke/internal/fleet/roster"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
@@ -436,7 +437,8 @@
 
 // Interval returns the mean time until the records are read again. It is 0 after the first
 // record, as this VM has to know of those that were written at the same time, and after one that
-// states a larger part if this VM has none or another one is silent. It is short for the first maxJoins ones, as VMs
+// states a larger part if this VM has none or another one is silent; in a large fleet, where limits go
+// by totals, that waits for the next read. It is short for the first maxJoins ones, as VMs
 // often start together. It is also short while a VM is silent, whose part others can use once they
 // have seen its record unchanged for long enough.
 func (r *Registry) Interval(alive func(vm string) bool) time.Duration {
@@ -447,7 +449,7 @@
 	raised := r.raised
 	r.raised = false
 	switch {
-	case r.own == nil, raised && (silent || r.part == 0):
+	case r.own == nil, raised && (silent || r.part == 0) && len(r.records) < roster.SmallFleetSize:
 		return 0
 	case r.joins < maxJoins:
 		r.joins++
