Play restarts in turn after a loss by one function

Cause: two cases of TestLossWithdrawsSharesOfOthers differ in one argument. Change: a function of that argument; cases, names and checks are the same. Measured: go test -race -cpu 1 -count 2 ./internal/fleet/shares passes.

--- a/internal/fleet/shares/loss_test.go
+++ b/internal/fleet/shares/loss_test.go
@@ -55,23 +55,19 @@
 // record of a lost VM stays, because it does not know of the processes that have started since.
 func TestLossWithdrawsSharesOfOthers(t *testing.T) {
 	const vms = 8
-	for name, play := range map[string]func(t *testing.T, f *fleet) (running []string){
-		"one lost, the others restarted in turn as planned": func(t *testing.T, f *fleet) []string {
-			f.lose("vm-00")
-			time.Sleep(time.Second)
-			for _, vm := range names(1, 7) {
-				f.restart(t, true, vm)
-			}
-			return names(1, 7)
-		},
-		"one lost, the others killed in turn": func(t *testing.T, f *fleet) []string {
+	inTurn := func(planned bool) func(t *testing.T, f *fleet) []string {
+		return func(t *testing.T, f *fleet) []string {
 			f.lose("vm-00")
 			time.Sleep(time.Second)
 			for _, vm := range names(1, 7) {
-				f.restart(t, false, vm)
+				f.restart(t, planned, vm)
 			}
 			return names(1, 7)
-		},
+		}
+	}
+	for name, play := range map[string]func(t *testing.T, f *fleet) (running []string){
+		"one lost, the others restarted in turn as planned": inTurn(true),
+		"one lost, the others killed in turn":               inTurn(false),
 		"one lost, the others restarted as planned at once": func(t *testing.T, f *fleet) []string {
 			f.lose("vm-00")
 			f.restart(t, true, names(1, 7)...)
