Take no response out of one whose status is below 100

Callers saw the response of a target whose status was 000 as an answer: not with its own status, but with the status, header and body of what followed its empty line, which was its body or a second response.

Cause: the pool of connections skipped every response below 200 as an informational one, so 000, 099 and 101 as well, and read on behind its header. Change: answer.Check rejects a status below 100, and 101, which no request of ours asks for and behind which there is no HTTP. The exchange then counts as one of unknown outcome, and its connection is closed. Conclusion: only 1xx other than 101 has another response behind it, so nothing is read behind a status that is none.

--- a/internal/gateway/conn/conn.go
+++ b/internal/gateway/conn/conn.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/baobabdyke/baobabdyke/answer"
 	"github.com/baobabdyke/baobabdyke/internal/gateway/intake"
 )
 
@@ -190,7 +191,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 200 {
+		if err := answer.Check(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.Matches(resp.StatusCode, resp.Header) {
--- /dev/null
+++ b/internal/gateway/conn/malformed_test.go
@@ -0,0 +1,77 @@
+package conn
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// head is the header of the response to request "own", up to its framing.
+const head = "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: own\r\n"
+
+// mustBeLost sends a request to a target that writes the response and checks that nothing
+// of it counts as a response.
+func mustBeLost(t *testing.T, response string) {
+	t.Helper()
+	p := NewPool(nil)
+	t.Cleanup(p.Close)
+	switch got := p.Do(t.Context(), script(t, response), request("own", nil), false).(type) {
+	case Lost:
+		must.Error(t, got.Err)
+	case Responded:
+		body, err := got.Exchange.ReadBody(1 << 10)
+		if err == nil {
+			t.Fatalf("status %d, header %q, body %q", got.Response.StatusCode, got.Response.Header, body.Data)
+		}
+		got.Exchange.Abort()
+	default:
+		t.Fatalf("the request was not sent: %v", got)
+	}
+}
+
+// mustBeWhole sends a request to a target that writes the response and checks that it is
+// passed on with the body "own".
+func mustBeWhole(t *testing.T, response string) {
+	t.Helper()
+	p := NewPool(nil)
+	t.Cleanup(p.Close)
+	got, ok := p.Do(t.Context(), script(t, response), request("own", nil), false).(Responded)
+	must.True(t, ok)
+	body, err := got.Exchange.ReadBody(1 << 10)
+	must.NoError(t, err)
+	must.Eq(t, "own", string(body.Data))
+	got.Exchange.Finish()
+}
+
+// TestMalformedStatusIsSkipped guards against a response whose status is below 100 that
+// is skipped like an informational one, so that bytes of its body, or what follows it, are
+// taken for the response.
+func TestMalformedStatusIsSkipped(t *testing.T) {
+	const own = head + "Content-Length: 3\r\n\r\nown"
+	for _, status := range []string{"000", "001", "099", "-00", "+99", "101"} {
+		for name, rest := range map[string]string{
+			"with a length":               "Baobabdyke-Request-Id: own\r\nContent-Length: 3\r\n\r\nown",
+			"with a response as its body": "Baobabdyke-Request-Id: own\r\nContent-Length: 71\r\n\r\n" + own,
+			"before a response":           "\r\n" + own,
+			"before two":                  "\r\n" + own + own,
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				mustBeLost(t, "HTTP/1.1 "+status+" None\r\n"+rest)
+			})
+		}
+	}
+	t.Run("after an informational response", func(t *testing.T) {
+		mustBeLost(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\n\r\n"+own)
+	})
+	t.Run("after a response to another request", func(t *testing.T) {
+		mustBeLost(t, "HTTP/1.1 200 OK\r\nBaobabdyke-Request-Id: a\r\nContent-Length: 0\r\n\r\nHTTP/1.1 000 None\r\n\r\n"+own)
+	})
+	for name, response := range map[string]string{
+		"100":                    "HTTP/1.1 100 Continue\r\n\r\n" + own,
+		"103":                    "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + own,
+		"100 and 103":            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + own,
+		"an empty reason phrase": "HTTP/1.1 200 \r\nBaobabdyke-Request-Id: own\r\nContent-Length: 3\r\n\r\nown",
+	} {
+		t.Run(name+" is sound", func(t *testing.T) { mustBeWhole(t, response) })
+	}
+}
