--- a/internal/gateway/conn/malformed_test.go
+++ b/internal/gateway/conn/malformed_test.go
@@ -75,3 +75,65 @@
 		t.Run(name+" is sound", func(t *testing.T) { mustBeWhole(t, response) })
 	}
 }
+
+// TestMalformedNameIsHeader guards against a response with a header or trailer whose name is
+// no token, which is passed on with that line, or with a body that goes by another framing
+// than the target meant.
+func TestMalformedNameIsHeader(t *testing.T) {
+	const (
+		length  = "Content-Length: 3\r\n"
+		chunked = "Transfer-Encoding: chunked\r\n"
+		chunks  = "3\r\nown\r\n0\r\n"
+	)
+	for name, line := range map[string]string{
+		"a blank in it":          "X Y: z\r\n",
+		"a blank after it":       "X : z\r\n",
+		"a blank after a length": "Content-Length : 3\r\n",
+		"a blank after a coding": "Transfer-Encoding : chunked\r\n",
+		"a blank after the id":   "Baobabdyke-Request-Id : own\r\n",
+		"a tab":                  "X\tY: z\r\n",
+		"a zero byte":            "X\x00: z\r\n",
+		"a bell":                 "X\aY: z\r\n",
+		"a carriage return":      "X\rY: z\r\n",
+		"a delete":               "X\x7f: z\r\n",
+		"a byte beyond ASCII":    "X\xe9: z\r\n",
+		"a bracket":              "X(Y): z\r\n",
+		"no name":                ": z\r\n",
+		"no colon":               "X\r\n",
+	} {
+		t.Run("header with "+name, func(t *testing.T) {
+			mustBeLost(t, head+length+line+"\r\nown")
+			mustBeLost(t, head+line+length+"\r\nown")
+			mustBeLost(t, head+line+"\r\nown")
+			mustBeLost(t, head+line+chunked+"\r\n"+chunks+"\r\n")
+		})
+		t.Run("informational header with "+name, func(t *testing.T) {
+			mustBeLost(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n"+head+length+"\r\nown")
+		})
+		t.Run("response to another request with "+name, func(t *testing.T) {
+			mustBeLost(t, "HTTP/1.1 200 OK\r\n"+line+"Content-Length: 0\r\n\r\n"+head+length+"\r\nown")
+		})
+		t.Run("trailer with "+name, func(t *testing.T) {
+			mustBeLost(t, head+chunked+"\r\n"+chunks+line+"\r\n")
+			mustBeLost(t, head+"Trailer: X\r\n"+chunked+"\r\n"+chunks+line+"\r\n")
+		})
+		t.Run("trailer of a response to another request with "+name, func(t *testing.T) {
+			mustBeLost(t, "HTTP/1.1 200 OK\r\n"+chunked+"\r\n0\r\n"+line+"\r\n"+head+length+"\r\nown")
+		})
+	}
+	for name, line := range map[string]string{
+		"any byte of a token": "!#$%&'*+-.^_`|~09AZaz: z\r\n",
+		"an empty value":      "X:\r\n",
+		"blanks in the value": "X: \t a b \t\r\n",
+		"a continued line":    "X: a\r\n b\r\n",
+	} {
+		t.Run(name+" is sound", func(t *testing.T) {
+			mustBeWhole(t, head+line+length+"\r\nown")
+			mustBeWhole(t, head+chunked+"\r\n"+chunks+line+"\r\n")
+			mustBeWhole(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n"+head+length+"\r\nown")
+		})
+	}
+	t.Run("a trailer that is announced and missing is sound", func(t *testing.T) {
+		mustBeWhole(t, head+"Trailer: X Y\r\n"+chunked+"\r\n"+chunks+"\r\n")
+	})
+}
--- a/internal/gateway/node/malformed_test.go
+++ b/internal/gateway/node/malformed_test.go
@@ -18,6 +18,12 @@
 		"status 000 with a length":               respond(run, "000 None", sealed, "length", "malformed"),
 		"status 000 with a response as its body": respond(run, "000 None", sealed, "length", valid),
 		"status 000 before a response":           "HTTP/1.1 000 None\r\n\r\n" + valid,
+		"a blank in a name":                      respond(run, "200 OK", sealed+"X Y: malformed\r\n", "length", "malformed"),
+		"a blank after a name":                   respond(run, "200 OK", sealed+"X : malformed\r\n", "length", "malformed"),
+		"a blank after a length":                 respond(run, "200 OK", sealed+"Content-Length : 3\r\n", "", "malformed"),
+		"a blank after a coding":                 respond(run, "200 OK", sealed+"Transfer-Encoding : chunked\r\n", "", "9\r\nmalformed\r\n0\r\n\r\n"),
+		"a blank in a name of a refusal":         respond(run, "503 Service Unavailable", notRun+"X Y: malformed\r\n", "length", "malformed"),
+		"a control byte in a name":               respond(run, "200 OK", sealed+"X\x01: malformed\r\n", "length", "malformed"),
 	}
 }
 
