Take no promise from a rejection that breaks off

Callers of requests that may run only once saw 503, which promises that the request has not run and never will, after a target had sent the header of a rejection and then broken off its body, a chunk of it or its trailers. Others had their request sent on as if it had not run, beyond the runs that their route permits.

Cause: an error of reading the body of a rejection only closed the connection; the outcome went by the header alone. Change: a rejection that breaks off is an answer that breaks off: the outcome of the request is unknown, the attempt counts as a run, and the target has failed. A rejection that is read on no further, as it is too long or the attempt was ended here, counts as before. Conclusion: a response that breaks HTTP/1.1 anywhere says nothing of what the target did.

--- a/internal/gateway/node/malformed_test.go
+++ b/internal/gateway/node/malformed_test.go
@@ -23,6 +23,11 @@
 		"a blank after a length":                 respond(run, "200 OK", sealed+"Content-Length : 3\r\n", "", "malformed"),
 		"a blank after a coding":                 respond(run, "200 OK", sealed+"Transfer-Encoding : chunked\r\n", "", "9\r\nmalformed\r\n0\r\n\r\n"),
 		"a blank in a name of a refusal":         respond(run, "503 Service Unavailable", notRun+"X Y: malformed\r\n", "length", "malformed"),
+		"a refusal that is cut":                  respond(run, "503 Service Unavailable", notRun, "cut", "malformed"),
+		"a refusal that is shorter than stated":  respond(run, "429 Too Many Requests", notRun+"Content-Length: 100\r\n", "", "malformed"),
+		"a misdirected response that is cut":     respond(run, "421 Misdirected Request", notRun, "cut", "malformed"),
+		"a refusal with a malformed chunk":       respond(run, "503 Service Unavailable", notRun+"Transfer-Encoding: chunked\r\n", "", "malformed"),
+		"a refusal with a malformed trailer":     respond(run, "503 Service Unavailable", notRun+"Transfer-Encoding: chunked\r\n", "", "0\r\nX Y: malformed\r\n\r\n"),
 		"a control byte in a name":               respond(run, "200 OK", sealed+"X\x01: malformed\r\n", "length", "malformed"),
 	}
 }
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -107,7 +107,11 @@
 		j.weights = info.WeightsVersion
 	}
 	if info.NotRun {
-		return x.handleNotRun(r)
+		o, end := x.handleNotRun(r)
+		if _, ok := o.(lost); ok {
+			j.runs++
+		}
+		return o, end
 	}
 	j.runs++
 	success := r.Response.StatusCode < http.StatusMultipleChoices
@@ -121,13 +125,21 @@
 	return x.passPlain(r)
 }
 
-// handleNotRun handles a response that reports that the request was not run.
+// handleNotRun handles a response that reports that the request was not run. A response
+// that breaks off does not count as such a report.
 func (x *exchange) handleNotRun(r conn.Responded) (outcome, placing.Outcome) {
-	if body, err := r.Exchange.ReadBody(maxRejectionBytes); err != nil {
-		r.Exchange.Abort()
-	} else {
+	body, err := r.Exchange.ReadBody(maxRejectionBytes)
+	switch {
+	case err == nil:
 		body.Release()
 		r.Exchange.Finish()
+	case x.ctx.Err() != nil || errors.Is(err, intake.ErrTooLong) || errors.Is(err, intake.ErrNoRoom):
+		// The rest is not wanted; the response is not broken as far as it was read.
+		r.Exchange.Abort()
+	default:
+		x.fail(err)
+		r.Exchange.Abort()
+		return lost{reason: "the rejection broke off: " + err.Error()}, placing.Failed
 	}
 	if r.Response.StatusCode == http.StatusMisdirectedRequest {
 		x.handler.opts.Placer.RecordMismatch(x.choice, x.response.job.info.Model, time.Now())
