Check responses to calls of engines and of the platform's store

What operators saw: a list of the store, an absent object, a lost history, the outcome of a write, an engine's report or that of an order taken from a response with a blank in a name of its header or trailers; a notice that an engine leaves, and an order that counts as refused, from one with status 000 or 101. An order whose outcome is not known must count as one that may have been accepted.

Cause: net/http's transport accepts the same responses as http.ReadResponse, and these calls went by the status alone. Status 000 was already none that the store's calls know (ErrUnavailable, Unknown). Change: answer.Transport returns an error in place of such a response and closes the idle connections, as net/http keeps that of a response read to its end. Conclusion: an error of a call is what these callers know as an unknown outcome.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -16,7 +16,10 @@
 // Check returns an error that wraps ErrMalformed if the header of a response is malformed.
 // Otherwise it replaces the body by one that returns such an error in place of io.EOF if a
 // trailer is malformed.
-func Check(resp *http.Response) error {
+func Check(resp *http.Response) error { return check(resp, func() {}) }
+
+// check is Check with a function that is called if a trailer is malformed.
+func check(resp *http.Response, onMalformedTrailer func()) error {
 	if err := checkStatus(resp.StatusCode); err != nil {
 		return err
 	}
@@ -24,7 +27,7 @@
 		return err
 	}
 	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
-		resp.Body = &body{ReadCloser: resp.Body, resp: resp}
+		resp.Body = &body{ReadCloser: resp.Body, resp: resp, onMalformedTrailer: onMalformedTrailer}
 	}
 	return nil
 }
@@ -51,10 +54,11 @@
 	return nil
 }
 
-// A body is the body of a response with trailers.
+// A body is the body of a response that may have trailers.
 type body struct {
 	io.ReadCloser
-	resp *http.Response
+	resp               *http.Response
+	onMalformedTrailer func()
 }
 
 // Read implements io.Reader.
@@ -62,8 +66,38 @@
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		if malformed := checkNames(b.resp.Trailer); malformed != nil {
+			b.onMalformedTrailer()
 			return n, malformed
 		}
 	}
 	return n, err
 }
+
+// A Transport is an http.RoundTripper that returns an error in place of a malformed
+// response, and does not use its connection again.
+type Transport struct {
+	// Base makes the requests.
+	Base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := check(resp, t.CloseIdleConnections); err != nil {
+		_ = resp.Body.Close()
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the idle connections of Base. The connection of a response
+// that was read to its end is one of them.
+func (t Transport) CloseIdleConnections() {
+	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
