Check responses to the library's clients and to the operator's commands

Users of the packages target and store, and operators, saw a response with status 000 or 101, or with a blank in a name of its header, as one: passed on, as a request that has not run, as an order that was executed or refused, as an absent object or the outcome of a write; a patch with such a response was reported as not sent on, where it may be in force.

Cause: as with the calls of engines, net/http accepts them. Change: these clients use answer.Transport. Conclusion: an error after the request was sent is an unknown outcome to each of them.

--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/baobabdyke/baobabdyke/answer"
 )
 
 const (
@@ -58,7 +60,7 @@
 		return operatorResponse{}, wrapNotSent(err)
 	}
 	r.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
-	resp, err := (&http.Client{Transport: transport}).Do(r)
+	resp, err := (&http.Client{Transport: answer.Transport{Base: transport}}).Do(r)
 	if err != nil {
 		return operatorResponse{}, wrapDialError(err)
 	}
--- a/store/httpclient.go
+++ b/store/httpclient.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/baobabdyke/baobabdyke/answer"
 )
 
 const (
@@ -45,7 +47,7 @@
 		transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxHeaderBytes}
 	}
 	client := &http.Client{
-		Transport:     transport,
+		Transport:     answer.Transport{Base: transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return httpClient{base: base, token: o.Token, timeout: orDefault(o.Timeout, defaultCallTimeout), client: client}, nil
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/baobabdyke/baobabdyke/answer"
 )
 
 const (
@@ -73,7 +75,7 @@
 		transport = newTransport(newConns)
 	}
 	return &http.Client{
-		Transport: transport,
+		Transport: answer.Transport{Base: transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
