Tell a reset from an end of the connection for net/http's clients too

Users of the package target saw a part of a response without a length as a whole one, as callers did, where the target reset the connection while a long request was still being written to it.

Cause: as in the pool of connections, the kernel reports the reset to the write only. net/http closes the connection then, but its reader may have seen the end before. Change: answer.Conn returns the error of a failed write in place of io.EOF, once a write in progress has ended or has been stalled for 500 ms. Conclusion: an error that the kernel has told nobody yet is still the read's own, so the failed writes are all there is to ask.

--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -70,17 +71,50 @@
 			}()
 			client := http.Client{Transport: answer.Transport{Base: &http.Transport{}}}
 			for i := range 3 {
-				must.ErrorIs(t, get(t, &client, "http://"+l.Addr().String()), answer.ErrMalformed)
+				must.ErrorIs(t, post(t, &client, "http://"+l.Addr().String(), nil), answer.ErrMalformed)
 				must.Eq(t, int64(i+1), connections.Load())
 			}
 		})
 	}
 }
 
-// get makes a request and returns the error of reading its response.
-func get(t *testing.T, client *http.Client, url string) error {
+// TestResetDuringUploadIsEndOfBody guards against a response without a length that counts as
+// complete though its connection was reset while the request's body was written.
+func TestResetDuringUploadIsEndOfBody(t *testing.T) {
+	respond := func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, r.Body, 1<<20)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = c.SetLinger(0)
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go respond(c.(*net.TCPConn))
+		}
+	}()
+	client := http.Client{Transport: &http.Transport{DialContext: answer.Dial(new(net.Dialer).DialContext)}}
+	// Which side the kernel tells of the reset differs from one time to the next.
+	for range 200 {
+		must.Error(t, post(t, &client, "http://"+l.Addr().String(), make([]byte, 16<<20)))
+	}
+}
+
+// post sends a body and returns the error of reading the response.
+func post(t *testing.T, client *http.Client, url string, body []byte) error {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(body))
 	must.NoError(t, err)
 	resp, err := client.Do(r)
 	if err != nil {
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -75,7 +75,7 @@
 // newTransport returns the scheme and transport for the operators' port. They use
 // TLS if an authority is given, which must have signed the certificate of the VM.
 func (a operatorArguments) newTransport() (scheme string, t *http.Transport, err error) {
-	t = &http.Transport{DisableKeepAlives: true}
+	t = &http.Transport{DialContext: answer.Dial(new(net.Dialer).DialContext), DisableKeepAlives: true}
 	if a.Authority == "" {
 		return "http", t, nil
 	}
--- a/internal/gateway/conn/conn.go
+++ b/internal/gateway/conn/conn.go
@@ -27,9 +27,6 @@
 	userTimeout = 1500 * time.Millisecond
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 2 << 10
-	// resetWait is how long the end of a response waits for the request to be written. A
-	// target that has reset the connection answers the next packet with a reset.
-	resetWait = 500 * time.Millisecond
 	// maxStrays is the number of responses to other requests that are skipped.
 	maxStrays = 2
 )
@@ -78,8 +75,9 @@
 	if err != nil {
 		return nil, err
 	}
-	src := &source{conn: c, budget: budget}
-	conn := &Conn{net: c, source: src, reader: bufio.NewReaderSize(src, readBuffer)}
+	checked := answer.NewConn(c)
+	src := &source{conn: checked, budget: budget}
+	conn := &Conn{net: checked, source: src, reader: bufio.NewReaderSize(src, readBuffer)}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		conn.raw, err = tcp.SyscallConn()
 		if err != nil {
@@ -117,13 +115,10 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
-// A source reads a connection, bounds what is read of it while a header is expected, and
-// tells a reset from an ordinary end.
+// A source reads a connection and bounds what is read of it while a header is expected.
 type source struct {
 	conn   net.Conn
 	budget *intake.Budget
-	// upload is the writing of the request whose response is read.
-	upload *upload
 	// inHead reports whether a header is being read, and read is what was read of it.
 	inHead bool
 	read   int
@@ -146,7 +141,7 @@
 // Read implements io.Reader.
 func (s *source) Read(p []byte) (int, error) {
 	if !s.inHead {
-		return s.readConn(p)
+		return s.conn.Read(p)
 	}
 	if s.read >= maxHeadBytes {
 		return 0, fmt.Errorf("header: %w: over %d bytes", intake.ErrTooLong, maxHeadBytes)
@@ -158,75 +153,28 @@
 		}
 		s.held = more
 	}
-	n, err := s.readConn(p[:min(len(p), maxHeadBytes-s.read)])
+	n, err := s.conn.Read(p[:min(len(p), maxHeadBytes-s.read)])
 	s.read += n
 	return n, err
 }
 
-// readConn reads the connection. It returns io.EOF only if the connection was not reset.
-func (s *source) readConn(p []byte) (int, error) {
-	n, err := s.conn.Read(p)
-	if errors.Is(err, io.EOF) && s.upload != nil {
-		// The kernel reports a reset once. If it was reported to the write of the request,
-		// the read sees an ordinary end.
-		if failed := s.upload.wait(resetWait); failed != nil {
-			err = fmt.Errorf("connection ended while the request was written: %w", failed)
-		}
-	}
-	return n, err
-}
-
-// An upload is the writing of a request.
-type upload struct {
-	// done is closed when the writing has ended, and err is then its result.
-	done chan struct{}
-	err  error
-}
-
-// end ends the writing with its result.
-func (u *upload) end(err error) {
-	u.err = err
-	close(u.done)
-}
-
-// wait waits for the end of the writing, for the given time at most, and returns its error.
-func (u *upload) wait(d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-u.done:
-		return u.err
-	case <-timer.C:
-		return nil
-	}
-}
-
-// isWritten reports whether the request has been written completely.
-func (u *upload) isWritten() bool {
-	select {
-	case <-u.done:
-		return u.err == nil
-	default:
-		return false
-	}
-}
-
 // write writes the request. A long body is written in the background, because a
-// target may respond before it has read the body.
-func (c *Conn) write(r Request) {
-	u := &upload{done: make(chan struct{})}
-	c.source.upload = u
+// target may respond before it has read the body. The channel receives the result
+// of the write.
+func (c *Conn) write(r Request) <-chan error {
+	done := make(chan error, 1)
 	head := r.encodeHeader()
 	if len(r.Body) <= inlineBody {
 		_, err := c.net.Write(append(head, r.Body...))
-		u.end(err)
-		return
+		done <- err
+		return done
 	}
 	go func() {
 		buffers := net.Buffers{head, r.Body}
 		_, err := buffers.WriteTo(c.net)
-		u.end(err)
+		done <- err
 	}()
+	return done
 }
 
 // inlineBody is the largest body in bytes that is written before the response is
--- a/internal/gateway/conn/pool.go
+++ b/internal/gateway/conn/pool.go
@@ -71,7 +71,7 @@
 	}
 	e := &Exchange{pool: p, conn: c, address: address}
 	e.stop = context.AfterFunc(ctx, c.Close)
-	c.write(r)
+	e.written = c.write(r)
 	resp, err := c.readResponse(r) //nolint:bodyclose // the caller reads the body and ends the exchange
 	if err != nil {
 		p.failures.Add(1)
@@ -193,6 +193,7 @@
 	conn    *Conn
 	address string
 	resp    *http.Response
+	written <-chan error
 	stop    func() bool
 }
 
@@ -211,7 +212,13 @@
 func (e *Exchange) Finish() {
 	alive := e.stop()
 	e.conn.source.release()
-	if !alive || !e.conn.source.upload.isWritten() || e.resp.Close || e.resp.ContentLength < 0 && !chunked(e.resp) {
+	unwritten := true
+	select {
+	case err := <-e.written:
+		unwritten = err != nil
+	default:
+	}
+	if !alive || unwritten || e.resp.Close || e.resp.ContentLength < 0 && !chunked(e.resp) {
 		e.conn.Close()
 		return
 	}
--- a/store/httpclient.go
+++ b/store/httpclient.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -44,7 +45,12 @@
 	}
 	transport := o.Transport
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxHeaderBytes}
+		transport = &http.Transport{
+			DialContext:            answer.Dial(new(net.Dialer).DialContext),
+			ForceAttemptHTTP2:      true, // A DialContext disables it otherwise.
+			MaxIdleConnsPerHost:    maxIdleConnections,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}
 	}
 	client := &http.Client{
 		Transport:     answer.Transport{Base: transport},
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -90,7 +90,7 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:        dialer.DialContext,
+		DialContext:        answer.Dial(dialer.DialContext),
 		DisableCompression: true,
 		// Headers of sound targets take less than a kilobyte.
 		MaxResponseHeaderBytes: maxHeaderBytes,
