Count a second target whose response broke off as failed

What callers saw: requests went on to a target whose response, asked for because another target was silent or slow, had broken off or was malformed in its body.

Cause: such an attempt was inconclusive if its header was sound, as if the response had only not been wanted any more; what was read of it was forgotten before the outcome was decided. Change: the outcome asks whether what was read may be passed on. Conclusion: an answer that breaks off counts the same wherever it was asked for.

--- a/internal/gateway/node/malformed_test.go
+++ b/internal/gateway/node/malformed_test.go
@@ -87,3 +87,32 @@
 		}
 	}
 }
+
+// TestMalformedResponseReplacesSilentTarget guards against a malformed response of a second
+// target that is passed on in place of that of a silent one.
+func TestMalformedResponseReplacesSilentTarget(t *testing.T) {
+	for _, name := range []string{
+		"status 000 before a response", "a blank after a coding", "a refusal with a malformed trailer", "a refusal that is shorter than stated",
+	} {
+		for path, engine := range map[string]bool{"/lookup/": false, "/stream/a/": true} {
+			t.Run(name+", "+path, func(t *testing.T) {
+				b := newTestbed(t)
+				v := b.start("vm-1")
+				v.ready()
+				targets := b.apps
+				if engine {
+					targets = b.engines
+				}
+				var results <-chan result
+				silent, other := b.silenceFirst(targets, func() { results = v.send(path) })
+				other.SetResponse(func(run fake.SiteRun) string { return malformed(run)[name] })
+				eventually(t, func() bool { return len(other.Runs()) == 1 })
+				silent.Resume()
+				got := <-results
+				must.NoError(t, got.err)
+				must.Eq(t, http.StatusOK, got.status)
+				must.StrNotContains(t, got.body, "malformed")
+			})
+		}
+	}
+}
--- a/internal/gateway/relay/readahead.go
+++ b/internal/gateway/relay/readahead.go
@@ -16,6 +16,8 @@
 	body   *intake.Body
 	err    error
 	done   bool
+	// usable reports whether what was read may be passed on.
+	usable bool
 }
 
 // begins reports whether the target has begun to answer the request with something that
@@ -31,12 +33,14 @@
 	a.done = true
 	if !isStream(r.Response) {
 		a.body, a.err = r.Exchange.ReadBody(maxResponseBytes)
-		return a.err == nil
+		a.usable = a.err == nil
+		return a.usable
 	}
 	a.events = newEventReader(r.Response.Body, x.handler.opts.Pool.Budget())
 	a.event, a.err = a.events.next()
 	whole := errors.Is(a.err, io.EOF) && !x.response.started.Load() && !endsWithConnection(r.Response)
-	return a.err == nil || whole
+	a.usable = a.err == nil || whole
+	return a.usable
 }
 
 // release releases what was read and is not passed on.
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -335,8 +335,8 @@
 
 // discard ends an attempt whose response is not passed on, and returns its outcome.
 func (x *exchange) discard() outcome {
-	x.ahead.release()
 	o, end := x.unanswered()
+	x.ahead.release()
 	x.handler.opts.Placer.End(x.choice, end, false, time.Now())
 	x.handler.opts.Hedger.Ended(x.watched, end == placing.Rejected, time.Now())
 	x.recordVersion(end)
@@ -365,7 +365,7 @@
 			return x.handleNotRun(r)
 		}
 		end := placing.Failed
-		if x.answers() || x.hedged && x.ctx.Err() != nil {
+		if x.answers() && x.ahead.usable || x.hedged && x.ctx.Err() != nil {
 			end = placing.Inconclusive
 		}
 		r.Exchange.Abort()
