Read a target's response to its end before its status is used

Users of the package target saw requests as not run, orders as executed and messages as delivered by a response that broke off within its body.

Cause: the body of such a response was closed unread, or read only where something was decoded from it. Evidence: target TestCutResponseIsResult, 3 of 3 cases. Change: the client reads a rejection, up to 64 KB, and the response to an order or a message to the end; an error there is Lost, OrderLost or the message's error. Conclusion: the same rule as for requests that are passed on: what breaks off promises nothing.

--- a/target/control.go
+++ b/target/control.go
@@ -77,10 +77,14 @@
 		return OrderLost{Err: eris.Wrap(err, "send order to target")}
 	}
 	defer resp.Body.Close()
-	return orderResult(resp)
+	data, err := readBody(resp)
+	if err != nil {
+		return OrderLost{Err: err}
+	}
+	return orderResult(resp, data)
 }
 
-func orderResult(resp *http.Response) OrderResult {
+func orderResult(resp *http.Response, data []byte) OrderResult {
 	var refusal struct {
 		Reason string `json:"reason"`
 		Fenced bool   `json:"fenced"`
@@ -89,7 +93,7 @@
 	case http.StatusOK:
 		return OrderDone{}
 	case http.StatusConflict:
-		if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&refusal); err != nil {
+		if err := json.Unmarshal(data, &refusal); err != nil {
 			return OrderLost{Err: eris.Wrap(err, "decode response to order")}
 		}
 		return OrderRefused{Reason: refusal.Reason, Fenced: refusal.Fenced}
@@ -121,6 +125,10 @@
 		return eris.Wrapf(err, "%s %s", method, path)
 	}
 	defer resp.Body.Close()
+	data, err := readBody(resp)
+	if err != nil {
+		return eris.Wrapf(err, "%s %s", method, path)
+	}
 	if resp.StatusCode == http.StatusNotFound {
 		return ErrNoReport
 	}
@@ -130,6 +138,12 @@
 	if out == nil {
 		return nil
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(out)
-	return eris.Wrapf(err, "decode response to %s", path)
+	return eris.Wrapf(json.Unmarshal(data, out), "decode response to %s", path)
+}
+
+// readBody reads the body of a response to its end. The header of a response that breaks off
+// states nothing, so that it must be called before the status is used.
+func readBody(resp *http.Response) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	return data, eris.Wrap(err, "read response of target")
 }
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -23,6 +23,9 @@
 	dialTimeout     = 2 * time.Second
 	controlTimeout  = 3 * time.Second
 	maxControlBytes = 64 << 20
+	// maxRejectionBytes bounds what is read of a response that reports that the request
+	// was not run.
+	maxRejectionBytes = 64 << 10
 	idleConns       = 2
 )
 
@@ -208,7 +211,12 @@
 // resultOf returns the Result for a response, by its status and headers.
 func resultOf(r Request, resp *http.Response) Result {
 	if resp.Header.Get(HeaderNotRun) == "true" {
+		// A rejection that breaks off states nothing.
+		_, err := io.CopyN(io.Discard, resp.Body, maxRejectionBytes)
 		_ = resp.Body.Close()
+		if err != nil && !errors.Is(err, io.EOF) {
+			return Lost{Err: eris.Wrap(err, "read rejection")}
+		}
 		return NotRun{
 			Reason: "target: " + resp.Status,
 			Stale:  resp.StatusCode == http.StatusConflict,
--- a/target/malformed_test.go
+++ b/target/malformed_test.go
@@ -45,6 +45,36 @@
 	}
 }
 
+// TestCutResponseIsResult guards against a response that breaks off within its body and is
+// taken for the statement that a request was not run, or for the result of a message, by its
+// header alone.
+func TestCutResponseIsResult(t *testing.T) {
+	for name, rest := range map[string]string{
+		"a length":  "Content-Length: 5\r\n\r\ncut",
+		"chunks":    "Transfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n",
+		"a trailer": "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Y: z\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := target.NewHTTPClient(target.HTTPOptions{})
+			address := func(status string) string {
+				return newRawServer(t, "HTTP/1.1 "+status+"\r\n"+rest).address()
+			}
+			for _, status := range []string{"503 Leaving", "409 Conflict"} {
+				must.Eq(t, "lost", describe(client.Send(t.Context(), address(status+"\r\nX-Not-Run: true"), request(http.MethodPost))))
+			}
+			for _, status := range []string{"200 OK", "409 Conflict"} {
+				_, ok := client.Order(t.Context(), address(status), target.Order{Lifetime: time.Second}).(target.OrderLost)
+				must.True(t, ok)
+			}
+			must.Error(t, client.Cancel(t.Context(), address("200 OK"), "r1"))
+			must.Error(t, client.Transfer(t.Context(), address("200 OK"), "c", nil))
+			_, err := client.Load(t.Context(), address("404 Not Found"))
+			must.Error(t, err)
+			must.NotEq(t, target.ErrNoReport, err)
+		})
+	}
+}
+
 // TestResetDuringUploadIsEndOfBody guards against a part of a response without a length that
 // is taken for a whole one, because its target reset the connection while the request was
 // written to it.
