Reject responses with a control byte in their reason phrase

What callers saw: a response whose status line breaks HTTP/1.1 as an answer. Its reason phrase isn't passed on, but the rest was.

Cause: http.ReadResponse takes any bytes for a reason phrase. Evidence: conn TestControlByteInReason, 4 of 9 cases; found by a trial of other malformed responses beside the ones that were reported. Change: answer.Check rejects a control byte other than a tab. Measured: the test passes and failed before, as above. Conclusion: a status line is now checked like the names of the fields; an empty phrase, tabs and bytes beyond ASCII stay sound.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -20,7 +20,7 @@
 
 // check is Check with a function that is called if a trailer is malformed.
 func check(resp *http.Response, onMalformedTrailer func()) error {
-	if err := checkStatus(resp.StatusCode); err != nil {
+	if err := checkStatus(resp); err != nil {
 		return err
 	}
 	if err := checkNames(resp.Header); err != nil {
@@ -33,11 +33,18 @@
 }
 
 // checkStatus returns an error for a status below 100, and for 101: bytes of another
-// protocol follow it, which no request of ours asks for.
-func checkStatus(status int) error {
+// protocol follow it, which no request of ours asks for. It also returns one for a control
+// byte in the reason phrase.
+func checkStatus(resp *http.Response) error {
+	status := resp.StatusCode
 	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %03d", ErrMalformed, status)
 	}
+	for _, c := range []byte(resp.Status) {
+		if c < ' ' && c != '\t' || c == '\x7f' {
+			return fmt.Errorf("%w: status line %q", ErrMalformed, resp.Status)
+		}
+	}
 	return nil
 }
 
--- a/internal/gateway/conn/malformed_test.go
+++ b/internal/gateway/conn/malformed_test.go
@@ -1,6 +1,7 @@
 package conn
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -76,6 +77,21 @@
 	}
 }
 
+// TestControlByteInReason guards against a response with a control byte in its status line
+// that counts as one.
+func TestControlByteInReason(t *testing.T) {
+	const rest = "\r\nBaobabdyke-Request-Id: own\r\nContent-Length: 3\r\n\r\nown"
+	for _, reason := range []string{"O\x00K", "O\x01K", "\x7f", "OK\r"} {
+		t.Run(fmt.Sprintf("%q", reason), func(t *testing.T) {
+			mustBeLost(t, "HTTP/1.1 200 "+reason+rest)
+			mustBeLost(t, "HTTP/1.1 103 "+reason+"\r\n\r\n"+head+"Content-Length: 3\r\n\r\nown")
+		})
+	}
+	for _, reason := range []string{"", "OK", "all\tis well", "tr\xe8s bien", "~!(OK)"} {
+		t.Run(fmt.Sprintf("%q is sound", reason), func(t *testing.T) { mustBeWhole(t, "HTTP/1.1 200 "+reason+rest) })
+	}
+}
+
 // TestMalformedNameIsHeader guards against a response with a header or trailer whose name is
 // no token, which is passed on with that line, or with a body that goes by another framing
 // than the target meant.
