Use one stand-in for processes that send malformed responses

Conclusion: a new place where responses are read needs only its cases. The reset tests over net/http need more uploads.

--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -8,12 +8,12 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/answer"
+	"github.com/baobabdyke/baobabdyke/internal/fake"
 )
 
 func ExampleCheck() {
@@ -45,34 +45,13 @@
 		"a trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Y: z\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			var lc net.ListenConfig
-			l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			script := &fake.Script{Response: response, KeepOpen: true}
+			address, err := script.Start(t.Context())
 			must.NoError(t, err)
-			t.Cleanup(func() { _ = l.Close() })
-			var connections atomic.Int64
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-					connections.Add(1)
-					go func() {
-						requests := bufio.NewReader(c)
-						for {
-							if _, err := http.ReadRequest(requests); err != nil {
-								_ = c.Close()
-								return
-							}
-							_, _ = io.WriteString(c, response)
-						}
-					}()
-				}
-			}()
 			client := http.Client{Transport: answer.Transport{Base: &http.Transport{}}}
 			for i := range 3 {
-				must.ErrorIs(t, post(t, &client, "http://"+l.Addr().String(), nil), answer.ErrMalformed)
-				must.Eq(t, int64(i+1), connections.Load())
+				must.ErrorIs(t, post(t, &client, "http://"+address, nil), answer.ErrMalformed)
+				must.Eq(t, int64(i+1), script.Connections())
 			}
 		})
 	}
@@ -81,33 +60,13 @@
 // TestResetDuringUploadIsEndOfBody guards against a response without a length that counts as
 // complete though its connection was reset while the request's body was written.
 func TestResetDuringUploadIsEndOfBody(t *testing.T) {
-	respond := func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.CopyN(io.Discard, r.Body, 1<<20)
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
-		_ = c.SetLinger(0)
-	}
-	var lc net.ListenConfig
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	script := &fake.Script{Response: "HTTP/1.1 200 OK\r\n\r\npart", BodyBytes: 1 << 20, Reset: true}
+	address, err := script.Start(t.Context())
 	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go respond(c.(*net.TCPConn))
-		}
-	}()
 	client := http.Client{Transport: &http.Transport{DialContext: answer.Dial(new(net.Dialer).DialContext)}}
 	// Which side the kernel tells of the reset differs from one time to the next.
 	for range 200 {
-		must.Error(t, post(t, &client, "http://"+l.Addr().String(), make([]byte, 16<<20)))
+		must.Error(t, post(t, &client, "http://"+address, make([]byte, 16<<20)))
 	}
 }
 
--- a/internal/cmd/malformed_test.go
+++ b/internal/cmd/malformed_test.go
@@ -1,14 +1,13 @@
 package cmd
 
 import (
-	"bufio"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/baobabdyke/baobabdyke/internal/fake"
 )
 
 // TestMalformedResponseToOperator guards against a malformed response of a VM that is printed
@@ -20,21 +19,10 @@
 		"a blank in a name": "HTTP/1.1 409 Conflict\r\nX Y: z\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			var lc net.ListenConfig
-			l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			vm := &fake.Script{Response: head + "Content-Length: 2\r\n\r\n{}"}
+			address, err := vm.Start(t.Context())
 			must.NoError(t, err)
-			defer func() { _ = l.Close() }()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, head+"Content-Length: 2\r\n\r\n{}")
-				}
-			}()
-			a := operatorArguments{Operator: l.Addr().String(), TokenFile: "testdata/token"}
+			a := operatorArguments{Operator: address, TokenFile: "testdata/token"}
 			_, err = a.call(http.MethodPost, "/patch", "")
 			must.Error(t, err)
 			must.False(t, errors.Is(err, errNotSent))
--- a/store/malformed_test.go
+++ b/store/malformed_test.go
@@ -1,43 +1,14 @@
 package store_test
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/baobabdyke/baobabdyke/internal/fake"
 	"github.com/baobabdyke/baobabdyke/store"
 )
 
-// script starts a process that responds to each request with the given bytes, and returns its
-// address.
-func script(t *testing.T, response string) string {
-	t.Helper()
-	var lc net.ListenConfig
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(c, response)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 // TestMalformedResponseIsNews guards against a malformed response of the platform that is
 // taken for an object, for its absence, or for the outcome of a write.
 func TestMalformedResponseIsNews(t *testing.T) {
@@ -51,7 +22,10 @@
 		"a blank in a name, not permitted": "HTTP/1.1 503 Service Unavailable\r\nX Y: z\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, err := store.NewHTTPStore(store.HTTPOptions{Base: script(t, head+store.HeaderVersion+": 7\r\nContent-Length: 2\r\n\r\n[]")})
+			platform := &fake.Script{Response: head + store.HeaderVersion + ": 7\r\nContent-Length: 2\r\n\r\n[]"}
+			address, err := platform.Start(t.Context())
+			must.NoError(t, err)
+			s, err := store.NewHTTPStore(store.HTTPOptions{Base: "http://" + address})
 			must.NoError(t, err)
 			_, err = s.Get(t.Context(), "a/b")
 			must.ErrorIs(t, err, store.ErrUnavailable)
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -26,7 +26,7 @@
 	// maxRejectionBytes bounds what is read of a response that reports that the request
 	// was not run.
 	maxRejectionBytes = 64 << 10
-	idleConns       = 2
+	idleConns         = 2
 )
 
 // ErrNoReport is returned by Load for a target that responds but does not publish
--- a/target/malformed_test.go
+++ b/target/malformed_test.go
@@ -1,15 +1,14 @@
 package target_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/baobabdyke/baobabdyke/internal/fake"
 	"github.com/baobabdyke/baobabdyke/target"
 )
 
@@ -79,33 +78,15 @@
 // is taken for a whole one, because its target reset the connection while the request was
 // written to it.
 func TestResetDuringUploadIsEndOfBody(t *testing.T) {
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	resetting := &fake.Script{Response: "HTTP/1.1 200 OK\r\n\r\npart", BodyBytes: 1 << 20, Reset: true}
+	address, err := resetting.Start(t.Context())
 	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.CopyN(io.Discard, r.Body, 1<<20)
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
 	client := target.NewHTTPClient(target.HTTPOptions{})
 	r := request(http.MethodPost)
 	r.Body = make([]byte, 16<<20)
 	// Which side the kernel tells of the reset differs from one time to the next.
 	for range 200 {
-		if got, ok := client.Send(t.Context(), l.Addr().String(), r).(target.Responded); ok {
+		if got, ok := client.Send(t.Context(), address, r).(target.Responded); ok {
 			_, err := io.ReadAll(got.Response.Body)
 			must.Error(t, err)
 			_ = got.Response.Body.Close()
