--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -65,7 +65,7 @@
 	must.NoError(t, err)
 	client := http.Client{Transport: &http.Transport{DialContext: answer.Dial(new(net.Dialer).DialContext)}}
 	// Which side the kernel tells of the reset differs from one time to the next.
-	for range 200 {
+	for range 1000 {
 		must.Error(t, post(t, &client, "http://"+address, make([]byte, 16<<20)))
 	}
 }
--- a/target/malformed_test.go
+++ b/target/malformed_test.go
@@ -85,7 +85,7 @@
 	r := request(http.MethodPost)
 	r.Body = make([]byte, 16<<20)
 	// Which side the kernel tells of the reset differs from one time to the next.
-	for range 200 {
+	for range 1000 {
 		if got, ok := client.Send(t.Context(), address, r).(target.Responded); ok {
 			_, err := io.ReadAll(got.Response.Body)
 			must.Error(t, err)
