--- a/answer/conn.go
+++ b/answer/conn.go
@@ -9,8 +9,9 @@
 	"time"
 )
 
-// resetWait is how long the end of a connection waits for a write in progress, which fails
-// as soon as it is told of a reset. A write that is stalled for longer has not been told.
+// resetWait bounds how long the end of a connection waits for a write in progress. A write
+// that was told of a reset fails at once; one that takes longer is blocked, as the other side
+// does not read.
 const resetWait = 500 * time.Millisecond
 
 // A Conn is a connection whose Read returns io.EOF only if the connection was not reset.
