Log how each version of the configuration arrives

One line for each version and hop, as before, but for the new one of a VM that reads the store. Measured: go test ./internal/fleet/source ./internal/gateway/node. Conclusion: a read that is given up in transfer can be told from one without an answer.

--- a/internal/fleet/source/share.go
+++ b/internal/fleet/source/share.go
@@ -161,7 +161,8 @@
 	}
 	t.rehash()
 	s.log("msg", "state pulled from VM", "from", to.VM, "kind", s.opts.Decoder.Kinds[kind], "at", resp.At,
-		"whole", resp.Whole, "objects", len(resp.Objects), "removed", len(resp.Removed))
+		"whole", resp.Whole, "objects", len(resp.Objects), "removed", len(resp.Removed),
+		"bytes", objectBytes(resp.Objects), "took", time.Since(sent))
 	s.publish()
 	s.mu.Unlock()
 	s.changed()
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -195,7 +195,7 @@
 		if cut := err != nil && !lost && waits; cut {
 			silentSince = cutSince(start, time.Now(), wait)
 		} else {
-			s.recordResult(err)
+			s.recordResult(kind, time.Since(start), err)
 		}
 		switch losses := s.countLosses(kind); {
 		case err == nil && losses == 0:
@@ -270,6 +270,7 @@
 		}
 		return nil
 	}
+	start := time.Now()
 	events, at, err := s.opts.Feed.Changes(ctx, name, after, wait)
 	switch {
 	case errors.Is(err, store.ErrHistoryLost):
@@ -280,6 +281,10 @@
 	case err != nil:
 		return err
 	}
+	if kind == Config && len(events) > 0 {
+		s.log("msg", "changes read", "kind", name, "after", after, "at", at, "events", len(events), "bytes", eventBytes(events),
+			"wait", wait, "took", time.Since(start))
+	}
 	s.applyEvents(kind, after, events, at)
 	if kind == Targets && len(events) > 0 {
 		store.Sleep(ctx, batchDelay)
@@ -287,6 +292,15 @@
 	return nil
 }
 
+// eventBytes returns the size of the objects in events.
+func eventBytes(events []store.Event) int {
+	n := 0
+	for _, e := range events {
+		n += len(e.Object.Value)
+	}
+	return n
+}
+
 // loseHistory records that a read found no changes after a version, or a state that
 // is older than that of this VM, and returns store.ErrHistoryLost.
 func (s *Source) loseHistory(kind int, after int64) error {
@@ -318,16 +332,17 @@
 	}
 }
 
-// recordResult records whether the store responds, and logs when that changes.
-func (s *Source) recordResult(err error) {
-	if s.updateStatus(err) && s.opts.OnStoreStatus != nil {
+// recordResult records whether the store responds to a read of a kind that took a time, and
+// logs when that changes.
+func (s *Source) recordResult(kind int, took time.Duration, err error) {
+	if s.updateStatus(kind, took, err) && s.opts.OnStoreStatus != nil {
 		s.opts.OnStoreStatus()
 	}
 }
 
 // updateStatus records the result of a read and reports whether the status of the
 // store has changed.
-func (s *Source) updateStatus(err error) bool {
+func (s *Source) updateStatus(kind int, took time.Duration, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	was := s.down
@@ -341,7 +356,7 @@
 	}
 	switch {
 	case s.down && !was:
-		s.log("msg", "object store unavailable", "err", err)
+		s.log("msg", "object store unavailable", "kind", s.opts.Decoder.Kinds[kind], "took", took, "err", err)
 	case was && !s.down:
 		s.log("msg", "object store available")
 	}
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -167,7 +167,7 @@
 	now := time.Now()
 	s.endOutage(t, now)
 	s.log("msg", "snapshot read", "kind", s.opts.Decoder.Kinds[kind], "at", at, "before", t.at,
-		"objects", len(objects), "notlater", t.countNotLater(objects))
+		"objects", len(objects), "notlater", t.countNotLater(objects), "bytes", objectBytes(objects), "took", now.Sub(start))
 	if at < t.at {
 		s.mu.Unlock()
 		return false
@@ -189,6 +189,15 @@
 	return true
 }
 
+// objectBytes returns the size of objects.
+func objectBytes(objects []store.Object) int {
+	n := 0
+	for _, o := range objects {
+		n += len(o.Value)
+	}
+	return n
+}
+
 // isRestored reports whether the store was restored between the table's state and one
 // of the given version, and records and logs it. The caller holds mu.
 func (s *Source) isRestored(kind int, t *table, at int64) bool {
--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -188,8 +188,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	start := time.Now()
 	if err := n.source.PullFrom(ctx, n.client, from, kind); err != nil {
-		_ = n.log.Log("msg", "state not pulled", "from", from.VM, "kind", kind, "err", err)
+		_ = n.log.Log("msg", "state not pulled", "from", from.VM, "kind", kind, "took", time.Since(start), "err", err)
 	}
 }
 
