Show that a large configuration or a slow store delays changes

Callers were served by version 15, 3.04 and 3.13 s after version 19 was acknowledged; 3 s are permitted. The memory network of package peer can limit the links of VMs, so that messages and responses of the store take their time on them.

--- a/internal/fleet/source/confirm_test.go
+++ b/internal/fleet/source/confirm_test.go
@@ -46,6 +46,29 @@
 	})
 }
 
+// TestSlowResponseConfirmsNoNewerState guards against a VM that counts a response which took
+// seconds for the store's state at its arrival, and so a change that it hasn't heard of for
+// none.
+func TestSlowResponseConfirmsNoNewerState(t *testing.T) {
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond, 3 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			lowest := maxAge
+			runSource(t, func(f *feed, s *Source) {
+				f.put("config/main", "5")
+				f.put("targets/a", "1")
+				<-s.Ready()
+				f.set(func() { f.delay = delay })
+				time.Sleep(20 * time.Second)
+				for range 100 {
+					time.Sleep(70 * time.Millisecond)
+					lowest = min(lowest, s.Age(Config))
+				}
+			})
+			must.GreaterEq(t, delay, lowest)
+		})
+	}
+}
+
 // TestGraceBeginsWithConfirmation guards against a target that is used for too long
 // after its removal, because the VM takes its first read of the store for the end of
 // an outage that ended before, when another VM confirmed its state.
--- a/internal/fleet/source/source_test.go
+++ b/internal/fleet/source/source_test.go
@@ -51,6 +51,8 @@
 	// latency is how long a call takes, and calls counts them.
 	latency time.Duration
 	calls   int
+	// delay is how long the store takes to send the result of a call.
+	delay time.Duration
 }
 
 func newFeed() *feed { return &feed{objects: map[string]store.Object{}, at: 1} }
@@ -120,6 +122,7 @@
 			store.Sleep(ctx, time.Until(end))
 			return nil, 0, store.ErrUnavailable
 		case len(events) > 0 || !time.Now().Before(end):
+			store.Sleep(ctx, f.sendDelay())
 			return events, at, nil
 		}
 		if !store.Sleep(ctx, min(10*time.Millisecond, time.Until(end))) {
@@ -128,6 +131,12 @@
 	}
 }
 
+func (f *feed) sendDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.delay
+}
+
 func (f *feed) cutCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/node/sitelink_test.go
+++ b/internal/gateway/node/sitelink_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"syscall"
@@ -10,6 +13,8 @@
 
 	"github.com/baobabdyke/baobabdyke/internal/fake"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/shares"
+	"github.com/baobabdyke/baobabdyke/peer"
+	"github.com/baobabdyke/baobabdyke/store"
 )
 
 // A linkFault is how the calls of one VM to a store fail.
@@ -34,12 +39,18 @@
 // channels only, so that it works in virtual time.
 type siteLink struct {
 	store *fake.SiteStore
+	// network carries the bodies of responses to the VM, if it is not nil, beside what
+	// other VMs send.
+	network *peer.Memory
+	vm      string
 
 	mu      sync.Mutex
 	fault   linkFault
 	changed chan struct{}
 	// changes counts how often the fault was set.
 	changes int
+	// latency is how long the store takes to send a response.
+	latency time.Duration
 	// calls counts the calls but those for records of shares, which shareCalls counts.
 	calls, shareCalls int
 }
@@ -120,10 +131,53 @@
 			if !whole {
 				return nil, syscall.ECONNRESET
 			}
-			return recorder.Result(), nil
+			return l.respond(r, recorder.Result())
 		case <-changed:
 		case <-r.Context().Done():
 			return nil, r.Context().Err()
 		}
 	}
 }
+
+// respond returns a response once the store has sent its head.
+func (l *siteLink) respond(r *http.Request, resp *http.Response) (*http.Response, error) {
+	l.mu.Lock()
+	latency := l.latency
+	l.mu.Unlock()
+	if !store.Sleep(r.Context(), latency) {
+		return nil, r.Context().Err()
+	}
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotFirstResponseByte != nil {
+		trace.GotFirstResponseByte()
+	}
+	if l.network != nil {
+		resp.Body = &linkBody{ReadCloser: resp.Body, ctx: r.Context(), link: l}
+	}
+	return resp, nil
+}
+
+// setLatency changes how long the store takes to send a response to this VM.
+func (l *siteLink) setLatency(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latency = d
+}
+
+// A linkBody is the body of a response, which takes its time on the VM's link.
+type linkBody struct {
+	io.ReadCloser
+	ctx  context.Context
+	link *siteLink
+}
+
+// Read implements io.Reader.
+func (b *linkBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p[:min(len(p), linkReadBytes)])
+	if failed := b.link.network.Transfer(b.ctx, "store", b.link.vm, n); failed != nil {
+		return 0, failed
+	}
+	return n, err
+}
+
+// linkReadBytes is how much of a body arrives at once.
+const linkReadBytes = 16 << 10
--- a/internal/gateway/node/watchers_test.go
+++ b/internal/gateway/node/watchers_test.go
@@ -81,6 +81,7 @@
 	}}
 	s.Callers.Address, s.Peers.Address = address, address
 	link := newSiteLink(f.store)
+	link.network, link.vm = f.network, id
 	network := f.network.Node(id, address)
 	ctx, cancel := context.WithCancel(f.ctx)
 	v := &watchVM{Node: newNode(s, log.NewNopLogger(), platform.NewObjectsOver("store", link), network, network), link: link, stop: cancel}
--- a/peer/memory.go
+++ b/peer/memory.go
@@ -16,12 +16,14 @@
 	mu     sync.Mutex
 	nodes  map[string]*MemoryNode // by address
 	links  map[link]*linkState
+	rates  map[link]*rateLimit
 	pauses map[string]chan struct{} // by id of the paused VM; closed by Resume
 
 	latency func(from, to string) time.Duration
 }
 
-// A link is the direction from one VM to another.
+// A link is the direction from one VM to another. With one end empty, it is what a VM
+// sends to all others, or receives from them.
 type link struct{ from, to string }
 
 type linkState struct {
@@ -31,11 +33,34 @@
 	latency       time.Duration
 }
 
+// A rateLimit is the rate of a link, whose messages take turns by frames.
+type rateLimit struct {
+	bytesPerSecond int
+	// free is when the link has sent all frames.
+	free time.Time
+}
+
+// frameBytes is the size of the parts in which messages share a link.
+const frameBytes = 16 << 10
+
+// reserve adds a frame to the link and returns when it will have been sent.
+func (l *rateLimit) reserve(size int, now time.Time) time.Time {
+	if l == nil || l.bytesPerSecond <= 0 {
+		return now
+	}
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(size) * time.Second / time.Duration(l.bytesPerSecond))
+	return l.free
+}
+
 // NewMemory returns a Memory without VMs.
 func NewMemory() *Memory {
 	return &Memory{
 		nodes:  map[string]*MemoryNode{},
 		links:  map[link]*linkState{},
+		rates:  map[link]*rateLimit{},
 		pauses: map[string]chan struct{}{},
 	}
 }
@@ -95,6 +120,34 @@
 	m.latency = f
 }
 
+// SetRate limits what a VM sends, and what it receives, to a number of bytes a second; 0
+// means no limit.
+func (m *Memory) SetRate(id string, bytesPerSecond int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rates[link{from: id}] = &rateLimit{bytesPerSecond: bytesPerSecond}
+	m.rates[link{to: id}] = &rateLimit{bytesPerSecond: bytesPerSecond}
+}
+
+// Transfer waits for as long as a message of the given size takes on the links of two VMs.
+// The sender or the receiver may be another machine, whose links have no limit.
+func (m *Memory) Transfer(ctx context.Context, from, to string, size int) error {
+	for rest := size; rest > 0; rest -= frameBytes {
+		n := min(rest, frameBytes)
+		now := time.Now()
+		m.mu.Lock()
+		end := m.rates[link{from: from}].reserve(n, now)
+		if received := m.rates[link{to: to}].reserve(n, now); received.After(end) {
+			end = received
+		}
+		m.mu.Unlock()
+		if err := sleep(ctx, end.Sub(now)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Heal removes the faults and the delay between two VMs. It does not resume a
 // paused VM.
 func (m *Memory) Heal(a, b string) {
@@ -137,9 +190,9 @@
 	return m.links[l]
 }
 
-// deliver waits until a message from one VM to another arrives, or returns an
-// error if it does not.
-func (m *Memory) deliver(ctx context.Context, from, to string) error {
+// deliver waits until a message of the given size from one VM to another arrives, or
+// returns an error if it does not.
+func (m *Memory) deliver(ctx context.Context, from, to string, size int) error {
 	m.mu.Lock()
 	s := linkState{}
 	if state := m.links[link{from: from, to: to}]; state != nil {
@@ -157,6 +210,9 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if err := m.Transfer(ctx, from, to, size); err != nil {
+		return err
+	}
 	if err := sleep(ctx, s.latency); err != nil {
 		return err
 	}
@@ -246,7 +302,7 @@
 	if resumed := n.memory.resumeSignal(n.id); resumed != nil {
 		<-resumed
 	}
-	if err := n.memory.deliver(ctx, n.id, to.VM); err != nil {
+	if err := n.memory.deliver(ctx, n.id, to.VM, len(data)); err != nil {
 		return nil, err
 	}
 	receiver := n.memory.find(to.Address)
@@ -264,7 +320,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return response, n.memory.deliver(ctx, to.VM, n.id)
+	return response, n.memory.deliver(ctx, to.VM, n.id, len(response))
 }
 
 // runHandler runs the handler of a call. The handler keeps running if ctx ends
