Count a response for no later state than the store may have read

A read of changes confirmed the state of a VM as of the arrival of its response. If that took seconds, the state was as old, and the VM, and those that ask it, took themselves for up to date though a change was acknowledged meanwhile. Change: a response confirms the state as of the time until which the read has waited, and with events, before whose arrival the store may have read the rest, as of the time at which it was sent. A poll waits the shorter the older the state is, so that a watcher's state stays at most a quarter of the bound old. The tests of source pass with the time in the calls of applyEvents; those of node named InForce, Stale, Removal and Outage pass. Conclusion: an age that rides on confirmations is never too low because of a slow store.

--- a/internal/fleet/source/confirm.go
+++ b/internal/fleet/source/confirm.go
@@ -58,9 +58,11 @@
 	return defaultBound
 }
 
-// pollWait returns how long a watcher's poll waits for a change.
+// pollWait returns how long a watcher's poll waits for a change. The older the state is
+// already, the shorter it waits.
 func (s *Source) pollWait(kind int) time.Duration {
-	return min(s.bound(kind)/pollFraction, maxPollWait)
+	longest := min(s.bound(kind)/pollFraction, maxPollWait)
+	return max(longest-s.Age(kind), minPollWait)
 }
 
 // Age returns the time since the state of a kind was last known to be complete.
--- a/internal/fleet/source/confirm_test.go
+++ b/internal/fleet/source/confirm_test.go
@@ -29,13 +29,13 @@
 		ask()
 		must.Eq(t, 3*time.Second, follower.Age(Config), must.Sprint("the watcher's state is as old"))
 
-		watcher.applyEvents(Config, 2, nil, 3)
+		watcher.applyEvents(Config, 2, nil, 3, time.Now())
 		time.Sleep(time.Second)
 		ask()
 		must.Eq(t, time.Second, follower.Age(Config), must.Sprint("a read without changes confirms both"))
 
 		config.Version, config.Value = 4, []byte("2")
-		watcher.applyEvents(Config, 3, []store.Event{{Object: config}}, 4)
+		watcher.applyEvents(Config, 3, []store.Event{{Object: config}}, 4, time.Now())
 		time.Sleep(time.Second)
 		ask()
 		must.Eq(t, 2*time.Second, follower.Age(Config), must.Sprint("the change is not known"))
@@ -85,12 +85,12 @@
 			}
 			follower.markFailed(Targets, time.Now())
 			time.Sleep(2 * time.Second)
-			watcher.applyEvents(Targets, 2, nil, 2)
+			watcher.applyEvents(Targets, 2, nil, 2, time.Now())
 			follower.ask(t.Context(), peer.Destination{VM: "w", Address: "w"}, time.Second)
 
 			time.Sleep(after)
 			target.Version = 3
-			follower.applyEvents(Targets, 2, []store.Event{{Object: target, Deleted: true}}, 3)
+			follower.applyEvents(Targets, 2, []store.Event{{Object: target, Deleted: true}}, 3, time.Now())
 			must.MapLen(t, kept, follower.View().Targets)
 		})
 	}
--- a/internal/fleet/source/outage_test.go
+++ b/internal/fleet/source/outage_test.go
@@ -102,10 +102,10 @@
 		cutOff.markFailed(Targets, time.Now())
 		for range 20 {
 			time.Sleep(250 * time.Millisecond)
-			sound.applyEvents(Targets, 2, nil, 2)
+			sound.applyEvents(Targets, 2, nil, 2, time.Now())
 		}
 		target.Version = 3
-		cutOff.applyEvents(Targets, 2, []store.Event{{Object: target, Deleted: true}}, 3)
+		cutOff.applyEvents(Targets, 2, []store.Event{{Object: target, Deleted: true}}, 3, time.Now())
 		must.NoError(t, sound.PullFrom(t.Context(), network.Node("s", "s:1"), peer.Destination{VM: "c", Address: "c:1"}, Targets))
 		must.MapLen(t, 0, sound.View().Targets)
 	})
@@ -128,7 +128,7 @@
 		time.Sleep(100 * time.Millisecond)
 		s.confirm(s.tables[Targets], time.Now())
 		target.Version = 3
-		s.applyEvents(Targets, 2, []store.Event{{Object: target, Deleted: true}}, 3)
+		s.applyEvents(Targets, 2, []store.Event{{Object: target, Deleted: true}}, 3, time.Now())
 		must.MapLen(t, 0, s.View().Targets)
 	})
 }
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -285,13 +285,23 @@
 		s.log("msg", "changes read", "kind", name, "after", after, "at", at, "events", len(events), "bytes", eventBytes(events),
 			"wait", wait, "took", time.Since(start))
 	}
-	s.applyEvents(kind, after, events, at)
+	s.applyEvents(kind, after, events, at, confirmedBy(start, time.Now(), wait, len(events) > 0))
 	if kind == Targets && len(events) > 0 {
 		store.Sleep(ctx, batchDelay)
 	}
 	return nil
 }
 
+// confirmedBy returns a time from which on the store read the state that it sent in response to
+// a read of changes. However slow the response was, the store had received the read by then, and
+// has waited for the whole wait if there were no events.
+func confirmedBy(start, end time.Time, wait time.Duration, events bool) time.Time {
+	if !events && end.Sub(start) >= wait {
+		return start.Add(wait)
+	}
+	return start
+}
+
 // eventBytes returns the size of the objects in events.
 func eventBytes(events []store.Event) int {
 	n := 0
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -241,8 +241,9 @@
 	}
 }
 
-// applyEvents applies the changes that a read from version after returned.
-func (s *Source) applyEvents(kind int, after int64, events []store.Event, at int64) {
+// applyEvents applies the changes that a read from version after returned, which contain all
+// that the store had acknowledged at the time confirmed.
+func (s *Source) applyEvents(kind int, after int64, events []store.Event, at int64, confirmed time.Time) {
 	s.mu.Lock()
 	t := s.tables[kind]
 	if t.at != after || !t.listed {
@@ -264,7 +265,7 @@
 		s.put(kind, t, e.Object)
 	}
 	t.at = max(at, after)
-	s.confirm(t, now)
+	s.confirm(t, confirmed)
 	if len(events) == 0 {
 		s.mu.Unlock()
 		return
