Give up no read of the store that is slow or still arriving

A read of the store had 400 ms beyond its wait, for the response and its transfer. A configuration of 4,250 routes takes 0.6 s alone on a link of 10 Mbit/s, and a store that answered after 0.5 s was never heard at all: each read was given up, and the next began anew. A store that hasn't begun to respond within 400 ms counts as silent as before, and other VMs take its reads over, but the read goes on beside the next one and its result takes effect, also if a later one has brought a part of it already. Calls of one object and lists keep their limits.

--- a/internal/fleet/source/share.go
+++ b/internal/fleet/source/share.go
@@ -75,7 +75,7 @@
 	own := s.Positions()
 	var stale []int
 	for kind := range kinds {
-		if !s.reads(kind) {
+		if !s.isRead(kind) {
 			continue
 		}
 		later := theirs[kind].At > own[kind].At && theirs[kind].Hash != own[kind].Hash
@@ -104,7 +104,7 @@
 }
 
 func (s *Source) handlePull(p PullRequest) PullResponse {
-	if p.Kind < 0 || p.Kind >= kinds || !s.reads(p.Kind) {
+	if p.Kind < 0 || p.Kind >= kinds || !s.isRead(p.Kind) {
 		return PullResponse{}
 	}
 	s.mu.Lock()
--- a/internal/fleet/source/source.go
+++ b/internal/fleet/source/source.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +36,9 @@
 	batchDelay = 120 * time.Millisecond
 	// idleInterval is the time between two checks of whether to poll the store.
 	idleInterval = 100 * time.Millisecond
+	// patience is how long the store may take to begin its response to a read, beyond the
+	// time for which the read waits for a change, before it counts as silent.
+	patience = 400 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the exponential back-off after a failed
 	// read.
 	minRetryDelay = 80 * time.Millisecond
@@ -92,6 +97,8 @@
 	readyOnce sync.Once
 	// started is when the source was created.
 	started time.Time
+	// reads are the reads that are under way.
+	reads sync.WaitGroup
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -155,18 +162,19 @@
 func (s *Source) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	for kind := range kinds {
-		if s.reads(kind) {
+		if s.isRead(kind) {
 			wg.Go(func() { s.poll(ctx, kind) })
 		}
 	}
 	wg.Go(func() { s.expireMissing(ctx) })
 	wg.Go(func() { s.follow(ctx) })
 	wg.Wait()
+	s.reads.Wait()
 	return nil
 }
 
-// reads reports whether a kind is read.
-func (s *Source) reads(kind int) bool { return kind != Orders || s.opts.Decoder.Kinds[Orders] != "" }
+// isRead reports whether a kind is read.
+func (s *Source) isRead(kind int) bool { return kind != Orders || s.opts.Decoder.Kinds[Orders] != "" }
 
 // poll reads one kind and its changes until ctx ends, whenever that is due.
 //
@@ -190,7 +198,7 @@
 		}
 		waits := wait > minPollWait && s.isListed(kind)
 		start := time.Now()
-		err := s.read(ctx, kind, wait)
+		err := s.readInTime(ctx, kind, wait)
 		lost := errors.Is(err, store.ErrHistoryLost)
 		if cut := err != nil && !lost && waits; cut {
 			silentSince = cutSince(start, time.Now(), wait)
@@ -251,6 +259,33 @@
 	return minPollWait, s.isUnconfirmed(kind)
 }
 
+// errLate reports that the store has not begun to respond to a read in time.
+var errLate = fmt.Errorf("%w: no response in time", store.ErrUnavailable)
+
+// readInTime starts a read and returns its result, or errLate if the store does not begin to
+// respond in time. The read then goes on beside the next one, and still takes effect: a store
+// may be slow, and a change must not wait for several of its responses.
+func (s *Source) readInTime(ctx context.Context, kind int, wait time.Duration) error {
+	responds := make(chan struct{})
+	signal := sync.OnceFunc(func() { close(responds) })
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: signal})
+	if !s.isListed(kind) {
+		wait = 0
+	}
+	done := make(chan error, 1)
+	s.reads.Go(func() { done <- s.read(ctx, kind, wait) })
+	timer := time.NewTimer(wait + patience)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-responds:
+		return <-done
+	case <-timer.C:
+		return errLate
+	}
+}
+
 // read makes one call for a kind and applies its result.
 func (s *Source) read(ctx context.Context, kind int, wait time.Duration) error {
 	name := s.opts.Decoder.Kinds[kind]
--- a/internal/fleet/source/table.go
+++ b/internal/fleet/source/table.go
@@ -246,7 +246,7 @@
 func (s *Source) applyEvents(kind int, after int64, events []store.Event, at int64, confirmed time.Time) {
 	s.mu.Lock()
 	t := s.tables[kind]
-	if t.at != after || !t.listed {
+	if !t.listed || t.at < after || t.at > max(at, after) {
 		// A later state was received from another VM in the meantime.
 		s.mu.Unlock()
 		return
@@ -256,6 +256,10 @@
 	t.losses = 0
 	grace := kind == Targets && now.Sub(t.recovered) < recoveryGrace
 	for _, e := range events {
+		if known := t.objects[e.Object.Key].object; t.at > after && known.Version > e.Object.Version {
+			// A read that was sent later has brought a later state of the object.
+			continue
+		}
 		if e.Deleted {
 			t.remove(e.Object.Key, now, grace)
 			t.recordRemoval(e.Object.Key, max(at, after))
@@ -412,7 +416,7 @@
 		}
 	}
 	s.view.Store(v)
-	if v.Config != nil && s.tables[Targets].at > 0 && (!s.reads(Orders) || s.tables[Orders].at > 0) {
+	if v.Config != nil && s.tables[Targets].at > 0 && (!s.isRead(Orders) || s.tables[Orders].at > 0) {
 		s.readyOnce.Do(func() { close(s.ready) })
 	}
 }
