Continue a stream in one response at its software version only

After an engine crashed in the middle of a stream the same response went on at any engine that could be resumed at: in the record 65.088 s begun at v1.2, 65.206 s gone on at v1. Nothing in the choice of a target knew of versions outside of a canary release. Change: the first event that is passed on pins the request to the version of its target; the choice of further targets leaves out the others. A standby or hedge is sent to the version of the first target only, as either may begin the stream. Without another target of the version the response is broken off, as after any failure. Conclusion: an answer is never joined within one response; over several tries it still is.

--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -70,6 +70,8 @@
 	switch {
 	case t.Leaving, p.leaving(target):
 		return c, "is leaving"
+	case r.Pinned && t.Version != r.Version:
+		return c, "has another version than the target that began the stream"
 	case !r.Hedge && contains(r.Tried, t.ID):
 		return c, "was tried"
 	case p.wait(target, now) > 0:
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -128,6 +128,10 @@
 	// Undeferred reports whether the request is not placed behind others for queues that are
 	// unknown to this VM. Admission control bounds them instead.
 	Undeferred bool
+	// Pinned reports whether only targets whose software has the given version may be chosen,
+	// as one of it has begun the stream.
+	Pinned  bool
+	Version string
 	// Tried are the targets that have already failed this request.
 	Tried []string
 	// Hedge asks for a second target of a request whose first target, in Tried, is
--- a/internal/gateway/relay/exchange.go
+++ b/internal/gateway/relay/exchange.go
@@ -254,6 +254,10 @@
 			r.Exchange.Abort()
 			return lost{reason: x.standby.reason()}, placing.Failed
 		}
+		if !x.pin() {
+			r.Exchange.Abort()
+			return lost{reason: "the stream began at another version"}, placing.Inconclusive
+		}
 		x.handler.opts.Placer.RecordActivity(x.choice, time.Now())
 		x.markFirst()
 		if event.weights > 0 {
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -149,6 +149,11 @@
 	sharedTokens int
 	tokens       int
 
+	// pinned reports whether the stream has begun at a target with the given software
+	// version. It goes on at no other version.
+	pinned  bool
+	version string
+
 	// The fields below record the progress of the request.
 	tried    []string
 	sends    int
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -120,7 +120,7 @@
 
 // placingRequest returns the request as the placer needs it.
 func (j *job) placingRequest(p prompt) placing.Request {
-	r := placing.Request{Service: j.service, Tried: j.tried, Undeferred: j.ticket != nil}
+	r := placing.Request{Service: j.service, Tried: j.tried, Undeferred: j.ticket != nil, Pinned: j.pinned, Version: j.version}
 	if j.engine {
 		r.Model, r.Prefixes, r.Tokens, r.Salt = j.info.Model, p.prefixes, j.tokens, p.salt
 		r.Cache = p.cacheStore(j.view.Config)
--- a/internal/gateway/relay/standby.go
+++ b/internal/gateway/relay/standby.go
@@ -70,6 +70,7 @@
 	}
 	s := &standby{first: x, timeout: j.silenceTimeout(), request: j.placingRequest(x.prompt), sends: j.sends, maxRuns: maxRuns}
 	s.request.Goal = 0
+	s.request.Pinned, s.request.Version = j.route.Resumable, x.choice.Target.Version
 	s.request.Tried = append(slices.Clone(j.tried), x.choice.Target.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
