Take streams up at the software version that began them only

A caller whose stream broke off names in Resumes the request that brought its first event. Change: package origin. A VM records the version of the target to which it sends a request for a stream. While a service has several versions, or had within 30 s, two VMs are told and write what they know to the store, at most five times a second each. A take-up goes on at the version that a VM or a record knows, and without one only if there has been a single version for as long as a stream may last, as this VM, another one or the records show. Else it is refused at once, 503 with Retry-After, and has not run. Once others were told of a request's version, its next attempt has no other one. A Resumes without Last-Event-Id is a new stream; the name counts for its customer and service only. No call of the store while a service has one version, but one list for each VM that is asked for an unknown stream within 30 s of its start. Conclusion: what isn't known to have begun at a version doesn't go on.

--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/canary"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/origin"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/rollout"
@@ -95,6 +96,8 @@
 	shares *shares.Task
 	// quarantine holds the prompt segments that crash engines.
 	quarantine *quarantine.List
+	// origins knows at which software version of their targets streams began.
+	origins *origin.Task
 	// limits holds the rates of requests that targets accept.
 	limits *throttle.Table
 	// admission refuses requests of overloaded services.
@@ -286,6 +289,12 @@
 		Needed: n.needsShares, Scale: n.roster.IntervalFactor, Alive: n.roster.IsAlive,
 		OnChange: n.quota.SetMembers, OnGone: n.roster.Forget,
 	})
+	n.origins = origin.NewTask(origin.Options{
+		VM: s.VM, Store: objects, Peers: n.client, Log: n.log, View: n.source.View, Fresh: n.targetsFresh,
+		Scale:     n.roster.IntervalFactor,
+		Recorders: func() ([]peer.Destination, bool) { return recorders(s.VM, n.roster.Members(), time.Now()) },
+	})
+	n.origins.Register(registrar)
 	peer.Handle(registrar, CallSettings, func(context.Context, string, struct{}) (SettingsStatus, error) {
 		return n.loaded.read(), nil
 	})
@@ -398,6 +407,7 @@
 		Hedger:     n.hedger,
 		Log:        n.log,
 		Gate:       n.gate,
+		Origins:    n.origins,
 		VMs:        n.countVMs,
 		Fresh:      n.fresh,
 		UpToDate:   n.upToDate,
@@ -420,7 +430,7 @@
 	defer abort(nil)
 	callers := n.callerServer(requestCtx)
 	for _, run := range []func(context.Context) error{
-		n.source.Run, n.roster.Run, n.teller.Run, n.shares.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching, n.runCanary,
+		n.source.Run, n.roster.Run, n.teller.Run, n.shares.Run, n.orders.Run, n.prober.run, n.feeds.Run, n.sweep, n.runWatching, n.runCanary, n.origins.Run,
 	} {
 		g.Go(func() error { return run(taskCtx) })
 	}
--- a/internal/gateway/node/takeup_test.go
+++ b/internal/gateway/node/takeup_test.go
@@ -1,16 +1,21 @@
 package node
 
 import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/baobabdyke/baobabdyke/internal/fake"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/origin"
+	"github.com/baobabdyke/baobabdyke/platform"
 )
 
 // A takeUpBed is a testbed whose engines break off each stream after two events. They go on with
@@ -83,11 +88,16 @@
 	return v.request("/stream/a/", fmt.Sprintf("takeup-%d", b.streams), headers...)
 }
 
-// assertGoesOn checks that a stream that is taken up goes on at the engine that began it.
+// assertGoesOn checks that a stream that is taken up goes on at the engine that began it, as
+// soon as the VM has been told of it.
 func (b *takeUpBed) assertGoesOn(t *testing.T, v *testVM, id string, engine int) {
 	t.Helper()
 	before := len(b.engines[engine].Runs())
-	got := b.takeUp(v, id)
+	var got result
+	eventually(t, func() bool {
+		got = b.takeUp(v, id)
+		return got.status != http.StatusServiceUnavailable
+	})
 	must.NoError(t, got.err)
 	must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
 	must.Eq(t, events(3, 6), got.body)
@@ -105,8 +115,28 @@
 	must.Eq(t, before, runs(b.engines))
 }
 
-// toldAfter is when a stream that a VM began is known to all, in the store too.
-const toldAfter = time.Second
+// awaitRecord waits until a stream is in a record in the store.
+func (b *takeUpBed) awaitRecord(t *testing.T, id string) {
+	t.Helper()
+	objects := platform.NewObjects(b.address, nil)
+	key := binary.BigEndian.AppendUint64(nil, uint64(origin.KeyOf("llm", "c", id)))
+	eventually(t, func() bool {
+		records, err := objects.List(t.Context(), origin.Kind+"/")
+		must.NoError(t, err)
+		for _, o := range records {
+			var r struct{ Streams map[string][]byte }
+			must.NoError(t, json.Unmarshal(o.Value, &r))
+			for _, keys := range r.Streams {
+				for chunk := range slices.Chunk(keys, len(key)) {
+					if bytes.Equal(chunk, key) {
+						return true
+					}
+				}
+			}
+		}
+		return false
+	})
+}
 
 // TestStreamGoesOnAtItsVersionOnly guards against an answer that is joined from what targets of
 // two software versions wrote, in one response or in those to a caller's several tries.
@@ -132,13 +162,11 @@
 	t.Run("taken up at any VM", func(t *testing.T) {
 		for i := range 9 {
 			id, engine := b.begin(t, vms[i%3], "stream")
-			time.Sleep(toldAfter)
 			b.assertGoesOn(t, vms[i/3], id, engine)
 		}
 	})
 	t.Run("broken off again and again", func(t *testing.T) {
 		id, engine := b.begin(t, v1, "stream")
-		time.Sleep(toldAfter)
 		for i := range 6 {
 			b.assertGoesOn(t, vms[(i+1)%3], id, engine)
 		}
@@ -150,7 +178,7 @@
 	})
 	t.Run("the VM that began it is gone", func(t *testing.T) {
 		id, engine := b.begin(t, v3, "stream")
-		time.Sleep(toldAfter)
+		b.awaitRecord(t, id)
 		v3.end()
 		b.assertGoesOn(t, v2, id, engine)
 	})
@@ -159,7 +187,9 @@
 		for i := range ids {
 			ids[i], engines[i] = b.begin(t, vms[i%2], "stream")
 		}
-		time.Sleep(toldAfter)
+		for _, id := range ids {
+			b.awaitRecord(t, id)
+		}
 		v1.end()
 		v2.end()
 		v1 = b.start("vm-1")
@@ -171,7 +201,7 @@
 	})
 	t.Run("its version is gone", func(t *testing.T) {
 		id, engine := b.begin(t, v1, "stream")
-		time.Sleep(toldAfter)
+		b.awaitRecord(t, id)
 		b.store.Remove("servers", fmt.Sprintf("llm-%d", engine))
 		eventually(t, func() bool { return len(v1.source.View().Targets) == 3 })
 		b.assertRefused(t, v1, id)
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/baobabdyke/baobabdyke/internal/fleet/canary"
+	"github.com/baobabdyke/baobabdyke/internal/fleet/origin"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quarantine"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/quota"
 	"github.com/baobabdyke/baobabdyke/internal/fleet/site"
@@ -65,6 +66,8 @@
 	Log    log.Logger
 	// Gate is told what attempts show of the versions of targets; nil if none is.
 	Gate *canary.Gate
+	// Origins knows at which version streams began.
+	Origins Origins
 	// VMs returns the number of VMs that share the retry budget.
 	VMs func() int
 	// Fresh reports whether requests with a key may be served. A VM that has no
@@ -86,6 +89,14 @@
 	Memory *intake.Memory
 }
 
+// Origins knows at which software version of its service's targets a stream begins. A stream is
+// named by the request that brought its first event. Record returns the version at which it has
+// to begin, which is the one that is recorded unless others were told of another one.
+type Origins interface {
+	Record(service, customer, request, version string) string
+	Find(ctx context.Context, service, customer, request string) origin.Origin
+}
+
 // Stop holds the times of a planned stop.
 type Stop struct {
 	// By is when the VM aborts running requests.
@@ -150,7 +161,8 @@
 	tokens       int
 
 	// pinned reports whether the stream has begun at a target with the given software
-	// version. It goes on at no other version.
+	// version, here or in response to an earlier request, or others were told so. It goes on
+	// at no other version.
 	pinned  bool
 	version string
 
@@ -228,6 +240,9 @@
 	if f := h.checkQuarantine(j); f != nil {
 		return f
 	}
+	if f := h.findOrigin(j); f != nil {
+		return f
+	}
 	if f := h.charge(j); f != nil {
 		return f
 	}
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -115,6 +115,10 @@
 	view := h.opts.View()
 	p := j.promptUnder(view.Config)
 	choice, ok := h.opts.Placer.Choose(view, j.placingRequest(p), time.Now())
+	if ok && !h.recordOrigin(j, choice.Target.Version) {
+		// The stream is pinned now.
+		choice, ok = h.opts.Placer.Choose(view, j.placingRequest(p), time.Now())
+	}
 	return choice, p, ok && h.maySend(j)
 }
 
