Write the origins of new streams only

Cause: a recorder wrote all streams of 30 s again five times a second. Change: a recorder adds streams to one of its objects for 2 s and then uses the next, of 11 for the 20 s that streams are remembered; reads of all take a tenth of a VM's time at most. The objects of a VM that is gone are removed with its registration. Measured: go test -race ./internal/fleet/origin; TestStreamGoesOnAtItsVersionOnly.

--- a/internal/fleet/origin/table.go
+++ b/internal/fleet/origin/table.go
@@ -13,7 +13,7 @@
 const (
 	// remember is how long a stream is remembered after it was last passed on. Callers give
 	// up a request within some 15 s.
-	remember = 30 * time.Second
+	remember = 20 * time.Second
 	// recordAgain is after what time a stream that goes on is added again.
 	recordAgain = remember / 3
 	// maxStreams is the number of streams that a VM remembers, the latest ones.
--- a/internal/fleet/origin/task.go
+++ b/internal/fleet/origin/task.go
@@ -33,7 +33,7 @@
 	CallFind = "/origin/Find"
 )
 
-// Kind is the kind of the objects with the streams that a VM has recorded.
+// Kind is the kind of the objects with the streams that VMs have recorded.
 const Kind = "streams"
 
 const (
@@ -43,6 +43,10 @@
 	// writeInterval is the shortest time between two writes of a recorder. What was not
 	// written is lost if all VMs are.
 	writeInterval = 200 * time.Millisecond
+	// pageTime is for how long a recorder adds streams to an object before it uses the next
+	// one of its pages. It writes what is new only, whatever it remembers.
+	pageTime = 2 * time.Second
+	pages    = int64(remember/pageTime) + 1
 	// refreshInterval is the longest time between two writes while a service has several
 	// versions.
 	refreshInterval = 10 * time.Second
@@ -52,8 +56,10 @@
 	// askTimeout bounds a question to a recorder, and readTimeout one of the store.
 	askTimeout  = 250 * time.Millisecond
 	readTimeout = 500 * time.Millisecond
-	// readInterval is the shortest time between two reads of the records.
+	// readInterval is the shortest time between two reads of the records, and readShare the
+	// largest part of the time that they take.
 	readInterval = 300 * time.Millisecond
+	readShare    = 0.1
 	// keyBytes is the size of a key in a record.
 	keyBytes = 8
 	// maxRequestID bounds the ids of callers' requests that are looked for.
@@ -123,16 +129,21 @@
 	sent int64
 	// told holds, by recorder, the number of the last addition that it was told.
 	told map[string]int64
-	// written is the number of the last addition in this VM's object, of which version is
-	// the last one known, and wroteAt when it was written.
+	// page is the page that this VM writes, with the additions after pageFrom, since
+	// pageStart. pageVersions holds the last known versions of the pages.
+	page, pageFrom int64
+	pageStart      time.Time
+	pageVersions   [pages]int64
+	// written is the number of the last addition that was written, and wroteAt when.
 	written int64
-	version int64
 	wroteAt time.Time
 
 	// readMu is held during a read of the records. The fields below are those of the last
-	// one that succeeded: when it began, and until when each service counts as mixed.
+	// one that succeeded: when it began, how long it took, and until when each service counts
+	// as mixed.
 	readMu     sync.Mutex
 	readAt     time.Time
+	readTook   time.Duration
 	mixedUntil map[string]time.Time
 }
 
@@ -367,21 +378,23 @@
 	t.mu.Lock()
 	now := time.Now()
 	mixed := t.versions.mixed()
-	streams, last := t.streams.since(0, false, now)
-	due := len(mixed) > 0 && (last > t.written || now.Sub(t.wroteAt) >= refreshInterval)
-	expect := t.version
-	if due {
-		t.sent = max(t.sent, last)
-	}
-	t.mu.Unlock()
+	due := len(mixed) > 0 && (t.streams.added > t.written || now.Sub(t.wroteAt) >= refreshInterval)
 	if !due {
+		t.mu.Unlock()
 		return
 	}
+	if t.written > t.pageFrom && now.Sub(t.pageStart) >= pageTime {
+		t.page, t.pageFrom, t.pageStart = (t.page+1)%pages, t.written, now
+	}
+	streams, last := t.streams.since(t.pageFrom, false, now)
+	t.sent = max(t.sent, last)
+	page, expect := t.page, t.pageVersions[t.page]
+	t.mu.Unlock()
 	value, err := json.Marshal(record{At: now.UnixMilli(), Mixed: mixed, Streams: encode(streams)})
 	if err != nil {
 		return
 	}
-	result := t.opts.Store.Put(ctx, Kind+"/"+t.opts.VM, value, expect)
+	result := t.opts.Store.Put(ctx, pageKey(t.opts.VM, page), value, expect)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch r := result.(type) {
@@ -389,19 +402,38 @@
 		if t.written == 0 {
 			_ = t.opts.Log.Log("msg", "streams recorded", "services", strings.Join(mixed, ","), "streams", len(streams), "bytes", len(value))
 		}
-		t.version, t.written, t.wroteAt = r.Version, last, now
+		t.pageVersions[page], t.written, t.wroteAt = r.Version, last, now
 	case store.Conflict:
 		t.mu.Unlock()
-		t.takeOver(ctx)
+		t.takeOver(ctx, page)
 		t.mu.Lock()
 	case store.NotSent, store.Unknown:
 	}
 }
 
-// takeOver learns the streams in this VM's object, which an earlier process of this VM wrote,
-// or a write that took effect late. The next write then replaces it.
-func (t *Task) takeOver(ctx context.Context) {
-	object, err := t.opts.Store.Get(ctx, Kind+"/"+t.opts.VM)
+// pageKey returns the key of one of a VM's objects.
+func pageKey(vm string, page int64) string { return fmt.Sprintf("%s/%s-%d", Kind, vm, page) }
+
+// Forget removes the objects of a VM that is gone.
+func (t *Task) Forget(ctx context.Context, vm string) {
+	objects, err := t.opts.Store.List(ctx, Kind+"/"+vm+"-")
+	if err != nil {
+		// They are old, and no longer looked at.
+		return
+	}
+	for _, o := range objects {
+		for page := range pages {
+			if o.Key == pageKey(vm, page) {
+				t.opts.Store.Delete(ctx, o.Key, o.Version)
+			}
+		}
+	}
+}
+
+// takeOver learns the streams in a page, which an earlier process of this VM wrote, or a write
+// that took effect late. The next write then replaces it.
+func (t *Task) takeOver(ctx context.Context, page int64) {
+	object, err := t.opts.Store.Get(ctx, pageKey(t.opts.VM, page))
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return
 	}
@@ -412,7 +444,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.version = object.Version
+	t.pageVersions[page] = object.Version
 }
 
 // encode returns the keys of streams by version.
@@ -448,7 +480,7 @@
 	t.readMu.Lock()
 	defer t.readMu.Unlock()
 	now := time.Now()
-	if !t.readAt.IsZero() && now.Sub(t.readAt) < readInterval {
+	if interval := max(readInterval, time.Duration(float64(t.readTook)/readShare)); !t.readAt.IsZero() && now.Sub(t.readAt) < interval {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -477,8 +509,8 @@
 		t.learn(streams)
 		found += len(streams)
 	}
-	t.readAt, t.mixedUntil = now, mixed
-	_ = t.opts.Log.Log("msg", "records of streams read", "objects", len(objects), "streams", found, "took", time.Since(now))
+	t.readAt, t.readTook, t.mixedUntil = now, time.Since(now), mixed
+	_ = t.opts.Log.Log("msg", "records of streams read", "objects", len(objects), "streams", found, "took", t.readTook)
 	return nil
 }
 
--- a/internal/fleet/origin/task_test.go
+++ b/internal/fleet/origin/task_test.go
@@ -300,6 +300,23 @@
 			f.assertOrigin(3, "c", Anywhere{})
 		})
 	})
+	t.Run("until a VM is forgotten", func(t *testing.T) {
+		mixed(t, func(f *fleet) {
+			time.Sleep(pageTime)
+			for i := range 4 {
+				f.kill(i)
+			}
+			f.start(3)
+			other := pageKey("vm-0-1", 1)
+			f.store.Store.Put(f.t.Context(), other, []byte("{}"), store.MustNotExist)
+			f.vms[3].Forget(f.t.Context(), "vm-0")
+			f.vms[3].Forget(f.t.Context(), "vm-1")
+			left, err := f.store.List(f.t.Context(), Kind+"/")
+			must.NoError(t, err)
+			must.SliceLen(t, 1, left)
+			must.Eq(t, other, left[0].Key)
+		})
+	})
 	t.Run("the store gets some calls a second, whatever the number of streams", func(t *testing.T) {
 		mixed(t, func(f *fleet) {
 			const seconds = 20
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -287,7 +287,7 @@
 	n.shares = shares.NewTask(shares.Options{
 		VM: s.VM, Store: objects, List: objects, Clock: n.clock, Log: n.log,
 		Needed: n.needsShares, Scale: n.roster.IntervalFactor, Alive: n.roster.IsAlive,
-		OnChange: n.quota.SetMembers, OnGone: n.roster.Forget,
+		OnChange: n.quota.SetMembers, OnGone: n.forgetVM,
 	})
 	n.origins = origin.NewTask(origin.Options{
 		VM: s.VM, Store: objects, Peers: n.client, Log: n.log, View: n.source.View, Fresh: n.targetsFresh,
@@ -302,6 +302,12 @@
 	n.source.Register(registrar)
 }
 
+// forgetVM removes what a VM that is gone has written to the store.
+func (n *Node) forgetVM(ctx context.Context, vm string) {
+	n.roster.Forget(ctx, vm)
+	n.origins.Forget(ctx, vm)
+}
+
 // countVMs returns the number of VMs among which the retry budget is divided. One that has been
 // silent for so long that the roster has forgotten it may still use its part.
 func (n *Node) countVMs() int {
