Write no origins before a VM has begun a stream

Change: a VM's first record has a stream. Conclusion: records of VMs before show that a service had several versions.

--- a/internal/fleet/origin/task.go
+++ b/internal/fleet/origin/task.go
@@ -378,7 +378,7 @@
 	t.mu.Lock()
 	now := time.Now()
 	mixed := t.versions.mixed()
-	due := len(mixed) > 0 && (t.streams.added > t.written || now.Sub(t.wroteAt) >= refreshInterval)
+	due := len(mixed) > 0 && (t.streams.added > t.written || t.written > 0 && now.Sub(t.wroteAt) >= refreshInterval)
 	if !due {
 		t.mu.Unlock()
 		return
--- a/internal/fleet/origin/task_test.go
+++ b/internal/fleet/origin/task_test.go
@@ -300,6 +300,20 @@
 			f.assertOrigin(3, "c", Anywhere{})
 		})
 	})
+	t.Run("VMs that start write nothing before they begin streams", func(t *testing.T) {
+		mixed(t, func(f *fleet) {
+			time.Sleep(2 * writeInterval)
+			for i := range 4 {
+				f.kill(i)
+			}
+			puts := f.store.puts.Load()
+			for i := range 4 {
+				f.start(i)
+			}
+			time.Sleep(2 * refreshInterval)
+			must.Eq(t, puts, f.store.puts.Load())
+		})
+	})
 	t.Run("until a VM is forgotten", func(t *testing.T) {
 		mixed(t, func(f *fleet) {
 			time.Sleep(pageTime)
