Limit concurrent pulls in small fleets as well

In the log a VM on a slow link has a dozen pulls of 97 KB under way, one for each update of another VM: all reach their limit of 1 s, and new ones take their place. Only large fleets limited the number. Change: two pulls of a kind at a time in each fleet. The test names what is late. Conclusion: pulls that time out together are the same fault as in a large fleet.

--- a/internal/gateway/node/exchange.go
+++ b/internal/gateway/node/exchange.go
@@ -49,12 +49,11 @@
 }
 
 const (
-	// maxPulls is the number of concurrent pulls of one kind in a large fleet,
-	// where a large configuration saturates the links of VMs that many others
-	// pull from.
+	// maxPulls is the number of concurrent pulls of one kind. More of them would
+	// saturate a slow link until all reach their timeouts.
 	maxPulls = 2
-	// pullTimeout and largePullTimeout bound a pull. 500 KB take 0.4 s on the
-	// slowest links if no other VM pulls.
+	// pullTimeout and largePullTimeout bound a pull in a small and in a large fleet.
+	// 500 KB take 0.4 s on the slowest links if no other VM pulls.
 	pullTimeout      = time.Second
 	largePullTimeout = 2500 * time.Millisecond
 )
@@ -170,22 +169,19 @@
 	if len(behind) == 0 {
 		clear(n.pulls.behindSince)
 	}
-	largeFleet := n.roster.Count() >= roster.SmallFleetSize
-	if largeFleet {
-		due = n.pulls.begin(due)
-	}
+	due = n.pulls.begin(due)
 	n.pulls.mu.Unlock()
+	timeout := pullTimeout
+	if n.roster.Count() >= roster.SmallFleetSize {
+		timeout = largePullTimeout
+	}
 	for _, kind := range due {
-		go n.pull(peer.Destination{VM: e.VM, Address: e.Peers}, kind, largeFleet)
+		go n.pull(peer.Destination{VM: e.VM, Address: e.Peers}, kind, timeout)
 	}
 }
 
-func (n *Node) pull(from peer.Destination, kind int, largeFleet bool) {
-	timeout := pullTimeout
-	if largeFleet {
-		timeout = largePullTimeout
-		defer n.pulls.end(kind)
-	}
+func (n *Node) pull(from peer.Destination, kind int, timeout time.Duration) {
+	defer n.pulls.end(kind)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	start := time.Now()
--- a/internal/gateway/node/largeconfig_test.go
+++ b/internal/gateway/node/largeconfig_test.go
@@ -61,7 +61,7 @@
 					}
 					c := &largeConfig{random: rand.New(rand.NewPCG(seed.Value(), 57)), idleMS: 5000}
 					behind := f.changeLarge(c, gap, bound, 700, 700, 0, 700, 0)
-					must.SliceEmpty(t, behind)
+					must.SliceEmpty(t, behind, must.Sprint(behind))
 				})
 			})
 		}
@@ -82,7 +82,7 @@
 				c := &largeConfig{random: rand.New(rand.NewPCG(seed.Value(), 57)), idleMS: 5000}
 				// The operator hears of the acknowledgement as late.
 				behind := f.changeLarge(c, 1300*time.Millisecond, latency+bound, 50, 0, 0, 1, 0)
-				must.SliceEmpty(t, behind)
+				must.SliceEmpty(t, behind, must.Sprint(behind))
 			})
 		})
 	}
