Pin a stream that may go on anywhere to the version found

Cause: a stream whose service has had one version was let through without one. Another version that is listed between that decision and the choice of a target could get it. Read in the diff, not seen. Change: the origin of such a stream is the one version. Measured: go test -race ./internal/fleet/origin, TestStreamGoesOn* of node. Conclusion: what is decided and what is sent are the same.

--- a/internal/fleet/origin/table.go
+++ b/internal/fleet/origin/table.go
@@ -186,7 +186,18 @@
 // isMixed reports whether a service has several versions, now or lately.
 func (v *versions) isMixed(service string) bool { return len(v.listed[service]) > 1 }
 
+// only returns the one version that a service has and had lately, if it is one.
+func (v *versions) only(service string) (version string, ok bool) {
+	if len(v.listed[service]) != 1 {
+		return "", false
+	}
+	for version = range v.listed[service] {
+	}
+	return version, true
+}
+
 // isSole reports whether all streams of a service that may still go on began at the same version.
 func (v *versions) isSole(service string, now time.Time) bool {
-	return !v.isMixed(service) && v.listed != nil && now.Sub(v.started) >= remember
+	_, ok := v.only(service)
+	return ok && now.Sub(v.started) >= remember
 }
--- a/internal/fleet/origin/task.go
+++ b/internal/fleet/origin/task.go
@@ -86,21 +86,17 @@
 	Sole bool `cbor:"3,keyasint"`
 }
 
-// An Origin is what is known of the version that began a stream: Began, Anywhere or Unknown.
+// An Origin is what is known of the version that began a stream: Began or Unknown.
 type Origin interface{ origin() }
 
 // Began reports the version at which the stream goes on.
 type Began struct{ Version string }
 
-// Anywhere reports that the service has had one version for as long as the stream may last.
-type Anywhere struct{}
-
 // Unknown reports that the stream may have begun at any of several versions.
 type Unknown struct{ Reason string }
 
-func (Began) origin()    {}
-func (Anywhere) origin() {}
-func (Unknown) origin()  {}
+func (Began) origin()   {}
+func (Unknown) origin() {}
 
 // Options are the parameters of a Task.
 type Options struct {
@@ -221,8 +217,8 @@
 		t.learn([]Stream{{Key: key, Version: response.Version}})
 		return Began{response.Version}
 	}
-	if t.isSole(service, response.Sole) {
-		return Anywhere{}
+	if version, ok := t.sole(service, response.Sole); ok {
+		return Began{version}
 	}
 	err := t.readRecords(ctx)
 	if version, ok := t.lookUp(key); ok {
@@ -233,8 +229,8 @@
 
 // unnamed returns the origin of a stream whose first request the caller doesn't name.
 func (t *Task) unnamed(ctx context.Context, service string) Origin {
-	if t.isSole(service, t.ask(ctx, FindRequest{Service: service}).Sole) {
-		return Anywhere{}
+	if version, ok := t.sole(service, t.ask(ctx, FindRequest{Service: service}).Sole); ok {
+		return Began{version}
 	}
 	return t.undetermined(service, t.readRecords(ctx))
 }
@@ -245,10 +241,13 @@
 	t.mu.Lock()
 	t.versions.observe(t.opts.View(), time.Now())
 	mixed := t.versions.isMixed(service)
+	version, listed := t.versions.only(service)
 	t.mu.Unlock()
 	switch {
 	case mixed:
 		return Unknown{"the service has several versions"}
+	case !listed:
+		return Unknown{"the service has no target"}
 	case readErr != nil:
 		return Unknown{"the records cannot be read: " + readErr.Error()}
 	case !t.opts.Fresh():
@@ -256,7 +255,7 @@
 	case t.wasMixed(service):
 		return Unknown{"the service had several versions lately"}
 	}
-	return Anywhere{}
+	return Began{version}
 }
 
 func (t *Task) lookUp(k Key) (version string, ok bool) {
@@ -265,14 +264,15 @@
 	return t.streams.find(k, time.Now())
 }
 
-// isSole reports whether a service has had one version for long enough, as this VM knows, or
-// another one if this VM has started lately.
-func (t *Task) isSole(service string, others bool) bool {
+// sole returns the version of a service if it has been the only one for as long as a stream may
+// last, as this VM knows, or another one if this VM has started lately.
+func (t *Task) sole(service string, others bool) (version string, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	t.versions.observe(t.opts.View(), now)
-	return (t.versions.isSole(service, now) || others && !t.versions.isMixed(service)) && t.opts.Fresh()
+	version, ok = t.versions.only(service)
+	return version, ok && (others || t.versions.isSole(service, now)) && t.opts.Fresh()
 }
 
 // ask asks the recorders at the same time and returns the first response with the version, or
--- a/internal/fleet/origin/task_test.go
+++ b/internal/fleet/origin/task_test.go
@@ -160,20 +160,20 @@
 			time.Sleep(2 * remember)
 			for i := range 1000 {
 				f.begin(3, fmt.Sprint(i), "v1")
-				f.assertOrigin(i%4, "other", Anywhere{})
+				f.assertOrigin(i%4, "other", Began{"v1"})
 			}
-			f.assertOrigin(2, "", Anywhere{})
+			f.assertOrigin(2, "", Began{"v1"})
 			must.Zero(t, f.store.puts.Load()+f.store.lists.Load())
 		})
 	})
 	t.Run("a VM that has just started learns it from others or the store", func(t *testing.T) {
 		play(t, 4, func(f *fleet) {
-			f.assertOrigin(3, "other", Anywhere{})
+			f.assertOrigin(3, "other", Began{"v1"})
 			must.Eq(t, 1, f.store.lists.Load())
 			time.Sleep(2 * remember)
 			f.kill(3)
 			f.start(3)
-			f.assertOrigin(3, "other", Anywhere{})
+			f.assertOrigin(3, "other", Began{"v1"})
 			must.Eq(t, 1, f.store.lists.Load())
 		})
 	})
@@ -183,6 +183,14 @@
 			f.assertOrigin(3, "other", Unknown{})
 		})
 	})
+	t.Run("at that version, whatever is listed next", func(t *testing.T) {
+		play(t, 4, func(f *fleet) {
+			time.Sleep(2 * remember)
+			got := f.vms[3].Find(f.t.Context(), "llm", "c", "other")
+			f.list("v1", "v2")
+			must.Eq(t, Origin(Began{"v1"}), got)
+		})
+	})
 	t.Run("not without a recent list of targets", func(t *testing.T) {
 		play(t, 4, func(f *fleet) {
 			time.Sleep(2 * remember)
@@ -199,7 +207,7 @@
 			time.Sleep(remember - time.Second)
 			f.assertOrigin(3, "other", Unknown{})
 			time.Sleep(2 * time.Second)
-			f.assertOrigin(3, "other", Anywhere{})
+			f.assertOrigin(3, "other", Began{"v2"})
 		})
 	})
 }
@@ -297,7 +305,7 @@
 			f.assertOrigin(3, "b", Began{"v1"})
 			f.assertOrigin(3, "c", Unknown{})
 			time.Sleep(mixedMemory)
-			f.assertOrigin(3, "c", Anywhere{})
+			f.assertOrigin(3, "c", Began{"v2"})
 		})
 	})
 	t.Run("VMs that start write nothing before they begin streams", func(t *testing.T) {
@@ -367,7 +375,7 @@
 		for i, value := range []string{`{}`, `[]`, `"x"`, `{"at":"x"}`, `{"streams":{"v":"AAAA"}}`, `{"streams":{"v":"!"}}`} {
 			f.store.Store.Put(f.t.Context(), fmt.Sprintf("%s/x%d", Kind, i), []byte(value), store.MustNotExist)
 		}
-		f.assertOrigin(1, "a", Anywhere{})
+		f.assertOrigin(1, "a", Began{"v1"})
 	})
 }
 
--- a/internal/gateway/relay/origin.go
+++ b/internal/gateway/relay/origin.go
@@ -24,7 +24,6 @@
 	case origin.Unknown:
 		j.detail += o.Reason + "; "
 		return refusal{http.StatusServiceUnavailable, "the version that began the stream is not known", originRetry}
-	case origin.Anywhere:
 	}
 	return nil
 }
