Know after the loss of all VMs which versions a service had

A version that took another's place while no VM was running was taken for the only one: no record told of the other. A stream that began at a version of which others had not heard yet, and whose VM was lost, went on at the one that they knew. Records named times, by the clocks of VMs. What a recorder learnt from other records it wrote again, until the latest streams fell out. A version gets no streams until all VMs with a fresh list know of it, unless there is no other. Recorders write what they were told, and tellers and recorders act as soon as a request is sent, 40 and 100 ms apart at least.

--- a/internal/fleet/origin/task.go
+++ b/internal/fleet/origin/task.go
@@ -37,22 +37,19 @@
 const Kind = "streams"
 
 const (
-	// tellInterval is the time between two messages to a recorder in a small fleet. A stream
-	// that breaks off earlier is not known to others yet.
-	tellInterval = 100 * time.Millisecond
+	// checkInterval is the time between two checks of whether there is something to tell or to
+	// write, if no stream begins.
+	checkInterval = 100 * time.Millisecond
+	// tellInterval is the shortest time between two messages to a recorder in a small fleet. A
+	// stream that breaks off earlier is not known to others yet.
+	tellInterval = 40 * time.Millisecond
 	// writeInterval is the shortest time between two writes of a recorder. What was not
-	// written is lost if all VMs are.
-	writeInterval = 200 * time.Millisecond
+	// written is lost if all VMs are. A first event comes some 100 ms after its request.
+	writeInterval = 100 * time.Millisecond
 	// pageTime is for how long a recorder adds streams to an object before it uses the next
 	// one of its pages. It writes what is new only, whatever it remembers.
 	pageTime = 2 * time.Second
 	pages    = int64(remember/pageTime) + 1
-	// refreshInterval is the longest time between two writes while a service has several
-	// versions.
-	refreshInterval = 10 * time.Second
-	// mixedMemory is how long a written record shows that a service had several versions.
-	// It is much longer than a stream lasts, as VMs' clocks differ.
-	mixedMemory = 2 * time.Minute
 	// askTimeout bounds a question to a recorder, and readTimeout one of the store.
 	askTimeout  = 250 * time.Millisecond
 	readTimeout = 500 * time.Millisecond
@@ -105,8 +102,10 @@
 	Peers peer.Caller
 	Log   log.Logger
 	View  func() *source.View
-	// Fresh reports whether the list of targets was confirmed recently.
+	// Fresh reports whether the list of targets was confirmed within the time Bound, after
+	// which all VMs for which it is know a change.
 	Fresh func() bool
+	Bound func() time.Duration
 	// Scale returns the factor by which VMs tell streams less often than in a small fleet.
 	Scale func() float64
 	// Recorders returns the other VMs that record streams, and whether this one does.
@@ -116,6 +115,8 @@
 // A Task remembers streams. It is safe for concurrent use.
 type Task struct {
 	opts Options
+	// began and learned signal that there are streams to tell or to write.
+	began, learned chan struct{}
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -130,17 +131,22 @@
 	page, pageFrom int64
 	pageStart      time.Time
 	pageVersions   [pages]int64
-	// written is the number of the last addition that was written, and wroteAt when.
+	// written is the number of the last addition that was written.
 	written int64
-	wroteAt time.Time
+	// recorded holds, by service, the last known records of versions.
+	recorded map[string]recorded
+
+	// readMu is held during a read of the records. The fields below tell when the last one
+	// that succeeded began, and how long it took.
+	readMu   sync.Mutex
+	readAt   time.Time
+	readTook time.Duration
+}
 
-	// readMu is held during a read of the records. The fields below are those of the last
-	// one that succeeded: when it began, how long it took, and until when each service counts
-	// as mixed.
-	readMu     sync.Mutex
-	readAt     time.Time
-	readTook   time.Duration
-	mixedUntil map[string]time.Time
+// recorded is the record of a service's versions in the object store.
+type recorded struct {
+	versions []string
+	object   int64
 }
 
 // NewTask returns a Task that knows no streams.
@@ -148,13 +154,13 @@
 	if o.Log == nil {
 		o.Log = log.NewNopLogger()
 	}
-	return &Task{opts: o, streams: newTable(), told: map[string]int64{}}
+	return &Task{opts: o, began: make(chan struct{}, 1), learned: make(chan struct{}, 1), streams: newTable(), told: map[string]int64{}, recorded: map[string]recorded{}}
 }
 
 // Register registers the handlers of the calls.
 func (t *Task) Register(r peer.Registrar) {
 	peer.Handle(r, CallTell, func(_ context.Context, _ string, in TellRequest) (struct{}, error) {
-		t.learn(in.Streams)
+		t.learn(in.Streams, told)
 		return struct{}{}, nil
 	})
 	peer.Handle(r, CallFind, func(_ context.Context, _ string, in FindRequest) (FindResponse, error) {
@@ -163,12 +169,24 @@
 }
 
 // learn adds streams that another VM passes on.
-func (t *Task) learn(streams []Stream) {
+func (t *Task) learn(streams []Stream, source streamSource) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	for _, s := range streams {
-		t.streams.add(s, now.Add(-time.Duration(max(s.AgeMS, 0))*time.Millisecond), false)
+		t.streams.add(s, now.Add(-time.Duration(max(s.AgeMS, 0))*time.Millisecond), source)
+	}
+	t.signal(t.learned)
+}
+
+// signal wakes a task while a service has several versions. The caller holds mu.
+func (t *Task) signal(task chan struct{}) {
+	if len(t.versions.mixed()) == 0 {
+		return
+	}
+	select {
+	case task <- struct{}{}:
+	default:
 	}
 }
 
@@ -193,16 +211,28 @@
 	defer t.mu.Unlock()
 	old, known := t.streams.streams[key]
 	known = known && now.Sub(old.at) < remember
-	switch {
-	case known && old.version != version && (old.number <= t.sent || !old.own):
+	if known && old.version != version && (old.number <= t.sent || old.source != own) {
 		return old.version
-	case known && old.version == version && now.Sub(old.at) < recordAgain:
-		return version
 	}
-	t.streams.add(Stream{Key: key, Version: version}, now, true)
+	t.streams.add(Stream{Key: key, Version: version}, now, own)
+	t.signal(t.began)
+	t.signal(t.learned)
 	return version
 }
 
+// Young returns the versions of a service that other VMs may not have heard of, though their
+// list of targets is fresh. They would take the service's other version for the only one.
+func (t *Task) Young(service string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.versions.observe(t.opts.View(), now)
+	if !t.versions.isMixed(service) {
+		return nil
+	}
+	return t.versions.young(service, t.opts.Bound()+checkInterval, now)
+}
+
 // Find returns what is known of the origin of a stream.
 func (t *Task) Find(ctx context.Context, service, customer, request string) Origin {
 	if request == "" || len(request) > maxRequestID {
@@ -214,7 +244,7 @@
 	}
 	response := t.ask(ctx, FindRequest{Service: service, Key: key})
 	if response.Known {
-		t.learn([]Stream{{Key: key, Version: response.Version}})
+		t.learn([]Stream{{Key: key, Version: response.Version}}, filed)
 		return Began{response.Version}
 	}
 	if version, ok := t.sole(service, response.Sole); ok {
@@ -236,24 +266,26 @@
 }
 
 // undetermined returns the origin of a stream that is in no record. ReadErr is the error of
-// reading them.
+// reading them. A VM that has just started knows only from the record whether the service had
+// other versions before.
 func (t *Task) undetermined(service string, readErr error) Origin {
 	t.mu.Lock()
 	t.versions.observe(t.opts.View(), time.Now())
 	mixed := t.versions.isMixed(service)
 	version, listed := t.versions.only(service)
+	_, known := t.recorded[service]
 	t.mu.Unlock()
 	switch {
 	case mixed:
-		return Unknown{"the service has several versions"}
+		return Unknown{"the service has several versions, or had lately"}
 	case !listed:
 		return Unknown{"the service has no target"}
 	case readErr != nil:
 		return Unknown{"the records cannot be read: " + readErr.Error()}
+	case !known:
+		return Unknown{"the service's versions are not on record"}
 	case !t.opts.Fresh():
 		return Unknown{"the list of targets is not confirmed"}
-	case t.wasMixed(service):
-		return Unknown{"the service had several versions lately"}
 	}
 	return Began{version}
 }
@@ -306,17 +338,31 @@
 func (t *Task) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		for store.Sleep(ctx, writeInterval) {
+		for await(ctx, t.learned) {
 			t.write(ctx)
+			store.Sleep(ctx, writeInterval)
 		}
 	})
-	for store.Sleep(ctx, time.Duration(t.opts.Scale()*float64(tellInterval))) {
+	for await(ctx, t.began) {
 		t.tell(ctx)
+		store.Sleep(ctx, time.Duration(t.opts.Scale()*float64(tellInterval)))
 	}
 	wg.Wait()
 	return nil
 }
 
+// await waits for a signal, for checkInterval at most, and returns false if ctx ends.
+func await(ctx context.Context, signal chan struct{}) bool {
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
+	select {
+	case <-signal:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // tell sends the recorders what they have not been told yet.
 func (t *Task) tell(ctx context.Context) {
 	t.mu.Lock()
@@ -360,28 +406,71 @@
 	}
 }
 
-// A record is the value of a recorder's object.
+// A record is the value of an object: of one of a recorder's pages, or of a service's versions.
 type record struct {
-	// At is the time of the write in Unix milliseconds.
-	At int64 `json:"at"`
-	// Mixed are the services that have several versions, or had lately.
-	Mixed []string `json:"mixed"`
 	// Streams holds, by version, the keys of streams, keyBytes each.
-	Streams map[string][]byte `json:"streams"`
+	Streams map[string][]byte `json:"streams,omitempty"`
+	// Service is the name of a service, and Versions those that it has, or had lately.
+	Service  string   `json:"service,omitempty"`
+	Versions []string `json:"versions,omitempty"`
 }
 
-// write writes the streams that this VM knows, if it is a recorder and there are new ones.
+// write writes what has changed of the services' versions, and the streams that are new, if this
+// VM is a recorder.
 func (t *Task) write(ctx context.Context) {
 	if _, self := t.opts.Recorders(); !self {
 		return
 	}
+	t.mu.Lock()
+	t.versions.observe(t.opts.View(), time.Now())
+	changed := map[string][]string{}
+	for service := range t.versions.listed {
+		if versions := t.versions.of(service); len(versions) > 0 && !slices.Equal(versions, t.recorded[service].versions) {
+			changed[service] = versions
+		}
+	}
+	t.mu.Unlock()
+	for service, versions := range changed {
+		t.writeVersions(ctx, service, versions)
+	}
+	if !t.writePage(ctx) {
+		t.writePage(ctx)
+	}
+}
+
+// writeVersions records the versions of a service.
+func (t *Task) writeVersions(ctx context.Context, service string, versions []string) {
+	value, err := json.Marshal(record{Service: service, Versions: versions})
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	expect := t.recorded[service].object
+	t.mu.Unlock()
+	switch r := t.opts.Store.Put(ctx, versionsKey(service), value, expect).(type) {
+	case store.Done:
+		_ = t.opts.Log.Log("msg", "versions recorded", "service", service, "versions", strings.Join(versions, ","))
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.recorded[service] = recorded{versions, r.Version}
+	case store.Conflict:
+		// Another recorder wrote it, or an earlier process of this VM. What it says counts as
+		// listed lately.
+		if object, err := t.opts.Store.Get(ctx, versionsKey(service)); err == nil {
+			t.learnRecord(object, filed)
+		}
+	case store.NotSent, store.Unknown:
+	}
+}
+
+// writePage writes the streams that are new to a page, while a service has several versions. It
+// returns false if the page had to be taken over first.
+func (t *Task) writePage(ctx context.Context) bool {
 	t.mu.Lock()
 	now := time.Now()
-	mixed := t.versions.mixed()
-	due := len(mixed) > 0 && (t.streams.added > t.written || t.written > 0 && now.Sub(t.wroteAt) >= refreshInterval)
-	if !due {
+	if len(t.versions.mixed()) == 0 || t.streams.added <= t.written {
 		t.mu.Unlock()
-		return
+		return true
 	}
 	if t.written > t.pageFrom && now.Sub(t.pageStart) >= pageTime {
 		t.page, t.pageFrom, t.pageStart = (t.page+1)%pages, t.written, now
@@ -390,27 +479,31 @@
 	t.sent = max(t.sent, last)
 	page, expect := t.page, t.pageVersions[t.page]
 	t.mu.Unlock()
-	value, err := json.Marshal(record{At: now.UnixMilli(), Mixed: mixed, Streams: encode(streams)})
+	value, err := json.Marshal(record{Streams: encode(streams)})
 	if err != nil {
-		return
+		return true
 	}
 	result := t.opts.Store.Put(ctx, pageKey(t.opts.VM, page), value, expect)
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	switch r := result.(type) {
 	case store.Done:
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		if t.written == 0 {
-			_ = t.opts.Log.Log("msg", "streams recorded", "services", strings.Join(mixed, ","), "streams", len(streams), "bytes", len(value))
+			_ = t.opts.Log.Log("msg", "streams recorded", "streams", len(streams), "bytes", len(value))
 		}
-		t.pageVersions[page], t.written, t.wroteAt = r.Version, last, now
+		t.pageVersions[page], t.written = r.Version, last
 	case store.Conflict:
-		t.mu.Unlock()
 		t.takeOver(ctx, page)
-		t.mu.Lock()
+		return false
 	case store.NotSent, store.Unknown:
 	}
+	return true
 }
 
+// versionsKey returns the key of the object with the versions of a service. It is no page: ids of
+// VMs contain no colon.
+func versionsKey(service string) string { return Kind + "/service:" + service }
+
 // pageKey returns the key of one of a VM's objects.
 func pageKey(vm string, page int64) string { return fmt.Sprintf("%s/%s-%d", Kind, vm, page) }
 
@@ -438,15 +531,31 @@
 		return
 	}
 	if err == nil {
-		if r, streams, err := decodeRecord(object.Value); err == nil && r.age() < mixedMemory {
-			t.learn(streams)
-		}
+		t.learnRecord(object, told)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.pageVersions[page] = object.Version
 }
 
+// learnRecord learns what an object says, and returns the number of streams in it.
+func (t *Task) learnRecord(object store.Object, source streamSource) int {
+	r, streams, err := decodeRecord(object.Value)
+	if err != nil {
+		_ = t.opts.Log.Log("msg", "record of streams ignored", "object", object.Key, "err", err)
+		return 0
+	}
+	t.learn(streams, source)
+	if object.Key != versionsKey(r.Service) || len(r.Versions) == 0 {
+		return len(streams)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.versions.learn(r.Service, r.Versions, time.Now())
+	t.recorded[r.Service] = recorded{r.Versions, object.Version}
+	return 0
+}
+
 // encode returns the keys of streams by version.
 func encode(streams []Stream) map[string][]byte {
 	out := map[string][]byte{}
@@ -456,9 +565,6 @@
 	return out
 }
 
-// age returns the time since the record was written, by the clocks of two VMs.
-func (r *record) age() time.Duration { return time.Since(time.UnixMilli(r.At)).Abs() }
-
 // decodeRecord returns a record and the streams in it.
 func decodeRecord(value []byte) (r record, out []Stream, err error) {
 	if err := json.Unmarshal(value, &r); err != nil {
@@ -489,34 +595,11 @@
 	if err != nil {
 		return err
 	}
-	mixed := map[string]time.Time{}
 	found := 0
 	for _, o := range objects {
-		r, streams, err := decodeRecord(o.Value)
-		if err != nil {
-			_ = t.opts.Log.Log("msg", "record of streams ignored", "object", o.Key, "err", err)
-			continue
-		}
-		age := r.age()
-		if age >= mixedMemory {
-			continue
-		}
-		for _, service := range r.Mixed {
-			if until := now.Add(mixedMemory - age); until.After(mixed[service]) {
-				mixed[service] = until
-			}
-		}
-		t.learn(streams)
-		found += len(streams)
+		found += t.learnRecord(o, filed)
 	}
-	t.readAt, t.readTook, t.mixedUntil = now, time.Since(now), mixed
+	t.readAt, t.readTook = now, time.Since(now)
 	_ = t.opts.Log.Log("msg", "records of streams read", "objects", len(objects), "streams", found, "took", t.readTook)
 	return nil
 }
-
-// wasMixed reports whether a service had several versions lately, by the records.
-func (t *Task) wasMixed(service string) bool {
-	t.readMu.Lock()
-	defer t.readMu.Unlock()
-	return time.Now().Before(t.mixedUntil[service])
-}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -291,6 +291,7 @@
 	})
 	n.origins = origin.NewTask(origin.Options{
 		VM: s.VM, Store: objects, Peers: n.client, Log: n.log, View: n.source.View, Fresh: n.targetsFresh,
+		Bound:     func() time.Duration { return n.bounds().Drain },
 		Scale:     n.roster.IntervalFactor,
 		Recorders: func() ([]peer.Destination, bool) { return recorders(s.VM, n.roster.Members(), time.Now()) },
 	})
--- a/internal/gateway/node/takeup_test.go
+++ b/internal/gateway/node/takeup_test.go
@@ -228,6 +228,7 @@
 	}
 	v := b.start("vm-1")
 	v.ready()
+	eventually(t, func() bool { return strings.Contains(v.log.String(), "versions recorded") })
 	for _, name := range []string{"", "unknown", "\xff\x80", strings.Repeat("x", 5000)} {
 		got := b.takeUp(v, name)
 		must.NoError(t, got.err)
--- a/internal/gateway/placing/candidate.go
+++ b/internal/gateway/placing/candidate.go
@@ -72,6 +72,8 @@
 		return c, "is leaving"
 	case r.Pinned && t.Version != r.Version:
 		return c, "has another version than the target that began the stream"
+	case !r.Pinned && contains(r.Avoided, t.Version):
+		return c, "has a version that other VMs may not know yet"
 	case !r.Hedge && contains(r.Tried, t.ID):
 		return c, "was tried"
 	case p.wait(target, now) > 0:
--- a/internal/gateway/placing/placing.go
+++ b/internal/gateway/placing/placing.go
@@ -132,6 +132,8 @@
 	// as one of it has begun the stream.
 	Pinned  bool
 	Version string
+	// Avoided are versions whose targets are chosen only if there are no others.
+	Avoided []string
 	// Tried are the targets that have already failed this request.
 	Tried []string
 	// Hedge asks for a second target of a request whose first target, in Tried, is
@@ -280,6 +282,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.weigh(v, r, now)
+	if len(w.candidates) == 0 && len(r.Avoided) > 0 {
+		r.Avoided = nil
+		w = p.weigh(v, r, now)
+	}
 	if len(w.candidates) == 0 {
 		return Choice{}, false
 	}
--- a/internal/gateway/relay/handler.go
+++ b/internal/gateway/relay/handler.go
@@ -91,8 +91,10 @@
 
 // Origins knows at which software version of its service's targets a stream begins. A stream is
 // named by the request that brought its first event. Record returns the version at which it has
-// to begin, which is the one that is recorded unless others were told of another one.
+// to begin, which is the one that is recorded unless others were told of another one. Young
+// returns versions at which no stream should begin yet.
 type Origins interface {
+	Young(service string) []string
 	Record(service, customer, request, version string) string
 	Find(ctx context.Context, service, customer, request string) origin.Origin
 }
--- a/internal/gateway/relay/run.go
+++ b/internal/gateway/relay/run.go
@@ -114,7 +114,11 @@
 	}
 	view := h.opts.View()
 	p := j.promptUnder(view.Config)
-	choice, ok := h.opts.Placer.Choose(view, j.placingRequest(p), time.Now())
+	r := j.placingRequest(p)
+	if j.route.Resumable && h.opts.Origins != nil {
+		r.Avoided = h.opts.Origins.Young(j.service)
+	}
+	choice, ok := h.opts.Placer.Choose(view, r, time.Now())
 	if ok && !h.recordOrigin(j, choice.Target.Version) {
 		// The stream is pinned now.
 		choice, ok = h.opts.Placer.Choose(view, j.placingRequest(p), time.Now())
