Check for new versions four times a second

Cause: the two tasks of package origin woke each VM 20 times a second while nothing was to be told; wake-ups are priced. Change: 250 ms in place of 100. While a service has several versions they are woken by requests.

--- a/internal/fleet/origin/task.go
+++ b/internal/fleet/origin/task.go
@@ -39,7 +39,7 @@
 const (
 	// checkInterval is the time between two checks of whether there is something to tell or to
 	// write, if no stream begins.
-	checkInterval = 100 * time.Millisecond
+	checkInterval = 250 * time.Millisecond
 	// tellInterval is the shortest time between two messages to a recorder in a small fleet. A
 	// stream that breaks off earlier is not known to others yet.
 	tellInterval = 40 * time.Millisecond
