--- a/internal/fleet/delta/delta.go
+++ b/internal/fleet/delta/delta.go
@@ -12,8 +12,8 @@
 	// MaxBytes is the size of the largest value. Two values of 1 MiB, the most that the
 	// platform's store takes, fit.
 	MaxBytes = 2 << 20
-	// windowBytes is how far back an encoded value may refer. It spans the value and the base.
-	windowBytes = 2 * MaxBytes
+	// maxWindowBytes is how far back an encoded value may refer at most.
+	maxWindowBytes = 2 * MaxBytes
 	// baseID identifies the base within an encoded value. There is one at most.
 	baseID = 1
 )
@@ -24,7 +24,7 @@
 		return nil, fmt.Errorf("value of %d bytes, at most %d are permitted", len(value), MaxBytes)
 	}
 	opts := []zstd.EOption{
-		zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true),
+		zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(window(len(value) + len(base))), zstd.WithLowerEncoderMem(true),
 		zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderCRC(true),
 	}
 	if len(base) > 0 {
@@ -38,9 +38,19 @@
 	return w.EncodeAll(value, nil), nil
 }
 
+// window returns the size of the window that spans a value and its base. The memory of the
+// encoder grows with it.
+func window(size int) int {
+	w := zstd.MinWindowSize
+	for w < size && w < maxWindowBytes {
+		w *= 2
+	}
+	return w
+}
+
 // Decode returns the value that was encoded relative to base.
 func Decode(data, base []byte) ([]byte, error) {
-	opts := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxBytes), zstd.WithDecoderMaxWindow(windowBytes)}
+	opts := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxBytes), zstd.WithDecoderMaxWindow(maxWindowBytes)}
 	if len(base) > 0 {
 		opts = append(opts, zstd.WithDecoderDictRaw(baseID, base))
 	}
--- a/internal/fleet/source/pack.go
+++ b/internal/fleet/source/pack.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// minPackBytes is the size from which objects are packed. What is smaller fits a few
-	// packets.
-	minPackBytes = 4 << 10
+	// minPackBytes is the size from which objects are packed. What is smaller takes 26 ms at
+	// most on a link of 10 Mbit/s, and packing it takes memory.
+	minPackBytes = 32 << 10
 	// maxBases is the number of earlier configurations that are kept to encode newer ones
 	// relative to them. A VM is rarely more than a few versions behind.
 	maxBases = 4
