--- a/internal/fleet/origin/recorder.go
+++ b/internal/fleet/origin/recorder.go
@@ -25,7 +25,7 @@
 	t.mu.Lock()
 	now := time.Now()
 	t.versions.observe(t.opts.View(), now)
-	mixed := len(t.versions.mixed()) > 0
+	mixed := t.versions.anyMixed
 	t.mu.Unlock()
 	if !mixed {
 		return
@@ -116,7 +116,7 @@
 func (t *Task) writePage(ctx context.Context) bool {
 	t.mu.Lock()
 	now := time.Now()
-	if len(t.versions.mixed()) == 0 || t.streams.added <= t.written {
+	if !t.versions.anyMixed || t.streams.added <= t.written {
 		t.mu.Unlock()
 		return true
 	}
@@ -159,7 +159,7 @@
 func (t *Task) Forget(ctx context.Context, vm string) {
 	objects, err := t.opts.Store.List(ctx, Kind+"/"+vm+"-")
 	if err != nil {
-		// They are old, and no longer looked at.
+		// They stay, and are read with the others.
 		return
 	}
 	for _, o := range objects {
--- a/internal/fleet/origin/task.go
+++ b/internal/fleet/origin/task.go
@@ -156,7 +156,7 @@
 	})
 }
 
-// learn adds streams that another VM passes on.
+// learn adds streams that another VM told or recorded.
 func (t *Task) learn(streams []Stream, source streamSource) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -169,7 +169,7 @@
 
 // signal wakes a task while a service has several versions. The caller holds mu.
 func (t *Task) signal(task chan struct{}) {
-	if len(t.versions.mixed()) == 0 {
+	if !t.versions.anyMixed {
 		return
 	}
 	select {
--- a/internal/fleet/origin/task_test.go
+++ b/internal/fleet/origin/task_test.go
@@ -113,6 +113,13 @@
 	f.network.Remove(f.vms[i].name)
 }
 
+// killAll ends the processes of all VMs.
+func (f *fleet) killAll() {
+	for i := range f.vms {
+		f.kill(i)
+	}
+}
+
 func (f *fleet) setDown(name string, down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -220,9 +227,7 @@
 	t.Run("not if another one took its place while no VM was running", func(t *testing.T) {
 		play(t, 4, func(f *fleet) {
 			time.Sleep(2 * remember)
-			for i := range 4 {
-				f.kill(i)
-			}
+			f.killAll()
 			f.list("v2")
 			for i := range 4 {
 				f.start(i)
@@ -317,9 +322,7 @@
 	t.Run("the store knows what lost VMs began", func(t *testing.T) {
 		mixed(t, func(f *fleet) {
 			time.Sleep(2*writeInterval + 2*checkInterval)
-			for i := range 4 {
-				f.kill(i)
-			}
+			f.killAll()
 			time.Sleep(2 * time.Second)
 			for i := range 4 {
 				f.start(i)
@@ -334,9 +337,7 @@
 	t.Run("also once recorders have written again", func(t *testing.T) {
 		mixed(t, func(f *fleet) {
 			time.Sleep(2*writeInterval + 2*checkInterval)
-			for i := range 4 {
-				f.kill(i)
-			}
+			f.killAll()
 			for i := range 4 {
 				f.start(i)
 			}
@@ -345,9 +346,7 @@
 				time.Sleep(2 * writeInterval)
 			}
 			f.assertOrigin(3, "a", Began{"v2"})
-			for i := range 4 {
-				f.kill(i)
-			}
+			f.killAll()
 			f.start(3)
 			f.assertOrigin(3, "a", Began{"v2"})
 		})
@@ -355,9 +354,7 @@
 	t.Run("also that there were several", func(t *testing.T) {
 		mixed(t, func(f *fleet) {
 			time.Sleep(2*writeInterval + 2*checkInterval)
-			for i := range 4 {
-				f.kill(i)
-			}
+			f.killAll()
 			f.list("v2")
 			f.start(3)
 			f.assertOrigin(3, "b", Began{"v1"})
@@ -369,9 +366,7 @@
 	t.Run("VMs that start write nothing before they begin streams", func(t *testing.T) {
 		mixed(t, func(f *fleet) {
 			time.Sleep(2*writeInterval + 2*checkInterval)
-			for i := range 4 {
-				f.kill(i)
-			}
+			f.killAll()
 			puts := f.store.puts.Load()
 			for i := range 4 {
 				f.start(i)
@@ -383,9 +378,7 @@
 	t.Run("until a VM is forgotten", func(t *testing.T) {
 		mixed(t, func(f *fleet) {
 			time.Sleep(pageTime)
-			for i := range 4 {
-				f.kill(i)
-			}
+			f.killAll()
 			f.start(3)
 			other := pageKey("vm-0-1", 1)
 			f.store.Store.Put(f.t.Context(), other, []byte("{}"), store.MustNotExist)
@@ -507,9 +500,7 @@
 			case n < 28:
 				f.kill(i)
 			case n < 30:
-				for i := range f.vms {
-					f.kill(i)
-				}
+				f.killAll()
 			case n < 32:
 				f.store.away.Store(!f.store.away.Load())
 			case n < 500:
--- a/internal/fleet/origin/versions.go
+++ b/internal/fleet/origin/versions.go
@@ -23,8 +23,8 @@
 	// view is the one that was last observed, at observed.
 	view     *source.View
 	observed time.Time
-	// several are the services with several versions, now or lately, in order.
-	several []string
+	// anyMixed reports whether a service has several versions, now or lately.
+	anyMixed bool
 }
 
 // observeInterval is the shortest time between two observations of the same view.
@@ -64,7 +64,7 @@
 			}
 		}
 	}
-	v.count()
+	v.updateMixed()
 }
 
 // configure finds the services whose streams may be taken up.
@@ -83,18 +83,12 @@
 	}
 }
 
-// mixed returns the services with several versions, now or lately, in order.
-func (v *versions) mixed() []string { return v.several }
-
-// count finds the services with several versions.
-func (v *versions) count() {
-	v.several = nil
-	for service, of := range v.listed {
-		if len(of) > 1 {
-			v.several = append(v.several, service)
-		}
+// updateMixed updates anyMixed.
+func (v *versions) updateMixed() {
+	v.anyMixed = false
+	for service := range v.listed {
+		v.anyMixed = v.anyMixed || v.isMixed(service)
 	}
-	slices.Sort(v.several)
 }
 
 // isMixed reports whether a service has several versions, now or lately.
@@ -120,7 +114,7 @@
 		l.last = now
 		v.listed[service][name] = l
 	}
-	v.count()
+	v.updateMixed()
 }
 
 // young returns the versions of a service that have been listed for less than a time, beside
