Show the skipped handover delay without late orders

Cause: the first version of case 11 needed orders that runners leave unanswered. The fault does not: a takeover whose answer is lost skips the handover delay of rollout.acquired whatever runners do.

Change: in case 11 runners answer each order at once, and newer weights are named while the lease goes over. The stand-ins listen on a loopback address of their own process, and machines get ports below those of outgoing connections, so that the cases can run beside each other. A runner that has an order loads once its streams have ended.

--- a/review/world-3/runner.go
+++ b/review/world-3/runner.go
@@ -3,10 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -20,25 +19,31 @@
 	token          int64
 	version        int64
 	at             time.Time
-	answered       bool
+	status         int
 }
 
 // A runner is a model runner, or one of a plain service if it has no model.
 type runner struct {
 	id, service, address, model string
 	w                           *world
+	server                      *http.Server
 
 	mu      sync.Mutex
 	version int64
-	// busyUntil is until when an order is being carried out.
-	busyUntil time.Time
-	sequence  int64
-	running   int
-	runs      map[string]int
+	// loading reports whether an order is being carried out.
+	loading  bool
+	sequence int64
+	running  int
+	runs     map[string]int
 	// preempts is the number of streams that are still to be preempted for pause after their
 	// third event: they are read in again, and go on then.
 	preempts int
 	pause    time.Duration
+	// software is the version of the runner's software, born when it started, and gap the time
+	// between two events of a stream.
+	software string
+	born     time.Time
+	gap      time.Duration
 }
 
 // A stream has so many events, whose ids are the numbers of tokens made so far: an event holds
@@ -60,19 +65,47 @@
 }
 
 func (w *world) addRunner(id, service, model string) *runner {
-	l := listen()
-	r := &runner{id: id, service: service, address: l.Addr().String(), model: model, w: w, version: 1, runs: map[string]int{}}
-	go func() { _ = http.Serve(l, r) }()
+	r := &runner{
+		id: id, service: service, model: model, w: w, version: 1, runs: map[string]int{},
+		software: "v1", born: w.began, gap: 20 * time.Millisecond,
+	}
+	r.serve(listen())
 	w.runners = append(w.runners, r)
 	w.store.put("servers", id, r.entry("ready"))
 	return r
 }
 
+// serve starts to serve on a listener.
+func (r *runner) serve(l net.Listener) {
+	r.address, r.server = l.Addr().String(), &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(l) }()
+}
+
+// crash ends the runner, which starts again at its address and under its id after down, with
+// another software. Its entry shows that when it writes it next.
+func (r *runner) crash(down, write time.Duration, software string) {
+	_ = r.server.Close()
+	r.w.logf("crashed runner=%s", r.id)
+	time.Sleep(down)
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		unable("start %s again: %v", r.id, err)
+	}
+	r.mu.Lock()
+	r.software, r.born, r.sequence = software, time.Now(), 0
+	r.mu.Unlock()
+	r.serve(l)
+	r.w.logf("started again runner=%s software=%s", r.id, software)
+	time.Sleep(write)
+	r.w.store.put("servers", r.id, r.entry("ready"))
+	r.w.logf("entry written runner=%s software=%s", r.id, software)
+}
+
 // entry is what the runner registers of itself.
 func (r *runner) entry(state string) map[string]any {
 	e := map[string]any{
-		"service": r.service, "address": r.address, "zone": zone, "version": "v1", "slots": 6, "state": state, "coldLeftMs": 0,
-		"sequence": 1, "born": r.w.began.UnixMilli(),
+		"service": r.service, "address": r.address, "zone": zone, "version": r.software, "slots": 6, "state": state, "coldLeftMs": 0,
+		"sequence": 1, "born": r.born.UnixMilli(),
 	}
 	if r.model != "" {
 		e["slots"], e["stage"] = 64, "prefill_decode"
@@ -91,7 +124,7 @@
 	switch in.URL.Path {
 	case "/report":
 		r.mu.Lock()
-		version, sequence, isBusy, running := r.version, r.sequence, time.Now().Before(r.busyUntil), r.running
+		version, sequence, isBusy, running := r.version, r.sequence, r.loading, r.running
 		r.mu.Unlock()
 		reply(w, http.StatusOK, map[string]any{
 			"stage": "prefill_decode", "models": []map[string]any{{"name": r.model, "version": version, "adapters": []string{}}},
@@ -114,9 +147,9 @@
 	}
 }
 
-// order takes an order. While the world's orders are late, some of them get no answer and are
-// carried out seconds later if their condition still holds.
+// order takes an order.
 func (r *runner) order(w http.ResponseWriter, in *http.Request) {
+	at := time.Now()
 	var o struct {
 		Model    string `json:"model"`
 		Version  int64  `json:"version"`
@@ -128,14 +161,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	late := r.w.isLate()
-	r.w.recordOrder(order{r.id, o.Holder, o.Token, o.Version, time.Now(), !late})
-	if late {
-		time.AfterFunc(time.Duration(2000+rand.IntN(10000))*time.Millisecond, func() { r.carryOut(o.Version, o.Expected) })
-		<-in.Context().Done()
-		return
-	}
-	w.WriteHeader(r.carryOut(o.Version, o.Expected))
+	status := r.carryOut(o.Version, o.Expected)
+	r.w.recordOrder(order{r.id, o.Holder, o.Token, o.Version, at, status})
+	w.WriteHeader(status)
 }
 
 // carryOut begins with an order and returns the status of the answer.
@@ -143,28 +171,41 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case time.Now().Before(r.busyUntil), expected != nil && *expected != r.sequence:
+	case r.loading, expected != nil && *expected != r.sequence:
 		return http.StatusConflict
 	case r.version == version:
 		return http.StatusOK
 	}
 	r.sequence++
-	r.busyUntil = time.Now().Add(loadTime)
-	time.AfterFunc(loadTime, func() {
-		r.mu.Lock()
-		r.version = version
-		r.mu.Unlock()
-		r.w.store.put("servers", r.id, r.entry("ready"))
-	})
+	r.loading = true
+	go r.load(version)
 	return http.StatusAccepted
 }
 
+// load loads weights once the requests that run have ended.
+func (r *runner) load(version int64) {
+	for r.runningNow() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(loadTime)
+	r.mu.Lock()
+	r.version, r.loading = version, false
+	r.mu.Unlock()
+	r.w.store.put("servers", r.id, r.entry("ready"))
+}
+
+func (r *runner) runningNow() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running
+}
+
 // run runs a client's request: a stream of a few events, or a plain answer.
 func (r *runner) run(w http.ResponseWriter, in *http.Request) {
 	id := in.Header.Get("Baobabdyke-Request-Id")
 	w.Header().Set("Baobabdyke-Request-Id", id)
 	r.mu.Lock()
-	version := r.version
+	version, software := r.version, r.software
 	want := in.Header.Get("Baobabdyke-Expect-Version")
 	switch {
 	case want != "" && want != strconv.FormatInt(version, 10):
@@ -172,7 +213,7 @@
 		w.Header().Set("Baobabdyke-Weight-Versions", strconv.FormatInt(version, 10))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case time.Now().Before(r.busyUntil):
+	case r.loading:
 		r.mu.Unlock()
 		w.Header().Set("Baobabdyke-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -186,7 +227,7 @@
 		r.running--
 		r.mu.Unlock()
 	}()
-	r.w.logf("run id=%s runner=%s tenant=%s", id, r.id, in.Header.Get("Baobabdyke-Tenant"))
+	r.w.logf("run id=%s runner=%s software=%s tenant=%s", id, r.id, software, in.Header.Get("Baobabdyke-Tenant"))
 	w.Header().Set("Baobabdyke-Response-Seal", "seal-"+id)
 	if r.model == "" {
 		time.Sleep(15 * time.Millisecond)
@@ -199,11 +240,11 @@
 	w.Header().Set("Baobabdyke-Weight-Versions", strconv.FormatInt(version, 10))
 	from, _ := strconv.Atoi(in.Header.Get("Last-Event-Id"))
 	for i := from/stride + 1; i <= streamEvents; i++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i*stride, strings.Repeat("x", 20)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i*stride, software); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
-		gap := 20 * time.Millisecond
+		gap := r.gap
 		if i == 3 && from == 0 {
 			if pause := r.preempt(); pause > 0 {
 				r.w.logf("preempted id=%s runner=%s for=%s", id, r.id, pause)
--- a/review/world-3/store.go
+++ b/review/world-3/store.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sort"
 	"strconv"
 	"strings"
@@ -78,8 +80,11 @@
 	return l.Addr().String()
 }
 
+// host is the loopback address of this process, so that several cases can run beside each other.
+var host = fmt.Sprintf("127.%d.%d.1", 2+os.Getpid()/250%250, 1+os.Getpid()%250)
+
 func listen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		unable("listen: %v", err)
 	}
--- a/review/world-3/turns.go
+++ b/review/world-3/turns.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"sync"
 	"time"
 )
 
@@ -10,26 +12,29 @@
 const (
 	leaseTurns = 3000 * time.Millisecond
 	thaw       = 300 * time.Millisecond
-	// lateOrders is the share of the orders that workers leave unanswered, and lateTime how long.
-	lateOrders = 0.5
-	lateTime   = 7 * time.Second
 	// turnedAway is how long the store turns the first machine away, and turnedAwayShortly the
 	// second one.
 	turnedAway        = 6 * time.Second
-	turnedAwayShortly = 500 * time.Millisecond
-	// roundTime is the time between two versions. All disruptions of a round are over by then.
-	roundTime = 15 * time.Second
+	turnedAwayShortly = 100 * time.Millisecond
+	// turnAfter is how long after its first order the first machine is turned away.
+	turnAfter = 1500 * time.Millisecond
+	// betweenVersions is the shortest time between two versions.
+	betweenVersions = 3 * time.Second
+	// roundTime is the time of a round. All disruptions of a round are over by then.
+	roundTime = 17 * time.Second
+	rounds    = 5
 )
 
-// turns names new weights twice. Each time the store turns the machine away that gives the
-// orders, and then, for half a second, the machine that takes over: the answer to the write with
-// which that one takes the lease is lost.
+// turns plays some rounds. New weights are named in each, and the store turns the machine away that
+// gives the orders, before it has given the last one. Newer weights are named then. The answer to
+// the write with which the next machine takes the lease is lost, and the store turns that machine
+// away for a moment.
 func turns(w *world, trouble bool) bool {
 	defer w.store.setLoses(nil)
 	w.addVMs(6)
 	w.configure()
-	for _, id := range []string{"i-01", "i-02", "i-03", "i-04", "i-05", "i-06"} {
-		w.addRunner(id, "llm", model)
+	for i := range 8 {
+		w.addRunner(fmt.Sprintf("i-0%d", i+1), "llm", model).gap = 100 * time.Millisecond
 	}
 	for _, id := range []string{"i-11", "i-12"} {
 		w.addRunner(id, "app", "")
@@ -37,16 +42,28 @@
 	w.startAll()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go w.traffic(ctx, 6)
+	go w.traffic(ctx, 30)
 	time.Sleep(4 * time.Second)
 	w.name(2)
 	time.Sleep(9 * time.Second)
-	for version := int64(3); version <= 4; version++ {
+	for version := int64(3); version <= 3+2*(rounds-1); version += 2 {
+		began := time.Now()
+		ordered := w.awaitOrder(version)
+		w.name(version)
+		var holder string
+		select {
+		case holder = <-ordered:
+		case <-time.After(roundTime / 2):
+			unable("no order for version %d", version)
+		}
 		if trouble {
-			w.turnAwayGiver(version)
+			time.Sleep(turnAfter)
+			w.turnAway(holder, busy, turnedAway)
+			w.loseTakeover()
 		}
-		w.name(version)
-		time.Sleep(roundTime)
+		time.Sleep(betweenVersions - time.Since(began))
+		w.name(version + 1)
+		time.Sleep(roundTime - time.Since(began))
 	}
 	stop()
 	return w.noTurns()
@@ -64,39 +81,41 @@
 	s.loses = f
 }
 
-// turnAwayGiver prepares the disruption. It begins with the first order for a version.
-func (w *world) turnAwayGiver(version int64) {
+// awaitOrder returns a channel that gets the holder that gives the first order for a version.
+func (w *world) awaitOrder(version int64) <-chan string {
+	holder := make(chan string, 1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lateShare = lateOrders
-	time.AfterFunc(lateTime, func() {
-		w.mu.Lock()
-		w.lateShare = 0
-		w.mu.Unlock()
-		w.logf("orders are answered again")
-	})
 	w.onOrder = func(o order) {
 		if o.version != version {
 			return
 		}
-		w.mu.Lock()
-		w.onOrder = nil
-		w.mu.Unlock()
-		w.turnAway(o.holder, busy, turnedAway)
-		taken := false
-		w.store.setLoses(func(c call) bool {
-			var lease struct {
-				Holder string `json:"holder"`
-			}
-			if c.kind != "lease" || json.Unmarshal(c.spec, &lease) != nil || lease.Holder != c.machine || taken {
-				return false
-			}
-			taken = true
+		select {
+		case holder <- o.holder:
+		default:
+		}
+	}
+	return holder
+}
+
+// loseTakeover loses the answer to the next write with which a machine takes the lease, and turns
+// that machine away for a moment.
+func (w *world) loseTakeover() {
+	var once sync.Once
+	w.store.setLoses(func(c call) (isLost bool) {
+		var lease struct {
+			Holder string `json:"holder"`
+		}
+		if c.kind != "lease" || json.Unmarshal(c.spec, &lease) != nil || lease.Holder != c.machine {
+			return false
+		}
+		once.Do(func() {
+			isLost = true
 			w.logf("the answer to %s is lost: it has written the lease", c.machine)
 			w.turnAway(c.machine, resets, turnedAwayShortly)
-			return true
 		})
-	}
+		return isLost
+	})
 }
 
 // turnAway makes the store turn a machine away for some time.
--- a/review/world-3/world.go
+++ b/review/world-3/world.go
@@ -47,11 +47,11 @@
 	orders []order
 	// onOrder is called with each order.
 	onOrder func(order)
-	// lateShare is the share of the orders that get no answer and are carried out late.
-	lateShare float64
-	answers   map[string]int
+	answers map[string]int
 	// servedAgain holds when the store began to serve machines again that it had turned away.
 	servedAgain map[string][]time.Time
+	// reserved are the addresses of machines.
+	reserved map[string]bool
 }
 
 // unable ends the case: it could not run.
@@ -85,7 +85,7 @@
 	if err != nil {
 		unable("temporary folder: %v", err)
 	}
-	return &world{began: time.Now(), binary: binary, dir: dir, store: newStore(), record: record, answers: map[string]int{}, servedAgain: map[string][]time.Time{}}
+	return &world{began: time.Now(), binary: binary, dir: dir, store: newStore(), record: record, answers: map[string]int{}, servedAgain: map[string][]time.Time{}, reserved: map[string]bool{}}
 }
 
 // close ends all processes and removes the temporary folder.
@@ -107,41 +107,47 @@
 	w.orders = append(w.orders, o)
 	hook := w.onOrder
 	w.mu.Unlock()
-	w.logf("order runner=%s holder=%s token=%d version=%d answered=%t", o.runner, o.holder, o.token, o.version, o.answered)
+	w.logf("order runner=%s holder=%s token=%d version=%d status=%d", o.runner, o.holder, o.token, o.version, o.status)
 	if hook != nil {
 		hook(o)
 	}
 }
 
-func (w *world) isLate() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return mathrand.Float64() < w.lateShare
-}
-
-// freeAddress returns an address of which nobody uses the port.
-func freeAddress() string {
-	l := listen()
-	defer l.Close()
-	return l.Addr().String()
+// freeAddress returns an address of which nobody uses the port. The ports are below those that the
+// kernel gives to outgoing connections, so that they stay free until the machine starts.
+func (w *world) freeAddress() string {
+	for range 1000 {
+		address := fmt.Sprintf("%s:%d", host, 12000+mathrand.IntN(18000))
+		if w.reserved[address] {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			w.reserved[address] = true
+			return address
+		}
+	}
+	unable("no free port")
+	return ""
 }
 
 // addVMs prepares the settings of machines, like those of the first deployment.
 func (w *world) addVMs(n int) {
+	first := len(w.vms)
 	for i := range n {
 		v := &vm{
-			name: fmt.Sprintf("front-%s-%d", zone, i+1), callers: freeAddress(), ready: freeAddress(),
-			directory: freeAddress(), operators: freeAddress(), peers: freeAddress(),
+			name: fmt.Sprintf("front-%s-%d", zone, first+i+1), callers: w.freeAddress(), ready: w.freeAddress(),
+			directory: w.freeAddress(), operators: w.freeAddress(), peers: w.freeAddress(),
 		}
 		v.settings = filepath.Join(w.dir, v.name+".yaml")
 		v.log = filepath.Join(w.dir, v.name+".log")
 		w.vms = append(w.vms, v)
 	}
 	var seeds []string
-	for _, v := range w.vms[:min(3, n)] {
+	for _, v := range w.vms[first : first+min(3, n)] {
 		seeds = append(seeds, fmt.Sprintf("%q", v.peers))
 	}
-	for _, v := range w.vms {
+	for _, v := range w.vms[first:] {
 		text := fmt.Sprintf(`vm: %q
 region: %q
 datacentre: %q
@@ -197,11 +203,13 @@
 }
 
 // startAll starts all machines and waits until they are ready.
-func (w *world) startAll() {
-	for _, v := range w.vms {
+func (w *world) startAll() { w.startThese(w.vms) }
+
+func (w *world) startThese(vms []*vm) {
+	for _, v := range vms {
 		w.start(v)
 	}
-	for _, v := range w.vms {
+	for _, v := range vms {
 		w.awaitReady(v)
 	}
 }
@@ -301,7 +309,7 @@
 	if method == http.MethodPost {
 		req.Header.Set("Baobabdyke-Model", model)
 		req.Header.Set("Baobabdyke-Token-Usage", "826,49")
-		req.Header.Set("Baobabdyke-Prefix-Hash", "5c1e07a2:119,91bd3f06:79,"+id+":628")
+		req.Header.Set("Baobabdyke-Prefix-Hash", id[:8]+":119,"+id[8:]+":79,"+id+":628")
 	}
 	w.logf("sent id=%s machine=%s path=%s", id, v.name, path)
 	resp, err := client.Do(req)
