Show that replaced machines refuse every limited customer

Cause: shares.Registry.mayBeInTouch lets the records of lost VMs block new ones for ten minutes, if all VMs that the lost ones knew are silent as well.

Nothing of the product is changed.

--- a/review/world-3/main.go
+++ b/review/world-3/main.go
@@ -16,7 +16,7 @@
 	if len(os.Args) != 4 {
 		unable("usage: world-3 CASE BINARY FOLDER")
 	}
-	cases := map[string]func(w *world, trouble bool) bool{"turns": turns, "silence": silence, "upgrade": upgrade}
+	cases := map[string]func(w *world, trouble bool) bool{"turns": turns, "silence": silence, "upgrade": upgrade, "replaced": replaced}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		unable("no case %q", os.Args[1])
